Add the key ring and the tunnel's wire format

Cause: processes must recognise each other, and packets must travel between balancers and agents. Change: lentilkey derives keys for each purpose and TLS identities from shared secrets; lentiltunnel seals and opens packets. The sender's nonce is a 96-bit count from a random start, not 4 random bytes and a count: with 30,000 processes 4 bytes would meet often, and a repeated nonce gives the key of AES-GCM away. Broken on purpose: verify that takes everybody fails TestTLS/client_is_a_stranger (met = true, want false); Open that ignores the tag fails TestEveryBitCounts (a packet with bit 16 turned was taken) and TestFaults. Conclusion: the shells can be built on both.

--- /dev/null
+++ b/internal/lentilkey/ring_test.go
@@ -0,0 +1,134 @@
+package lentilkey
+
+import (
+	"bytes"
+	"crypto/tls"
+	"io"
+	"net"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/joomcode/errorx"
+)
+
+var (
+	oldKey = KeyDoc{ID: 1, Secret: []byte("the old secret of the tests")}
+	newKey = KeyDoc{ID: 2, Secret: []byte("the new secret of the tests")}
+	stray  = KeyDoc{ID: 1, Secret: []byte("some other secret of tests")}
+)
+
+func ring(t *testing.T, docs ...KeyDoc) Ring {
+	t.Helper()
+	made, err := New(docs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return made
+}
+
+func TestNewRefuses(t *testing.T) {
+	tests := map[string][]KeyDoc{
+		"no key":       nil,
+		"short secret": {{ID: 1, Secret: []byte("short")}},
+		"same ID":      {oldKey, stray},
+	}
+	for name, docs := range tests {
+		t.Run(name, func(t *testing.T) {
+			if _, err := New(docs); !errorx.IsOfType(err, ErrRing) {
+				t.Errorf("New(%s) = %v, want an error of type ErrRing", name, err)
+			}
+		})
+	}
+}
+
+func TestDeriveSeparates(t *testing.T) {
+	seen := map[string]Purpose{}
+	for p := ConnectionID; p <= Reset; p++ {
+		keys, err := ring(t, oldKey, newKey).Derive(p, 32)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff([]uint8{1, 2}, []uint8{keys[0].ID(), keys[1].ID()}); diff != "" {
+			t.Errorf("key IDs (-want +got):\n%s", diff)
+		}
+		for _, k := range keys {
+			if other, ok := seen[string(k.Bytes())]; ok {
+				t.Errorf("%s and %s share a key", p, other)
+			}
+			seen[string(k.Bytes())] = p
+		}
+	}
+	again, _ := ring(t, oldKey).Derive(ConnectionID, 32)
+	first, _ := ring(t, oldKey, newKey).Derive(ConnectionID, 32)
+	if !bytes.Equal(again[0].Bytes(), first[0].Bytes()) {
+		t.Error("two processes with the same secret derive different keys")
+	}
+}
+
+// TestTLS pairs rings of two processes, also in the midst of a rotation.
+func TestTLS(t *testing.T) {
+	tests := []struct {
+		name           string
+		server, client Ring
+		meet           bool
+	}{
+		{"same", ring(t, oldKey), ring(t, oldKey), true},
+		{"client knows the new key", ring(t, oldKey), ring(t, oldKey, newKey), true},
+		{"client signs with the new key", ring(t, oldKey, newKey), ring(t, newKey, oldKey), true},
+		{"server has dropped the old key", ring(t, newKey), ring(t, newKey, oldKey), true},
+		{"client is a stranger", ring(t, oldKey, newKey), ring(t, stray), false},
+		{"client holds only a withdrawn key", ring(t, newKey), ring(t, oldKey), false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			serverErr, clientErr := exchange(t, tt.server, tt.client)
+			if met := serverErr == nil && clientErr == nil; met != tt.meet {
+				t.Fatalf("met = %v, want %v (server: %v, client: %v)", met, tt.meet, serverErr, clientErr)
+			}
+		})
+	}
+}
+
+// TestServerRefusesNoIdentity shows that a client without any identity is refused.
+func TestServerRefusesNoIdentity(t *testing.T) {
+	server, err := ring(t, oldKey).ServerTLS()
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := &tls.Config{InsecureSkipVerify: true, MinVersion: tls.VersionTLS13}
+	if serverErr, _ := exchangeTLS(t, server, client); serverErr == nil {
+		t.Error("the server took a client without an identity")
+	}
+}
+
+func exchange(t *testing.T, server, client Ring) (serverErr, clientErr error) {
+	t.Helper()
+	serverTLS, err := server.ServerTLS("test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	clientTLS, err := client.ClientTLS("test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return exchangeTLS(t, serverTLS, clientTLS)
+}
+
+func exchangeTLS(t *testing.T, server, client *tls.Config) (serverErr, clientErr error) {
+	t.Helper()
+	left, right := net.Pipe()
+	done := make(chan error, 1)
+	go func() {
+		conn := tls.Server(left, server)
+		err := conn.Handshake()
+		if err == nil {
+			_, err = conn.Write([]byte("hello"))
+		}
+		_ = left.Close()
+		done <- err
+	}()
+	conn := tls.Client(right, client)
+	_, clientErr = io.ReadAll(conn)
+	_ = right.Close()
+	return <-done, clientErr
+}
--- /dev/null
+++ b/internal/lentiltunnel/codec.go
@@ -0,0 +1,111 @@
+package lentiltunnel
+
+import (
+	"crypto/aes"
+	"crypto/cipher"
+	"crypto/rand"
+	"encoding/binary"
+	"sync/atomic"
+
+	"github.com/joomcode/errorx"
+
+	"lentilstair.example/lentilstair/internal/lentilkey"
+)
+
+// KeyBytes is the length of a tunnel key (AES-128).
+const KeyBytes = 16
+
+// Fault says why a tunnel packet was refused.
+type Fault uint8
+
+//go:generate stringer -type=Fault
+
+// The faults of tunnel packets.
+const (
+	// None is no fault.
+	None Fault = iota
+	// Malformed packets are too short, too long, or of no known version or kind.
+	Malformed
+	// UnknownKey packets are signed with a key that is not in the ring.
+	UnknownKey
+	// Forged packets have a tag that doesn't fit.
+	Forged
+)
+
+// Codec seals and opens tunnel packets. It may be used by several goroutines.
+// A Codec never uses a nonce twice: it counts up from a random number of 96
+// bits, so that the counts of different processes practically never meet.
+type Codec struct {
+	signer  uint8
+	keys    [256]cipher.AEAD
+	prefix  uint32
+	counter atomic.Uint64
+}
+
+// New returns a codec with the tunnel keys of the ring.
+func New(ring lentilkey.Ring) (codec *Codec, err error) {
+	defer func() {
+		if err != nil {
+			err = errorx.Decorate(err, "make tunnel codec")
+		}
+	}()
+	keys, err := ring.Derive(lentilkey.Tunnel, KeyBytes)
+	if err != nil {
+		return nil, err
+	}
+	if len(keys) == 0 {
+		return nil, lentilkey.ErrRing.New("there is no key")
+	}
+	codec = &Codec{signer: keys[0].ID()}
+	for _, k := range keys {
+		block, err := aes.NewCipher(k.Bytes())
+		if err != nil {
+			return nil, err
+		}
+		if codec.keys[k.ID()], err = cipher.NewGCM(block); err != nil {
+			return nil, err
+		}
+	}
+	var start [nonceBytes]byte
+	if _, err = rand.Read(start[:]); err != nil {
+		return nil, err
+	}
+	codec.prefix = binary.BigEndian.Uint32(start[:])
+	codec.counter.Store(binary.BigEndian.Uint64(start[4:]))
+	return codec, nil
+}
+
+// Seal makes a tunnel packet in buffer, whose payload of length bytes already
+// stands at Start(buffer). The packet shares buffer's memory.
+func (c *Codec) Seal(buffer []byte, h *Header, length int) (packet []byte) {
+	end := HeaderBytes + length
+	packet = buffer[:end:len(buffer)]
+	h.put(packet, c.signer)
+	nonce := packet[offsetNonce:HeaderBytes]
+	binary.BigEndian.PutUint32(nonce, c.prefix)
+	binary.BigEndian.PutUint64(nonce[4:], c.counter.Add(1))
+	return c.keys[c.signer].Seal(packet, nonce, nil, packet)
+}
+
+// Open checks a tunnel packet and reads its header into h. The payload shares
+// packet's memory. h holds nothing of use unless fault is None.
+func (c *Codec) Open(packet []byte, h *Header) (payload []byte, fault Fault) {
+	if len(packet) < OverheadBytes || len(packet) > MaxPacketBytes || packet[offsetVersion] != version {
+		return nil, Malformed
+	}
+	kind := Kind(packet[offsetKind])
+	if kind < Inbound || kind > Handed {
+		return nil, Malformed
+	}
+	aead := c.keys[packet[offsetKey]]
+	if aead == nil {
+		return nil, UnknownKey
+	}
+	end := len(packet) - TagBytes
+	nonce := packet[offsetNonce:HeaderBytes]
+	if _, err := aead.Open(nil, nonce, packet[end:], packet[:end]); err != nil {
+		return nil, Forged
+	}
+	h.get(packet)
+	return packet[HeaderBytes:end], None
+}
--- /dev/null
+++ b/internal/lentiltunnel/codec_test.go
@@ -0,0 +1,141 @@
+package lentiltunnel
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"lentilstair.example/lentilstair/internal/lentilkey"
+)
+
+var (
+	oldKey = lentilkey.KeyDoc{ID: 1, Secret: []byte("the old secret of the tests")}
+	newKey = lentilkey.KeyDoc{ID: 2, Secret: []byte("the new secret of the tests")}
+	sample = Header{
+		Kind:        Handed,
+		Hops:        2,
+		Service:     0x0102,
+		Domain:      3,
+		Incarnation: 0x040506,
+		Caller:      netip.MustParseAddrPort("192.0.2.7:4433"),
+		Via:         netip.MustParseAddrPort("198.51.100.9:7000"),
+	}
+)
+
+func codec(t testing.TB, docs ...lentilkey.KeyDoc) *Codec {
+	t.Helper()
+	ring, err := lentilkey.New(docs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	made, err := New(ring)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return made
+}
+
+func seal(c *Codec, h Header, payload string) []byte {
+	buffer := make([]byte, MaxPacketBytes)
+	return c.Seal(buffer, &h, copy(Start(buffer), payload))
+}
+
+var compareAddr = cmp.Comparer(func(a, b netip.AddrPort) bool { return a == b })
+
+func TestRoundTrip(t *testing.T) {
+	six := sample
+	six.Caller = netip.MustParseAddrPort("[2001:db8::1]:443")
+	answer := sample
+	answer.Kind, answer.Via = Answer, netip.AddrPort{}
+	for _, want := range []Header{sample, six, answer} {
+		var got Header
+		payload, fault := codec(t, newKey, oldKey).Open(seal(codec(t, oldKey), want, "payload"), &got)
+		if fault != None || string(payload) != "payload" {
+			t.Fatalf("Open = %q, %s", payload, fault)
+		}
+		if diff := cmp.Diff(want, got, compareAddr); diff != "" {
+			t.Errorf("header (-want +got):\n%s", diff)
+		}
+	}
+}
+
+// TestEveryBitCounts turns every bit of a packet; none of the results is taken.
+func TestEveryBitCounts(t *testing.T) {
+	c := codec(t, oldKey)
+	packet := seal(c, sample, "payload")
+	for i := range len(packet) * 8 {
+		packet[i/8] ^= 1 << (i % 8)
+		var h Header
+		if _, fault := c.Open(packet, &h); fault == None {
+			t.Errorf("a packet with bit %d turned was taken", i)
+		}
+		packet[i/8] ^= 1 << (i % 8)
+	}
+}
+
+func TestFaults(t *testing.T) {
+	c := codec(t, oldKey)
+	packet := seal(c, sample, "payload")
+	tests := []struct {
+		name   string
+		packet []byte
+		want   Fault
+	}{
+		{"empty", nil, Malformed},
+		{"truncated header", packet[:HeaderBytes-1], Malformed},
+		{"truncated payload", packet[:len(packet)-1], Forged},
+		{"too long", make([]byte, MaxPacketBytes+1), Malformed},
+		{"other version", append([]byte{9}, packet[1:]...), Malformed},
+		{"no such kind", append([]byte{version, 9}, packet[2:]...), Malformed},
+		{"key not in the ring", seal(codec(t, newKey), sample, "x"), UnknownKey},
+		{"same key ID, other secret", seal(codec(t, lentilkey.KeyDoc{ID: 1, Secret: newKey.Secret}), sample, "x"), Forged},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var h Header
+			if _, fault := c.Open(tt.packet, &h); fault != tt.want {
+				t.Errorf("Open: %s, want %s", fault, tt.want)
+			}
+		})
+	}
+}
+
+func TestNoAllocation(t *testing.T) {
+	c := codec(t, oldKey)
+	buffer := make([]byte, MaxPacketBytes)
+	got := testing.AllocsPerRun(100, func() {
+		h := sample
+		packet := c.Seal(buffer, &h, MaxPayloadBytes)
+		if _, fault := c.Open(packet, &h); fault != None {
+			t.Fatal(fault)
+		}
+	})
+	if got != 0 {
+		t.Errorf("%v allocations a packet, want 0", got)
+	}
+}
+
+func FuzzOpen(f *testing.F) {
+	c := codec(f, oldKey)
+	f.Add(seal(c, sample, "payload"))
+	f.Add([]byte{version, byte(Inbound)})
+	f.Fuzz(func(t *testing.T, packet []byte) {
+		var h Header
+		payload, fault := c.Open(packet, &h)
+		if fault == None && len(payload) != len(packet)-OverheadBytes {
+			t.Errorf("payload of %d bytes in a packet of %d", len(payload), len(packet))
+		}
+	})
+}
+
+func BenchmarkSealOpen(b *testing.B) {
+	c := codec(b, oldKey)
+	buffer := make([]byte, MaxPacketBytes)
+	h := sample
+	b.ReportAllocs()
+	for b.Loop() {
+		packet := c.Seal(buffer, &h, 1350)
+		c.Open(packet, &h)
+	}
+}
