Add the exported API of limit, admission, hand-off, tickets and retries

Cause: the agent's shell builds on these packages, and can't wait for their whole behaviour. Change: exported types and documentation of lentillimit, lentiladmit, lentilhandoff, lentilticket and lentilretry, and the enum lentilconfig.Kind. Tickets, the ledger and the retry budget behave as documented; the limiter, admission and hand-off are thin: fixed slots, first in first out, no peer. Conclusion: others can compile against these packages.

--- /dev/null
+++ b/pkg/lentillimit/limit.go
@@ -0,0 +1,91 @@
+// Package lentillimit decides how much work an upstream copy bears now.
+//
+// Only what the agent itself sees counts: when requests began and ended, and how.
+// What the copy reports about its health and load is not read, since it lags and
+// misleads. A copy that has just started begins at a fraction of its slots and
+// grows with normal completions; slowness, sheds, timeouts and errors send it back
+// at once, since a copy may turn cold again without warning.
+package lentillimit
+
+import (
+	"time"
+
+	"lentilstair.example/lentilstair/pkg/lentilclock"
+)
+
+//go:generate stringer -type=Outcome -trimprefix=Outcome
+
+// Outcome is how a request at the copy ended.
+type Outcome uint8
+
+// The outcomes. The zero Outcome is none of them and is treated as OutcomeFailed.
+const (
+	// OutcomeDone is a whole answer, whatever its status, unless the copy shed.
+	OutcomeDone Outcome = iota + 1
+	// OutcomeShed is a refusal by the copy itself because of load (503 or 429).
+	OutcomeShed
+	// OutcomeFailed is a transport failure: refused, reset, or a broken answer.
+	OutcomeFailed
+	// OutcomeTimedOut is a request that the agent gave up when its deadline passed.
+	OutcomeTimedOut
+	// OutcomeCancelled is a request that the caller gave up; it says nothing of the copy.
+	OutcomeCancelled
+)
+
+// Limiter decides what a copy bears, in hundredths of a slot. The zero Limiter is
+// ready to use for a copy with DefaultSlots slots that has just started. It is not
+// safe for concurrent use.
+type Limiter struct {
+	// Clock tells the time; nil is the machine's clock.
+	Clock lentilclock.Clock
+	// Slots is how many requests a warm copy works on at once; zero is DefaultSlots.
+	Slots int
+	// Warm is the least time from cold to all slots; zero is DefaultWarm.
+	Warm time.Duration
+	// Typical is how long a request takes at a warm copy of the same service, as
+	// peers have learned it; zero is not known.
+	Typical time.Duration
+	machine
+}
+
+const (
+	// DefaultSlots is the number of slots of a copy whose Slots is zero.
+	DefaultSlots = 2
+	// DefaultWarm is the least time from cold to all slots.
+	DefaultWarm = 20 * time.Second
+	// Slot is one slot in the unit of Bears, Weight and Load.
+	Slot = 100
+)
+
+// Started tells that request id was sent to the copy.
+func (l *Limiter) Started(id uint64) { l.started(id) }
+
+// Ended tells how request id ended. An id that was not started is ignored.
+func (l *Limiter) Ended(id uint64, outcome Outcome) { l.ended(id, outcome) }
+
+// Tick lets time pass: it looks for requests that have run too long and grows or
+// forgets what was learned. Call it some times a second.
+func (l *Limiter) Tick() { l.tick() }
+
+// Bears returns what the copy bears now, in hundredths of a slot.
+func (l *Limiter) Bears() uint16 { return l.bears() }
+
+// Weight returns the weight to announce: Bears in coarse steps that fall at once
+// and rise slowly, in hundredths of a slot.
+func (l *Limiter) Weight() uint16 { return l.weight() }
+
+// Load returns the work of the last seconds, smoothed, in hundredths of a slot.
+func (l *Limiter) Load() uint16 { return l.load() }
+
+// Free reports whether one more request may be sent now.
+func (l *Limiter) Free() bool { return l.free() }
+
+// FreeAt returns when Free becomes true if nothing ends before; the zero time
+// means not before some request has ended.
+func (l *Limiter) FreeAt() time.Time { return l.freeAt() }
+
+// Cold reports whether the copy bears less than all its slots.
+func (l *Limiter) Cold() bool { return l.cold() }
+
+// Expected returns how long a request is expected to take at the copy now.
+func (l *Limiter) Expected() time.Duration { return l.expected() }
--- /dev/null
+++ b/pkg/lentilretry/retry.go
@@ -0,0 +1,66 @@
+// Package lentilretry limits the retries of requests that may be repeated.
+//
+// A retry is paid for out of a budget that successes fill, so that retries stay a small
+// part of the work however badly the copies do, and can't turn an overload into a larger one.
+package lentilretry
+
+import (
+	"time"
+
+	"lentilstair.example/lentilstair/pkg/lentilconfig"
+)
+
+// Budget is the budget for retries of one agent. The zero Budget is ready to use and
+// starts with its Burst saved up. It is not safe for concurrent use.
+type Budget struct {
+	// Percent is how many retries a hundred successes pay for; zero is DefaultPercent.
+	Percent int
+	// Burst is how many retries may be saved up; zero is DefaultBurst.
+	Burst int
+	spent int64
+}
+
+const (
+	// DefaultPercent is how many retries a hundred successes pay for.
+	DefaultPercent = 10
+	// DefaultBurst is how many retries may be saved up.
+	DefaultBurst = 10
+	// MaxAttempts is how often a request is sent at all.
+	MaxAttempts = 2
+)
+
+// Succeeded tells that a first attempt succeeded.
+func (b *Budget) Succeeded() { b.succeeded() }
+
+// Allows reports whether one more attempt of a request may be made: it may be
+// repeated, its attempts so far are below MaxAttempts, remaining (the time to its deadline) is
+// enough for expected, and the budget has room.
+func (b *Budget) Allows(kind lentilconfig.Kind, attempts int, remaining, expected time.Duration) bool {
+	return kind == lentilconfig.KindRepeatable && attempts < MaxAttempts && remaining >= expected && b.room()
+}
+
+// Spend takes one retry out of the budget.
+func (b *Budget) Spend() { b.spend() }
+
+// scale is the parts into which one retry is divided.
+const scale = 100
+
+func (b *Budget) percent() int64 {
+	if b.Percent == 0 {
+		return DefaultPercent
+	}
+	return int64(b.Percent)
+}
+
+func (b *Budget) burst() int64 {
+	if b.Burst == 0 {
+		return DefaultBurst * scale
+	}
+	return int64(b.Burst) * scale
+}
+
+func (b *Budget) succeeded() { b.spent = max(0, b.spent-b.percent()) }
+
+func (b *Budget) room() bool { return b.spent+scale <= b.burst() }
+
+func (b *Budget) spend() { b.spent = min(b.burst(), b.spent+scale) }
--- /dev/null
+++ b/pkg/lentilticket/book.go
@@ -0,0 +1,236 @@
+package lentilticket
+
+import (
+	"container/heap"
+	"slices"
+)
+
+// phase is where the request of an entry stands.
+type phase uint8
+
+const (
+	// open: presented, surely not begun; may run.
+	open phase = iota + 1
+	// running: begun, or about to be.
+	running
+	// done: the answer is stored.
+	done
+	// delegated: run by a peer under the entry's peer ticket.
+	delegated
+	// unknown: begun once, and no whole answer is stored. Final, but for a late answer.
+	unknown
+)
+
+// entry is what is remembered of a ticket.
+type entry struct {
+	phase       phase
+	fingerprint Fingerprint
+	answer      Answer
+	size        int
+	peer        Ticket
+	waiters     []uint64
+}
+
+// book is the state of a Ledger. Invariant: every ticket that was ever presented has an
+// entry or a sequence below watermark, so that a ticket without an entry at or above watermark
+// was surely never run.
+type book struct {
+	entries   map[uint64]*entry
+	watermark uint64
+	order     sequences
+	answered  []uint64
+	bytes     int
+}
+
+// sequences is a heap of the sequences that may be evicted, lowest first.
+type sequences []uint64
+
+func (s sequences) Len() int           { return len(s) }
+func (s sequences) Less(i, j int) bool { return s[i] < s[j] }
+func (s sequences) Swap(i, j int)      { s[i], s[j] = s[j], s[i] }
+
+// Push appends a sequence; it is called by container/heap.
+func (s *sequences) Push(x any) { *s = append(*s, x.(uint64)) }
+
+// Pop removes the last sequence; it is called by container/heap.
+func (s *sequences) Pop() any {
+	last := (*s)[len(*s)-1]
+	*s = (*s)[:len(*s)-1]
+	return last
+}
+
+func (l *Ledger) present(ticket Ticket, fingerprint Fingerprint, waiter uint64) Decision {
+	if ticket.incarnation != l.Incarnation {
+		return Decision{verdict: VerdictElsewhere, ticket: ticket}
+	}
+	e, ok := l.entries[ticket.sequence]
+	switch {
+	case !ok && ticket.sequence < l.watermark:
+		return Decision{verdict: VerdictUnknown}
+	case !ok:
+		l.insert(ticket.sequence, &entry{phase: running, fingerprint: fingerprint})
+		return Decision{verdict: VerdictRun}
+	case e.fingerprint != fingerprint:
+		return Decision{verdict: VerdictRefuse}
+	}
+	return e.present(waiter)
+}
+
+// present decides about one more attempt of the entry's own request.
+func (e *entry) present(waiter uint64) Decision {
+	switch e.phase {
+	case open:
+		e.phase = running
+		return Decision{verdict: VerdictRun}
+	case running:
+		e.waiters = append(e.waiters, waiter)
+		return Decision{verdict: VerdictWait}
+	case done:
+		return Decision{verdict: VerdictReplay, answer: e.answer}
+	case delegated:
+		return Decision{verdict: VerdictElsewhere, ticket: e.peer}
+	default:
+		return Decision{verdict: VerdictUnknown}
+	}
+}
+
+func (l *Ledger) insert(sequence uint64, e *entry) {
+	if l.entries == nil {
+		l.entries = make(map[uint64]*entry)
+	}
+	l.entries[sequence] = e
+	heap.Push(&l.order, sequence)
+	l.evict()
+}
+
+// evict forgets the earliest issued tickets that aren't running until the rest fits.
+func (l *Ledger) evict() {
+	var kept []uint64
+	for len(l.entries) > l.maxEntries() && len(l.order) > 0 {
+		sequence := heap.Pop(&l.order).(uint64)
+		if l.entries[sequence].phase == running {
+			kept = append(kept, sequence)
+			continue
+		}
+		l.watermark = max(l.watermark, sequence+1)
+		l.dropAnswer(sequence)
+		delete(l.entries, sequence)
+	}
+	for _, sequence := range kept {
+		heap.Push(&l.order, sequence)
+	}
+}
+
+func (l *Ledger) complete(ticket Ticket, answer Answer) (waiters []uint64) {
+	e := l.find(ticket)
+	if e == nil || (e.phase != running && e.phase != unknown) {
+		return nil
+	}
+	size := answer.size()
+	if size > l.maxAnswer() {
+		return e.settle(unknown)
+	}
+	e.answer, e.size = answer, size
+	l.bytes += size
+	l.answered = append(l.answered, ticket.sequence)
+	waiters = e.settle(done)
+	l.trim()
+	return waiters
+}
+
+func (l *Ledger) delegate(ticket, peer Ticket) (waiters []uint64) {
+	e := l.find(ticket)
+	if e == nil || e.phase != running {
+		return nil
+	}
+	e.peer = peer
+	return e.settle(delegated)
+}
+
+func (l *Ledger) notBegun(ticket Ticket) (waiters []uint64) {
+	e := l.find(ticket)
+	if e == nil || e.phase != running {
+		return nil
+	}
+	return e.settle(open)
+}
+
+func (l *Ledger) lost(ticket Ticket) (waiters []uint64) {
+	e := l.find(ticket)
+	if e == nil || e.phase != running {
+		return nil
+	}
+	return e.settle(unknown)
+}
+
+func (l *Ledger) leave(ticket Ticket, waiter uint64) {
+	if e := l.find(ticket); e != nil {
+		e.waiters = slices.DeleteFunc(e.waiters, func(w uint64) bool { return w == waiter })
+	}
+}
+
+// find returns the entry of a ticket of this incarnation, or nil.
+func (l *Ledger) find(ticket Ticket) *entry {
+	if ticket.incarnation != l.Incarnation {
+		return nil
+	}
+	return l.entries[ticket.sequence]
+}
+
+func (e *entry) settle(next phase) (waiters []uint64) {
+	waiters, e.waiters = e.waiters, nil
+	e.phase = next
+	return waiters
+}
+
+// trim drops the oldest answers until the rest fits. The entries stay and answer
+// that the outcome is unknown.
+func (l *Ledger) trim() {
+	for l.bytes > l.maxBytes() && len(l.answered) > 0 {
+		sequence := l.answered[0]
+		l.answered = l.answered[1:]
+		l.dropAnswer(sequence)
+	}
+}
+
+func (l *Ledger) dropAnswer(sequence uint64) {
+	e := l.entries[sequence]
+	if e == nil || e.phase != done {
+		return
+	}
+	l.bytes -= e.size
+	e.phase, e.answer, e.size = unknown, Answer{}, 0
+}
+
+// size returns about how many bytes the answer takes.
+func (a Answer) size() int {
+	size := len(a.Body)
+	for name, values := range a.Header {
+		size += len(name)
+		for _, v := range values {
+			size += len(v)
+		}
+	}
+	return size
+}
+
+func (l *Ledger) maxEntries() int {
+	if l.Entries == 0 {
+		return DefaultEntries
+	}
+	return l.Entries
+}
+
+func (l *Ledger) maxBytes() int {
+	if l.AnswerBytes == 0 {
+		return DefaultAnswerBytes
+	}
+	return l.AnswerBytes
+}
+
+func (l *Ledger) maxAnswer() int {
+	if l.MaxAnswer == 0 {
+		return DefaultMaxAnswer
+	}
+	return l.MaxAnswer
+}
--- /dev/null
+++ b/pkg/lentilticket/seal.go
@@ -0,0 +1,112 @@
+package lentilticket
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/joomcode/errorx"
+
+	"lentilstair.example/lentilstair/pkg/lentilid"
+)
+
+// Errors are the faults of the text of a ticket.
+var Errors = errorx.NewNamespace("lentilticket")
+
+var (
+	// ErrMalformed is a text that is no ticket.
+	ErrMalformed = Errors.NewType("malformed")
+	// ErrForged is a ticket that no key of the ring has sealed.
+	ErrForged = Errors.NewType("forged")
+	// ErrNoKey is a ring that can't seal.
+	ErrNoKey = Errors.NewType("no_key")
+)
+
+const (
+	// Parameter is the query parameter that carries a ticket.
+	Parameter = "lentilTicket"
+
+	version    = 1
+	macSize    = 16
+	fixedSize  = 1 + 1 + 2 + 8 + 8 + 2
+	headerSize = 2
+	macLabel   = "lentilstair ticket 1"
+)
+
+var encoding = base64.RawURLEncoding.Strict()
+
+// Seal returns the text of a ticket, authenticated by the first key of the ring and safe in a URL.
+func (r Ring) Seal(ticket Ticket) (text string, err error) {
+	defer func() {
+		if err != nil {
+			err = errorx.Decorate(err, "seal ticket")
+		}
+	}()
+	if len(r) == 0 || len(r[0].Secret) < MinSecret {
+		return "", ErrNoKey.New("the first key has fewer than %d bytes", MinSecret)
+	}
+	plain := ticket.marshal(r[0].ID)
+	return encoding.EncodeToString(append(plain, r[0].mac(plain)...)), nil
+}
+
+// Parse returns the ticket of a text, if a key of the ring has sealed it.
+func (r Ring) Parse(text string) (ticket Ticket, err error) {
+	defer func() {
+		if err != nil {
+			err = errorx.Decorate(err, "parse ticket")
+		}
+	}()
+	sealed, err := encoding.DecodeString(text)
+	if err != nil {
+		return Ticket{}, ErrMalformed.Wrap(err, "text")
+	}
+	if len(sealed) < fixedSize+macSize || sealed[0] != version {
+		return Ticket{}, ErrMalformed.New("%d bytes", len(sealed))
+	}
+	plain, mac := sealed[:len(sealed)-macSize], sealed[len(sealed)-macSize:]
+	if !r.authentic(plain, mac) {
+		return Ticket{}, ErrForged.New("key %d", sealed[1])
+	}
+	return unmarshal(plain)
+}
+
+func (r Ring) authentic(plain, mac []byte) bool {
+	for _, k := range r {
+		if k.ID == plain[1] && len(k.Secret) >= MinSecret && hmac.Equal(mac, k.mac(plain)) {
+			return true
+		}
+	}
+	return false
+}
+
+func (k Key) mac(plain []byte) []byte {
+	h := hmac.New(sha256.New, k.Secret)
+	h.Write([]byte(macLabel))
+	h.Write(plain)
+	return h.Sum(nil)[:macSize]
+}
+
+func (t Ticket) marshal(keyID uint8) []byte {
+	plain := make([]byte, 0, fixedSize+16+macSize)
+	plain = append(plain, version, keyID)
+	plain = binary.BigEndian.AppendUint16(plain, uint16(t.service))
+	plain = binary.BigEndian.AppendUint64(plain, uint64(t.incarnation))
+	plain = binary.BigEndian.AppendUint64(plain, t.sequence)
+	plain = binary.BigEndian.AppendUint16(plain, t.control.Port())
+	return append(plain, t.control.Addr().AsSlice()...)
+}
+
+func unmarshal(plain []byte) (ticket Ticket, err error) {
+	fields := plain[headerSize:]
+	ticket.service = lentilid.Service(binary.BigEndian.Uint16(fields))
+	ticket.incarnation = lentilid.Incarnation(binary.BigEndian.Uint64(fields[2:]))
+	ticket.sequence = binary.BigEndian.Uint64(fields[10:])
+	address, ok := netip.AddrFromSlice(plain[fixedSize:])
+	if !ok {
+		return Ticket{}, ErrMalformed.New("address of %d bytes", len(plain)-fixedSize)
+	}
+	ticket.control = netip.AddrPortFrom(address, binary.BigEndian.Uint16(fields[18:]))
+	return ticket, nil
+}
