--- /dev/null
+++ b/pkg/lentilmember/table.go
@@ -0,0 +1,259 @@
+package lentilmember
+
+import (
+	"slices"
+	"time"
+
+	"lentilstair.example/lentilstair/pkg/lentilclock"
+	"lentilstair.example/lentilstair/pkg/lentilid"
+	"lentilstair.example/lentilstair/pkg/lentilrecord"
+)
+
+// Defaults of a Table's settings.
+const (
+	// DefaultSuspicion is how long a suspect member has to refute.
+	DefaultSuspicion = 3 * time.Second
+	// DefaultShown is how long a dead member is shown to peers.
+	DefaultShown = 10 * time.Minute
+	// DefaultRetention is how long a dead member is remembered, so that an old
+	// entry of it does not count again.
+	DefaultRetention = 24 * time.Hour
+	// MaxTombstones bounds the dead members that are remembered.
+	MaxTombstones = 4096
+)
+
+// Table holds the members that one balancer knows. Only members of a region
+// judge the members of that region; a region that cannot be reached keeps its
+// entries, so that a split between regions ends without anybody having died.
+//
+// Join must be called first. It is not safe for use by several goroutines.
+type Table struct {
+	// Clock tells the time; nil means the machine's.
+	Clock lentilclock.Clock
+	// Suspicion is how long a suspect has to refute; 0 means DefaultSuspicion.
+	Suspicion time.Duration
+	// Shown is how long the dead are shown to peers; 0 means DefaultShown.
+	Shown time.Duration
+	// Retention is how long the dead are remembered; 0 means DefaultRetention.
+	Retention time.Duration
+
+	self      lentilid.Incarnation
+	members   map[lentilid.Incarnation]*member
+	tombs     map[lentilid.Incarnation]*member
+	versions  lentilrecord.Versions
+	changed   []lentilid.Incarnation
+	refused   uint64
+	condemned bool
+	seen      time.Time
+	alive     []Doc
+	stale     bool
+}
+
+// member is an entry with the time at which its state was learned.
+type member struct {
+	doc   Doc
+	since time.Time
+}
+
+// Join makes this process a member. Fields that only a Table sets are ignored.
+func (t *Table) Join(self Doc) {
+	self.Version = max(self.Version, 1)
+	self.State = Alive
+	t.members = map[lentilid.Incarnation]*member{}
+	t.tombs = map[lentilid.Incarnation]*member{}
+	t.versions = lentilrecord.Versions{}
+	t.self = self.Run
+	t.put(self.clone())
+}
+
+// Apply takes in entries that came from peers.
+func (t *Table) Apply(docs ...Doc) {
+	for _, doc := range docs {
+		t.apply(doc)
+	}
+}
+
+func (t *Table) apply(doc Doc) {
+	if !doc.valid() {
+		t.refused++
+		return
+	}
+	if doc.Run == t.self {
+		t.refute(doc)
+		return
+	}
+	known := t.members[doc.Run]
+	if known != nil && known.doc.Rank() >= doc.Rank() {
+		return
+	}
+	if known != nil && known.doc.Region != doc.Region {
+		t.refused++
+		return
+	}
+	t.put(doc.clone())
+}
+
+// refute answers a mark on this run, or a version that it made before it was
+// restored, with a new version.
+func (t *Table) refute(doc Doc) {
+	self := t.Self()
+	if doc.Rank() <= self.Rank() || self.State == Left {
+		return
+	}
+	if doc.State == Dead {
+		t.condemned = true
+	}
+	self.Version = doc.Version + 1
+	t.put(self)
+}
+
+func (t *Table) put(doc Doc) {
+	m := &member{doc: doc, since: t.now()}
+	t.members[doc.Run] = m
+	t.versions.Set(uint64(doc.Run), doc.Rank())
+	t.changed = append(t.changed, doc.Run)
+	t.stale = true
+	delete(t.tombs, doc.Run)
+	if !doc.Counts() && doc.Run != t.self {
+		t.tombs[doc.Run] = m
+		t.bound()
+	}
+}
+
+// Suspect marks a member of the own region that did not answer.
+func (t *Table) Suspect(run lentilid.Incarnation) {
+	m := t.members[run]
+	if m == nil || run == t.self || m.doc.State != Alive || m.doc.Region != t.Self().Region {
+		return
+	}
+	doc := m.doc
+	doc.State = Suspect
+	t.put(doc)
+}
+
+// Replaced marks the members of the own region at an address where another run
+// has answered: their processes have ended.
+func (t *Table) Replaced(by Doc) {
+	for _, m := range t.members {
+		doc := m.doc
+		if doc.Control == by.Control && doc.Run != by.Run && doc.Run != t.self && doc.Counts() && doc.Region == t.Self().Region {
+			doc.State = Dead
+			t.put(doc)
+		}
+	}
+}
+
+// SetHeld makes a new version of the own entry if the leases held have changed.
+func (t *Table) SetHeld(owners []lentilid.Incarnation) {
+	self := t.Self()
+	if slices.Equal(self.Held, owners) {
+		return
+	}
+	self.Held = slices.Clone(owners)
+	self.Version++
+	t.put(self)
+}
+
+// SetReaches makes a new version of the own entry if the regions in contact
+// have changed.
+func (t *Table) SetReaches(regions []string) {
+	self := t.Self()
+	if slices.Equal(self.Reaches, regions) {
+		return
+	}
+	self.Reaches = slices.Clone(regions)
+	self.Version++
+	t.put(self)
+}
+
+// Leave marks the own entry as ended.
+func (t *Table) Leave() {
+	self := t.Self()
+	self.State = Left
+	self.Held = nil
+	self.Version++
+	t.put(self)
+}
+
+// Expire declares suspects dead that did not refute in time, and forgets the
+// dead that have been remembered long enough. After a jump of the clock the
+// suspects get their whole time anew, since this process may have been paused.
+func (t *Table) Expire() {
+	now := t.now()
+	jumped := !t.seen.IsZero() && (now.Sub(t.seen) > t.suspicion() || now.Before(t.seen))
+	t.seen = now
+	region := t.Self().Region
+	for _, m := range t.members {
+		if m.doc.State != Suspect || m.doc.Region != region {
+			continue
+		}
+		if jumped {
+			m.since = now
+		}
+		if now.Sub(m.since) >= t.suspicion() {
+			doc := m.doc
+			doc.State = Dead
+			t.put(doc)
+		}
+	}
+	t.bury(now)
+}
+
+func (t *Table) bury(now time.Time) {
+	for run, m := range t.tombs {
+		age := now.Sub(m.since)
+		if age >= orDefault(t.Shown, DefaultShown) {
+			t.versions.Delete(uint64(run))
+		}
+		if age >= orDefault(t.Retention, DefaultRetention) {
+			t.forget(run)
+		}
+	}
+}
+
+// bound drops the oldest tombstone when there are too many.
+func (t *Table) bound() {
+	if len(t.tombs) <= MaxTombstones {
+		return
+	}
+	var oldest *member
+	for _, m := range t.tombs {
+		if oldest == nil || m.since.Before(oldest.since) {
+			oldest = m
+		}
+	}
+	t.forget(oldest.doc.Run)
+}
+
+func (t *Table) forget(run lentilid.Incarnation) {
+	delete(t.members, run)
+	delete(t.tombs, run)
+	t.versions.Delete(uint64(run))
+	t.stale = true
+}
+
+// Discard forgets all other members. The process then joins anew by its seeds.
+func (t *Table) Discard() {
+	for run := range t.members {
+		if run != t.self {
+			t.forget(run)
+		}
+	}
+	t.condemned = false
+}
+
+func (t *Table) now() time.Time {
+	if t.Clock == nil {
+		return lentilclock.System{}.Now()
+	}
+	return t.Clock.Now()
+}
+
+func (t *Table) suspicion() time.Duration { return orDefault(t.Suspicion, DefaultSuspicion) }
+
+func orDefault(d, standard time.Duration) time.Duration {
+	if d == 0 {
+		return standard
+	}
+	return d
+}
--- /dev/null
+++ b/pkg/lentilrecord/store.go
@@ -0,0 +1,278 @@
+package lentilrecord
+
+import (
+	"slices"
+	"time"
+
+	"lentilstair.example/lentilstair/pkg/lentilclock"
+	"lentilstair.example/lentilstair/pkg/lentilid"
+)
+
+// Defaults of a Store's settings.
+const (
+	// DefaultLease is how long a lease lasts without a heartbeat.
+	DefaultLease = 3 * time.Second
+	// DefaultGoneRetention is how long the lease on a Gone record is kept up,
+	// so that every node that can hold an older version learns of the end.
+	DefaultGoneRetention = time.Minute
+	// DefaultStray is how long a record for which nobody vouches is kept.
+	DefaultStray = 10 * time.Minute
+	// MaxStrays bounds the records for which nobody vouches.
+	MaxStrays = 4096
+)
+
+// Store keeps the records that one balancer knows. A record is live while a
+// living balancer vouches for it, which means: holds a lease of the record's
+// owner. Only live records are shown to peers, so a record whose owner has fallen silent
+// cannot come back from a node that was away.
+//
+// The zero Store is ready to use. It is not safe for use by several goroutines.
+type Store struct {
+	// Clock tells the time; nil means the machine's.
+	Clock lentilclock.Clock
+	// Lease is how long a lease lasts without a heartbeat; 0 means DefaultLease.
+	Lease time.Duration
+	// GoneRetention is how long a lease on a Gone record lasts; 0 means DefaultGoneRetention.
+	GoneRetention time.Duration
+	// Stray is how long a record without a voucher is kept; 0 means DefaultStray.
+	Stray time.Duration
+
+	entries  map[lentilid.Incarnation]*entry
+	leases   map[lentilid.Incarnation]*entry
+	strays   map[lentilid.Incarnation]*entry
+	vouchers map[lentilid.Incarnation][]lentilid.Incarnation
+	versions Versions
+	refused  uint64
+	changed  []lentilid.Incarnation
+	seen     time.Time
+}
+
+// entry is a record with what this balancer knows about its leases.
+type entry struct {
+	record Record
+	// known is false while only vouches have come, and no record.
+	known   bool
+	vouches int
+	// stray is since when nobody vouches.
+	stray time.Time
+	// lease is when the lease held here ends without a heartbeat.
+	lease    time.Time
+	beat     uint64
+	heard    time.Time
+	load     uint16
+	reported uint64
+	// superseded is true once another owner took a lease at the same address.
+	superseded bool
+}
+
+// Apply takes in records that came from peers. Only a newer version from the
+// same owner replaces a record.
+func (s *Store) Apply(records ...Record) {
+	for _, r := range records {
+		s.apply(r)
+	}
+}
+
+func (s *Store) apply(r Record) {
+	if !r.valid() {
+		s.refused++
+		return
+	}
+	e := s.entry(r.Owner().Incarnation)
+	if e.known && (e.record.Owner() != r.Owner() || e.record.doc.Service != r.doc.Service) {
+		s.refused++
+		return
+	}
+	if e.known && e.record.Version() >= r.Version() {
+		return
+	}
+	e.record = r
+	e.load = r.Load()
+	e.known = true
+	s.settle(r.Owner().Incarnation, e)
+	s.bound()
+}
+
+// valid reports whether the record could have been made by an agent.
+func (r Record) valid() bool {
+	d := r.doc
+	return d.Owner.Copy != "" && d.Owner.Incarnation != 0 && d.Version != 0 && d.Service != 0 &&
+		d.Phase >= Warming && d.Phase <= Gone && d.Tunnel.Addr().Is4() && d.Control.Addr().Is4()
+}
+
+func (s *Store) entry(owner lentilid.Incarnation) *entry {
+	s.prepare()
+	e := s.entries[owner]
+	if e == nil {
+		e = &entry{stray: s.now()}
+		s.entries[owner] = e
+		s.strays[owner] = e
+	}
+	return e
+}
+
+func (s *Store) prepare() {
+	if s.entries != nil {
+		return
+	}
+	s.entries = map[lentilid.Incarnation]*entry{}
+	s.leases = map[lentilid.Incarnation]*entry{}
+	s.strays = map[lentilid.Incarnation]*entry{}
+	s.vouchers = map[lentilid.Incarnation][]lentilid.Incarnation{}
+}
+
+// Vouch sets the owners whose leases a living balancer holds. An empty list
+// withdraws all; a balancer that dies vouches for nobody.
+func (s *Store) Vouch(holder lentilid.Incarnation, owners []lentilid.Incarnation) {
+	former := s.vouchers[holder]
+	if slices.Equal(former, owners) {
+		return
+	}
+	s.prepare()
+	for _, owner := range owners {
+		s.vouchFor(owner, 1)
+	}
+	for _, owner := range former {
+		s.vouchFor(owner, -1)
+	}
+	s.vouchers[holder] = slices.Clone(owners)
+	if len(owners) == 0 {
+		delete(s.vouchers, holder)
+	}
+}
+
+func (s *Store) vouchFor(owner lentilid.Incarnation, change int) {
+	e := s.entry(owner)
+	e.vouches += change
+	delete(s.strays, owner)
+	if e.vouches == 0 {
+		e.stray = s.now()
+		s.strays[owner] = e
+	}
+	s.settle(owner, e)
+}
+
+// settle keeps the owner-version map in step with an entry.
+func (s *Store) settle(owner lentilid.Incarnation, e *entry) {
+	rank, shown := s.versions.Rank(uint64(owner))
+	live := e.known && e.vouches > 0
+	switch {
+	case live && (!shown || rank != e.record.Version()):
+		s.versions.Set(uint64(owner), e.record.Version())
+	case !live && shown:
+		s.versions.Delete(uint64(owner))
+	default:
+		return
+	}
+	s.changed = append(s.changed, owner)
+}
+
+// Renew notes a heartbeat of an agent that came to this balancer, and so takes
+// or renews a lease. Beats that arrive late or twice change nothing.
+func (s *Store) Renew(r Record, beat, configuration uint64) {
+	s.apply(r)
+	owner := r.Owner().Incarnation
+	e := s.entries[owner]
+	if e == nil || !e.known || e.record.Owner() != r.Owner() || beat <= e.beat || e.superseded {
+		return
+	}
+	if s.leases[owner] == nil {
+		s.supersede(r)
+	}
+	now := s.now()
+	e.lease = now.Add(s.lease())
+	if e.record.Phase() == Gone {
+		e.lease = now.Add(s.goneRetention())
+	}
+	s.leases[owner] = e
+	e.beat = beat
+	e.heard = now
+	e.load = r.Load()
+	e.reported = configuration
+}
+
+// supersede ends the leases of other owners at the address of a new lease: one
+// process alone can serve there, and the newcomer was heard last.
+func (s *Store) supersede(r Record) {
+	for owner, e := range s.leases {
+		if e.record.doc.Tunnel == r.doc.Tunnel && owner != r.doc.Owner.Incarnation {
+			e.superseded = true
+			delete(s.leases, owner)
+		}
+	}
+}
+
+// Expire ends the leases of silent owners and forgets old strays. A clock that
+// has jumped by more than a lease ends every lease, since this process cannot
+// know what it missed.
+func (s *Store) Expire() {
+	now := s.now()
+	jumped := !s.seen.IsZero() && (now.Sub(s.seen) > s.lease() || now.Before(s.seen))
+	s.seen = now
+	for owner, e := range s.leases {
+		if jumped || !now.Before(e.lease) {
+			delete(s.leases, owner)
+		}
+	}
+	for owner, e := range s.strays {
+		if s.leases[owner] == nil && now.Sub(e.stray) >= s.stray() {
+			s.forget(owner)
+		}
+	}
+}
+
+// Discard forgets all that was learned from others. Leases held here stay.
+func (s *Store) Discard() {
+	for holder := range s.vouchers {
+		s.Vouch(holder, nil)
+	}
+	for owner := range s.entries {
+		if s.leases[owner] == nil {
+			s.forget(owner)
+		}
+	}
+}
+
+// bound drops the oldest stray when there are too many, so that no peer can
+// fill the memory.
+func (s *Store) bound() {
+	if len(s.strays) <= MaxStrays {
+		return
+	}
+	var oldest lentilid.Incarnation
+	var at time.Time
+	for owner, e := range s.strays {
+		if s.leases[owner] == nil && (oldest == 0 || e.stray.Before(at)) {
+			oldest, at = owner, e.stray
+		}
+	}
+	if oldest != 0 {
+		s.forget(oldest)
+	}
+}
+
+func (s *Store) forget(owner lentilid.Incarnation) {
+	delete(s.entries, owner)
+	delete(s.strays, owner)
+	s.versions.Delete(uint64(owner))
+}
+
+func (s *Store) now() time.Time {
+	if s.Clock == nil {
+		return lentilclock.System{}.Now()
+	}
+	return s.Clock.Now()
+}
+
+func (s *Store) lease() time.Duration { return orDefault(s.Lease, DefaultLease) }
+func (s *Store) goneRetention() time.Duration {
+	return orDefault(s.GoneRetention, DefaultGoneRetention)
+}
+func (s *Store) stray() time.Duration { return orDefault(s.Stray, DefaultStray) }
+
+func orDefault(d, standard time.Duration) time.Duration {
+	if d == 0 {
+		return standard
+	}
+	return d
+}
