--- a/pkg/lentilconfig/configuration.go
+++ b/pkg/lentilconfig/configuration.go
@@ -13,6 +13,8 @@
 	services map[lentilid.Service]*Service
 	copies   map[string]*Copy
 	domains  map[lentilid.Domain]*Domain
+	names    map[string]*Service
+	serving  map[lentilid.Service][]*Copy
 }
 
 // Service is a service of a configuration.
@@ -88,8 +90,40 @@
 // Domain returns the failure domain with the given number, or nil.
 func (c Configuration) Domain(number lentilid.Domain) *Domain { return c.domains[number] }
 
-// New indexes a document. Finding a fault is the task of Document.Check, which
-// New calls first.
+// ServiceNamed returns the service with the given name, or nil.
+func (c Configuration) ServiceNamed(name string) *Service { return c.names[name] }
+
+// DomainNamed returns the failure domain with the given name, or nil.
+func (c Configuration) DomainNamed(name string) *Domain {
+	for _, d := range c.domains {
+		if d.Name() == name {
+			return d
+		}
+	}
+	return nil
+}
+
+// CopiesOf returns the copies of a service in the order of the document. The
+// caller must not change the slice.
+func (c Configuration) CopiesOf(service lentilid.Service) []*Copy { return c.serving[service] }
+
+// Slice returns the part of the document that an agent of the service needs: the
+// service, its copies and the failure domains, under the version of the whole.
+func (c Configuration) Slice(service lentilid.Service) (document Document) {
+	document.Version = c.document.Version
+	document.NoteID = c.document.NoteID
+	document.Domains = c.document.Domains
+	if s := c.services[service]; s != nil {
+		document.Services = []ServiceDoc{s.doc}
+	}
+	for _, licensed := range c.serving[service] {
+		document.Copies = append(document.Copies, licensed.doc)
+	}
+	return document
+}
+
+// New indexes a document that Document.Check has found free of faults, or
+// returns the faults in a *FaultError.
 func New(document Document) (configuration Configuration, err error) {
 	if err = document.Check(); err != nil {
 		return Configuration{}, err
@@ -99,11 +133,13 @@
 		services: make(map[lentilid.Service]*Service, len(document.Services)),
 		copies:   make(map[string]*Copy, len(document.Copies)),
 		domains:  make(map[lentilid.Domain]*Domain, len(document.Domains)),
+		names:    make(map[string]*Service, len(document.Services)),
+		serving:  make(map[lentilid.Service][]*Copy, len(document.Services)),
 	}
-	numbers := make(map[string]lentilid.Service, len(document.Services))
 	for _, doc := range document.Services {
-		configuration.services[doc.Number] = &Service{doc: doc}
-		numbers[doc.Name] = doc.Number
+		service := &Service{doc: doc}
+		configuration.services[doc.Number] = service
+		configuration.names[doc.Name] = service
 	}
 	domains := make(map[string]lentilid.Domain, len(document.Domains))
 	for _, doc := range document.Domains {
@@ -111,10 +147,10 @@
 		domains[doc.Name] = doc.Number
 	}
 	for _, doc := range document.Copies {
-		configuration.copies[doc.Name] = &Copy{doc: doc, service: numbers[doc.Service], domain: domains[doc.Domain]}
+		service := configuration.names[doc.Service].Number()
+		licensed := &Copy{doc: doc, service: service, domain: domains[doc.Domain]}
+		configuration.copies[doc.Name] = licensed
+		configuration.serving[service] = append(configuration.serving[service], licensed)
 	}
 	return configuration, nil
 }
-
-// Check reports every fault of the document.
-func (d Document) Check() (err error) { return nil }
--- /dev/null
+++ b/pkg/lentilconfig/split.go
@@ -0,0 +1,208 @@
+package lentilconfig
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"math/bits"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/joomcode/errorx"
+
+	"lentilstair.example/lentilstair/pkg/lentilid"
+)
+
+// Digest is the first 16 bytes of a SHA-256 sum in hexadecimal digits.
+type Digest string
+
+// digestBytes is how much of the sum a digest keeps. 16 bytes make a collision
+// by accident out of the question; writers are authenticated.
+const digestBytes = 16
+
+// DigestOf returns the digest of a body.
+func DigestOf(body []byte) Digest {
+	sum := sha256.Sum256(body)
+	return Digest(hex.EncodeToString(sum[:digestBytes]))
+}
+
+// shardWeight is how much one shard bears on average. A copy weighs 1, a service
+// 2 and one more for each rule; one unit takes some 100 bytes, 300 at most, so
+// that even an unlucky shard stays below a quarter of a megabyte.
+const shardWeight = 512
+
+// HeadDoc is the written form of the one object that says which configuration
+// holds. Services and copies are in the shards that it names; failure domains are
+// in the head, so that taking one out is a single write.
+type HeadDoc struct {
+	Version     uint64           `json:"version" cbor:"1,keyasint"`
+	NoteID      string           `json:"noteId,omitempty" cbor:"2,keyasint,omitempty"`
+	NextService lentilid.Service `json:"nextService" cbor:"3,keyasint"`
+	NextDomain  lentilid.Domain  `json:"nextDomain" cbor:"4,keyasint"`
+	Recent      []MarkDoc        `json:"recent,omitempty" cbor:"5,keyasint,omitempty"`
+	Domains     []DomainDoc      `json:"domains,omitempty" cbor:"6,keyasint,omitempty"`
+	// Shards are the digests of the shards, which also name their objects.
+	Shards []Digest `json:"shards" cbor:"7,keyasint"`
+}
+
+// Digest returns the digest of the head, which covers the whole configuration.
+func (h HeadDoc) Digest() Digest {
+	body, err := json.Marshal(h)
+	if err != nil {
+		// A head holds strings and numbers only; addresses are in the shards.
+		return ""
+	}
+	return DigestOf(body)
+}
+
+// ShardDoc is the written form of a part of the services and copies.
+type ShardDoc struct {
+	Services []ServiceDoc `json:"services,omitempty"`
+	Copies   []CopyDoc    `json:"copies,omitempty"`
+}
+
+// Shard is a written shard. It never changes, since its name is its digest.
+type Shard struct {
+	name Digest
+	body []byte
+}
+
+// Name returns the digest of the body.
+func (s Shard) Name() Digest { return s.name }
+
+// Body returns the JSON form. The caller must not change it.
+func (s Shard) Body() []byte { return s.body }
+
+// Split returns the head and the shards of a document. It is a function of the
+// canonical document alone, so that all processes split alike.
+func Split(document Document) (head HeadDoc, shards []Shard, err error) {
+	defer func() {
+		if err != nil {
+			err = errorx.Decorate(err, "split configuration")
+		}
+	}()
+	document = document.Canonical()
+	parts := make([]ShardDoc, shardCount(document))
+	for _, doc := range document.Services {
+		part := &parts[shardIndex(doc.Name, len(parts))]
+		part.Services = append(part.Services, doc)
+	}
+	for _, doc := range document.Copies {
+		part := &parts[shardIndex(doc.Name, len(parts))]
+		part.Copies = append(part.Copies, doc)
+	}
+	head = headOf(document)
+	for _, part := range parts {
+		body, err := json.Marshal(part)
+		if err != nil {
+			return HeadDoc{}, nil, err
+		}
+		shard := Shard{name: DigestOf(body), body: body}
+		head.Shards = append(head.Shards, shard.name)
+		shards = append(shards, shard)
+	}
+	return head, shards, nil
+}
+
+// headOf returns the head of a canonical document, its shards still unnamed.
+func headOf(document Document) HeadDoc {
+	return HeadDoc{
+		Version:     document.Version,
+		NoteID:      document.NoteID,
+		NextService: document.NextService,
+		NextDomain:  document.NextDomain,
+		Recent:      document.Recent,
+		Domains:     document.Domains,
+	}
+}
+
+// shardCount returns a power of two, so that growth moves few entries.
+func shardCount(document Document) int {
+	weight := len(document.Copies)
+	for _, doc := range document.Services {
+		weight += 2 + len(doc.Rules)
+	}
+	needed := uint(weight / shardWeight)
+	return 1 << bits.Len(needed)
+}
+
+// shardIndex spreads entries by their own name, so that a service with very many
+// copies doesn't fill one shard.
+func shardIndex(name string, count int) int {
+	return int(xxhash.Sum64String(name) % uint64(count))
+}
+
+// Assembly puts a document together from a head and the shards that it names,
+// wherever they come from. Nothing of it shows before it is complete.
+type Assembly struct {
+	head  HeadDoc
+	parts map[Digest]ShardDoc
+}
+
+// NewAssembly starts an assembly for the head.
+func NewAssembly(head HeadDoc) *Assembly {
+	return &Assembly{head: head, parts: make(map[Digest]ShardDoc, len(head.Shards))}
+}
+
+// Missing returns the names of the shards that are still lacking, each once.
+func (a *Assembly) Missing() (names []Digest) {
+	listed := make(map[Digest]bool)
+	for _, name := range a.head.Shards {
+		_, held := a.parts[name]
+		if !held && !listed[name] {
+			names = append(names, name)
+		}
+		listed[name] = true
+	}
+	return names
+}
+
+// Add takes a shard's body in. A body that isn't what the name says is refused.
+func (a *Assembly) Add(name Digest, body []byte) (err error) {
+	defer func() {
+		if err != nil {
+			err = errorx.Decorate(err, "add shard %s", name)
+		}
+	}()
+	if found := DigestOf(body); found != name {
+		return fmt.Errorf("%w: its digest is %s", ErrDigest, found)
+	}
+	var part ShardDoc
+	if err = json.Unmarshal(body, &part); err != nil {
+		return err
+	}
+	a.parts[name] = part
+	return nil
+}
+
+// Document returns the whole document, or ErrIncomplete while shards are missing.
+func (a *Assembly) Document() (document Document, err error) {
+	if missing := len(a.Missing()); missing > 0 {
+		return Document{}, fmt.Errorf("%w: %d shards are missing", ErrIncomplete, missing)
+	}
+	document = Document{
+		Version:     a.head.Version,
+		NoteID:      a.head.NoteID,
+		NextService: a.head.NextService,
+		NextDomain:  a.head.NextDomain,
+		Recent:      a.head.Recent,
+		Domains:     a.head.Domains,
+	}
+	for _, name := range uniqueShards(a.head.Shards) {
+		document.Services = append(document.Services, a.parts[name].Services...)
+		document.Copies = append(document.Copies, a.parts[name].Copies...)
+	}
+	return document.Canonical(), nil
+}
+
+// uniqueShards drops repeated names, which empty shards share.
+func uniqueShards(names []Digest) (unique []Digest) {
+	seen := make(map[Digest]bool, len(names))
+	for _, name := range names {
+		if !seen[name] {
+			unique = append(unique, name)
+		}
+		seen[name] = true
+	}
+	return unique
+}
--- /dev/null
+++ b/pkg/lentilconfig/store.go
@@ -0,0 +1,248 @@
+package lentilconfig
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/joomcode/errorx"
+)
+
+// Errors of a Store and of the parts from which a document is put together.
+var (
+	// ErrOlder says that what was offered is older than what is held.
+	ErrOlder = errors.New("older than the configuration in force")
+	// ErrGap says that a delta starts at another document than the one held. Ask
+	// for a delta from the version held, or for the head and its shards.
+	ErrGap = errors.New("delta starts at another configuration")
+	// ErrFork says that what was offered has another history than what is held, as
+	// when the platform came back with older data and a note was accepted on it.
+	ErrFork = errors.New("configuration of another history")
+	// ErrDigest says that a body or an outcome isn't what its digest says.
+	ErrDigest = errors.New("digest does not match")
+	// ErrIncomplete says that shards are missing.
+	ErrIncomplete = errors.New("configuration is incomplete")
+)
+
+// Counts says how often offers were taken or refused.
+type Counts struct {
+	Applied uint64 // moved to a newer configuration
+	Same    uint64 // already held
+	Older   uint64 // refused with ErrOlder
+	Forked  uint64 // refused with ErrFork
+	Gapped  uint64 // refused with ErrGap
+	Faulty  uint64 // refused for faults or a wrong digest
+}
+
+// historyMax bounds how many deltas a store keeps for peers that lag.
+const historyMax = RecentMax
+
+// historyEntriesMax bounds the entries within those deltas.
+const historyEntriesMax = 20_000
+
+// Store holds the configuration in force. It moves forward only, and to a
+// configuration as a whole or not at all. The zero Store holds version 0. One
+// goroutine uses a Store; the configurations that it returns may be shared.
+type Store struct {
+	configuration Configuration
+	head          HeadDoc
+	digest        Digest
+	shards        map[Digest][]byte
+	history       []DeltaDoc
+	counts        Counts
+}
+
+// Configuration returns what is in force.
+func (s *Store) Configuration() Configuration { return s.configuration }
+
+// Version returns the version in force.
+func (s *Store) Version() uint64 { return s.configuration.Version() }
+
+// Digest returns the digest of the configuration in force, or "" at version 0.
+func (s *Store) Digest() Digest { return s.digest }
+
+// Head returns the head of the configuration in force, for a peer that pulls.
+func (s *Store) Head() HeadDoc { return s.head }
+
+// Shard returns the body of a shard of the configuration in force.
+func (s *Store) Shard(name Digest) (body []byte, found bool) {
+	body, found = s.shards[name]
+	return body, found
+}
+
+// Counts returns how often offers were taken or refused.
+func (s *Store) Counts() Counts { return s.counts }
+
+// Delta returns one delta from the version that a peer holds to the version in
+// force, if the store still knows the steps between them.
+func (s *Store) Delta(from uint64, digest Digest) (delta DeltaDoc, found bool) {
+	for i, step := range s.history {
+		if step.FromVersion != from || step.From != digest {
+			continue
+		}
+		delta = step
+		for _, next := range s.history[i+1:] {
+			delta = join(delta, next)
+		}
+		return delta, true
+	}
+	return DeltaDoc{}, false
+}
+
+// Assemble returns an assembly for the head in which the shards already held are
+// in place, so that only the changed ones have to be fetched.
+func (s *Store) Assemble(head HeadDoc) (assembly *Assembly, err error) {
+	assembly = NewAssembly(head)
+	for _, name := range assembly.Missing() {
+		body, held := s.shards[name]
+		if !held {
+			continue
+		}
+		if err = assembly.Add(name, body); err != nil {
+			return nil, err
+		}
+	}
+	return assembly, nil
+}
+
+// Offer puts a whole document into force if it is newer than what is held.
+// Offering what is held already does nothing. Otherwise the error is ErrOlder,
+// ErrFork or a *FaultError, and the store stays as it was.
+func (s *Store) Offer(document Document) (err error) {
+	defer func() { s.count(err) }()
+	if document.Version < s.Version() {
+		return fmt.Errorf("%w: version %d is offered, %d is held", ErrOlder, document.Version, s.Version())
+	}
+	head, shards, err := Split(document)
+	if err != nil {
+		return err
+	}
+	return s.move(document, head, shards)
+}
+
+// OfferDelta puts the outcome of a delta into force. Besides the errors of Offer
+// there are ErrGap, if the delta starts elsewhere, and ErrDigest, if it doesn't
+// lead where it says.
+func (s *Store) OfferDelta(delta DeltaDoc) (err error) {
+	defer func() { s.count(err) }()
+	if delta.ToVersion < s.Version() {
+		return fmt.Errorf("%w: version %d is offered, %d is held", ErrOlder, delta.ToVersion, s.Version())
+	}
+	if delta.ToVersion == s.Version() {
+		return s.same(delta.To)
+	}
+	if delta.FromVersion != s.Version() {
+		return fmt.Errorf("%w: it starts at version %d, %d is held", ErrGap, delta.FromVersion, s.Version())
+	}
+	if delta.From != s.digest {
+		return fmt.Errorf("%w: version %d is %s here, not %s", ErrFork, s.Version(), s.digest, delta.From)
+	}
+	document := s.configuration.document.merge(delta)
+	head, shards, err := Split(document)
+	if err != nil {
+		return err
+	}
+	if digest := head.Digest(); digest != delta.To {
+		return fmt.Errorf("%w: the delta leads to %s, not to %s", ErrDigest, digest, delta.To)
+	}
+	return s.move(document, head, shards)
+}
+
+func (s *Store) same(digest Digest) error {
+	if digest != s.digest {
+		return fmt.Errorf("%w: version %d is %s here, not %s", ErrFork, s.Version(), s.digest, digest)
+	}
+	s.counts.Same++
+	return nil
+}
+
+// move puts a document of the version held or a newer one into force.
+func (s *Store) move(document Document, head HeadDoc, shards []Shard) (err error) {
+	digest := head.Digest()
+	if document.Version == s.Version() {
+		return s.same(digest)
+	}
+	if err = s.descends(document); err != nil {
+		return err
+	}
+	configuration, err := New(document.Canonical())
+	if err != nil {
+		return errorx.Decorate(err, "check version %d", document.Version)
+	}
+	s.remember(configuration, digest)
+	s.configuration = configuration
+	s.head = head
+	s.digest = digest
+	s.shards = make(map[Digest][]byte, len(shards))
+	for _, shard := range shards {
+		s.shards[shard.name] = shard.body
+	}
+	s.counts.Applied++
+	return nil
+}
+
+// descends reports ErrFork if the document doesn't come from what is held. Its
+// recent marks tell, as far as they reach back; beyond them the version decides.
+// A service number that moved to another name is a fork however old.
+func (s *Store) descends(document Document) error {
+	held := s.mark()
+	for _, mark := range document.Recent {
+		if mark.Version == held.Version && mark != held && held.NoteID != "" {
+			return fmt.Errorf("%w: version %d was made by note %q here, by %q there", ErrFork, held.Version, held.NoteID, mark.NoteID)
+		}
+	}
+	for _, doc := range document.Services {
+		old := s.configuration.services[doc.Number]
+		if old != nil && old.Name() != doc.Name {
+			return fmt.Errorf("%w: number %d is of service %q here, of %q there", ErrFork, doc.Number, old.Name(), doc.Name)
+		}
+	}
+	return nil
+}
+
+// mark returns the mark of the version held, or the zero mark.
+func (s *Store) mark() MarkDoc {
+	recent := s.configuration.document.Recent
+	if len(recent) == 0 {
+		return MarkDoc{}
+	}
+	return recent[len(recent)-1]
+}
+
+// remember keeps the step to the new configuration for peers that lag.
+func (s *Store) remember(next Configuration, digest Digest) {
+	if s.digest == "" {
+		return
+	}
+	step := deltaOf(s.configuration.document, next.document, s.digest, digest)
+	s.history = append(s.history, step)
+	entries := 0
+	for i := len(s.history) - 1; i >= 0; i-- {
+		entries += s.history[i].entries()
+		if len(s.history)-i > historyMax || entries > historyEntriesMax {
+			s.history = append([]DeltaDoc(nil), s.history[i+1:]...)
+			return
+		}
+	}
+}
+
+// entries counts what a delta holds.
+func (d DeltaDoc) entries() int {
+	return len(d.PutServices) + len(d.DropServices) +
+		len(d.PutCopies) + len(d.DropCopies) +
+		len(d.PutDomains) + len(d.DropDomains) + len(d.Recent)
+}
+
+// count records the outcome of an offer that was refused.
+func (s *Store) count(err error) {
+	switch {
+	case err == nil:
+	case errors.Is(err, ErrOlder):
+		s.counts.Older++
+	case errors.Is(err, ErrFork):
+		s.counts.Forked++
+	case errors.Is(err, ErrGap):
+		s.counts.Gapped++
+	default:
+		s.counts.Faulty++
+	}
+}
