Make the limiter, admission and the choice of peers whole

New events NotBegun and Lost tell the two kinds of failure apart; SentPacket and SentRequest replace Sent.

--- a/pkg/lentiladmit/admit.go
+++ b/pkg/lentiladmit/admit.go
@@ -3,7 +3,7 @@
 //
 // The Admitter is a pure state machine: events in, actions out. It sends no more to
 // the copy than the copy bears, refuses at once what it can't finish before the
-// deadline, and says "not run" only of requests that it never dispatched.
+// deadline, and says "not run" only of requests of which it is certain.
 package lentiladmit
 
 import (
@@ -13,16 +13,21 @@
 	"lentilstair.example/lentilstair/pkg/lentilconfig"
 	"lentilstair.example/lentilstair/pkg/lentillimit"
 	"lentilstair.example/lentilstair/pkg/lentilrecord"
+	"lentilstair.example/lentilstair/pkg/lentilretry"
 )
 
-// Arrival is a request that reached the agent. ID is the shell's own number for
-// it and must not be used again while the request is in the Admitter.
+// Arrival is a request that reached the agent.
 type Arrival struct {
+	// ID is the shell's own number for the request. It must not be used again while
+	// the Admitter holds the request; a second arrival of a held ID is ignored.
 	ID   uint64
 	Kind lentilconfig.Kind
 	// Deadline is the time by this process's clock at which the caller stops
-	// waiting; the zero time is DefaultTimeout from now.
+	// waiting; the zero time is DefaultTimeout from now. Streams have none.
 	Deadline time.Time
+	// Caller tells callers apart, for instance by a hash of the connection, so that one
+	// of them can't fill the queue. Zero is a caller like any other.
+	Caller uint64
 	// Relayed requests came from a peer and go to no other peer.
 	Relayed bool
 	// Bound requests carry a ticket that this agent must serve, so no peer may.
@@ -34,13 +39,16 @@
 type Admitter struct {
 	// Clock tells the time; nil is the machine's clock.
 	Clock lentilclock.Clock
-	// Limiter decides what the copy bears.
+	// Limiter decides what the copy bears. Its Clock is set to the Admitter's if nil.
 	Limiter lentillimit.Limiter
+	// Retries is the budget for further attempts of requests that may be repeated.
+	Retries lentilretry.Budget
 	// Queue is how many requests may wait; zero is DefaultQueue.
 	Queue int
-	// Connections is how many streams the copy holds; zero is DefaultConnections.
+	// Connections is how many streams a warm copy holds; zero is DefaultConnections.
 	Connections int
-	// Peer chooses a peer for a request that has not begun; nil chooses none.
+	// Peer chooses a peer for a request that has not begun; nil chooses none. It is asked
+	// on arrival, also when the copy has room, and again while the request waits.
 	Peer func(arrival Arrival) (peer lentilrecord.Record, ok bool)
 	// Random returns evenly spread numbers in [0, 1) for jitter; nil is no jitter.
 	Random func() float64
@@ -54,36 +62,139 @@
 	DefaultConnections = 2000
 	// DefaultTimeout is the time until the deadline of a request without one.
 	DefaultTimeout = 10 * time.Second
+	// OnceGrace is for how long after its deadline a dispatched request that may not be
+	// repeated may go on, so that its answer is there when the caller comes back.
+	OnceGrace = 10 * time.Second
+	// MinRetryAfter is the least time after which a refused caller may come back.
+	MinRetryAfter = time.Second
+	// MaxRetryAfter is the longest time after which a refused caller may come back.
+	MaxRetryAfter = 30 * time.Second
+	// MaxRelays is how many peers a request is passed to at most, one after another.
+	MaxRelays = 2
+	// TickEvery is how often Tick is due while the Admitter holds requests.
+	TickEvery = 20 * time.Millisecond
 )
 
 // Arrive tells of a new request.
-func (a *Admitter) Arrive(arrival Arrival) (actions []Action) { return a.arrive(arrival) }
+func (a *Admitter) Arrive(arrival Arrival) (actions []Action) {
+	a.begin()
+	if a.requests[arrival.ID] != nil {
+		return nil
+	}
+	if arrival.Deadline.IsZero() {
+		arrival.Deadline = a.now().Add(DefaultTimeout)
+	}
+	r := &request{arrival: arrival}
+	a.requests[arrival.ID] = r
+	a.decide(r)
+	return a.take()
+}
 
-// Finished tells how a dispatched request ended at the copy. The shell calls it once
-// for every ActionDispatch, also after an ActionAbort, when the copy's answer is
-// whole or the call has surely ended.
+// Finished tells how a dispatched request ended at the copy, when an answer, or part of one,
+// reached the caller or is stored, or the call was aborted and has surely ended. For
+// every ActionDispatch the shell calls one of Finished, NotBegun and Lost, once.
 func (a *Admitter) Finished(id uint64, outcome lentillimit.Outcome) (actions []Action) {
-	return a.finished(id, outcome)
+	if r := a.release(id, outcome); r != nil {
+		if outcome == lentillimit.OutcomeDone && r.attempts == 1 {
+			a.Retries.Succeeded()
+		}
+		delete(a.requests, id)
+	}
+	a.move()
+	return a.take()
+}
+
+// NotBegun tells that a dispatched request surely did not run, because the copy could
+// not be reached or said so. The request is decided about anew if it may still finish in
+// time, and is refused otherwise.
+func (a *Admitter) NotBegun(id uint64, outcome lentillimit.Outcome) (actions []Action) {
+	if r := a.release(id, outcome); r != nil {
+		a.again(r)
+	}
+	a.move()
+	return a.take()
 }
 
-// Relayed tells how a relay to a peer ended.
+// Lost tells that a dispatched request may have run, and that nothing of its answer
+// reached the caller. A request that may be repeated is decided about anew if the budget
+// for retries has room; otherwise its outcome is unknown.
+func (a *Admitter) Lost(id uint64, outcome lentillimit.Outcome) (actions []Action) {
+	if r := a.release(id, outcome); r != nil {
+		a.retry(r)
+	}
+	a.move()
+	return a.take()
+}
+
+// Relayed tells how a relay to a peer ended. The shell calls it once for every ActionRelay.
 func (a *Admitter) Relayed(id uint64, result RelayResult) (actions []Action) {
-	return a.relayed(id, result)
+	r := a.requests[id]
+	if r == nil || r.stage != relayedOut {
+		return nil
+	}
+	a.deactivate(r)
+	switch result {
+	case RelayAnswered:
+		delete(a.requests, id)
+	case RelayNotRun:
+		a.again(r)
+	default:
+		a.retry(r)
+	}
+	a.move()
+	return a.take()
 }
 
-// Cancelled tells that the caller gave the request up. A dispatched request that may
-// not be repeated goes on, so that its answer is there if the caller comes back.
-func (a *Admitter) Cancelled(id uint64) (actions []Action) { return a.cancelled(id) }
+// Cancelled tells that the caller gave the request up. A dispatched or relayed request
+// that may not be repeated goes on, so that its answer is there if the caller comes back.
+func (a *Admitter) Cancelled(id uint64) (actions []Action) {
+	r := a.requests[id]
+	if r == nil {
+		return nil
+	}
+	r.silent = true
+	switch {
+	case r.stage == waiting:
+		a.unqueue(r)
+		delete(a.requests, id)
+	case r.mayAbort() && !r.aborted:
+		a.abort(r)
+	}
+	a.move()
+	return a.take()
+}
 
-// Tick lets time pass. Call it at Wake, and some times a second.
-func (a *Admitter) Tick() (actions []Action) { return a.tick() }
+// Tick lets time pass. Call it at Wake.
+func (a *Admitter) Tick() (actions []Action) {
+	a.begin()
+	a.Limiter.Tick()
+	a.expire()
+	a.move()
+	return a.take()
+}
 
-// Drain begins a planned stop: no new request is dispatched, every request that was
-// taken is carried to its end.
-func (a *Admitter) Drain() (actions []Action) { return a.drain() }
+// Drain begins a planned stop: requests that come later, and those that wait and may go
+// elsewhere, go to a peer; later ones are refused if there is none. What was taken is
+// carried to its end.
+func (a *Admitter) Drain() (actions []Action) {
+	a.begin()
+	a.draining = true
+	a.move()
+	return a.take()
+}
 
-// Wake returns when Tick has something to do; the zero time means not before an event.
-func (a *Admitter) Wake() time.Time { return a.wake() }
+// Wake returns when Tick is due; the zero time means not before another event.
+func (a *Admitter) Wake() time.Time {
+	if len(a.queue) == 0 && len(a.active) == 0 {
+		return time.Time{}
+	}
+	now := a.now()
+	due := now.Add(TickEvery)
+	if free := a.Limiter.FreeAt(); len(a.queue) > 0 && free.After(now) && free.Before(due) {
+		due = free
+	}
+	return due
+}
 
 // InFlight returns how many requests hold a slot of the copy.
 func (a *Admitter) InFlight() int { return a.inFlight }
@@ -94,9 +205,17 @@
 // Queued returns how many requests wait.
 func (a *Admitter) Queued() int { return len(a.queue) }
 
-// Load returns what the copy works on and what waits for it, smoothed over the last
-// seconds, in hundredths of a slot.
+// Load returns the work at the copy, smoothed over the last seconds, in hundredths of a slot.
 func (a *Admitter) Load() uint16 { return a.Limiter.Load() }
 
+// Pressing returns what the copy works on and what waits for it at this moment, in
+// hundredths of a slot.
+func (a *Admitter) Pressing() uint16 {
+	return uint16(min((a.inFlight+len(a.queue))*lentillimit.Slot, maxHundredths))
+}
+
+// Draining reports whether a planned stop has begun.
+func (a *Admitter) Draining() bool { return a.draining }
+
 // Idle reports whether the Admitter holds no request, so that a drained agent may end.
 func (a *Admitter) Idle() bool { return len(a.requests) == 0 }
--- /dev/null
+++ b/pkg/lentiladmit/queue.go
@@ -0,0 +1,136 @@
+package lentiladmit
+
+import (
+	"slices"
+	"time"
+
+	"lentilstair.example/lentilstair/pkg/lentilconfig"
+	"lentilstair.example/lentilstair/pkg/lentillimit"
+)
+
+// askEvery is how often a peer is looked for again for a request that waits.
+const askEvery = 20 * time.Millisecond
+
+// wait puts a request into the queue. Each caller's requests take turns one round apart,
+// so that a caller with many of them doesn't hold up the others.
+func (a *Admitter) wait(r *request) {
+	r.stage = waiting
+	r.taken = true
+	r.turn = a.nextTurn(r)
+	at, _ := slices.BinarySearchFunc(a.queue, r.turn+1, func(q *request, turn int) int { return q.turn - turn })
+	a.queue = slices.Insert(a.queue, at, r)
+}
+
+// nextTurn returns the turn that the request would get.
+func (a *Admitter) nextTurn(r *request) int {
+	turn := a.turn
+	for _, q := range a.queue {
+		if q.arrival.Caller == r.arrival.Caller {
+			turn = q.turn
+		}
+	}
+	return turn + 1
+}
+
+func (a *Admitter) unqueue(r *request) {
+	a.queue = slices.DeleteFunc(a.queue, func(q *request) bool { return q == r })
+}
+
+// full reports whether the queue has no place for a request that could be served in time.
+func (a *Admitter) full(r *request) bool {
+	if len(a.queue) >= a.maxQueue() {
+		return true
+	}
+	turn, ahead := a.nextTurn(r), 0
+	for _, q := range a.queue {
+		if q.turn <= turn {
+			ahead++
+		}
+	}
+	return a.late(r, a.waitBehind(ahead))
+}
+
+// waitBehind returns the expected wait of a request with so many others ahead of it in the
+// queue, while the copy has no room.
+func (a *Admitter) waitBehind(ahead int) time.Duration {
+	perSlot := a.Limiter.Expected().Seconds()
+	bears := max(float64(a.Limiter.Bears())/lentillimit.Slot, leastBears)
+	return time.Duration(float64(ahead+1) * perSlot / bears * float64(time.Second))
+}
+
+// leastBears keeps the expected wait finite, in slots.
+const leastBears = 0.01
+
+// late reports whether a request that waits so long would miss its deadline. One that may not
+// be repeated has to fit with its whole expected time, since a run that is cut short leaves
+// its outcome unknown; another may try if it is as quick as the quicker half.
+func (a *Admitter) late(r *request, wait time.Duration) bool {
+	needed := a.Limiter.Expected()
+	if r.arrival.Kind == lentilconfig.KindRepeatable {
+		needed /= 2
+	}
+	return a.now().Add(wait + needed).After(r.arrival.Deadline)
+}
+
+// move dispatches what the copy bears, passes on what a peer takes, and refuses what can no
+// longer finish in time.
+func (a *Admitter) move() {
+	for len(a.queue) > 0 && a.Limiter.Free() {
+		r := a.queue[0]
+		a.queue = a.queue[1:]
+		a.turn = r.turn
+		if a.late(r, 0) {
+			a.refuse(r, ReasonDeadline)
+			continue
+		}
+		a.dispatch(r)
+	}
+	now := a.now()
+	kept := a.queue[:0:0]
+	for _, r := range a.queue {
+		switch {
+		case now.Sub(r.askedAt) >= askEvery && a.relay(r):
+		case a.late(r, a.waitBehind(len(kept))) && a.late(r, a.leastWait(len(kept))):
+			a.refuse(r, ReasonDeadline)
+		default:
+			kept = append(kept, r)
+		}
+	}
+	a.queue = kept
+}
+
+// leastWait is half the expected wait: what waits already is given up only when it is
+// far off, since an estimate that sways would otherwise refuse work that could finish.
+func (a *Admitter) leastWait(ahead int) time.Duration { return a.waitBehind(ahead) / 2 }
+
+// retryAfter returns when a refused caller may come back. Callers refused one after another
+// are given times one after another, as far apart as the copy serves them, so that
+// they do not come back together.
+func (a *Admitter) retryAfter() time.Duration {
+	now := a.now()
+	served := a.waitBehind(0)
+	earliest := now.Add(max(a.waitBehind(len(a.queue)), MinRetryAfter))
+	if a.returnAt.Before(earliest) {
+		a.returnAt = earliest
+	}
+	a.returnAt = a.returnAt.Add(served)
+	if latest := now.Add(MaxRetryAfter); a.returnAt.After(latest) {
+		a.returnAt = latest
+	}
+	spread := a.returnAt.Sub(now)
+	return min(spread+time.Duration(a.random()*float64(spread)/2), MaxRetryAfter)
+}
+
+func (a *Admitter) random() float64 {
+	if a.Random == nil {
+		return 0
+	}
+	return a.Random()
+}
+
+func (a *Admitter) maxQueue() int {
+	if a.Queue == 0 {
+		return DefaultQueue
+	}
+	return a.Queue
+}
--- a/pkg/lentiladmit/state.go
+++ b/pkg/lentiladmit/state.go
@@ -8,109 +8,218 @@
 	"lentilstair.example/lentilstair/pkg/lentillimit"
 )
 
+// maxHundredths is the most that a load of 16 bits tells.
+const maxHundredths = 1<<16 - 1
+
 // stage is where a request stands.
 type stage uint8
 
 const (
-	queued stage = iota + 1
+	waiting stage = iota + 1
 	dispatched
 	relayedOut
 )
 
 // request is a request that the Admitter holds.
 type request struct {
-	arrival Arrival
-	stage   stage
+	arrival  Arrival
+	stage    stage
+	turn     int       // order in the queue, lowest first
+	askedAt  time.Time // when a peer was last looked for
+	attempts int       // dispatches and relays that may have run it, and the present one
+	relays   int
+	taken    bool // was queued, dispatched or relayed before
+	aborted  bool
+	silent   bool // the caller is gone or has its final answer
 }
 
 // state is the state of an Admitter.
 type state struct {
 	requests map[uint64]*request
-	queue    []*request
+	queue    []*request // by turn
+	active   []*request // dispatched or relayed requests other than streams at the copy
 	inFlight int
 	streams  int
+	turn     int // of the request that last left the queue for the copy
 	draining bool
+	returnAt time.Time // when the caller refused last may come back
+	actions  []Action
+}
+
+func (a *Admitter) begin() {
+	if a.requests != nil {
+		return
+	}
+	a.requests = make(map[uint64]*request)
+	if a.Limiter.Clock == nil {
+		a.Limiter.Clock = a.Clock
+	}
+}
+
+// take hands the collected actions out.
+func (a *Admitter) take() (actions []Action) {
+	actions, a.actions = a.actions, nil
+	return actions
 }
 
-func (a *Admitter) arrive(arrival Arrival) (actions []Action) {
-	if a.requests == nil {
-		a.requests = make(map[uint64]*request)
+func (a *Admitter) act(r *request, kind ActionKind) {
+	a.actions = append(a.actions, Action{kind: kind, id: r.arrival.ID})
+}
+
+// decide finds a way for a request that has surely not begun, or may begin once more.
+func (a *Admitter) decide(r *request) {
+	stream := r.arrival.Kind == lentilconfig.KindStream
+	switch {
+	case a.relay(r):
+	case a.draining && !r.taken:
+		a.refuse(r, ReasonDraining)
+	case stream && a.streams < a.bearsStreams():
+		a.dispatch(r)
+	case stream:
+		a.refuse(r, ReasonConnections)
+	case a.late(r, 0):
+		a.refuse(r, ReasonDeadline)
+	case len(a.queue) == 0 && a.Limiter.Free():
+		a.dispatch(r)
+	case a.full(r):
+		a.refuse(r, ReasonQueueFull)
+	default:
+		a.wait(r)
+	}
+}
+
+// again decides anew about a request that surely did not run.
+func (a *Admitter) again(r *request) {
+	r.attempts = max(0, r.attempts-1)
+	if r.silent {
+		delete(a.requests, r.arrival.ID)
+		return
 	}
-	if arrival.Deadline.IsZero() {
-		arrival.Deadline = a.now().Add(DefaultTimeout)
+	a.decide(r)
+}
+
+// retry decides anew about a request that may have run, if it may be repeated and the
+// budget allows.
+func (a *Admitter) retry(r *request) {
+	remaining := r.arrival.Deadline.Sub(a.now())
+	if !r.silent && !r.aborted && a.Retries.Allows(r.arrival.Kind, r.attempts, remaining, a.Limiter.Expected()) {
+		a.Retries.Spend()
+		a.decide(r)
+		return
 	}
-	r := &request{arrival: arrival}
-	if a.draining {
-		return []Action{{kind: ActionRefuse, id: arrival.ID, reason: ReasonDraining, retryAfter: time.Second}}
+	a.giveUp(r)
+	delete(a.requests, r.arrival.ID)
+}
+
+// giveUp answers that the outcome is unknown, unless the caller has its answer.
+func (a *Admitter) giveUp(r *request) {
+	if !r.silent {
+		a.act(r, ActionUnknown)
 	}
-	a.requests[arrival.ID] = r
-	if arrival.Kind == lentilconfig.KindStream || a.Limiter.Free() {
-		return []Action{a.dispatch(r)}
+	r.silent = true
+}
+
+// refuse answers that a request was not run. A request of which an earlier attempt may have
+// run gets no such answer.
+func (a *Admitter) refuse(r *request, reason Reason) {
+	delete(a.requests, r.arrival.ID)
+	if r.attempts > 0 {
+		a.giveUp(r)
+		return
 	}
-	r.stage = queued
-	a.queue = append(a.queue, r)
-	return nil
+	a.actions = append(a.actions, Action{kind: ActionRefuse, id: r.arrival.ID, reason: reason, retryAfter: a.retryAfter()})
 }
 
-func (a *Admitter) dispatch(r *request) Action {
+func (a *Admitter) dispatch(r *request) {
 	r.stage = dispatched
+	r.taken = true
+	r.attempts++
+	a.act(r, ActionDispatch)
 	if r.arrival.Kind == lentilconfig.KindStream {
 		a.streams++
-	} else {
-		a.inFlight++
-		a.Limiter.Started(r.arrival.ID)
+		return
+	}
+	a.inFlight++
+	a.active = append(a.active, r)
+	a.Limiter.Started(r.arrival.ID)
+}
+
+// relay passes the request to a peer, if it may go there and a peer wants it.
+func (a *Admitter) relay(r *request) (ok bool) {
+	if a.Peer == nil || r.arrival.Relayed || r.arrival.Bound || r.relays >= MaxRelays {
+		return false
 	}
-	return Action{kind: ActionDispatch, id: r.arrival.ID}
+	r.askedAt = a.now()
+	peer, ok := a.Peer(r.arrival)
+	if !ok {
+		return false
+	}
+	r.stage = relayedOut
+	r.taken = true
+	r.relays++
+	r.attempts++
+	a.active = append(a.active, r)
+	a.actions = append(a.actions, Action{kind: ActionRelay, id: r.arrival.ID, peer: peer})
+	return true
 }
 
-func (a *Admitter) finished(id uint64, outcome lentillimit.Outcome) (actions []Action) {
-	r := a.requests[id]
+// release frees the slot or stream of a dispatched request; nil means that there is none.
+func (a *Admitter) release(id uint64, outcome lentillimit.Outcome) (r *request) {
+	r = a.requests[id]
 	if r == nil || r.stage != dispatched {
 		return nil
 	}
-	delete(a.requests, id)
 	if r.arrival.Kind == lentilconfig.KindStream {
 		a.streams--
-	} else {
-		a.inFlight--
-		a.Limiter.Ended(id, outcome)
+		return r
 	}
-	return a.tick()
+	a.inFlight--
+	a.deactivate(r)
+	a.Limiter.Ended(id, outcome)
+	return r
 }
 
-func (a *Admitter) relayed(id uint64, _ RelayResult) (actions []Action) {
-	delete(a.requests, id)
-	return nil
+func (a *Admitter) deactivate(r *request) {
+	a.active = slices.DeleteFunc(a.active, func(o *request) bool { return o == r })
 }
 
-func (a *Admitter) cancelled(id uint64) (actions []Action) {
-	r := a.requests[id]
-	if r == nil {
-		return nil
-	}
-	if r.stage == dispatched {
-		return []Action{{kind: ActionAbort, id: id}}
-	}
-	a.queue = slices.DeleteFunc(a.queue, func(q *request) bool { return q == r })
-	delete(a.requests, id)
-	return nil
+// mayAbort reports whether the call of a request may be cancelled. One that may not be
+// repeated goes on, since its answer may still be asked for.
+func (r *request) mayAbort() bool {
+	return r.arrival.Kind == lentilconfig.KindStream || r.arrival.Kind == lentilconfig.KindRepeatable
 }
 
-func (a *Admitter) tick() (actions []Action) {
-	for len(a.queue) > 0 && a.Limiter.Free() {
-		r := a.queue[0]
-		a.queue = a.queue[1:]
-		actions = append(actions, a.dispatch(r))
-	}
-	return actions
+func (a *Admitter) abort(r *request) {
+	r.aborted = true
+	a.act(r, ActionAbort)
 }
 
-func (a *Admitter) drain() (actions []Action) {
-	a.draining = true
-	return nil
+// expire ends what has run beyond its deadline.
+func (a *Admitter) expire() {
+	now := a.now()
+	for _, r := range a.active {
+		if r.arrival.Kind == lentilconfig.KindStream || now.Before(r.arrival.Deadline) {
+			continue
+		}
+		a.giveUp(r)
+		if !r.aborted && (r.mayAbort() || !now.Before(r.arrival.Deadline.Add(OnceGrace))) {
+			a.abort(r)
+		}
+	}
 }
 
-func (a *Admitter) wake() time.Time { return time.Time{} }
+// bearsStreams returns how many streams the copy holds now: a cold one fewer.
+func (a *Admitter) bearsStreams() int {
+	connections := a.Connections
+	if connections == 0 {
+		connections = DefaultConnections
+	}
+	slots := a.Limiter.Slots
+	if slots == 0 {
+		slots = lentillimit.DefaultSlots
+	}
+	return connections * int(a.Limiter.Weight()) / (slots * lentillimit.Slot)
+}
 
 func (a *Admitter) now() time.Time {
 	if a.Clock == nil {
--- a/pkg/lentilhandoff/handoff.go
+++ b/pkg/lentilhandoff/handoff.go
@@ -20,7 +20,11 @@
 
 // Load is what a copy works on and what it bears, in hundredths of a slot.
 type Load struct {
-	Busy  uint16
+	// Busy is the work of the last seconds, smoothed.
+	Busy uint16
+	// Now is what the copy works on and what waits for it at this moment.
+	Now uint16
+	// Bears is what the copy bears now.
 	Bears uint16
 }
 
@@ -67,5 +71,10 @@
 	return c.forRequest(own)
 }
 
-// Sent tells that work was handed to a peer.
-func (c *Chooser) Sent(owner lentilrecord.Owner) { c.sent(owner) }
+// SentPacket tells that a first packet was handed to a peer.
+func (c *Chooser) SentPacket(owner lentilrecord.Owner) { c.sent(owner, packetCost) }
+
+// SentRequest tells that a request was passed to a peer, where it is expected to take so long.
+func (c *Chooser) SentRequest(owner lentilrecord.Owner, expected time.Duration) {
+	c.sent(owner, slot*min(expected.Seconds()/settle, 1))
+}
--- a/pkg/lentillimit/limit.go
+++ b/pkg/lentillimit/limit.go
@@ -40,6 +40,9 @@
 	Clock lentilclock.Clock
 	// Slots is how many requests a warm copy works on at once; zero is DefaultSlots.
 	Slots int
+	// StartPercent is the share of its slots that a cold copy is trusted with, in percent; zero
+	// is DefaultStartPercent.
+	StartPercent int
 	// Warm is the least time from cold to all slots; zero is DefaultWarm.
 	Warm time.Duration
 	// Typical is how long a request takes at a warm copy of the same service, as
@@ -53,6 +56,8 @@
 	DefaultSlots = 2
 	// DefaultWarm is the least time from cold to all slots.
 	DefaultWarm = 20 * time.Second
+	// DefaultStartPercent is the share of its slots that a cold copy is trusted with.
+	DefaultStartPercent = 10
 	// Slot is one slot in the unit of Bears, Weight and Load.
 	Slot = 100
 )
--- /dev/null
+++ b/pkg/lentillimit/times.go
@@ -0,0 +1,87 @@
+package lentillimit
+
+import (
+	"math"
+	"time"
+)
+
+// times learns how long requests take, in logarithms, so that a copy that takes
+// twice as long is as far from the usual at a millisecond as at a second. The zero times has
+// seen nothing.
+type times struct {
+	count    int
+	center   float64 // mean of the logarithm of the seconds
+	variance float64 // of the same logarithm
+	mean     float64 // seconds
+}
+
+const (
+	// memory is over how many requests a mean is taken.
+	memory = 100
+	// fewTimes is below how many requests the spread is not yet trusted.
+	fewTimes = 8
+	// minSpread and earlySpread are the least standard deviations of the logarithm, of a
+	// known and of a new copy.
+	minSpread   = 0.15
+	earlySpread = 0.7
+	// defaultExpected is the duration of a request of which nothing is known, in seconds.
+	defaultExpected = 0.1
+	// shortest is the shortest duration that is told apart, in seconds.
+	shortest = 1e-5
+)
+
+// learn takes in the duration of one request.
+func (t *times) learn(d time.Duration) {
+	seconds := max(d.Seconds(), shortest)
+	t.count = min(t.count+1, memory)
+	share := 1 / float64(t.count)
+	step := math.Log(seconds) - t.center
+	t.center += share * step
+	t.variance += share * (step*step*(1-share) - t.variance)
+	t.mean += share * (seconds - t.mean)
+}
+
+// doubt makes what was learned weigh as little as one request, so that a copy that
+// has changed is learned anew.
+func (t *times) doubt() { t.count = min(t.count, 1) }
+
+// hint fills in what peers have learned, if nothing is known.
+func (t *times) hint(typical time.Duration) {
+	if t.count > 0 || typical <= 0 {
+		return
+	}
+	t.learn(typical)
+}
+
+func (t *times) spread() float64 {
+	least := minSpread
+	if t.count < fewTimes {
+		least = earlySpread
+	}
+	return max(math.Sqrt(t.variance), least)
+}
+
+// deviation returns how many standard deviations d lies over the usual.
+func (t *times) deviation(d time.Duration) float64 {
+	if t.count == 0 {
+		return 0
+	}
+	return (math.Log(max(d.Seconds(), shortest)) - t.center) / t.spread()
+}
+
+// hung returns the duration after which a request is taken as stuck, in seconds.
+func (t *times) hung() float64 {
+	if t.count == 0 {
+		return unknownHang
+	}
+	factor := math.Exp(hangDeviations * t.spread())
+	return math.Exp(t.center) * min(max(factor, minHangFactor), maxHangFactor)
+}
+
+// expected returns the mean duration in seconds.
+func (t *times) expected() float64 {
+	if t.count == 0 {
+		return defaultExpected
+	}
+	return t.mean
+}
