--- /dev/null
+++ b/cmd/lentilstand/main.go
@@ -0,0 +1,15 @@
+// Command lentilstand is the stand-ins for what surrounds lentilstair, the demo and the measurements.
+package main
+
+import (
+	"context"
+	"os"
+
+	"lentilstair.example/lentilstair/internal/lentilcommand"
+	"lentilstair.example/lentilstair/internal/lentilstand"
+)
+
+func main() {
+	streams := lentilcommand.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}
+	os.Exit(int(lentilstand.Run(context.Background(), os.Args, streams)))
+}
--- /dev/null
+++ b/internal/lentilcommand/lentilagentcommand/agent.go
@@ -0,0 +1,41 @@
+// Package lentilagentcommand is the command `agent`.
+package lentilagentcommand
+
+import (
+	"context"
+	_ "embed"
+
+	"github.com/joomcode/errorx"
+	"github.com/urfave/cli/v3"
+
+	"lentilstair.example/lentilstair/internal/lentilevent"
+	"lentilstair.example/lentilstair/internal/lentilexit"
+	"lentilstair.example/lentilstair/internal/lentilprocess"
+	"lentilstair.example/lentilstair/internal/lentilsetting"
+)
+
+//go:embed description.txt
+var description string
+
+// New returns the command.
+func New() *cli.Command {
+	return &cli.Command{
+		Name:        "agent",
+		Usage:       "run an agent",
+		Description: description,
+		Flags:       []cli.Flag{&cli.StringFlag{Name: "settings", Usage: "read the settings from `FILE`", Required: true}},
+		Action:      run,
+	}
+}
+
+func run(ctx context.Context, c *cli.Command) (err error) {
+	settings, err := lentilsetting.Loader{}.Agent(c.String("settings"))
+	if err != nil {
+		return lentilexit.With(lentilexit.Settings, err)
+	}
+	logger := lentilevent.New(c.Root().ErrWriter, settings.LogLevel()).
+		With(lentilevent.Str("role", "agent"), lentilevent.Str("name", settings.Copy()))
+	return lentilprocess.Run(ctx, logger, func(context.Context, lentilprocess.Stop) error {
+		return errorx.NotImplemented.New("the shell of the agent")
+	})
+}
--- /dev/null
+++ b/internal/lentilcommand/lentilcheckcommand/check.go
@@ -0,0 +1,76 @@
+// Package lentilcheckcommand is the command `check-settings`.
+package lentilcheckcommand
+
+import (
+	"context"
+	_ "embed"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/joomcode/errorx"
+	"github.com/urfave/cli/v3"
+
+	"lentilstair.example/lentilstair/internal/lentilexit"
+	"lentilstair.example/lentilstair/internal/lentilsetting"
+)
+
+//go:embed description.txt
+var description string
+
+// Doc is the written form of the result.
+type Doc struct {
+	File   string                   `json:"file"`
+	Faults []lentilsetting.FaultDoc `json:"faults"`
+}
+
+// New returns the command.
+func New() *cli.Command {
+	return &cli.Command{
+		Name:        "check-settings",
+		Usage:       "check the settings of a balancer or agent",
+		ArgsUsage:   "balancer|agent FILE",
+		Description: description,
+		Flags:       []cli.Flag{&cli.BoolFlag{Name: "json", Usage: "write JSON"}},
+		Action:      run,
+	}
+}
+
+func run(_ context.Context, c *cli.Command) (err error) {
+	role, file := c.Args().Get(0), c.Args().Get(1)
+	if file == "" || c.Args().Len() != 2 {
+		return lentilexit.With(lentilexit.Usage, errorx.IllegalArgument.New("use: check-settings balancer|agent FILE"))
+	}
+	switch role {
+	case "balancer":
+		_, err = lentilsetting.Loader{}.Balancer(file)
+	case "agent":
+		_, err = lentilsetting.Loader{}.Agent(file)
+	default:
+		return lentilexit.With(lentilexit.Usage, errorx.IllegalArgument.New("%q is not balancer or agent", role))
+	}
+	return report(c, file, err)
+}
+
+func report(c *cli.Command, file string, result error) (err error) {
+	var faults *lentilsetting.Faults
+	if result != nil && !errors.As(result, &faults) {
+		return result
+	}
+	if c.Bool("json") {
+		doc := Doc{File: file, Faults: []lentilsetting.FaultDoc{}}
+		if faults != nil {
+			for _, fault := range faults.List() {
+				doc.Faults = append(doc.Faults, fault.Doc())
+			}
+		}
+		if err = json.NewEncoder(c.Root().Writer).Encode(doc); err != nil {
+			return err
+		}
+	}
+	if result == nil && !c.Bool("json") {
+		_, err = fmt.Fprintf(c.Root().Writer, "%s: no faults\n", file)
+		return err
+	}
+	return lentilexit.With(lentilexit.Settings, result)
+}
--- /dev/null
+++ b/internal/lentilcommand/lentilexplaincommand/explain.go
@@ -0,0 +1,68 @@
+// Package lentilexplaincommand is the command `explain`.
+package lentilexplaincommand
+
+import (
+	"context"
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/joomcode/errorx"
+	"github.com/urfave/cli/v3"
+
+	"lentilstair.example/lentilstair/internal/lentilcode"
+	"lentilstair.example/lentilstair/internal/lentilevent"
+	"lentilstair.example/lentilstair/internal/lentilexit"
+	"lentilstair.example/lentilstair/internal/lentilmetric"
+	"lentilstair.example/lentilstair/internal/lentilsetting"
+)
+
+//go:embed description.txt
+var description string
+
+// New returns the command.
+func New() *cli.Command {
+	return &cli.Command{
+		Name:        "explain",
+		Usage:       "say what a code means",
+		ArgsUsage:   "[CODE]",
+		Description: description,
+		Flags:       []cli.Flag{&cli.BoolFlag{Name: "json", Usage: "write JSON"}},
+		Action:      run,
+	}
+}
+
+// All returns every coded entry.
+func All() []lentilcode.Doc {
+	return slices.Concat(lentilsetting.Codes(), lentilevent.Codes(), lentilexit.Codes(), lentilmetric.Codes())
+}
+
+func run(_ context.Context, c *cli.Command) (err error) {
+	docs := All()
+	if code := c.Args().First(); code != "" {
+		i := slices.IndexFunc(docs, func(d lentilcode.Doc) bool { return strings.EqualFold(d.Code, code) })
+		if i < 0 {
+			return lentilexit.With(lentilexit.Usage, errorx.IllegalArgument.New("no entry has the code %q", code))
+		}
+		docs = docs[i : i+1]
+	}
+	if c.Bool("json") {
+		return json.NewEncoder(c.Root().Writer).Encode(docs)
+	}
+	return write(c.Root().Writer, docs)
+}
+
+func write(w io.Writer, docs []lentilcode.Doc) (err error) {
+	if len(docs) == 1 {
+		return docs[0].WriteText(w)
+	}
+	for _, doc := range docs {
+		if _, err = fmt.Fprintf(w, "%-40s %s\n", doc.Code, doc.Title); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lentilcommand/lentilversioncommand/version.go
@@ -0,0 +1,63 @@
+// Package lentilversioncommand is the command `version`.
+package lentilversioncommand
+
+import (
+	"context"
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"runtime/debug"
+
+	"github.com/urfave/cli/v3"
+)
+
+//go:embed description.txt
+var description string
+
+// Doc is the written form of a version.
+type Doc struct {
+	// Version is the module's version, "(devel)" for a build from a checkout.
+	Version string `json:"version"`
+	// Commit is the commit of the checkout, empty if it is not known.
+	Commit string `json:"commit"`
+	// Modified is true if the checkout had changes that were not committed.
+	Modified bool   `json:"modified"`
+	Go       string `json:"go"`
+}
+
+// New returns the command.
+func New() *cli.Command {
+	return &cli.Command{
+		Name:        "version",
+		Usage:       "print the version of the program",
+		Description: description,
+		Flags:       []cli.Flag{&cli.BoolFlag{Name: "json", Usage: "write JSON"}},
+		Action:      run,
+	}
+}
+
+func run(_ context.Context, c *cli.Command) (err error) {
+	doc := current()
+	if c.Bool("json") {
+		return json.NewEncoder(c.Root().Writer).Encode(doc)
+	}
+	_, err = fmt.Fprintf(c.Root().Writer, "lentilstair %s, commit %s, %s\n", doc.Version, doc.Commit, doc.Go)
+	return err
+}
+
+func current() (doc Doc) {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return Doc{}
+	}
+	doc = Doc{Version: info.Main.Version, Go: info.GoVersion}
+	for _, setting := range info.Settings {
+		switch setting.Key {
+		case "vcs.revision":
+			doc.Commit = setting.Value
+		case "vcs.modified":
+			doc.Modified = setting.Value == "true"
+		}
+	}
+	return doc
+}
--- /dev/null
+++ b/internal/lentilevent/catalogue.go
@@ -0,0 +1,63 @@
+package lentilevent
+
+import (
+	"maps"
+	"slices"
+)
+
+// catalogue describes every event. Logger.Write takes level and title from here.
+var catalogue = map[Event]doc{
+	Started: {Info, "process started", "The settings are whole and the sockets are open. The process is not ready yet.",
+		[]string{"role", "name", "admin"}},
+	Ready:    {Info, "ready", "The process takes new work; its ready endpoint says so.", nil},
+	NotReady: {Warn, "not ready", "The process takes no new work; its ready endpoint says why.", []string{"reason"}},
+	StopAsked: {Info, "graceful stop begun", "A signal asked for a stop. The process is not ready any more, goes on with " +
+		"what it has, and ends when that is done or the grace time is over.", []string{"signal", "graceMillis"}},
+	StopForced: {Warn, "stop at once", "A second signal, or the end of the grace time, ends the process at once; " +
+		"what was open is cut.", []string{"reason", "open"}},
+	Stopped:    {Info, "process stopped", "The process ended with nothing left open.", nil},
+	StopFailed: {Error, "process ended by an error", "The process can't go on; the error says why.", []string{"error"}},
+	CertificateLoaded: {Info, "certificate loaded", "The TLS certificate and key in the settings were read and are used " +
+		"for new connections.", []string{"file", "notAfter"}},
+	CertificateRefused: {Error, "certificate refused", "The TLS certificate or key can't be used; the one loaded before stays " +
+		"in use. See docs/operating/keys-and-certificates.md.", []string{"file", "error"}},
+	AdminFailed: {Error, "admin endpoint failed", "The endpoint for ready, live and metrics can't serve.", []string{"address", "error"}},
+
+	PacketRefused: {Warn, "packet refused", "A packet from the fabric is malformed and was dropped. Logged at a bounded rate; " +
+		"the metric counts all.", []string{"reason", "from", "suppressed"}},
+	TunnelRefused: {Warn, "tunnel packet refused", "A packet on the tunnel address is malformed or not signed by a key of the " +
+		"ring, and was dropped. A few after a key was removed are harmless; many mean a process with other keys, or " +
+		"an attacker.", []string{"reason", "from", "suppressed"}},
+	PlaceRefused: {Warn, "connection ID refused", "A connection ID claims a place, but is not signed by a key of the ring. The " +
+		"packet counts as one without a place.", []string{"from", "suppressed"}},
+	ServiceMismatch: {Warn, "packet of another service dropped", "A packet reached an agent whose service or incarnation is not the " +
+		"one that the packet names. It was dropped; it reaches no copy.", []string{"service", "suppressed"}},
+	SocketFailed: {Error, "socket failed", "A socket can't be opened, read or written.", []string{"address", "error"}},
+
+	ConfigurationInForce: {Info, "configuration in force", "The process works by this version of the configuration from now on.",
+		[]string{"version", "noteId", "source"}},
+	ConfigurationRefused: {Error, "configuration refused", "A configuration that was offered is faulty or older than the one in " +
+		"force, and changes nothing.", []string{"version", "error"}},
+	PlatformDown: {Warn, "platform not reachable", "The platform's object API does not answer. What is in force stays in force and " +
+		"keeps spreading; changes can't be accepted. See docs/operating/platform-outage.md.", []string{"error"}},
+	PlatformBack:  {Info, "platform reachable again", "The platform's object API answers again.", []string{"downMillis"}},
+	PeerDown:      {Warn, "peer not reachable", "Another balancer does not answer; the rest go on without it.", []string{"peer", "error"}},
+	PeerBack:      {Info, "peer reachable again", "Another balancer answers again.", []string{"peer"}},
+	PeerRefused:   {Warn, "control connection refused", "A process without a key of the ring asked for a control connection.", []string{"from", "error", "suppressed"}},
+	RecordRefused: {Warn, "announcement refused", "An announcement is malformed, older than what is known, or of a copy that the configuration does not hold.", []string{"copy", "reason", "suppressed"}},
+	DomainOut:     {Warn, "failure domain taken out", "Operators took the failure domain out: no packet is sent to it any more.", []string{"domain", "version"}},
+	DomainBack:    {Info, "failure domain back", "Operators brought the failure domain back; its copies count as cold.", []string{"domain", "version"}},
+
+	CopyWarming: {Info, "copy warming", "The copy gets as much as it bears, and more as it proves to bear more.", []string{"weight"}},
+	CopyReady:   {Info, "copy warm", "The copy bears all its slots.", []string{"weight"}},
+	CopyCold: {Warn, "copy cold again", "The copy takes far longer than before, or sheds: it counts as cold and is warmed " +
+		"anew.", []string{"weight", "reason"}},
+	CopyDraining:   {Info, "copy draining", "The copy gets no new work; its flows go on.", []string{"reason"}},
+	CopyDown:       {Error, "copy not reachable", "The copy beside the agent does not answer; it gets no new work.", []string{"error"}},
+	CopyBack:       {Info, "copy reachable again", "The copy answers again and counts as cold.", nil},
+	RequestRefused: {Debug, "request refused", "A request was not run, for want of room or time; the caller was told so and when to come back.", []string{"reason"}},
+	OutcomeUnknown: {Warn, "outcome unknown", "A request that may run only once may or may not have run; the caller was told so.", []string{"reason"}},
+}
+
+// order returns the events by number.
+func order() []Event { return slices.Sorted(maps.Keys(catalogue)) }
--- /dev/null
+++ b/internal/lentilevent/event.go
@@ -0,0 +1,130 @@
+package lentilevent
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/phuslu/log"
+
+	"lentilstair.example/lentilstair/internal/lentilcode"
+)
+
+//go:generate stringer -type=Event -output=event_string.go
+//go:generate stringer -type=Level -output=level_string.go
+
+// Level is how urgent an event is.
+type Level uint8
+
+// The levels, from the least to the most urgent. The zero Level is Info.
+const (
+	Info Level = iota
+	Warn
+	Error
+	Debug
+)
+
+// ParseLevel returns the level with the given name in lower case.
+func ParseLevel(name string) (level Level, ok bool) {
+	for _, level := range []Level{Debug, Info, Warn, Error} {
+		if strings.ToLower(level.String()) == name {
+			return level, true
+		}
+	}
+	return Info, false
+}
+
+func (l Level) library() log.Level {
+	switch l {
+	case Debug:
+		return log.DebugLevel
+	case Warn:
+		return log.WarnLevel
+	case Error:
+		return log.ErrorLevel
+	default:
+		return log.InfoLevel
+	}
+}
+
+// Event is the number of an event. Numbers are stable: add new ones at the end
+// of their block, and leave a gap where one is gone.
+type Event uint16
+
+// Events of every process.
+const (
+	Started Event = iota + 2001
+	Ready
+	NotReady
+	StopAsked
+	StopForced
+	Stopped
+	StopFailed
+	CertificateLoaded
+	CertificateRefused
+	AdminFailed
+)
+
+// Events about packets.
+const (
+	PacketRefused Event = iota + 2101
+	TunnelRefused
+	PlaceRefused
+	ServiceMismatch
+	SocketFailed
+)
+
+// Events about configuration, announcements and peers.
+const (
+	ConfigurationInForce Event = iota + 2201
+	ConfigurationRefused
+	PlatformDown
+	PlatformBack
+	PeerDown
+	PeerBack
+	PeerRefused
+	RecordRefused
+	DomainOut
+	DomainBack
+)
+
+// Events about copies and requests.
+const (
+	CopyWarming Event = iota + 2301
+	CopyReady
+	CopyCold
+	CopyDraining
+	CopyDown
+	CopyBack
+	RequestRefused
+	OutcomeUnknown
+)
+
+// Code returns the code under which the event is documented, such as LE2001.
+func (e Event) Code() string { return fmt.Sprintf("LE%d", uint16(e)) }
+
+// doc is the entry of an event in the catalogue.
+type doc struct {
+	level  Level
+	title  string
+	text   string
+	fields []string
+}
+
+func (e Event) doc() doc { return catalogue[e] }
+
+// Codes returns an entry for each event, by number.
+func Codes() []lentilcode.Doc {
+	out := make([]lentilcode.Doc, 0, len(catalogue))
+	for _, event := range order() {
+		d := event.doc()
+		facts := []lentilcode.Fact{
+			{Name: "Name", Value: event.String()},
+			{Name: "Level", Value: strings.ToLower(d.level.String())},
+		}
+		if len(d.fields) > 0 {
+			facts = append(facts, lentilcode.Fact{Name: "Fields", Value: strings.Join(d.fields, ", ")})
+		}
+		out = append(out, lentilcode.Doc{Code: event.Code(), Title: d.title, Text: d.text, Facts: facts})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/lentilevent/logger.go
@@ -0,0 +1,161 @@
+// Package lentilevent holds the numbered events that the programs log, and the
+// logger that writes them. One table feeds the log, the page docs/events.md and
+// the command `explain`; operators search and alert on the number.
+package lentilevent
+
+import (
+	"io"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"golang.org/x/time/rate"
+
+	"lentilstair.example/lentilstair/pkg/lentilclock"
+)
+
+// Logger writes events as JSON lines. The zero Logger discards them.
+type Logger struct {
+	sink   *log.Logger
+	fields []Field
+}
+
+// New returns a logger that writes events of at least the given level to w.
+func New(w io.Writer, level Level) Logger {
+	return Logger{sink: &log.Logger{Level: level.library(), Writer: &log.IOWriter{Writer: &lockedWriter{w: w}}}}
+}
+
+// With returns a logger that adds the fields to every event.
+func (l Logger) With(fields ...Field) Logger {
+	l.fields = append(append([]Field(nil), l.fields...), fields...)
+	return l
+}
+
+// Write logs an event with its fields.
+func (l Logger) Write(event Event, fields ...Field) {
+	if l.sink == nil {
+		return
+	}
+	doc := event.doc()
+	entry := l.sink.WithLevel(doc.level.library())
+	if entry == nil {
+		return
+	}
+	entry = entry.Str("event", event.Code())
+	for _, field := range l.fields {
+		entry = field.add(entry)
+	}
+	for _, field := range fields {
+		entry = field.add(entry)
+	}
+	entry.Msg(doc.title)
+}
+
+// Field is a named value of an event. Make one with Str, Int, Duration, Addr or Err.
+type Field struct {
+	add func(*log.Entry) *log.Entry
+}
+
+// Str returns a field with a text.
+func Str(name, value string) Field {
+	return Field{add: func(e *log.Entry) *log.Entry { return e.Str(name, value) }}
+}
+
+// Int returns a field with an integer.
+func Int(name string, value int) Field {
+	return Field{add: func(e *log.Entry) *log.Entry { return e.Int(name, value) }}
+}
+
+// Uint returns a field with an integer that is never negative, such as a version.
+func Uint(name string, value uint64) Field {
+	return Field{add: func(e *log.Entry) *log.Entry { return e.Uint64(name, value) }}
+}
+
+// Duration returns a field with a duration in milliseconds; write the unit into the name.
+func Duration(name string, value time.Duration) Field {
+	return Field{add: func(e *log.Entry) *log.Entry { return e.Int64(name, value.Milliseconds()) }}
+}
+
+// Addr returns a field with an address and port.
+func Addr(name string, value netip.AddrPort) Field {
+	return Field{add: func(e *log.Entry) *log.Entry { return e.Str(name, value.String()) }}
+}
+
+// Err returns the field "error" with the message of err.
+func Err(err error) Field {
+	return Field{add: func(e *log.Entry) *log.Entry { return e.Err(err) }}
+}
+
+const (
+	// defaultRate is how many events a second a Limit lets through.
+	defaultRate rate.Limit = 1
+	// defaultBurst is how many events a Limit lets through at once.
+	defaultBurst = 5
+)
+
+// Limit bounds how often events that strangers can provoke are logged, such as
+// malformed packets. Each event has a bucket of its own. The zero Limit lets one
+// event a second through, five at once, by the clock of the machine.
+type Limit struct {
+	// Clock is the clock; nil means that of the machine.
+	Clock lentilclock.Clock
+
+	mu      sync.Mutex
+	buckets map[Event]*bucket
+}
+
+type bucket struct {
+	limiter    *rate.Limiter
+	suppressed int
+}
+
+// allow reports whether the event may be logged now, and how many were held
+// back since the last one that was.
+func (l *Limit) allow(event Event) (suppressed int, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.buckets == nil {
+		l.buckets = make(map[Event]*bucket)
+	}
+	b := l.buckets[event]
+	if b == nil {
+		b = &bucket{limiter: rate.NewLimiter(defaultRate, defaultBurst)}
+		l.buckets[event] = b
+	}
+	var clock lentilclock.Clock = lentilclock.System{}
+	if l.Clock != nil {
+		clock = l.Clock
+	}
+	if !b.limiter.AllowN(clock.Now(), 1) {
+		b.suppressed++
+		return 0, false
+	}
+	suppressed, b.suppressed = b.suppressed, 0
+	return suppressed, true
+}
+
+// WriteLimited logs an event unless the limit holds it back. The field
+// "suppressed" counts the same events that were held back before it.
+func (l Logger) WriteLimited(limit *Limit, event Event, fields ...Field) {
+	suppressed, ok := limit.allow(event)
+	if !ok {
+		return
+	}
+	if suppressed > 0 {
+		fields = append(fields, Int("suppressed", suppressed))
+	}
+	l.Write(event, fields...)
+}
+
+// lockedWriter keeps lines whole when several goroutines log at once.
+type lockedWriter struct {
+	mu sync.Mutex
+	w  io.Writer
+}
+
+func (w *lockedWriter) Write(p []byte) (n int, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.w.Write(p)
+}
--- /dev/null
+++ b/internal/lentilmeasure/measure.go
@@ -0,0 +1,86 @@
+// Package lentilmeasure holds the table of experiments and runs them. Each
+// experiment is a small directory below this one that exports
+//
+//	var Experiment = lentilfigure.Experiment{Name: ..., Text: ..., Run: ...}
+//
+// and has one line in the table.
+package lentilmeasure
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"lentilstair.example/lentilstair/internal/lentilexit"
+	"lentilstair.example/lentilstair/internal/lentilfigure"
+)
+
+// All is the name that runs every experiment.
+const All = "all"
+
+// List is the name that lists the experiments.
+const List = "list"
+
+// Experiments returns every experiment, in the order in which All runs them.
+func Experiments() []lentilfigure.Experiment { return experiments }
+
+// Find returns the experiments with the given name, every one for All.
+func Find(name string) (found []lentilfigure.Experiment, err error) {
+	if name == All {
+		return experiments, nil
+	}
+	for _, e := range experiments {
+		if e.Name == name {
+			return []lentilfigure.Experiment{e}, nil
+		}
+	}
+	return nil, lentilexit.With(lentilexit.Usage, errorx.IllegalArgument.New("no experiment is called %q", name))
+}
+
+// WriteList writes the name and text of each experiment.
+func WriteList(w io.Writer) (err error) {
+	for _, e := range experiments {
+		if _, err = fmt.Fprintf(w, "%-12s %s\n", e.Name, e.Text); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Run runs the experiments one after another and writes each figure as a line
+// of JSON. A missed bound or a failed experiment does not stop the others; the
+// error names all of them.
+func Run(ctx context.Context, chosen []lentilfigure.Experiment, setup lentilfigure.Setup, out io.Writer) (err error) {
+	var missed, failed []string
+	for _, e := range chosen {
+		started := time.Now()
+		figures, runErr := e.Run(ctx, setup)
+		for _, f := range figures {
+			if err = f.Write(out); err != nil {
+				return err
+			}
+			if !f.OK() {
+				missed = append(missed, f.Measure())
+			}
+		}
+		if runErr != nil {
+			failed = append(failed, fmt.Sprintf("%s: %v", e.Name, runErr))
+		}
+		setup.Note("%s took %s", e.Name, time.Since(started).Round(time.Millisecond))
+	}
+	return verdict(missed, failed)
+}
+
+func verdict(missed, failed []string) error {
+	switch {
+	case len(failed) > 0:
+		return errorx.ExternalError.New("failed: %q; bounds missed: %q", failed, missed)
+	case len(missed) > 0:
+		return lentilexit.With(lentilexit.Promise, errorx.AssertionFailed.New("bounds missed: %q", missed))
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/lentilmetric/registry.go
@@ -0,0 +1,100 @@
+package lentilmetric
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+)
+
+// reportInterval is how often tally passes what was counted to the scrape endpoint.
+const reportInterval = 250 * time.Millisecond
+
+// requestBuckets are the upper bounds of the request times, from 1 ms to about 33 s.
+var requestBuckets = tally.MustMakeExponentialValueBuckets(1, 2, 16)
+
+// Registry collects the metrics of a process. The zero Registry counts nothing.
+type Registry struct {
+	scope   tally.Scope
+	closer  io.Closer
+	handler http.Handler
+}
+
+// New returns a registry for a process in the given role, such as "agent".
+func New(role string) *Registry {
+	registry := prom.NewRegistry()
+	reporter := tallyprom.NewReporter(tallyprom.Options{
+		Registerer: registry,
+		Gatherer:   registry,
+		// Two places that count one metric with different labels are a fault of
+		// the program; it loses that metric and nothing else.
+		OnRegisterError: func(error) {},
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 namePrefix,
+		Tags:                   map[string]string{"role": role},
+		CachedReporter:         reporter,
+		Separator:              tallyprom.DefaultSeparator,
+		SanitizeOptions:        &tallyprom.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, reportInterval)
+	return &Registry{scope: scope, closer: closer, handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{})}
+}
+
+// Close passes on what was counted and ends the registry's reporting.
+func (r *Registry) Close() (err error) {
+	if r.closer == nil {
+		return nil
+	}
+	return r.closer.Close()
+}
+
+// Handler returns the scrape endpoint.
+func (r *Registry) Handler() http.Handler {
+	if r.handler == nil {
+		return http.NotFoundHandler()
+	}
+	return r.handler
+}
+
+// Counter returns the counter of a metric, with a value for each of its labels
+// in the order of the table. Keep it: finding it again takes locks.
+func (r *Registry) Counter(m Metric, values ...string) tally.Counter {
+	return r.tagged(m, values).Counter(catalogue[m].name)
+}
+
+// Gauge returns the gauge of a metric, with a value for each of its labels in
+// the order of the table.
+func (r *Registry) Gauge(m Metric, values ...string) tally.Gauge {
+	return r.tagged(m, values).Gauge(catalogue[m].name)
+}
+
+// Histogram returns the histogram of a metric in milliseconds, with a value for
+// each of its labels in the order of the table.
+func (r *Registry) Histogram(m Metric, values ...string) tally.Histogram {
+	return r.tagged(m, values).Histogram(catalogue[m].name, requestBuckets)
+}
+
+// tagged returns the scope with the metric's labels. A label without a value is
+// empty, so that a metric always has the same labels.
+func (r *Registry) tagged(m Metric, values []string) tally.Scope {
+	if r.scope == nil {
+		return tally.NoopScope
+	}
+	labels := catalogue[m].labels
+	if len(labels) == 0 {
+		return r.scope
+	}
+	tags := make(map[string]string, len(labels))
+	for i, label := range labels {
+		tags[label] = ""
+		if i < len(values) {
+			tags[label] = values[i]
+		}
+	}
+	return r.scope.Tagged(tags)
+}
--- /dev/null
+++ b/internal/lentilsetting/check.go
@@ -0,0 +1,164 @@
+package lentilsetting
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"strings"
+	"time"
+
+	"lentilstair.example/lentilstair/internal/lentilevent"
+)
+
+const (
+	// minSecretBytes is the least length of a shared secret.
+	minSecretBytes = 16
+	// maxKeyID is the highest ID of a shared secret.
+	maxKeyID = 255
+	// maxGrace is the longest time for a graceful stop or a drain.
+	maxGrace = 24 * time.Hour
+)
+
+var nameForm = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+func text(c *collector, path string, value any) (out string, ok bool) {
+	out, ok = value.(string)
+	if !ok {
+		c.add(WrongType, path, "%s stands where a text is needed", typeName(value))
+	}
+	return out, ok
+}
+
+func checkName(c *collector, path string, value any) {
+	if s, ok := text(c, path, value); ok && !nameForm.MatchString(s) {
+		c.add(BadName, path, "%q is not a name", s)
+	}
+}
+
+func checkIP(c *collector, path string, value any) {
+	s, ok := text(c, path, value)
+	if !ok {
+		return
+	}
+	if _, err := netip.ParseAddr(s); err != nil {
+		c.add(BadAddress, path, "%q is not an IP address without a port", s)
+	}
+}
+
+func checkAddress(c *collector, path string, value any) {
+	s, ok := text(c, path, value)
+	if !ok {
+		return
+	}
+	address, err := netip.ParseAddrPort(s)
+	switch {
+	case err != nil:
+		c.add(BadAddress, path, "%q is not an IP address with a port", s)
+	case address.Port() == 0:
+		c.add(BadAddress, path, "the port of %q is 0; other processes must know it", s)
+	}
+}
+
+// checkPeerAddress checks an address under which other processes reach this one.
+func checkPeerAddress(c *collector, path string, value any) {
+	before := len(c.faults)
+	checkAddress(c, path, value)
+	if len(c.faults) > before {
+		return
+	}
+	if address := netip.MustParseAddrPort(value.(string)); address.Addr().IsUnspecified() {
+		c.add(BadAddress, path, "%q means every address of the VM; other processes need one to reach", value)
+	}
+}
+
+func checkTunnel(c *collector, path string, value any) {
+	before := len(c.faults)
+	checkPeerAddress(c, path, value)
+	if len(c.faults) > before {
+		return
+	}
+	if address := netip.MustParseAddrPort(value.(string)); !address.Addr().Is4() {
+		c.add(NotIPv4, path, "%q is not an IPv4 address", value)
+	}
+}
+
+func checkURL(c *collector, path string, value any) {
+	s, ok := text(c, path, value)
+	if !ok {
+		return
+	}
+	u, err := url.Parse(s)
+	switch {
+	case err != nil, u.Scheme != "http" && u.Scheme != "https", u.Host == "":
+		c.add(BadURL, path, "%q is not an absolute http or https URL", strings.ToValidUTF8(s, "?"))
+	case u.User != nil || u.RawQuery != "" || u.Fragment != "":
+		c.add(BadURL, path, "the URL may not hold a user, query or fragment")
+	}
+}
+
+func checkDuration(c *collector, path string, value any) {
+	s, ok := text(c, path, value)
+	if !ok {
+		return
+	}
+	d, err := time.ParseDuration(s)
+	switch {
+	case err != nil:
+		c.add(BadDuration, path, "%q is not a number with a unit", s)
+	case d < 0 || d > maxGrace:
+		c.add(OutOfRange, path, "%s is not between 0s and %s", s, maxGrace)
+	}
+}
+
+func checkLevel(c *collector, path string, value any) {
+	s, ok := text(c, path, value)
+	if !ok {
+		return
+	}
+	if _, ok := lentilevent.ParseLevel(s); !ok {
+		c.add(NotAllowed, path, "%q is not one of debug, info, warn and error", s)
+	}
+}
+
+func checkPath(c *collector, path string, value any) {
+	if s, ok := text(c, path, value); ok && s == "" {
+		c.add(UnreadableFile, path, "the path is empty")
+	}
+}
+
+func checkKeyID(c *collector, path string, value any) {
+	number, ok := value.(json.Number)
+	if !ok {
+		c.add(WrongType, path, "%s stands where a number is needed", typeName(value))
+		return
+	}
+	id, err := number.Int64()
+	if err != nil || id < 0 || id > maxKeyID {
+		c.add(OutOfRange, path, "%s is not a whole number between 0 and %d", number, maxKeyID)
+	}
+}
+
+func checkSecret(c *collector, path string, value any) {
+	s, ok := text(c, path, value)
+	if !ok {
+		return
+	}
+	if _, reason := decodeSecret(s); reason != "" {
+		c.add(BadSecret, path, "%s", reason)
+	}
+}
+
+// decodeSecret returns the bytes of a secret, or why it is none. The reason does
+// not hold the secret.
+func decodeSecret(s string) (secret []byte, reason string) {
+	secret, err := base64.StdEncoding.DecodeString(strings.TrimSpace(s))
+	switch {
+	case err != nil:
+		return nil, "the secret is not in base64"
+	case len(secret) < minSecretBytes:
+		return nil, "the secret has less than 16 bytes"
+	}
+	return secret, ""
+}
--- /dev/null
+++ b/internal/lentilsetting/table.go
@@ -0,0 +1,76 @@
+package lentilsetting
+
+// The examples below are right values in JSON. The page docs/settings.md is
+// made from these tables.
+
+var platformFields = []field{
+	{name: "url", text: "Where the platform's object API answers.", example: `"http://10.0.0.9:8080"`, required: true, check: checkURL},
+	{name: "tokenFile", text: "File with the token that the platform asks for; sent as a bearer token.", example: `"/etc/lentilstair/token"`,
+		fallback: "no token", check: checkPath},
+}
+
+var keyFields = []field{
+	{name: "id", text: "Number of the secret, 0 to 255; unique in the list.", example: `1`, required: true, check: checkKeyID},
+	{name: "secretFile", text: "File with the secret in base64. Either this or `secret` is needed.", example: `"/etc/lentilstair/key-1"`,
+		fallback: "none", check: checkPath},
+	{name: "secret", text: "The secret itself in base64: at least 16 random bytes.", example: `"c2l4dGVlbiBieXRlcyBhdCBsZWFzdA=="`,
+		fallback: "none", check: checkSecret},
+}
+
+var logFields = []field{
+	{name: "level", text: "The least urgent level that is logged: debug, info, warn or error.", example: `"info"`, fallback: `"info"`, check: checkLevel},
+}
+
+var tlsFields = []field{
+	{name: "certificateFile", text: "Certificate chain in PEM that callers see. Read again when it changes.", example: `"/etc/lentilstair/cert.pem"`,
+		required: true, check: checkPath},
+	{name: "keyFile", text: "Private key of the certificate in PEM.", example: `"/etc/lentilstair/key.pem"`, required: true, check: checkPath},
+}
+
+var (
+	domainField = field{name: "domain", text: "The failure domain in which the VM stands, as the configuration names it.",
+		example: `"palermo"`, required: true, check: checkName}
+	tunnelField = field{name: "tunnelAddress", text: "IPv4 address and UDP port on which packets of flows travel between balancers and agents.",
+		example: `"10.0.0.1:9002"`, required: true, check: checkTunnel}
+	controlField = field{name: "controlAddress", text: "Address and TCP port for calls of other processes of the system.",
+		example: `"10.0.0.1:9001"`, required: true, check: checkPeerAddress}
+	adminField = field{name: "adminAddress", text: "Address and TCP port of /ready, /live and /metrics. Plain HTTP: keep it inside your network.",
+		example: `"10.0.0.1:9000"`, required: true, check: checkAddress}
+	keysField = field{name: "keys", text: "The shared secrets, the one that signs first; all of them verify. See docs/operating/keys-and-certificates.md.",
+		example: `[{"id": 1, "secretFile": "/etc/lentilstair/key-1"}]`, required: true, isList: true, members: keyFields}
+	logField = field{name: "log", text: "What is logged.", example: `{"level": "info"}`, fallback: `{"level": "info"}`, members: logFields}
+)
+
+var balancerFields = []field{
+	{name: "name", text: "Name of the balancer, unique among balancers.", example: `"entry-1"`, required: true, check: checkName},
+	domainField,
+	{name: "listenAddress", text: "IP address on which the fabric hands over packets. The balancer binds the port of each service's address here.",
+		example: `"10.0.0.1"`, required: true, check: checkIP},
+	tunnelField,
+	controlField,
+	adminField,
+	{name: "platform", text: "The platform's object API.", example: `{"url": "http://10.0.0.9:8080"}`, required: true, members: platformFields},
+	{name: "peers", text: "Control addresses of some other balancers. The rest are learned from them.", example: `["10.0.0.2:9001", "10.0.0.3:9001"]`,
+		fallback: "none: the balancer is alone", isList: true, check: checkPeerAddress},
+	keysField,
+	{name: "stopGrace", text: "How long a graceful stop goes on forwarding after the balancer says that it is not ready. Longer than the " +
+		"fabric takes to notice.", example: `"30s"`, fallback: `"30s"`, check: checkDuration},
+	logField,
+}
+
+var agentFields = []field{
+	{name: "copy", text: "Name of the copy beside the agent, as the configuration names it.", example: `"iscrizioni-3"`, required: true, check: checkName},
+	{name: "service", text: "The service that the copy serves, as the configuration names it.", example: `"iscrizioni"`, required: true, check: checkName},
+	domainField,
+	tunnelField,
+	controlField,
+	adminField,
+	{name: "upstream", text: "URL of the copy.", example: `"http://127.0.0.1:8080"`, required: true, check: checkURL},
+	{name: "balancers", text: "Control addresses of some balancers. The rest are learned from them.", example: `["10.0.0.1:9001", "10.0.0.2:9001"]`,
+		required: true, isList: true, check: checkPeerAddress},
+	keysField,
+	{name: "tls", text: "Certificate towards callers.", example: `{"certificateFile": "cert.pem", "keyFile": "key.pem"}`, required: true, members: tlsFields},
+	{name: "drainLimit", text: "How long a graceful stop waits for open flows and requests. What is still open then is cut.", example: `"10m"`,
+		fallback: `"10m"`, check: checkDuration},
+	logField,
+}
--- /dev/null
+++ b/internal/lentilstand/measure.go
@@ -0,0 +1,53 @@
+package lentilstand
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+
+	"github.com/joomcode/errorx"
+	"github.com/urfave/cli/v3"
+
+	"lentilstair.example/lentilstair/internal/lentilexit"
+	"lentilstair.example/lentilstair/internal/lentilfigure"
+	"lentilstair.example/lentilstair/internal/lentilmeasure"
+)
+
+// newMeasure returns the command `measure`.
+func newMeasure() *cli.Command {
+	return &cli.Command{
+		Name:      "measure",
+		Usage:     "run an experiment and print a line of JSON for each figure",
+		ArgsUsage: "NAME|list|all",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`NUMBER` that the random choices start from"},
+			&cli.BoolFlag{Name: "short", Usage: "make a smaller run, as a trial"},
+		},
+		Action: runMeasure,
+	}
+}
+
+func runMeasure(ctx context.Context, c *cli.Command) (err error) {
+	name := c.Args().First()
+	switch name {
+	case "":
+		return lentilexit.With(lentilexit.Usage, errorx.IllegalArgument.New("use: measure NAME|list|all"))
+	case lentilmeasure.List:
+		return lentilmeasure.WriteList(c.Root().Writer)
+	}
+	chosen, err := lentilmeasure.Find(name)
+	if err != nil {
+		return err
+	}
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	setup := lentilfigure.Setup{
+		Seed:     c.Uint64("seed"),
+		Short:    c.Bool("short"),
+		Binaries: filepath.Dir(program),
+		Progress: c.Root().ErrWriter,
+	}
+	return lentilmeasure.Run(ctx, chosen, setup, c.Root().Writer)
+}
