--- /dev/null
+++ b/pkg/lentilpin/event.go
@@ -0,0 +1,93 @@
+package lentilpin
+
+import (
+	"time"
+
+	"lentilstair.example/lentilstair/pkg/lentilid"
+	"lentilstair.example/lentilstair/pkg/lentilroute"
+)
+
+// Opened pins a flow to this agent that Decide hasn't opened.
+func (k *Keeper) Opened(key lentilroute.Key) {
+	k.pins.put(key, local, k.Self, k.limit())
+}
+
+// Closed forgets a flow that has ended here.
+func (k *Keeper) Closed(key lentilroute.Key) {
+	if p := k.pins.byKey[key]; p != nil && p.state == local {
+		k.pins.remove(key)
+	}
+}
+
+// HandedOff pins a flow to the peer that has taken it.
+func (k *Keeper) HandedOff(key lentilroute.Key, peer lentilid.Place) {
+	k.pins.put(key, remote, peer, k.limit())
+	k.counts.HandedOff++
+}
+
+// Notify takes a notice from another agent. A notice about a flow that lives
+// here, or that this agent has not asked for, changes nothing.
+func (k *Keeper) Notify(n Notice) {
+	p := k.pins.byKey[n.Key]
+	if p == nil || p.state == local || n.Place.Service() != k.Self.Service() || n.Place.Agent() == k.Self.Agent() {
+		return
+	}
+	k.pins.put(n.Key, remote, n.Place, k.limit())
+}
+
+// count adds an action to the counts.
+func (k *Keeper) count(action *Action) {
+	k.counts.Packets++
+	switch action.Verdict {
+	case Local:
+	case Forward:
+		k.counts.Forwarded++
+		if action.Hop.Purpose() == Ask {
+			k.counts.Asked++
+		}
+	default:
+		k.counts.Dropped[action.Verdict]++
+	}
+}
+
+// now returns the time.
+func (k *Keeper) now() time.Time {
+	if k.Clock == nil {
+		return time.Now()
+	}
+	return k.Clock.Now()
+}
+
+// limit returns the time and what bounds the pins.
+func (k *Keeper) limit() limit {
+	most := k.MaxFlows
+	if most == 0 {
+		most = DefaultMaxFlows
+	}
+	return limit{now: k.now(), most: most, replace: k.Protocol == lentilroute.QUIC}
+}
+
+// idle returns how long a flow without packets is remembered.
+func (k *Keeper) idle() time.Duration {
+	switch {
+	case k.Idle != 0:
+		return k.Idle
+	case k.Protocol == lentilroute.QUIC:
+		return DefaultIdleQUIC
+	default:
+		return DefaultIdleDatagram
+	}
+}
+
+// askTimeout returns how long a QUIC flow waits for an answer.
+func (k *Keeper) askTimeout() time.Duration {
+	if k.AskTimeout != 0 {
+		return k.AskTimeout
+	}
+	return DefaultAskTimeout
+}
+
+// out reports whether a place lies in a failure domain that is out.
+func (k *Keeper) out(place lentilid.Place) bool {
+	return k.Out != nil && k.Out(place.Domain())
+}
--- /dev/null
+++ b/pkg/lentilpin/keeper.go
@@ -0,0 +1,304 @@
+// Package lentilpin keeps flows whole at an agent: for each packet that reaches
+// the agent it decides whether the flow lives here, at a peer agent, or nowhere.
+//
+// Packets that carry a place need no memory. For all others the agent remembers
+// the flow by its key: it pins the flow to itself, to a peer, or notes which
+// peers it still has to ask before it may open the flow. Balancers and agents may
+// disagree about who owns a bucket, so an agent opens an unknown flow only after
+// every other agent that may hold it has denied it; and an agent that denies a flow
+// pins it to the agent that asked. So of two agents that may both open a flow, one
+// asks the other, and the one that is asked either has it or never opens it.
+package lentilpin
+
+import (
+	"slices"
+	"time"
+
+	"lentilstair.example/lentilstair/pkg/lentilclock"
+	"lentilstair.example/lentilstair/pkg/lentilid"
+	"lentilstair.example/lentilstair/pkg/lentilroute"
+)
+
+// Defaults of a Keeper's fields.
+const (
+	// DefaultMaxFlows bounds the flows that are remembered.
+	DefaultMaxFlows = 1 << 17
+	// DefaultIdleQUIC is how long a first packet is remembered: longer than a handshake takes.
+	DefaultIdleQUIC = 30 * time.Second
+	// DefaultIdleDatagram is how long a flow without packets is remembered.
+	DefaultIdleDatagram = 5 * time.Minute
+	// DefaultAskTimeout is how long a QUIC flow waits for an answer to Ask before it
+	// is opened here. A second answer does such a flow no harm.
+	DefaultAskTimeout = 150 * time.Millisecond
+)
+
+// maxAsked bounds the agents that are asked for one flow.
+const maxAsked = 8
+
+// Keeper decides what an agent does with packets. It is not safe for use by
+// several goroutines. The zero Keeper works once Self is set: it then opens every
+// unknown flow itself.
+type Keeper struct {
+	// Self is where flows of this agent live.
+	Self lentilid.Place
+	// Protocol is the protocol of the agent's service.
+	Protocol lentilroute.Protocol
+	// Clock tells the time. Nil means the machine's clock.
+	Clock lentilclock.Clock
+	// Owners appends to dst the places that may hold a flow with the hash, the
+	// likeliest first, as lentilroute.Router.Owners does. Nil means none.
+	Owners func(hash uint64, dst []lentilid.Place) []lentilid.Place
+	// HandOff chooses a peer for a new flow, or returns false to open it here. It
+	// is asked for QUIC flows only: a flow that carries no place would be lost with
+	// the agent that handed it off. Nil means that every flow is opened here.
+	HandOff func() (peer lentilid.Place, ok bool)
+	// Refuse reports whether this agent must not open flows. Such a flow is dropped
+	// unless it is handed off. Nil means that it may.
+	Refuse func() bool
+	// Out reports whether operators have taken a failure domain out. Nil means none.
+	Out func(domain lentilid.Domain) bool
+	// MaxFlows, Idle and AskTimeout replace the defaults if they aren't zero.
+	MaxFlows   int
+	Idle       time.Duration
+	AskTimeout time.Duration
+
+	pins    pins
+	counts  Counts
+	scratch []lentilid.Place
+}
+
+// Counts says what a keeper has done since it was made.
+type Counts struct {
+	// Packets is all packets, Forwarded those that went to another agent.
+	Packets, Forwarded uint64
+	// Asked is how often a packet went to an agent to ask for its flow.
+	Asked uint64
+	// Opened and HandedOff count new flows.
+	Opened, HandedOff uint64
+	// Dropped counts by verdict.
+	Dropped [DropNoRoom + 1]uint64
+}
+
+// Counts returns what the keeper has done.
+func (k *Keeper) Counts() Counts { return k.counts }
+
+// Flows returns how many flows the keeper remembers.
+func (k *Keeper) Flows() int { return len(k.pins.byKey) }
+
+// Decide says what the agent does with a packet and remembers what follows for
+// the packet's flow.
+func (k *Keeper) Decide(a *Arrival) (action Action) {
+	k.pins.expire(k.now(), k.idle())
+	action = k.decide(a)
+	k.count(&action)
+	return action
+}
+
+// decide sorts packets by what they carry.
+func (k *Keeper) decide(a *Arrival) (action Action) {
+	if a.Service != k.Self.Service() {
+		return Action{Verdict: DropWrongService}
+	}
+	switch a.Flow.Verdict {
+	case lentilroute.ToPlace:
+		return k.decidePlace(a)
+	case lentilroute.ToBucket:
+		return k.decideKey(a)
+	default:
+		return Action{Verdict: DropMalformed}
+	}
+}
+
+// decidePlace decides on a packet that carries a place.
+func (k *Keeper) decidePlace(a *Arrival) (action Action) {
+	place := a.Flow.Place
+	switch {
+	case place.Service() != k.Self.Service():
+		return Action{Verdict: DropWrongService}
+	case place.Agent() != k.Self.Agent():
+		return k.forward(a, place, Owned)
+	case place.Incarnation() != k.Self.Incarnation():
+		return Action{Verdict: DropStale}
+	default:
+		return Action{Verdict: Local}
+	}
+}
+
+// decideKey decides on a packet of which only the flow's key is known.
+func (k *Keeper) decideKey(a *Arrival) (action Action) {
+	p := k.pins.get(a.Flow.Key, k.now())
+	purpose := a.Hop.Purpose()
+	switch {
+	case p == nil && !a.Flow.Opens:
+		return Action{Verdict: DropUnknown}
+	case p == nil && purpose == Ask:
+		return k.giveWay(a, nil)
+	case purpose == HandOff:
+		return k.open(a)
+	case p == nil:
+		return k.startAsking(a)
+	case p.state == local:
+		return k.tellFound(a, Action{Verdict: Local})
+	case p.state == remote:
+		return k.decideRemote(a, p)
+	default:
+		return k.decideAsking(a, p)
+	}
+}
+
+// decideRemote decides on a packet of a flow that is pinned to another agent.
+func (k *Keeper) decideRemote(a *Arrival, p *pin) (action Action) {
+	back := p.place.Agent() == a.From.Agent()
+	switch purpose := a.Hop.Purpose(); {
+	case purpose == Ask && back:
+		return k.forward(a, a.From, Return)
+	case purpose == Ask:
+		return k.forward(a, p.place, Ask)
+	case purpose == Owned && back:
+		// Each believes that the other has the flow.
+		return k.startAsking(a)
+	default:
+		return k.forward(a, p.place, Owned)
+	}
+}
+
+// decideAsking decides on a packet of a flow that this agent still asks for.
+func (k *Keeper) decideAsking(a *Arrival, p *pin) (action Action) {
+	switch purpose := a.Hop.Purpose(); {
+	case purpose == Return && a.Hop.Token() == p.token:
+		p.denied = append(p.denied, p.place)
+		p.token++
+	case purpose == Ask && a.From.Agent().Compare(k.Self.Agent()) < 0:
+		// Both ask for the same flow: the lower address goes on, the other gives way.
+		return k.giveWay(a, p.denied)
+	}
+	return k.ask(a, p)
+}
+
+// giveWay says that the flow doesn't live here, and that it will live at the
+// agent that asks. The question goes on to whom this agent would have asked, since
+// an agent that has just joined may not know of it, and from there to the asker.
+func (k *Keeper) giveWay(a *Arrival, denied []lentilid.Place) (action Action) {
+	next, ok := k.nextToAsk(a, denied)
+	if k.pins.put(a.Flow.Key, remote, a.From, k.limit()) == nil {
+		return Action{Verdict: DropFull}
+	}
+	if ok {
+		return k.forward(a, next, Ask)
+	}
+	return k.forward(a, a.From, Return)
+}
+
+// startAsking begins to look for the flow at other agents.
+func (k *Keeper) startAsking(a *Arrival) (action Action) {
+	p := k.pins.put(a.Flow.Key, asking, lentilid.Place{}, k.limit())
+	if p == nil {
+		return Action{Verdict: DropFull}
+	}
+	p.asked = k.now()
+	return k.ask(a, p)
+}
+
+// ask sends the packet to the next agent that may hold the flow, or opens the
+// flow if there is none left.
+func (k *Keeper) ask(a *Arrival, p *pin) (action Action) {
+	if k.Protocol == lentilroute.QUIC && k.now().Sub(p.asked) > k.askTimeout() {
+		return k.open(a)
+	}
+	next, ok := k.nextToAsk(a, p.denied)
+	if !ok || len(p.denied) >= maxAsked {
+		return k.open(a)
+	}
+	if p.place != next {
+		p.place = next
+		p.token++
+	}
+	a.Hop = newHop(Ask, a.Hop.Count(), p.token)
+	a.From = k.Self
+	return k.forward(a, next, Ask)
+}
+
+// nextToAsk returns the likeliest place that may hold the flow, but for this
+// agent, the one that asks, and those that have denied it.
+func (k *Keeper) nextToAsk(a *Arrival, denied []lentilid.Place) (next lentilid.Place, ok bool) {
+	if k.Owners == nil {
+		return lentilid.Place{}, false
+	}
+	k.scratch = k.Owners(a.Flow.Key.Hash(k.Self.Service()), k.scratch[:0])
+	for _, place := range k.scratch {
+		asker := a.Hop.Purpose() == Ask && place.Agent() == a.From.Agent()
+		if place.Agent() != k.Self.Agent() && !asker && !slices.Contains(denied, place) && !k.out(place) {
+			return place, true
+		}
+	}
+	return lentilid.Place{}, false
+}
+
+// open takes a new flow: here, or at a peer that has room.
+func (k *Keeper) open(a *Arrival) (action Action) {
+	if peer, ok := k.handOff(a); ok {
+		k.pins.put(a.Flow.Key, remote, peer, k.limit())
+		k.counts.HandedOff++
+		return k.forward(a, peer, HandOff)
+	}
+	if k.Refuse != nil && k.Refuse() {
+		k.pins.remove(a.Flow.Key)
+		return Action{Verdict: DropNoRoom}
+	}
+	if k.pins.put(a.Flow.Key, local, k.Self, k.limit()) == nil {
+		return Action{Verdict: DropFull}
+	}
+	k.counts.Opened++
+	return Action{Verdict: Local}
+}
+
+// maxHandOffs is how many agents may hand off one flow.
+const maxHandOffs = 2
+
+// handOff chooses a peer for a new flow.
+func (k *Keeper) handOff(a *Arrival) (peer lentilid.Place, ok bool) {
+	if k.HandOff == nil || k.Protocol != lentilroute.QUIC {
+		return lentilid.Place{}, false
+	}
+	if a.Hop.Purpose() == HandOff && a.Hop.Token() >= maxHandOffs {
+		return lentilid.Place{}, false
+	}
+	peer, ok = k.HandOff()
+	known := peer.Agent() == k.Self.Agent() || peer.Agent() == a.From.Agent()
+	return peer, ok && !known && !k.out(peer)
+}
+
+// tellFound adds to action the notice for the agent that asks where the flow lives.
+func (k *Keeper) tellFound(a *Arrival, action Action) Action {
+	if a.Hop.Purpose() == Ask {
+		action.NoticeTo = a.From
+		action.Notice = Notice{Key: a.Flow.Key, Place: k.Self}
+	}
+	return action
+}
+
+// forward hands a packet on. An Ask keeps the asker's name and token, and a
+// Return the token.
+func (k *Keeper) forward(a *Arrival, place lentilid.Place, purpose Purpose) (action Action) {
+	if a.Hop.Count() >= MaxHops {
+		// Beliefs may run in a circle; without this one they don't.
+		k.pins.remove(a.Flow.Key)
+		return Action{Verdict: DropHops}
+	}
+	if k.out(place) {
+		return Action{Verdict: DropDomainOut}
+	}
+	action = Action{Verdict: Forward, Place: place, From: k.Self}
+	token := a.Hop.Token()
+	switch purpose {
+	case Ask:
+		action.From = a.From
+	case HandOff:
+		token = 1
+		if a.Hop.Purpose() == HandOff {
+			token = a.Hop.Token() + 1
+		}
+	}
+	action.Hop = newHop(purpose, a.Hop.Count()+1, token)
+	return action
+}
--- /dev/null
+++ b/pkg/lentilroute/assign.go
@@ -0,0 +1,181 @@
+package lentilroute
+
+import (
+	"cmp"
+	"container/heap"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Numbers of buckets. Few sizes keep the number steady while members come and
+// go, since a change of size moves most buckets.
+const (
+	smallBuckets  = 1 << 10
+	mediumBuckets = 1 << 13
+	largeBuckets  = 1 << 16
+	smallMembers  = 16
+	mediumMembers = 128
+)
+
+// bucketCount returns the number of buckets for a number of members.
+func bucketCount(members int) int {
+	switch {
+	case members == 0:
+		return 0
+	case members <= smallMembers:
+		return smallBuckets
+	case members <= mediumMembers:
+		return mediumBuckets
+	default:
+		return largeBuckets
+	}
+}
+
+// assignment is weighted rendezvous hashing with quotas. Every bucket prefers
+// members by weighted score, every member prefers buckets by the same score, and a
+// member takes no more buckets than its quota. The one stable matching of these
+// preferences gives every member its exact share, and moves little more than
+// the least possible when members or weights change.
+type assignment struct {
+	members []Member
+	seeds   []uint64
+	quotas  []int
+	held    []claims
+	owners  []uint16
+}
+
+// claim is a bucket that a member holds for now.
+type claim struct {
+	score  float64
+	bucket uint32
+	index  int32
+}
+
+// claims is a heap whose first claim is the one that the member likes least.
+type claims []claim
+
+func (c claims) Len() int           { return len(c) }
+func (c claims) Less(i, j int) bool { return c[i].score > c[j].score }
+func (c claims) Swap(i, j int)      { c[i], c[j] = c[j], c[i] }
+
+// Push is part of heap.Interface.
+func (c *claims) Push(x any) { *c = append(*c, x.(claim)) }
+
+// Pop is part of heap.Interface.
+func (c *claims) Pop() any {
+	last := (*c)[len(*c)-1]
+	*c = (*c)[:len(*c)-1]
+	return last
+}
+
+// assign returns the member index of each bucket.
+func assign(members []Member) (owners []uint16) {
+	count := bucketCount(len(members))
+	if count == 0 {
+		return nil
+	}
+	a := &assignment{
+		members: members,
+		seeds:   seeds(members),
+		quotas:  quotas(members, count),
+		held:    make([]claims, len(members)),
+		owners:  make([]uint16, count),
+	}
+	for bucket := range uint32(count) {
+		a.settle(claim{score: math.Inf(-1), bucket: bucket})
+	}
+	for index, held := range a.held {
+		for _, c := range held {
+			a.owners[c.bucket] = uint16(index)
+		}
+	}
+	return a.owners
+}
+
+// settle finds a member for a bucket, and for the bucket that it displaces, until
+// none is displaced. The claim names the bucket's last refusal.
+func (a *assignment) settle(c claim) {
+	for {
+		c = a.best(c)
+		held := &a.held[c.index]
+		if held.Len() < a.quotas[c.index] {
+			heap.Push(held, c)
+			return
+		}
+		if held.Len() > 0 && (*held)[0].score > c.score {
+			c, (*held)[0] = (*held)[0], c
+			heap.Fix(held, 0)
+		}
+	}
+}
+
+// best returns the bucket's claim on the member that it likes best after its last
+// refusal. Members with equal scores follow each other by index.
+func (a *assignment) best(refused claim) (next claim) {
+	next = claim{score: math.Inf(1), bucket: refused.bucket}
+	for i := range a.members {
+		c := claim{score: a.score(i, refused.bucket), bucket: refused.bucket, index: int32(i)}
+		if refused.before(c) && c.before(next) {
+			next = c
+		}
+	}
+	return next
+}
+
+// before orders the claims of one bucket.
+func (c claim) before(other claim) bool {
+	return c.score < other.score || c.score == other.score && c.index < other.index
+}
+
+// score returns how much a bucket and a member like each other; less is better.
+// It is exponentially distributed with the member's weight as its rate, so that a
+// member has the best score for a share of the buckets that fits its weight.
+func (a *assignment) score(index int, bucket uint32) float64 {
+	const mantissa = 53
+	uniform := (float64(mix(a.seeds[index]^uint64(bucket)<<1)>>(64-mantissa)) + 0.5) / (1 << mantissa)
+	return -math.Log(uniform) / float64(a.members[index].Weight)
+}
+
+// mix spreads every bit of x over the result.
+func mix(x uint64) uint64 {
+	x ^= x >> 32
+	x *= 0xd6e8feb86659fd93
+	x ^= x >> 32
+	x *= 0xd6e8feb86659fd93
+	return x ^ x>>32
+}
+
+// seeds returns a number for each member that depends on its address alone: an
+// agent that starts anew at the same address keeps its buckets.
+func seeds(members []Member) (seeds []uint64) {
+	for _, m := range members {
+		text := m.Place.Agent().String()
+		seeds = append(seeds, xxhash.Sum64String(text))
+	}
+	return seeds
+}
+
+// quotas shares count out by weight; the largest remainders get what is left.
+func quotas(members []Member, count int) (quotas []int) {
+	var total uint64
+	for _, m := range members {
+		total += uint64(m.Weight)
+	}
+	left := count
+	order := make([]int, len(members))
+	remainders := make([]uint64, len(members))
+	for i, m := range members {
+		product := uint64(m.Weight) * uint64(count)
+		quotas = append(quotas, int(product/total))
+		remainders[i] = product % total
+		left -= quotas[i]
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(i, j int) int { return cmp.Compare(remainders[j], remainders[i]) })
+	for _, i := range order[:left] {
+		quotas[i]++
+	}
+	return quotas
+}
--- /dev/null
+++ b/pkg/lentilroute/header.go
@@ -0,0 +1,108 @@
+// Package lentilroute decides where a packet from a caller goes.
+//
+// A flow whose packets carry a place (QUIC, whose connection IDs the agents
+// issue) goes to that place, whatever this node believes about the copies. Any
+// other packet is hashed into the weighted bucket table of its service, and the
+// agents repair what balancers with different views got wrong.
+//
+// A Router is immutable and may be used by several goroutines.
+package lentilroute
+
+import (
+	"encoding/binary"
+
+	"github.com/joomcode/errorx"
+
+	"lentilstair.example/lentilstair/pkg/lentilid"
+)
+
+// Namespace holds the error types of the package.
+var Namespace = errorx.NewNamespace("lentilroute")
+
+// ErrHeader is the type of errors about packets that are not QUIC packets.
+var ErrHeader = Namespace.NewType("header")
+
+// Errors of ParseHeader. They are made once, since a flood of malformed packets
+// must not cost an allocation each.
+var (
+	errShort   = ErrHeader.New("the packet ends within its header")
+	errVersion = ErrHeader.New("a caller sent version 0, which only servers send")
+)
+
+// Offsets and bits of the version-independent header, in bytes.
+const (
+	longBit           = 0x80
+	offsetVersion     = 1
+	offsetDestination = 5
+)
+
+// Header is the part of a QUIC packet's header that all versions share
+// (RFC 8999). Its slices share the packet's memory.
+type Header struct {
+	long        bool
+	version     uint32
+	destination []byte
+	source      []byte
+}
+
+// Long reports whether the header has the long form, which packets have until
+// the handshake is complete.
+func (h Header) Long() bool { return h.long }
+
+// Version returns the QUIC version, which only a long header has.
+func (h Header) Version() uint32 { return h.version }
+
+// Destination returns the destination connection ID: chosen by the caller in
+// its first packets, issued by an agent in all others.
+func (h Header) Destination() []byte { return h.destination }
+
+// Source returns the source connection ID, which only a long header has.
+func (h Header) Source() []byte { return h.source }
+
+// ParseHeader reads the header of a packet that a caller sent. A short header is
+// taken to have a connection ID of lentilid.ConnectionIDLen bytes. Errors are of
+// the type ErrHeader.
+func ParseHeader(packet []byte) (h Header, err error) {
+	if len(packet) == 0 {
+		return Header{}, errShort
+	}
+	if packet[0]&longBit == 0 {
+		return parseShort(packet)
+	}
+	if len(packet) <= offsetDestination {
+		return Header{}, errShort
+	}
+	h = Header{long: true, version: binary.BigEndian.Uint32(packet[offsetVersion:])}
+	if h.version == 0 {
+		// Version negotiation is sent by servers only.
+		return Header{}, errVersion
+	}
+	rest := packet[offsetDestination:]
+	if h.destination, rest, err = cutID(rest); err != nil {
+		return Header{}, err
+	}
+	if h.source, _, err = cutID(rest); err != nil {
+		return Header{}, err
+	}
+	return h, nil
+}
+
+// parseShort reads a short header.
+func parseShort(packet []byte) (h Header, err error) {
+	if len(packet) < 1+lentilid.ConnectionIDLen {
+		return Header{}, errShort
+	}
+	return Header{destination: packet[1 : 1+lentilid.ConnectionIDLen]}, nil
+}
+
+// cutID takes a connection ID with its length byte from the front.
+func cutID(packet []byte) (id, rest []byte, err error) {
+	if len(packet) == 0 {
+		return nil, nil, errShort
+	}
+	end := 1 + int(packet[0])
+	if len(packet) < end {
+		return nil, nil, errShort
+	}
+	return packet[1:end], packet[end:], nil
+}
--- /dev/null
+++ b/pkg/lentilroute/router.go
@@ -0,0 +1,200 @@
+package lentilroute
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"lentilstair.example/lentilstair/pkg/lentilid"
+)
+
+// Verdict says what to do with a packet from a caller.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Unknown is the verdict on nothing.
+	Unknown Verdict = iota
+	// ToPlace sends the packet to the place that it carries.
+	ToPlace
+	// ToBucket sends the packet to the agent that owns the flow's bucket.
+	ToBucket
+	// DropMalformed is for a packet that is no QUIC packet.
+	DropMalformed
+	// DropForged is for a connection ID that claims a known key and doesn't fit it.
+	DropForged
+	// DropWrongService is for a place that belongs to another service.
+	DropWrongService
+	// DropDomainOut is for a place in a failure domain that operators have taken out.
+	DropDomainOut
+	// DropNoService is for a service that this node doesn't know.
+	DropNoService
+	// DropNoCopy is for a new flow of a service without any copy that takes new work.
+	DropNoCopy
+)
+
+// Decision says where a packet goes.
+type Decision struct {
+	// Verdict says what to do; any but ToPlace and ToBucket drops the packet.
+	Verdict Verdict
+	// Place is the agent that gets the packet.
+	Place lentilid.Place
+	// Hash picks the flow's bucket; it is set for ToBucket only.
+	Hash uint64
+}
+
+// Router is an immutable snapshot of what decides where packets go. The zero
+// Router knows no service.
+type Router struct {
+	sealer   *lentilid.Sealer
+	services map[lentilid.Service]*entry
+	out      [256]bool
+}
+
+// entry is what a router knows about a service.
+type entry struct {
+	protocol Protocol
+	table    *Table
+	// without is the table as it would be without this node's own agent, or nil.
+	without *Table
+}
+
+// noSealer opens nothing.
+var noSealer lentilid.Sealer
+
+// Route decides where a packet goes that client sent to a service. It allocates
+// nothing and keeps nothing of packet.
+func (r *Router) Route(service lentilid.Service, packet []byte, client netip.AddrPort) (decision Decision) {
+	e := r.services[service]
+	if e == nil {
+		return Decision{Verdict: DropNoService}
+	}
+	flow := Classify(r.Sealer(), e.protocol, packet, client)
+	switch flow.Verdict {
+	case ToPlace:
+		return r.toPlace(service, flow.Place)
+	case ToBucket:
+		return e.toBucket(flow.Key.Hash(service))
+	default:
+		return Decision{Verdict: flow.Verdict}
+	}
+}
+
+// toPlace decides on a packet that carries a place.
+func (r *Router) toPlace(service lentilid.Service, place lentilid.Place) (decision Decision) {
+	if place.Service() != service {
+		return Decision{Verdict: DropWrongService}
+	}
+	if r.out[place.Domain()] {
+		return Decision{Verdict: DropDomainOut}
+	}
+	return Decision{Verdict: ToPlace, Place: place}
+}
+
+// toBucket decides on a packet that carries no place.
+func (e *entry) toBucket(hash uint64) (decision Decision) {
+	place, ok := e.table.Pick(hash)
+	if !ok {
+		return Decision{Verdict: DropNoCopy}
+	}
+	return Decision{Verdict: ToBucket, Place: place, Hash: hash}
+}
+
+// Sealer returns the sealer that opens connection IDs, never nil.
+func (r *Router) Sealer() *lentilid.Sealer {
+	if r.sealer == nil {
+		return &noSealer
+	}
+	return r.sealer
+}
+
+// Protocol returns the protocol of a service, and QUIC for an unknown one.
+func (r *Router) Protocol(service lentilid.Service) Protocol {
+	if e := r.services[service]; e != nil {
+		return e.protocol
+	}
+	return QUIC
+}
+
+// Out reports whether operators have taken the failure domain out.
+func (r *Router) Out(domain lentilid.Domain) bool { return r.out[domain] }
+
+// Table returns the table of a service, or nil for an unknown one.
+func (r *Router) Table(service lentilid.Service) *Table {
+	if e := r.services[service]; e != nil {
+		return e.table
+	}
+	return nil
+}
+
+// Owners appends to dst the places that may hold a flow with the hash, as far as
+// this node knows: the bucket's owner, who would own it without this node's own
+// agent, and the former owners at the time now. Each place stands there once.
+func (r *Router) Owners(service lentilid.Service, hash uint64, now time.Time, dst []lentilid.Place) []lentilid.Place {
+	e := r.services[service]
+	if e == nil {
+		return dst
+	}
+	start := len(dst)
+	dst = e.table.Owners(hash, now, dst)
+	if e.without == nil {
+		return dst
+	}
+	place, ok := e.without.Pick(hash)
+	if ok && !slices.Contains(dst[start:], place) {
+		dst = append(dst, place)
+	}
+	return dst
+}
+
+// Builder makes a Router from an earlier one. The zero Builder starts from the
+// zero Router.
+type Builder struct {
+	router Router
+	// shared is true while services is still the map of the earlier router.
+	shared bool
+}
+
+// From returns a builder that starts from r, which stays as it is. A nil r is
+// the zero Router.
+func From(r *Router) *Builder {
+	if r == nil {
+		return &Builder{}
+	}
+	return &Builder{router: *r, shared: true}
+}
+
+// SetSealer sets what opens connection IDs.
+func (b *Builder) SetSealer(sealer *lentilid.Sealer) { b.router.sealer = sealer }
+
+// SetOut sets whether operators have taken a failure domain out.
+func (b *Builder) SetOut(domain lentilid.Domain, out bool) { b.router.out[domain] = out }
+
+// SetService sets the protocol and table of a service. An agent also gives the
+// table as it would be without the agent itself, others nil: an agent that has
+// just joined finds with it who owned its buckets before.
+func (b *Builder) SetService(service lentilid.Service, protocol Protocol, table, without *Table) {
+	b.own()
+	b.router.services[service] = &entry{protocol: protocol, table: table, without: without}
+}
+
+// RemoveService makes a service unknown.
+func (b *Builder) RemoveService(service lentilid.Service) {
+	b.own()
+	delete(b.router.services, service)
+}
+
+// own makes sure that the map of services belongs to this builder.
+func (b *Builder) own() {
+	if b.shared || b.router.services == nil {
+		b.router.services = maps.Clone(b.router.services)
+		b.shared = false
+	}
+	if b.router.services == nil {
+		b.router.services = make(map[lentilid.Service]*entry)
+	}
+}
+
+// Router returns the router. The builder must not be used afterwards.
+func (b *Builder) Router() *Router { return &b.router }
