--- /dev/null
+++ b/internal/lentilstand/platform/list.go
@@ -0,0 +1,85 @@
+package platform
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"lentilstair.example/lentilstair/pkg/lentilplatform"
+)
+
+// pageBytes bounds a page of a list, so that an answer stays below the limit.
+const pageBytes = lentilplatform.ObjectMax * 3 / 4
+
+// pageEntries bounds a page unless the call asks for less.
+const pageEntries = 500
+
+func (s *Server) serveList(w http.ResponseWriter, r *http.Request, on target) {
+	query := r.URL.Query()
+	after, revision, ok := parseContinue(query.Get("continue"))
+	if !ok {
+		refuse(w, http.StatusBadRequest, "BadRequest", "the continue token can't be read")
+		return
+	}
+	limit, err := strconv.Atoi(query.Get("limit"))
+	if err != nil || limit <= 0 || limit > pageEntries {
+		limit = pageEntries
+	}
+	namesOnly := strings.Contains(r.Header.Get("Accept"), "as=PartialObjectMetadataList")
+	s.mu.Lock()
+	docs := s.state.list(on)
+	if revision == 0 {
+		revision = s.state.revision
+	}
+	s.mu.Unlock()
+	page := lentilplatform.ListDoc{
+		APIVersion: lentilplatform.Group + "/" + lentilplatform.Version,
+		Kind:       on.kind.Resource() + "List",
+		Metadata:   lentilplatform.ListMetadataDoc{ResourceVersion: strconv.FormatUint(revision, 10)},
+		Items:      []lentilplatform.ObjectDoc{},
+	}
+	size := 0
+	for _, doc := range docs {
+		if doc.Metadata.Name <= after {
+			continue
+		}
+		if namesOnly {
+			doc.Spec = nil
+		}
+		if len(page.Items) == limit || size > 0 && size+len(doc.Spec) > pageBytes {
+			page.Metadata.Continue = formatContinue(page.Items[len(page.Items)-1].Metadata.Name, revision)
+			break
+		}
+		size += len(doc.Spec)
+		page.Items = append(page.Items, doc)
+	}
+	answer(w, http.StatusOK, page)
+}
+
+// continueDoc is the written form of where a list goes on.
+type continueDoc struct {
+	After    string `json:"after"`
+	Revision uint64 `json:"revision"`
+}
+
+func formatContinue(after string, revision uint64) string {
+	body, err := json.Marshal(continueDoc{After: after, Revision: revision})
+	if err != nil {
+		return ""
+	}
+	return base64.RawURLEncoding.EncodeToString(body)
+}
+
+func parseContinue(token string) (after string, revision uint64, ok bool) {
+	if token == "" {
+		return "", 0, true
+	}
+	body, err := base64.RawURLEncoding.DecodeString(token)
+	var doc continueDoc
+	if err != nil || json.Unmarshal(body, &doc) != nil {
+		return "", 0, false
+	}
+	return doc.After, doc.Revision, true
+}
--- a/pkg/lentilconfig/delta.go
+++ b/pkg/lentilconfig/delta.go
@@ -5,7 +5,7 @@
 	"slices"
 	"strings"
 
-	"github.com/joomcode/errorx"
+	"lentilstair.example/lentilstair/pkg/lentilerror"
 
 	"lentilstair.example/lentilstair/pkg/lentilid"
 )
@@ -35,11 +35,7 @@
 
 // Delta returns what turns one document into the other.
 func Delta(from, to Document) (delta DeltaDoc, err error) {
-	defer func() {
-		if err != nil {
-			err = errorx.Decorate(err, "compute delta")
-		}
-	}()
+	defer lentilerror.Annotate(&err, "compute delta")
 	fromHead, _, err := Split(from)
 	if err != nil {
 		return DeltaDoc{}, err
@@ -76,11 +72,7 @@
 // Apply returns the document that the delta leads to. It fails with ErrGap if the
 // delta starts elsewhere and with ErrDigest if it doesn't lead where it says.
 func (d Document) Apply(delta DeltaDoc) (document Document, err error) {
-	defer func() {
-		if err != nil {
-			err = errorx.Decorate(err, "apply delta from version %d to %d", delta.FromVersion, delta.ToVersion)
-		}
-	}()
+	defer lentilerror.Annotate(&err, "apply delta from version %d to %d", delta.FromVersion, delta.ToVersion)
 	head, _, err := Split(d)
 	if err != nil {
 		return Document{}, err
--- a/pkg/lentilconfig/split.go
+++ b/pkg/lentilconfig/split.go
@@ -8,7 +8,8 @@
 	"math/bits"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/joomcode/errorx"
+
+	"lentilstair.example/lentilstair/pkg/lentilerror"
 
 	"lentilstair.example/lentilstair/pkg/lentilid"
 )
@@ -76,11 +77,7 @@
 // Split returns the head and the shards of a document. It is a function of the
 // canonical document alone, so that all processes split alike.
 func Split(document Document) (head HeadDoc, shards []Shard, err error) {
-	defer func() {
-		if err != nil {
-			err = errorx.Decorate(err, "split configuration")
-		}
-	}()
+	defer lentilerror.Annotate(&err, "split configuration")
 	document = document.Canonical()
 	parts := make([]ShardDoc, shardCount(document))
 	for _, doc := range document.Services {
@@ -159,11 +156,7 @@
 
 // Add takes a shard's body in. A body that isn't what the name says is refused.
 func (a *Assembly) Add(name Digest, body []byte) (err error) {
-	defer func() {
-		if err != nil {
-			err = errorx.Decorate(err, "add shard %s", name)
-		}
-	}()
+	defer lentilerror.Annotate(&err, "add shard %s", name)
 	if found := DigestOf(body); found != name {
 		return fmt.Errorf("%w: its digest is %s", ErrDigest, found)
 	}
--- a/pkg/lentilconfig/store.go
+++ b/pkg/lentilconfig/store.go
@@ -4,7 +4,7 @@
 	"errors"
 	"fmt"
 
-	"github.com/joomcode/errorx"
+	"lentilstair.example/lentilstair/pkg/lentilerror"
 )
 
 // Errors of a Store and of the parts from which a document is put together.
@@ -166,7 +166,8 @@
 	}
 	configuration, err := New(document.Canonical())
 	if err != nil {
-		return errorx.Decorate(err, "check version %d", document.Version)
+		lentilerror.Annotate(&err, "check version %d", document.Version)
+		return err
 	}
 	s.remember(configuration, digest)
 	s.configuration = configuration
--- a/pkg/lentilplatform/client.go
+++ b/pkg/lentilplatform/client.go
@@ -13,8 +13,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/joomcode/errorx"
 	"golang.org/x/time/rate"
+
+	"lentilstair.example/lentilstair/pkg/lentilerror"
 )
 
 // Defaults of a Client.
@@ -72,11 +73,7 @@
 
 // Get returns an object, or ErrNotFound.
 func (c *Client) Get(ctx context.Context, kind Kind, name string) (object Object, err error) {
-	defer func() {
-		if err != nil {
-			err = errorx.Decorate(err, "get %s %s", kind.Resource(), name)
-		}
-	}()
+	defer lentilerror.Annotate(&err, "get %s %s", kind.Resource(), name)
 	var doc ObjectDoc
 	if err = c.call(ctx, request{method: http.MethodGet, path: c.path(kind, name)}, &doc); err != nil {
 		return Object{}, err
@@ -95,11 +92,7 @@
 }
 
 func (c *Client) list(ctx context.Context, kind Kind, accept string) (objects []Object, version string, err error) {
-	defer func() {
-		if err != nil {
-			err = errorx.Decorate(err, "list %s", kind.Plural())
-		}
-	}()
+	defer lentilerror.Annotate(&err, "list %s", kind.Plural())
 	query := url.Values{"limit": {strconv.Itoa(pageEntries)}}
 	for {
 		var page ListDoc
@@ -119,11 +112,7 @@
 
 // Create stores a new object. If one of that name exists, the error is ErrExists.
 func (c *Client) Create(ctx context.Context, object Object) (stored Object, err error) {
-	defer func() {
-		if err != nil {
-			err = errorx.Decorate(err, "create %s %s", object.kind.Resource(), object.name)
-		}
-	}()
+	defer lentilerror.Annotate(&err, "create %s %s", object.kind.Resource(), object.name)
 	object.version = ""
 	return c.write(ctx, http.MethodPost, c.path(object.kind, ""), object)
 }
@@ -131,11 +120,7 @@
 // Update replaces the object if the platform still holds the version that the
 // object carries. If not, the error is ErrConflict.
 func (c *Client) Update(ctx context.Context, object Object) (stored Object, err error) {
-	defer func() {
-		if err != nil {
-			err = errorx.Decorate(err, "update %s %s", object.kind.Resource(), object.name)
-		}
-	}()
+	defer lentilerror.Annotate(&err, "update %s %s", object.kind.Resource(), object.name)
 	if object.version == "" {
 		return Object{}, &Error{reason: ReasonRefused, message: "the object states no version"}
 	}
@@ -145,11 +130,7 @@
 // Delete removes the object if the platform still holds the version that the
 // object carries. If not, the error is ErrConflict or ErrNotFound.
 func (c *Client) Delete(ctx context.Context, object Object) (err error) {
-	defer func() {
-		if err != nil {
-			err = errorx.Decorate(err, "delete %s %s", object.kind.Resource(), object.name)
-		}
-	}()
+	defer lentilerror.Annotate(&err, "delete %s %s", object.kind.Resource(), object.name)
 	options := deleteOptionsDoc{APIVersion: "v1", Kind: "DeleteOptions"}
 	options.Preconditions.ResourceVersion = object.version
 	body, err := json.Marshal(options)
--- a/pkg/lentilplatform/watch.go
+++ b/pkg/lentilplatform/watch.go
@@ -10,7 +10,7 @@
 	"strconv"
 	"time"
 
-	"github.com/joomcode/errorx"
+	"lentilstair.example/lentilstair/pkg/lentilerror"
 )
 
 // WatchTimeout is after how long the platform is asked to end a watch, so that
@@ -32,7 +32,7 @@
 	defer func() {
 		if err != nil {
 			c.calls.failures.Add(1)
-			err = errorx.Decorate(err, "watch %s from version %s", kind.Plural(), from)
+			lentilerror.Annotate(&err, "watch %s from version %s", kind.Plural(), from)
 		}
 	}()
 	ctx, cancel := context.WithTimeout(ctx, WatchTimeout+watchGrace)
