Carry hop and asking agent in the tunnel header

Cause: an agent that asks a former owner for a flow must be named in the packet, and a question needs a number, else a late or doubled denial opens a flow twice. Change: lentiltunnel.Header.Hops (1 byte) becomes Hop (2 bytes, as lentilpin gives it) and gains From (10 bytes); Keeper.HandOff gets the hops already made; lentilid.Place has Equal. Before and after: header 46 -> 57 bytes; the tunnel's tests pass with both fields in their sample. Conclusion: nothing else reads Hops yet, so the change is cheap now.

--- a/internal/lentiltunnel/codec_test.go
+++ b/internal/lentiltunnel/codec_test.go
@@ -7,6 +7,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"lentilstair.example/lentilstair/internal/lentilkey"
+	"lentilstair.example/lentilstair/pkg/lentilid"
 )
 
 var (
@@ -14,12 +15,13 @@
 	newKey = lentilkey.KeyDoc{ID: 2, Secret: []byte("the new secret of the tests")}
 	sample = Header{
 		Kind:        Handed,
-		Hops:        2,
+		Hop:         0x1203,
 		Service:     0x0102,
 		Domain:      3,
 		Incarnation: 0x040506,
 		Caller:      netip.MustParseAddrPort("192.0.2.7:4433"),
 		Via:         netip.MustParseAddrPort("198.51.100.9:7000"),
+		From:        lentilid.NewPlace(netip.MustParseAddrPort("198.51.100.8:7001"), 4, 0x0102, 0x070809),
 	}
 )
 
--- a/internal/lentiltunnel/header.go
+++ b/internal/lentiltunnel/header.go
@@ -31,7 +31,7 @@
 // Sizes in bytes.
 const (
 	// HeaderBytes is the length of the header.
-	HeaderBytes = 46
+	HeaderBytes = 57
 	// TagBytes is the length of the tag at the end.
 	TagBytes = 16
 	// OverheadBytes is what the tunnel adds to a packet of a flow.
@@ -51,15 +51,19 @@
 	offsetVersion     = 0
 	offsetKind        = 1
 	offsetKey         = 2
-	offsetHops        = 3
-	offsetService     = 4
-	offsetDomain      = 6
-	offsetIncarnation = 7
-	offsetCaller      = 10
-	offsetCallerPort  = 26
-	offsetVia         = 28
-	offsetViaPort     = 32
-	offsetNonce       = 34
+	offsetHop         = 3
+	offsetService     = 5
+	offsetDomain      = 7
+	offsetIncarnation = 8
+	offsetCaller      = 11
+	offsetCallerPort  = 27
+	offsetVia         = 29
+	offsetViaPort     = 33
+	offsetFrom        = 35
+	offsetFromPort    = 39
+	offsetFromDomain  = 41
+	offsetFromRun     = 42
+	offsetNonce       = 45
 	nonceBytes        = HeaderBytes - offsetNonce
 )
 
@@ -67,8 +71,9 @@
 type Header struct {
 	// Kind says what the packet is for.
 	Kind Kind
-	// Hops counts the agents that have handed the packet on.
-	Hops uint8
+	// Hop is what lentilpin says about a packet between agents: its purpose and
+	// how many agents have handed it on. It is zero in all others.
+	Hop uint16
 	// Service is the service of the flow.
 	Service lentilid.Service
 	// Domain and Incarnation name the agent for which a packet is meant or, in
@@ -81,6 +86,9 @@
 	// Via is the tunnel address (IPv4) of the balancer that took the packet
 	// from the fabric, to which answers may go. It is not set in an answer.
 	Via netip.AddrPort
+	// From is the agent that lentilpin names in a packet between agents. Its
+	// service is that of the header. It is zero in all others.
+	From lentilid.Place
 }
 
 // Start returns the payload's place in buffer, which has at least MaxPacketBytes:
@@ -95,35 +103,63 @@
 	packet[offsetVersion] = version
 	packet[offsetKind] = byte(h.Kind)
 	packet[offsetKey] = key
-	packet[offsetHops] = h.Hops
+	binary.BigEndian.PutUint16(packet[offsetHop:], h.Hop)
 	binary.BigEndian.PutUint16(packet[offsetService:], uint16(h.Service))
 	packet[offsetDomain] = byte(h.Domain)
-	packet[offsetIncarnation] = byte(h.Incarnation >> 16)
-	binary.BigEndian.PutUint16(packet[offsetIncarnation+1:], uint16(h.Incarnation))
+	putRun(packet[offsetIncarnation:], h.Incarnation)
 	caller := h.Caller.Addr().As16()
 	copy(packet[offsetCaller:], caller[:])
 	binary.BigEndian.PutUint16(packet[offsetCallerPort:], h.Caller.Port())
-	var via [4]byte
-	if h.Via.Addr().Is4() {
-		via = h.Via.Addr().As4()
+	putAddress(packet[offsetVia:], h.Via)
+	putAddress(packet[offsetFrom:], h.From.Agent())
+	packet[offsetFromDomain] = byte(h.From.Domain())
+	putRun(packet[offsetFromRun:], h.From.Incarnation())
+}
+
+// putRun writes the 24 bits of an incarnation.
+func putRun(packet []byte, incarnation uint32) {
+	packet[0] = byte(incarnation >> 16)
+	binary.BigEndian.PutUint16(packet[1:], uint16(incarnation))
+}
+
+// getRun reads the 24 bits of an incarnation.
+func getRun(packet []byte) (incarnation uint32) {
+	return uint32(packet[0])<<16 | uint32(binary.BigEndian.Uint16(packet[1:]))
+}
+
+// putAddress writes an IPv4 address and a port, zeros for any other address.
+func putAddress(packet []byte, address netip.AddrPort) {
+	var bytes [4]byte
+	if address.Addr().Is4() {
+		bytes = address.Addr().As4()
+	}
+	copy(packet, bytes[:])
+	binary.BigEndian.PutUint16(packet[4:], address.Port())
+}
+
+// getAddress reads an IPv4 address and a port; without a port it is no address.
+func getAddress(packet []byte) (address netip.AddrPort) {
+	port := binary.BigEndian.Uint16(packet[4:])
+	if port == 0 {
+		return netip.AddrPort{}
 	}
-	copy(packet[offsetVia:], via[:])
-	binary.BigEndian.PutUint16(packet[offsetViaPort:], h.Via.Port())
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte(packet)), port)
 }
 
 // get reads the header from the front of packet.
 func (h *Header) get(packet []byte) {
 	_ = packet[HeaderBytes-1]
 	h.Kind = Kind(packet[offsetKind])
-	h.Hops = packet[offsetHops]
+	h.Hop = binary.BigEndian.Uint16(packet[offsetHop:])
 	h.Service = lentilid.Service(binary.BigEndian.Uint16(packet[offsetService:]))
 	h.Domain = lentilid.Domain(packet[offsetDomain])
-	h.Incarnation = uint32(packet[offsetIncarnation])<<16 | uint32(binary.BigEndian.Uint16(packet[offsetIncarnation+1:]))
+	h.Incarnation = getRun(packet[offsetIncarnation:])
 	caller := netip.AddrFrom16([16]byte(packet[offsetCaller:])).Unmap()
 	h.Caller = netip.AddrPortFrom(caller, binary.BigEndian.Uint16(packet[offsetCallerPort:]))
-	via := netip.AddrFrom4([4]byte(packet[offsetVia:]))
-	h.Via = netip.AddrPortFrom(via, binary.BigEndian.Uint16(packet[offsetViaPort:]))
-	if h.Via.Port() == 0 {
-		h.Via = netip.AddrPort{}
+	h.Via = getAddress(packet[offsetVia:])
+	h.From = lentilid.Place{}
+	if from := getAddress(packet[offsetFrom:]); from.IsValid() {
+		run := lentilid.Incarnation(getRun(packet[offsetFromRun:]))
+		h.From = lentilid.NewPlace(from, lentilid.Domain(packet[offsetFromDomain]), h.Service, run)
 	}
 }
--- a/pkg/lentilid/id.go
+++ b/pkg/lentilid/id.go
@@ -59,3 +59,6 @@
 
 // IsZero reports whether the place is nowhere.
 func (p Place) IsZero() bool { return p == Place{} }
+
+// Equal reports whether both places are the same.
+func (p Place) Equal(other Place) bool { return p == other }
--- a/pkg/lentilpin/keeper.go
+++ b/pkg/lentilpin/keeper.go
@@ -48,10 +48,10 @@
 	// Owners appends to dst the places that may hold a flow with the hash, the
 	// likeliest first, as lentilroute.Router.Owners does. Nil means none.
 	Owners func(hash uint64, dst []lentilid.Place) []lentilid.Place
-	// HandOff chooses a peer for a new flow, or returns false to open it here. It
-	// is asked for QUIC flows only: a flow that carries no place would be lost with
+	// HandOff chooses a peer for a new flow that hops agents have handed off
+	// before, or returns false to open it here. It is asked for QUIC flows only: a flow that carries no place would be lost with
 	// the agent that handed it off. Nil means that every flow is opened here.
-	HandOff func() (peer lentilid.Place, ok bool)
+	HandOff func(hops int) (peer lentilid.Place, ok bool)
 	// Refuse reports whether this agent must not open flows. Such a flow is dropped
 	// unless it is handed off. Nil means that it may.
 	Refuse func() bool
@@ -260,10 +260,14 @@
 	if k.HandOff == nil || k.Protocol != lentilroute.QUIC {
 		return lentilid.Place{}, false
 	}
-	if a.Hop.Purpose() == HandOff && a.Hop.Token() >= maxHandOffs {
+	hops := 0
+	if a.Hop.Purpose() == HandOff {
+		hops = int(a.Hop.Token())
+	}
+	if hops >= maxHandOffs {
 		return lentilid.Place{}, false
 	}
-	peer, ok = k.HandOff()
+	peer, ok = k.HandOff(hops)
 	known := peer.Agent() == k.Self.Agent() || peer.Agent() == a.From.Agent()
 	return peer, ok && !known && !k.out(peer)
 }
