Settings name every fault at once; tests of the frame; generated pages

Cause: faults that need two fields or a file were only named once single fields were right, and an invalid URL was quoted, which may hold a password.

--- a/internal/lentilcommand/command.go
+++ b/internal/lentilcommand/command.go
@@ -34,9 +34,8 @@
 	Err io.Writer
 }
 
-// Run runs the command that args names (args[0] is the program) and returns the
-// exit code. Results go to the standard output, all else to the standard error.
-func Run(ctx context.Context, args []string, streams Streams) lentilexit.Code {
+// New returns the root of the commands.
+func New() *cli.Command {
 	root := &cli.Command{
 		Name:     "lentilstair",
 		Usage:    "a layer-4 load balancer for upstreams that are licensed by the copy",
@@ -45,7 +44,13 @@
 	for _, command := range commands {
 		root.Commands = append(root.Commands, command())
 	}
-	return RunRoot(ctx, root, args, streams)
+	return root
+}
+
+// Run runs the command that args names (args[0] is the program) and returns the
+// exit code. Results go to the standard output, all else to the standard error.
+func Run(ctx context.Context, args []string, streams Streams) lentilexit.Code {
+	return RunRoot(ctx, New(), args, streams)
 }
 
 // RunRoot runs a program with the given root command: what the two programs of
--- /dev/null
+++ b/internal/lentilevent/logger_test.go
@@ -0,0 +1,80 @@
+package lentilevent
+
+import (
+	"bytes"
+	"errors"
+	"net/netip"
+	"regexp"
+	"testing"
+	"time"
+
+	"lentilstair.example/lentilstair/internal/lentilgolden"
+	"lentilstair.example/lentilstair/pkg/lentilclock"
+)
+
+var timeForm = regexp.MustCompile(`"time":"[^"]+"`)
+
+func TestLogger(t *testing.T) {
+	var out bytes.Buffer
+	logger := New(&out, Info).With(Str("role", "agent"))
+	logger.Write(Started, Addr("admin", netip.MustParseAddrPort("127.0.0.1:9000")))
+	logger.Write(RequestRefused, Str("reason", "below the level"))
+	logger.Write(StopAsked, Str("signal", "terminated"), Duration("graceMillis", 2*time.Second))
+	logger.Write(ConfigurationRefused, Uint("version", 7), Int("faults", -1), Err(errors.New("a \"quoted\" reason")))
+	Logger{}.Write(Started)
+	got := timeForm.ReplaceAll(out.Bytes(), []byte(`"time":"T"`))
+	lentilgolden.Check(t, "testdata/log.golden", string(got))
+}
+
+func TestLimit(t *testing.T) {
+	var out bytes.Buffer
+	var clock lentilclock.Fake
+	logger, limit := New(&out, Info), &Limit{Clock: &clock}
+	for range 1000 {
+		logger.WriteLimited(limit, PacketRefused)
+		logger.WriteLimited(limit, TunnelRefused)
+	}
+	if lines := bytes.Count(out.Bytes(), []byte("\n")); lines != 2*defaultBurst {
+		t.Errorf("%d lines at once, want %d for each of two events", lines, defaultBurst)
+	}
+	out.Reset()
+	clock.Advance(time.Second)
+	for range 10 {
+		logger.WriteLimited(limit, PacketRefused)
+	}
+	if lines := bytes.Count(out.Bytes(), []byte("\n")); lines != 1 || !bytes.Contains(out.Bytes(), []byte(`"suppressed":995`)) {
+		t.Errorf("after a second: %s", out.Bytes())
+	}
+}
+
+func TestCatalogueIsWhole(t *testing.T) {
+	seen := make(map[string]Event)
+	for _, event := range order() {
+		d := event.doc()
+		if d.title == "" || d.text == "" {
+			t.Errorf("%s lacks its title or text", event.Code())
+		}
+		if other, ok := seen[d.title]; ok {
+			t.Errorf("%s and %s have the same title", event.Code(), other.Code())
+		}
+		seen[d.title] = event
+	}
+	for _, block := range [][2]Event{{Started, AdminFailed}, {PacketRefused, SocketFailed}, {ConfigurationInForce, DomainBack}, {CopyWarming, OutcomeUnknown}} {
+		for event := block[0]; event <= block[1]; event++ {
+			if _, ok := catalogue[event]; !ok {
+				t.Errorf("%s is not in the catalogue", event)
+			}
+		}
+	}
+}
+
+func TestParseLevel(t *testing.T) {
+	for _, level := range []Level{Debug, Info, Warn, Error} {
+		if got, ok := ParseLevel(map[Level]string{Debug: "debug", Info: "info", Warn: "warn", Error: "error"}[level]); !ok || got != level {
+			t.Errorf("%s: got %s, %v", level, got, ok)
+		}
+	}
+	if _, ok := ParseLevel("Info"); ok {
+		t.Error("a level is in lower case")
+	}
+}
--- a/internal/lentilfigure/figure.go
+++ b/internal/lentilfigure/figure.go
@@ -137,7 +137,11 @@
 }
 
 // Write writes the figure as one line of JSON.
-func (f Figure) Write(w io.Writer) (err error) { return json.NewEncoder(w).Encode(f.Doc()) }
+func (f Figure) Write(w io.Writer) (err error) {
+	encoder := json.NewEncoder(w)
+	encoder.SetEscapeHTML(false)
+	return encoder.Encode(f.Doc())
+}
 
 func finite(value float64) *float64 {
 	if math.IsNaN(value) || math.IsInf(value, 0) {
--- /dev/null
+++ b/internal/lentilmeasure/measure_test.go
@@ -0,0 +1,59 @@
+package lentilmeasure
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"math"
+	"testing"
+
+	"lentilstair.example/lentilstair/internal/lentilexit"
+	"lentilstair.example/lentilstair/internal/lentilfigure"
+	"lentilstair.example/lentilstair/internal/lentilgolden"
+)
+
+func experiment(err error, figures ...lentilfigure.Figure) lentilfigure.Experiment {
+	return lentilfigure.Experiment{Name: "x", Run: func(context.Context, lentilfigure.Setup) ([]lentilfigure.Figure, error) {
+		return figures, err
+	}}
+}
+
+func TestRun(t *testing.T) {
+	var out bytes.Buffer
+	kept := lentilfigure.New("x.kept", 1.1, "ratio").AtMost(1.15).Against("uniform hash", 1.9)
+	missed := lentilfigure.New("x.missed", 0.5, "ratio").AtLeast(0.99)
+	free := lentilfigure.New("x.free", 3, "packets")
+	nothing := lentilfigure.New("x.nothing", math.NaN(), "ratio").AtMost(1)
+	for _, tt := range []struct {
+		name   string
+		chosen []lentilfigure.Experiment
+		code   lentilexit.Code
+	}{
+		{"kept", []lentilfigure.Experiment{experiment(nil, kept, free)}, lentilexit.OK},
+		{"missed, others still run", []lentilfigure.Experiment{experiment(nil, missed), experiment(nil, kept)}, lentilexit.Promise},
+		{"no number", []lentilfigure.Experiment{experiment(nil, nothing)}, lentilexit.Promise},
+		{"failed", []lentilfigure.Experiment{experiment(errors.New("no socket"))}, lentilexit.Failure},
+	} {
+		out.WriteString(tt.name + "\n")
+		if got := lentilexit.Of(Run(context.Background(), tt.chosen, lentilfigure.Setup{}, &out)); got != tt.code {
+			t.Errorf("%s: ended with %s, want %s", tt.name, got, tt.code)
+		}
+	}
+	lentilgolden.Check(t, "testdata/figures.golden", out.String())
+}
+
+func TestTable(t *testing.T) {
+	seen := map[string]bool{All: true, List: true}
+	for _, e := range Experiments() {
+		if e.Text == "" || e.Run == nil || seen[e.Name] {
+			t.Errorf("the experiment %q lacks its text or run, or its name stands twice", e.Name)
+		}
+		seen[e.Name] = true
+		if found, err := Find(e.Name); err != nil || len(found) != 1 {
+			t.Errorf("%s: found %d, %v", e.Name, len(found), err)
+		}
+	}
+	if _, err := Find("nothing"); lentilexit.Of(err) != lentilexit.Usage {
+		t.Errorf("an unknown name gives %v", err)
+	}
+}
--- /dev/null
+++ b/internal/lentilmetric/metric_test.go
@@ -0,0 +1,114 @@
+package lentilmetric
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+)
+
+func get(t *testing.T, handler http.Handler, path string) (status int, body string) {
+	t.Helper()
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, path, nil))
+	return recorder.Code, recorder.Body.String()
+}
+
+func TestScrape(t *testing.T) {
+	registry := New("agent")
+	registry.Counter(PacketsForwarded, "iscrizioni").Inc(3)
+	registry.Counter(PacketsForwarded, "catalogo").Inc(1)
+	registry.Gauge(RequestsInFlight).Update(2)
+	registry.Histogram(RequestMillis, "once").RecordValue(5)
+	if err := registry.Close(); err != nil {
+		t.Fatal(err)
+	}
+	status, body := get(t, Admin{Registry: registry}.Handler(), "/metrics")
+	if status != http.StatusOK {
+		t.Fatalf("status %d", status)
+	}
+	for _, line := range []string{
+		`lentilstair_packets_forwarded{role="agent",service="iscrizioni"} 3`,
+		`lentilstair_packets_forwarded{role="agent",service="catalogo"} 1`,
+		`lentilstair_requests_in_flight{role="agent"} 2`,
+		`lentilstair_request_millis_bucket{kind="once",role="agent",le="8"} 1`,
+		`lentilstair_request_millis_bucket{kind="once",role="agent",le="4"} 0`,
+	} {
+		if !strings.Contains(body, line+"\n") {
+			t.Errorf("%s is missing in:\n%s", line, body)
+		}
+	}
+}
+
+func TestZeroRegistryCountsNothing(t *testing.T) {
+	var registry Registry
+	registry.Counter(PacketsDropped, "malformed").Inc(1)
+	if status, _ := get(t, registry.Handler(), "/metrics"); status != http.StatusNotFound {
+		t.Errorf("status %d", status)
+	}
+	if err := registry.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestReadyAndLive(t *testing.T) {
+	state := State{Ready: true}
+	handler := Admin{Ready: func() State { return state }}.Handler()
+	for _, tt := range []struct {
+		state  State
+		path   string
+		status int
+		body   string
+	}{
+		{State{Ready: true}, "/ready", http.StatusOK, "ok\n"},
+		{State{Reason: "no configuration yet"}, "/ready", http.StatusServiceUnavailable, "no configuration yet\n"},
+		{State{Reason: "no configuration yet"}, "/live", http.StatusOK, "ok\n"},
+	} {
+		state = tt.state
+		if status, body := get(t, handler, tt.path); status != tt.status || body != tt.body {
+			t.Errorf("%s of %+v: got %d %q", tt.path, tt.state, status, body)
+		}
+	}
+}
+
+func TestServeEnds(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- Admin{}.Serve(ctx, listener) }()
+	response, err := http.Get("http://" + listener.Addr().String() + "/live")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	cancel()
+	select {
+	case err = <-ended:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("does not end")
+	}
+}
+
+func TestCatalogueIsWhole(t *testing.T) {
+	names := make(map[string]bool)
+	for i, d := range catalogue {
+		if d.name == "" || d.text == "" || d.unit == "" {
+			t.Errorf("%s lacks its name, text or unit", Metric(i))
+		}
+		if names[d.name] {
+			t.Errorf("the name %s stands twice", d.name)
+		}
+		names[d.name] = true
+	}
+}
--- a/internal/lentilsetting/check.go
+++ b/internal/lentilsetting/check.go
@@ -92,7 +92,8 @@
 	u, err := url.Parse(s)
 	switch {
 	case err != nil, u.Scheme != "http" && u.Scheme != "https", u.Host == "":
-		c.add(BadURL, path, "%q is not an absolute http or https URL", strings.ToValidUTF8(s, "?"))
+		// The value may hold a password, so that it is not shown.
+		c.add(BadURL, path, "the value is not an absolute http or https URL")
 	case u.User != nil || u.RawQuery != "" || u.Fragment != "":
 		c.add(BadURL, path, "the URL may not hold a user, query or fragment")
 	}
--- a/internal/lentilsetting/fault.go
+++ b/internal/lentilsetting/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"lentilstair.example/lentilstair/internal/lentilcode"
@@ -83,6 +84,8 @@
 	kind   Kind
 	field  string
 	reason string
+	// example overrides that of the kind.
+	example string
 }
 
 // Kind returns what is wrong.
@@ -95,7 +98,12 @@
 func (f Fault) Reason() string { return f.reason }
 
 // Example returns a right form.
-func (f Fault) Example() string { return kinds[f.kind].Example }
+func (f Fault) Example() string {
+	if f.example != "" {
+		return f.example
+	}
+	return kinds[f.kind].Example
+}
 
 // FaultDoc is the written form of a fault.
 type FaultDoc struct {
@@ -131,7 +139,7 @@
 // Error returns all faults, one a line.
 func (f *Faults) Error() string {
 	lines := make([]string, 0, len(f.faults)+1)
-	lines = append(lines, fmt.Sprintf("settings %s: %d faults", f.file, len(f.faults)))
+	lines = append(lines, fmt.Sprintf("settings %s: number of faults: %d", f.file, len(f.faults)))
 	for _, fault := range f.faults {
 		lines = append(lines, "  "+fault.String())
 	}
@@ -146,3 +154,18 @@
 func (c *collector) add(kind Kind, field, format string, values ...any) {
 	c.faults = append(c.faults, Fault{kind: kind, field: field, reason: fmt.Sprintf(format, values...)})
 }
+
+// has reports whether a fault of the field is known already.
+func (c *collector) has(field string) bool {
+	return slices.ContainsFunc(c.faults, func(f Fault) bool { return f.field == field })
+}
+
+// exemplify gives the faults from the given one on the example of a field, which
+// fits better than that of their kind.
+func (c *collector) exemplify(from int, f field) {
+	for i := from; i < len(c.faults); i++ {
+		if c.faults[i].example == "" && c.faults[i].kind != UnknownField {
+			c.faults[i].example = fmt.Sprintf("%q: %s", f.name, f.example)
+		}
+	}
+}
--- a/internal/lentilsetting/load.go
+++ b/internal/lentilsetting/load.go
@@ -1,18 +1,20 @@
 package lentilsetting
 
 import (
-	"crypto/tls"
+	"encoding/json"
 	"net/netip"
 	"net/url"
 	"os"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"time"
 
 	"lentilstair.example/lentilstair/internal/lentilevent"
 )
 
+// wholeFile stands for the path of a field where no single field is meant.
+const wholeFile = "(the whole file)"
+
 // Loader reads settings and the files that they name. The zero Loader reads
 // from the file system.
 type Loader struct {
@@ -24,20 +26,52 @@
 func (l Loader) Balancer(file string) (settings Balancer, err error) {
 	r := l.reading(file)
 	var doc BalancerDoc
-	if r.decode(balancerFields, &doc) {
-		settings = r.balancer(doc)
+	if !r.decode(balancerFields, &doc) {
+		return Balancer{}, r.err()
+	}
+	r.distinct("controlAddress", doc.ControlAddress, "adminAddress", doc.AdminAddress)
+	keys := r.keys(doc.Keys)
+	token := r.token("platform.tokenFile", doc.Platform.TokenFile)
+	if err = r.err(); err != nil {
+		return Balancer{}, err
 	}
-	return settings, r.err()
+	return Balancer{
+		common:    newCommon(doc.Domain, doc.TunnelAddress, doc.ControlAddress, doc.AdminAddress, keys, doc.Log),
+		name:      doc.Name,
+		listen:    netip.MustParseAddr(doc.ListenAddress),
+		platform:  Platform{url: strings.TrimSuffix(doc.Platform.URL, "/"), token: token},
+		peers:     addresses(doc.Peers),
+		stopGrace: duration(doc.StopGrace, defaultStopGrace),
+	}, nil
 }
 
 // Agent reads an agent's settings. The error is *Faults if they have any.
 func (l Loader) Agent(file string) (settings Agent, err error) {
 	r := l.reading(file)
 	var doc AgentDoc
-	if r.decode(agentFields, &doc) {
-		settings = r.agent(doc)
+	if !r.decode(agentFields, &doc) {
+		return Agent{}, r.err()
 	}
-	return settings, r.err()
+	r.distinct("controlAddress", doc.ControlAddress, "adminAddress", doc.AdminAddress)
+	keys := r.keys(doc.Keys)
+	files := TLSDoc{CertificateFile: r.resolve(doc.TLS.CertificateFile), KeyFile: r.resolve(doc.TLS.KeyFile)}
+	r.certificate(files)
+	if err = r.err(); err != nil {
+		return Agent{}, err
+	}
+	upstream, err := url.Parse(doc.Upstream)
+	if err != nil {
+		return Agent{}, err
+	}
+	return Agent{
+		common:     newCommon(doc.Domain, doc.TunnelAddress, doc.ControlAddress, doc.AdminAddress, keys, doc.Log),
+		copy:       doc.Copy,
+		service:    doc.Service,
+		upstream:   upstream,
+		balancers:  addresses(doc.Balancers),
+		tls:        files,
+		drainLimit: duration(doc.DrainLimit, defaultDrainLimit),
+	}, nil
 }
 
 // reading is one reading of a settings file.
@@ -49,6 +83,7 @@
 
 func (l Loader) reading(file string) *reading { return &reading{loader: l, file: file} }
 
+// err returns all faults found so far, or nil.
 func (r *reading) err() error {
 	if len(r.faults) == 0 {
 		return nil
@@ -56,16 +91,27 @@
 	return &Faults{file: r.file, faults: r.faults}
 }
 
+// decode fills doc with what is right in the file and adds a fault for what is
+// wrong. It returns false if there is nothing to go on with.
 func (r *reading) decode(fields []field, doc any) (ok bool) {
-	data := r.read("(the whole file)", r.file)
-	if len(r.faults) == 0 {
-		decode(&r.collector, data, fields, doc)
+	data, ok := r.read(wholeFile, r.file)
+	if !ok {
+		return false
+	}
+	value, err := parse(data)
+	if err != nil {
+		r.add(NotJSON, wholeFile, "%s", err)
+		return false
+	}
+	checkObject(&r.collector, "", value, fields)
+	if err = json.Unmarshal(data, doc); err != nil && len(r.faults) == 0 {
+		r.add(NotJSON, wholeFile, "%s", err)
 	}
-	return len(r.faults) == 0
+	return true
 }
 
 // read returns the content of a file that the given field names.
-func (r *reading) read(field, name string) []byte {
+func (r *reading) read(field, name string) (data []byte, ok bool) {
 	readFile := r.loader.ReadFile
 	if readFile == nil {
 		readFile = os.ReadFile
@@ -74,7 +120,7 @@
 	if err != nil {
 		r.add(UnreadableFile, field, "%s", err)
 	}
-	return data
+	return data, err == nil
 }
 
 // resolve returns a path that is relative to the settings file's directory.
@@ -85,112 +131,18 @@
 	return filepath.Join(filepath.Dir(r.file), name)
 }
 
-func (r *reading) balancer(doc BalancerDoc) Balancer {
-	r.distinct("controlAddress", doc.ControlAddress, "adminAddress", doc.AdminAddress)
-	return Balancer{
-		common:    r.common(doc.Domain, doc.TunnelAddress, doc.ControlAddress, doc.AdminAddress, doc.Keys, doc.Log),
-		name:      doc.Name,
-		listen:    netip.MustParseAddr(doc.ListenAddress),
-		platform:  r.platform(doc.Platform),
-		peers:     addresses(doc.Peers),
-		stopGrace: duration(doc.StopGrace, defaultStopGrace),
-	}
-}
-
-func (r *reading) agent(doc AgentDoc) Agent {
-	r.distinct("controlAddress", doc.ControlAddress, "adminAddress", doc.AdminAddress)
-	upstream, _ := url.Parse(doc.Upstream)
-	files := TLSDoc{CertificateFile: r.resolve(doc.TLS.CertificateFile), KeyFile: r.resolve(doc.TLS.KeyFile)}
-	r.certificate(files)
-	return Agent{
-		common:     r.common(doc.Domain, doc.TunnelAddress, doc.ControlAddress, doc.AdminAddress, doc.Keys, doc.Log),
-		copy:       doc.Copy,
-		service:    doc.Service,
-		upstream:   upstream,
-		balancers:  addresses(doc.Balancers),
-		tls:        files,
-		drainLimit: duration(doc.DrainLimit, defaultDrainLimit),
-	}
-}
-
-func (r *reading) common(domain, tunnel, control, admin string, keys []KeyDoc, log LogDoc) common {
+func newCommon(domain, tunnel, control, admin string, keys []Key, log LogDoc) common {
 	level, _ := lentilevent.ParseLevel(log.Level)
 	return common{
 		domain:  domain,
 		tunnel:  netip.MustParseAddrPort(tunnel),
 		control: netip.MustParseAddrPort(control),
 		admin:   netip.MustParseAddrPort(admin),
-		keys:    r.keys(keys),
+		keys:    keys,
 		level:   level,
 	}
 }
 
-// distinct adds a fault if two TCP addresses are the same.
-func (r *reading) distinct(field, value, other, otherValue string) {
-	if value == otherValue {
-		r.add(Clash, field, "%s is also the %s", value, other)
-	}
-}
-
-func (r *reading) platform(doc PlatformDoc) Platform {
-	p := Platform{url: strings.TrimSuffix(doc.URL, "/")}
-	if doc.TokenFile != "" {
-		p.token = strings.TrimSpace(string(r.read("platform.tokenFile", r.resolve(doc.TokenFile))))
-	}
-	return p
-}
-
-func (r *reading) keys(docs []KeyDoc) (keys []Key) {
-	seen := make(map[uint8]int, len(docs))
-	for i, doc := range docs {
-		path := "keys[" + strconv.Itoa(i) + "]"
-		if first, ok := seen[doc.ID]; ok {
-			r.add(Clash, path+".id", "%d is also the id of keys[%d]", doc.ID, first)
-		} else {
-			seen[doc.ID] = i
-		}
-		if secret := r.secret(path, doc); secret != nil {
-			keys = append(keys, Key{id: doc.ID, secret: secret})
-		}
-	}
-	return keys
-}
-
-func (r *reading) secret(path string, doc KeyDoc) []byte {
-	field, written := path+".secret", doc.Secret
-	switch {
-	case doc.Secret != "" && doc.SecretFile != "":
-		r.add(Clash, field, "secretFile is given too; give one of them")
-		return nil
-	case doc.Secret == "" && doc.SecretFile == "":
-		r.add(MissingField, path+".secretFile", "secretFile or secret is needed")
-		return nil
-	case doc.SecretFile != "":
-		before := len(r.faults)
-		field, written = path+".secretFile", string(r.read(path+".secretFile", r.resolve(doc.SecretFile)))
-		if len(r.faults) > before {
-			return nil
-		}
-	}
-	secret, reason := decodeSecret(written)
-	if reason != "" {
-		r.add(BadSecret, field, "%s", reason)
-	}
-	return secret
-}
-
-func (r *reading) certificate(files TLSDoc) {
-	before := len(r.faults)
-	certificate := r.read("tls.certificateFile", files.CertificateFile)
-	key := r.read("tls.keyFile", files.KeyFile)
-	if len(r.faults) > before {
-		return
-	}
-	if _, err := tls.X509KeyPair(certificate, key); err != nil {
-		r.add(BadCertificate, "tls", "%s", err)
-	}
-}
-
 func addresses(written []string) []netip.AddrPort {
 	out := make([]netip.AddrPort, 0, len(written))
 	for _, s := range written {
@@ -199,10 +151,14 @@
 	return out
 }
 
+// duration returns a checked duration, or the fallback if none is written.
 func duration(written string, fallback time.Duration) time.Duration {
 	if written == "" {
 		return fallback
 	}
-	d, _ := time.ParseDuration(written)
+	d, err := time.ParseDuration(written)
+	if err != nil {
+		return fallback
+	}
 	return d
 }
--- /dev/null
+++ b/internal/lentilsetting/reference.go
@@ -0,0 +1,46 @@
+package lentilsetting
+
+import (
+	"fmt"
+	"io"
+)
+
+// WriteReference writes the reference of all settings as a section of a page for
+// each role.
+func WriteReference(w io.Writer) (err error) {
+	for _, role := range []struct {
+		title  string
+		fields []field
+	}{{"Balancer", balancerFields}, {"Agent", agentFields}} {
+		if _, err = fmt.Fprintf(w, "## %s\n\n| field | meaning | default | example |\n| --- | --- | --- | --- |\n", role.title); err != nil {
+			return err
+		}
+		if err = writeFields(w, "", role.fields); err != nil {
+			return err
+		}
+		if _, err = fmt.Fprintln(w); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func writeFields(w io.Writer, prefix string, fields []field) (err error) {
+	for _, f := range fields {
+		path := join(prefix, f.name)
+		if f.isList {
+			path += "[]"
+		}
+		fallback := f.fallback
+		if f.required {
+			fallback = "required"
+		}
+		if _, err = fmt.Fprintf(w, "| `%s` | %s | %s | `%s` |\n", path, f.text, fallback, f.example); err != nil {
+			return err
+		}
+		if err = writeFields(w, path, f.members); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/lentilsetting/setting.go
+++ b/internal/lentilsetting/setting.go
@@ -4,7 +4,6 @@
 package lentilsetting
 
 import (
-	"encoding/json"
 	"net/netip"
 	"net/url"
 	"time"
@@ -182,20 +181,3 @@
 
 // DrainLimit returns how long a graceful stop waits for what is open.
 func (a Agent) DrainLimit() time.Duration { return a.drainLimit }
-
-// decode fills doc from data that has been checked against fields, or adds what is
-// wrong with it.
-func decode(c *collector, data []byte, fields []field, doc any) {
-	value, err := parse(data)
-	if err != nil {
-		c.add(NotJSON, orTop(""), "%s", err)
-		return
-	}
-	checkObject(c, "", value, fields)
-	if len(c.faults) > 0 {
-		return
-	}
-	if err = json.Unmarshal(data, doc); err != nil {
-		c.add(NotJSON, orTop(""), "%s", err)
-	}
-}
--- a/internal/lentilsetting/shape.go
+++ b/internal/lentilsetting/shape.go
@@ -44,13 +44,17 @@
 		case given[m.name]:
 			c.add(DoubledField, at, "the field stands twice")
 		default:
+			before := len(c.faults)
 			checkField(c, at, m.value, *f)
+			c.exemplify(before, *f)
 		}
 		given[m.name] = true
 	}
 	for _, f := range fields {
 		if f.required && !given[f.name] {
-			c.add(MissingField, join(path, f.name), "%s is needed, for example %s", f.name, f.example)
+			before := len(c.faults)
+			c.add(MissingField, join(path, f.name), "the field is needed")
+			c.exemplify(before, f)
 		}
 	}
 }
@@ -111,7 +115,7 @@
 
 func orTop(path string) string {
 	if path == "" {
-		return "(the whole file)"
+		return wholeFile
 	}
 	return path
 }
--- a/internal/lentilstand/stand.go
+++ b/internal/lentilstand/stand.go
@@ -16,6 +16,7 @@
 // commands is the table of all commands, in the order in which help lists them.
 var commands = []func() *cli.Command{
 	newMeasure,
+	newDocs,
 }
 
 // Run runs the command that args names (args[0] is the program) and returns the
