--- a/pkg/lentilconfig/check.go
+++ b/pkg/lentilconfig/check.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
-	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -37,25 +37,58 @@
 	NoteIDMax = 64
 )
 
-// nameForm is the form of the names of services, copies, failure domains and regions.
-var nameForm = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
+// nameMax is the length of a name in bytes, at most.
+const nameMax = 63
 
 // ValidName reports whether a name has the form that services, copies, failure
-// domains and regions share: up to 63 lower-case letters, digits, "-" and ".".
-func ValidName(name string) bool { return nameForm.MatchString(name) }
+// domains and regions share: up to 63 lower-case letters, digits, "-" and ".",
+// with a letter or digit at both ends.
+func ValidName(name string) bool {
+	if name == "" || len(name) > nameMax {
+		return false
+	}
+	for i := range len(name) {
+		if !plain(name[i]) && name[i] != '-' && name[i] != '.' {
+			return false
+		}
+	}
+	return plain(name[0]) && plain(name[len(name)-1])
+}
+
+// plain reports whether a byte is a lower-case letter or a digit.
+func plain(b byte) bool { return b >= 'a' && b <= 'z' || b >= '0' && b <= '9' }
 
 // checker collects the faults of a document.
 type checker struct{ faults []Fault }
 
-func (c *checker) add(ok bool, path, reason, example string) {
+func (c *checker) add(path, reason, example string) {
+	c.faults = append(c.faults, Fault{Path: path, Reason: reason, Example: example})
+}
+
+// field names a field of an entry, such as "copies[3].name". Paths are made only
+// for faults, since a check of the largest document is part of each change.
+func field(list string, i int, name string) string {
+	return list + "[" + strconv.Itoa(i) + "]." + name
+}
+
+// entryChecker checks the entries of one list.
+type entryChecker struct {
+	*checker
+	list string
+	i    int
+}
+
+// fault records a fault of a field of the entry unless ok.
+func (e entryChecker) fault(ok bool, name, reason, example string) {
 	if !ok {
-		c.faults = append(c.faults, Fault{Path: path, Reason: reason, Example: example})
+		e.add(field(e.list, e.i, name), reason, example)
 	}
 }
 
-func (c *checker) name(path, name, example string) {
-	if !ValidName(name) {
-		c.add(false, path, fmt.Sprintf("%q is not 1 to 63 lower-case letters, digits, \"-\" and \".\"", name), example)
+func (e entryChecker) name(name, value, example string) {
+	if !ValidName(value) {
+		reason := fmt.Sprintf("%q is not 1 to 63 lower-case letters, digits, \"-\" and \".\"", value)
+		e.add(field(e.list, e.i, name), reason, example)
 	}
 }
 
@@ -72,27 +105,29 @@
 func (c *checker) sizes(d Document) {
 	bounded := func(path string, count, most int) {
 		if count > most {
-			c.add(false, path, fmt.Sprintf("has %d entries, more than %d", count, most), "at most "+strconv.Itoa(most)+" entries")
+			c.add(path, fmt.Sprintf("has %d entries, more than %d", count, most), "at most "+strconv.Itoa(most)+" entries")
 		}
 	}
 	bounded("services", len(d.Services), ServicesMax)
 	bounded("copies", len(d.Copies), CopiesMax)
 	bounded("domains", len(d.Domains), DomainsMax)
 	bounded("recent", len(d.Recent), RecentMax)
-	c.add(len(d.NoteID) <= NoteIDMax, "noteId", "is too long", `"2026-05-04-castelbuono"`)
+	if len(d.NoteID) > NoteIDMax {
+		c.add("noteId", "is longer than 64 bytes", `"2026-05-04-castelbuono"`)
+	}
 }
 
 func (c *checker) domains(d Document) (names map[string]bool) {
 	names = make(map[string]bool, len(d.Domains))
 	numbers := make(map[lentilid.Domain]bool, len(d.Domains))
 	for i, doc := range d.Domains {
-		path := "domains[" + strconv.Itoa(i) + "]"
-		c.name(path+".name", doc.Name, `"palermo"`)
-		c.name(path+".region", doc.Region, `"sicilia"`)
-		c.add(!names[doc.Name], path+".name", "is the name of an earlier failure domain", `"catania"`)
-		c.add(doc.Number > 0 && doc.Number <= DomainNumberMax, path+".number", "is not within 1 to 254", "1")
-		c.add(!numbers[doc.Number], path+".number", "is the number of an earlier failure domain", "2")
-		c.add(d.NextDomain == 0 || doc.Number < d.NextDomain, path+".number", "is not below nextDomain", "1")
+		entry := entryChecker{checker: c, list: "domains", i: i}
+		entry.name("name", doc.Name, `"palermo"`)
+		entry.name("region", doc.Region, `"sicilia"`)
+		entry.fault(!names[doc.Name], "name", "is the name of an earlier failure domain", `"catania"`)
+		entry.fault(doc.Number > 0 && doc.Number <= DomainNumberMax, "number", "is not within 1 to 254", "1")
+		entry.fault(!numbers[doc.Number], "number", "is the number of an earlier failure domain", "2")
+		entry.fault(d.NextDomain == 0 || doc.Number < d.NextDomain, "number", "is not below nextDomain", "1")
 		names[doc.Name] = true
 		numbers[doc.Number] = true
 	}
@@ -104,15 +139,15 @@
 	numbers := make(map[lentilid.Service]bool, len(d.Services))
 	ports := make(map[uint16]string, len(d.Services))
 	for i, doc := range d.Services {
-		path := "services[" + strconv.Itoa(i) + "]"
-		c.service(path, doc)
-		c.add(!names[doc.Name], path+".name", "is the name of an earlier service", `"catalogo"`)
-		c.add(doc.Number > 0 && doc.Number <= ServiceNumberMax, path+".number", "is not within 1 to 65534", "1")
-		c.add(!numbers[doc.Number], path+".number", "is the number of an earlier service", "2")
-		c.add(d.NextService == 0 || doc.Number < d.NextService, path+".number", "is not below nextService", "1")
+		entry := entryChecker{checker: c, list: "services", i: i}
+		entry.service(doc)
+		entry.fault(!names[doc.Name], "name", "is the name of an earlier service", `"catalogo"`)
+		entry.fault(doc.Number > 0 && doc.Number <= ServiceNumberMax, "number", "is not within 1 to 65534", "1")
+		entry.fault(!numbers[doc.Number], "number", "is the number of an earlier service", "2")
+		entry.fault(d.NextService == 0 || doc.Number < d.NextService, "number", "is not below nextService", "1")
 		// Balancers tell services apart by the port on which they listen.
 		if other, taken := ports[doc.Address.Port()]; taken {
-			c.add(false, path+".address", "has the port of service "+other, `"192.0.2.10:8444"`)
+			entry.fault(false, "address", "has the port of service "+other, `"192.0.2.10:8444"`)
 		}
 		names[doc.Name] = true
 		numbers[doc.Number] = true
@@ -121,39 +156,44 @@
 	return names
 }
 
-func (c *checker) service(path string, doc ServiceDoc) {
-	c.name(path+".name", doc.Name, `"iscrizioni"`)
-	c.add(validAddress(doc.Address), path+".address", "is not an IP number with a port", `"192.0.2.10:8443"`)
-	c.add(doc.Slots > 0 && doc.Slots <= SlotsMax, path+".slots", "is not within 1 to 10000", "2")
-	c.add(doc.Connections > 0 && doc.Connections <= ConnectionsMax, path+".connections", "is not within 1 to 1000000", "2000")
-	c.add(len(doc.Rules) <= RulesMax, path+".rules", "has more than 64 rules", "at most 64 rules")
-	prefixes := make(map[string]bool, len(doc.Rules))
+func (e entryChecker) service(doc ServiceDoc) {
+	e.name("name", doc.Name, `"iscrizioni"`)
+	e.fault(validAddress(doc.Address), "address", "is not an IP number with a port", `"192.0.2.10:8443"`)
+	e.fault(doc.Slots > 0 && doc.Slots <= SlotsMax, "slots", "is not within 1 to 10000", "2")
+	e.fault(doc.Connections > 0 && doc.Connections <= ConnectionsMax, "connections", "is not within 1 to 1000000", "2000")
+	e.fault(len(doc.Rules) <= RulesMax, "rules", "has more than 64 rules", "at most 64 rules")
 	for i, rule := range doc.Rules {
-		rulePath := path + ".rules[" + strconv.Itoa(i) + "]"
-		c.rule(rulePath, rule)
-		c.add(!prefixes[rule.Prefix], rulePath+".prefix", "is the prefix of an earlier rule", `"/enrolments"`)
-		prefixes[rule.Prefix] = true
+		e.rule(i, rule)
+		earlier := slices.ContainsFunc(doc.Rules[:i], func(other RuleDoc) bool { return other.Prefix == rule.Prefix })
+		if earlier {
+			e.fault(false, field("rules", i, "prefix"), "is the prefix of an earlier rule", `"/enrolments"`)
+		}
 	}
 }
 
-func (c *checker) rule(path string, rule RuleDoc) {
-	rooted := strings.HasPrefix(rule.Prefix, "/")
-	c.add(rooted, path+".prefix", `does not begin with "/"`, `"/enrolments"`)
-	c.add(len(rule.Prefix) <= PrefixMax, path+".prefix", "is longer than 256 bytes", `"/enrolments"`)
-	c.add(kindNames[rule.Kind] != 0, path+".kind", `is not "stream", "repeatable" or "once"`, `"once"`)
+func (e entryChecker) rule(i int, rule RuleDoc) {
+	if !strings.HasPrefix(rule.Prefix, "/") {
+		e.fault(false, field("rules", i, "prefix"), `does not begin with "/"`, `"/enrolments"`)
+	}
+	if len(rule.Prefix) > PrefixMax {
+		e.fault(false, field("rules", i, "prefix"), "is longer than 256 bytes", `"/enrolments"`)
+	}
+	if kindNames[rule.Kind] == 0 {
+		e.fault(false, field("rules", i, "kind"), `is not "stream", "repeatable" or "once"`, `"once"`)
+	}
 }
 
 func (c *checker) copies(d Document, services, domains map[string]bool) {
 	names := make(map[string]bool, len(d.Copies))
 	for i, doc := range d.Copies {
-		path := "copies[" + strconv.Itoa(i) + "]"
-		c.name(path+".name", doc.Name, `"iscrizioni-1"`)
-		c.add(!names[doc.Name], path+".name", "is the name of an earlier copy", `"iscrizioni-2"`)
+		entry := entryChecker{checker: c, list: "copies", i: i}
+		entry.name("name", doc.Name, `"iscrizioni-1"`)
+		entry.fault(!names[doc.Name], "name", "is the name of an earlier copy", `"iscrizioni-2"`)
 		if !services[doc.Service] {
-			c.add(false, path+".service", fmt.Sprintf("%q is not the name of a service", doc.Service), `"iscrizioni"`)
+			entry.fault(false, "service", fmt.Sprintf("%q is not the name of a service", doc.Service), `"iscrizioni"`)
 		}
 		if !domains[doc.Domain] {
-			c.add(false, path+".domain", fmt.Sprintf("%q is not the name of a failure domain", doc.Domain), `"palermo"`)
+			entry.fault(false, "domain", fmt.Sprintf("%q is not the name of a failure domain", doc.Domain), `"palermo"`)
 		}
 		names[doc.Name] = true
 	}
--- /dev/null
+++ b/pkg/lentilconfig/check_test.go
@@ -0,0 +1,104 @@
+package lentilconfig
+
+import (
+	"encoding/json"
+	"errors"
+	"flag"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// The seed makes every run of the properties the same.
+func init() {
+	if err := flag.Set("rapid.seed", "14"); err != nil {
+		panic(err)
+	}
+}
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// TestCheckReportsEveryFault compares the faults of each document in
+// testdata/check with its golden file.
+func TestCheckReportsEveryFault(t *testing.T) {
+	files, err := filepath.Glob("testdata/check/*.json")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no documents: %v", err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			body, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var document Document
+			if err = json.Unmarshal(body, &document); err != nil {
+				t.Fatal(err)
+			}
+			golden := strings.TrimSuffix(file, ".json") + ".golden"
+			got := faultLines(document.Check())
+			if *update {
+				if err = os.WriteFile(golden, []byte(got), 0o600); err != nil {
+					t.Fatal(err)
+				}
+			}
+			want, err := os.ReadFile(golden)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(string(want), got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func faultLines(err error) string {
+	var faulty *FaultError
+	if !errors.As(err, &faulty) {
+		return ""
+	}
+	var lines strings.Builder
+	for _, fault := range faulty.Faults() {
+		lines.WriteString(fault.String() + "\n")
+	}
+	return lines.String()
+}
+
+func TestClassify(t *testing.T) {
+	service := &Service{doc: ServiceDoc{Rules: []RuleDoc{
+		{Prefix: "/posti", Kind: "stream"},
+		{Prefix: "/posti/prenota", Kind: "once"},
+		{Prefix: "/cerca", Kind: "repeatable"},
+		{Prefix: "/statico/", Kind: "repeatable"},
+	}}}
+	tests := []struct {
+		method string
+		path   string
+		want   Kind
+	}{
+		{http.MethodGet, "/", KindRepeatable},
+		{http.MethodHead, "/altro", KindRepeatable},
+		{http.MethodPost, "/altro", KindOnce},
+		{http.MethodGet, "/posti", KindStream},
+		{http.MethodGet, "/posti/7", KindStream},
+		{http.MethodGet, "/postino", KindRepeatable},
+		{http.MethodGet, "/posti/prenota", KindOnce},
+		{http.MethodPost, "/cerca", KindRepeatable},
+		{http.MethodPost, "/cercatore", KindOnce},
+		{http.MethodPost, "/statico/a", KindRepeatable},
+		{http.MethodPost, "/cerca/../enrolments", KindOnce},
+		{http.MethodGet, "/altro/../posti/prenota", KindOnce},
+		{http.MethodGet, "//posti/prenota", KindOnce},
+		{http.MethodGet, "/posti/./prenota", KindOnce},
+	}
+	for _, test := range tests {
+		if got := service.Classify(test.method, test.path); got != test.want {
+			t.Errorf("%s %s is %v, want %v", test.method, test.path, got, test.want)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/lentilconfig/sample_test.go
@@ -0,0 +1,56 @@
+package lentilconfig
+
+import (
+	"fmt"
+	"net/netip"
+
+	"lentilstair.example/lentilstair/pkg/lentilid"
+)
+
+// sample returns a document with so many services and copies, in 15 failure
+// domains of 4 regions.
+func sample(services, copies int) (document Document) {
+	document.Version = 1
+	for i := range 15 {
+		document.Domains = append(document.Domains, DomainDoc{
+			Name:   fmt.Sprintf("domain-%02d", i),
+			Number: lentilid.Domain(i + 1),
+			Region: fmt.Sprintf("region-%d", i%4),
+		})
+	}
+	for i := range services {
+		document.Services = append(document.Services, ServiceDoc{
+			Name:        fmt.Sprintf("service-%05d", i),
+			Number:      lentilid.Service(i + 1),
+			Address:     netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), uint16(8000+i)),
+			Slots:       4,
+			Connections: 2000,
+			Rules:       []RuleDoc{{Prefix: "/watch", Kind: "stream"}, {Prefix: "/enrolments", Kind: "once"}},
+		})
+	}
+	for i := range copies {
+		document.Copies = append(document.Copies, CopyDoc{
+			Name:    fmt.Sprintf("service-%05d-%d", i%services, i/services+1),
+			Service: fmt.Sprintf("service-%05d", i%services),
+			Domain:  fmt.Sprintf("domain-%02d", i%15),
+		})
+	}
+	return document.Canonical()
+}
+
+// drained returns the next version, in which one more copy drains.
+func drained(document Document, copy int) Document {
+	next := document.Canonical().Marked(MarkDoc{NoteID: fmt.Sprintf("drain-%d", document.Version), Digest: fmt.Sprintf("%032d", copy), Author: "rosalia"})
+	next.Copies[copy%len(next.Copies)].Draining = !next.Copies[copy%len(next.Copies)].Draining
+	return next
+}
+
+// history returns so many versions, each made from the one before.
+func history(count int) (documents []Document) {
+	document := sample(3, 9)
+	for i := range count {
+		document = drained(document, i)
+		documents = append(documents, document)
+	}
+	return documents
+}
--- /dev/null
+++ b/pkg/lentilconfig/size_test.go
@@ -0,0 +1,104 @@
+package lentilconfig
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Sizes of the planned fleet, and the platform's limit for an object in bytes.
+const (
+	plannedServices = 7_000
+	plannedCopies   = 26_000
+	objectMax       = 1 << 20
+	deltaMax        = 1 << 10
+)
+
+func TestObjectsStaySmall(t *testing.T) {
+	document := sample(plannedServices, plannedCopies)
+	for i := range RecentMax {
+		document = document.Marked(MarkDoc{NoteID: "2026-05-04-castelbuono", Digest: string(DigestOf([]byte{byte(i)})), Author: "rosalia"})
+	}
+	head, shards, err := Split(document)
+	if err != nil {
+		t.Fatal(err)
+	}
+	largest, total := 0, 0
+	for _, shard := range shards {
+		largest = max(largest, len(shard.Body()))
+		total += len(shard.Body())
+	}
+	body, err := json.Marshal(head)
+	if err != nil {
+		t.Fatal(err)
+	}
+	whole, err := json.Marshal(document)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d shards, largest %d bytes, all %d bytes; head %d bytes; as one object %d bytes", len(shards), largest, total, len(body), len(whole))
+	if largest > objectMax/4 || len(body) > objectMax/4 {
+		t.Errorf("largest shard %d bytes, head %d bytes", largest, len(body))
+	}
+	delta, err := Delta(document, drained(document, 5))
+	if err != nil {
+		t.Fatal(err)
+	}
+	encoded, err := cbor.Marshal(delta)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("delta of one copy: %d bytes", len(encoded))
+	if len(encoded) > deltaMax {
+		t.Errorf("a delta of one copy takes %d bytes", len(encoded))
+	}
+}
+
+func BenchmarkCheck(b *testing.B) {
+	document := sample(plannedServices, plannedCopies)
+	for b.Loop() {
+		if err := document.Check(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkNew(b *testing.B) {
+	document := sample(plannedServices, plannedCopies)
+	for b.Loop() {
+		if _, err := New(document); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkSplit(b *testing.B) {
+	document := sample(plannedServices, plannedCopies)
+	for b.Loop() {
+		if _, _, err := Split(document); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkOfferDelta(b *testing.B) {
+	document := sample(plannedServices, plannedCopies)
+	var store Store
+	if err := store.Offer(document); err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		b.StopTimer()
+		next := drained(document, 5)
+		delta, err := Delta(document, next)
+		if err != nil {
+			b.Fatal(err)
+		}
+		document = next
+		b.StartTimer()
+		if err = store.OfferDelta(delta); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/pkg/lentilconfig/split.go
+++ b/pkg/lentilconfig/split.go
@@ -77,30 +77,65 @@
 // Split returns the head and the shards of a document. It is a function of the
 // canonical document alone, so that all processes split alike.
 func Split(document Document) (head HeadDoc, shards []Shard, err error) {
-	defer lentilerror.Annotate(&err, "split configuration")
 	document = document.Canonical()
-	parts := make([]ShardDoc, shardCount(document))
-	for _, doc := range document.Services {
-		part := &parts[shardIndex(doc.Name, len(parts))]
-		part.Services = append(part.Services, doc)
+	return splitCanonical(document, nil, func(int) (Shard, bool) { return Shard{}, false })
+}
+
+// splitCanonical splits a canonical document. Where held returns a shard, that
+// shard is known not to have changed and isn't written anew.
+func splitCanonical(document Document, touched []string, held func(index int) (Shard, bool)) (head HeadDoc, shards []Shard, err error) {
+	defer lentilerror.Annotate(&err, "split configuration")
+	count := shardCount(document)
+	renewed := make([]bool, count)
+	for _, name := range touched {
+		renewed[shardIndex(name, count)] = true
 	}
-	for _, doc := range document.Copies {
-		part := &parts[shardIndex(doc.Name, len(parts))]
-		part.Copies = append(part.Copies, doc)
+	shards = make([]Shard, count)
+	for i := range shards {
+		shard, found := held(i)
+		if found && !renewed[i] {
+			shards[i] = shard
+		} else {
+			renewed[i] = true
+		}
 	}
+	parts := partition(document, renewed)
 	head = headOf(document)
-	for _, part := range parts {
-		body, err := json.Marshal(part)
-		if err != nil {
-			return HeadDoc{}, nil, err
+	for i := range shards {
+		if renewed[i] {
+			if shards[i], err = writeShard(parts[i]); err != nil {
+				return HeadDoc{}, nil, err
+			}
 		}
-		shard := Shard{name: DigestOf(body), body: body}
-		head.Shards = append(head.Shards, shard.name)
-		shards = append(shards, shard)
+		head.Shards = append(head.Shards, shards[i].name)
 	}
 	return head, shards, nil
 }
 
+// partition returns the wanted shards of a canonical document.
+func partition(document Document, wanted []bool) (parts []ShardDoc) {
+	parts = make([]ShardDoc, len(wanted))
+	for _, doc := range document.Services {
+		if i := shardIndex(doc.Name, len(parts)); wanted[i] {
+			parts[i].Services = append(parts[i].Services, doc)
+		}
+	}
+	for _, doc := range document.Copies {
+		if i := shardIndex(doc.Name, len(parts)); wanted[i] {
+			parts[i].Copies = append(parts[i].Copies, doc)
+		}
+	}
+	return parts
+}
+
+func writeShard(part ShardDoc) (shard Shard, err error) {
+	body, err := json.Marshal(part)
+	if err != nil {
+		return Shard{}, err
+	}
+	return Shard{name: DigestOf(body), body: body}, nil
+}
+
 // headOf returns the head of a canonical document, its shards still unnamed.
 func headOf(document Document) HeadDoc {
 	return HeadDoc{
@@ -199,3 +234,20 @@
 	}
 	return unique
 }
+
+// ParseHead reads the JSON form of a head. Whether the configuration is free of
+// faults shows when it is whole.
+func ParseHead(body []byte) (head HeadDoc, err error) {
+	defer lentilerror.Annotate(&err, "parse head")
+	if err = json.Unmarshal(body, &head); err != nil {
+		return HeadDoc{}, err
+	}
+	if len(head.Shards) == 0 || len(head.Shards) > shardsMax {
+		return HeadDoc{}, fmt.Errorf("%w: the head names %d shards", ErrIncomplete, len(head.Shards))
+	}
+	return head, nil
+}
+
+// shardsMax bounds the shards that a head names, well above what the bounds of a
+// document lead to.
+const shardsMax = 1 << 14
--- a/pkg/lentilconfig/store.go
+++ b/pkg/lentilconfig/store.go
@@ -112,6 +112,7 @@
 	if document.Version < s.Version() {
 		return fmt.Errorf("%w: version %d is offered, %d is held", ErrOlder, document.Version, s.Version())
 	}
+	document = document.Canonical()
 	head, shards, err := Split(document)
 	if err != nil {
 		return err
@@ -137,7 +138,7 @@
 		return fmt.Errorf("%w: version %d is %s here, not %s", ErrFork, s.Version(), s.digest, delta.From)
 	}
 	document := s.configuration.document.merge(delta)
-	head, shards, err := Split(document)
+	head, shards, err := splitCanonical(document, delta.touched(), s.held(shardCount(document)))
 	if err != nil {
 		return err
 	}
@@ -155,7 +156,19 @@
 	return nil
 }
 
-// move puts a document of the version held or a newer one into force.
+// held returns what gives the shards in force, if they are as many as wanted.
+func (s *Store) held(count int) func(index int) (Shard, bool) {
+	return func(index int) (shard Shard, found bool) {
+		if len(s.head.Shards) != count {
+			return Shard{}, false
+		}
+		name := s.head.Shards[index]
+		body, found := s.shards[name]
+		return Shard{name: name, body: body}, found
+	}
+}
+
+// move puts a canonical document of the version held or a newer one into force.
 func (s *Store) move(document Document, head HeadDoc, shards []Shard) (err error) {
 	digest := head.Digest()
 	if document.Version == s.Version() {
@@ -164,7 +177,7 @@
 	if err = s.descends(document); err != nil {
 		return err
 	}
-	configuration, err := New(document.Canonical())
+	configuration, err := New(document)
 	if err != nil {
 		lentilerror.Annotate(&err, "check version %d", document.Version)
 		return err
@@ -233,6 +246,18 @@
 		len(d.PutDomains) + len(d.DropDomains) + len(d.Recent)
 }
 
+// touched names the services and copies that a delta changes.
+func (d DeltaDoc) touched() (names []string) {
+	for _, doc := range d.PutServices {
+		names = append(names, doc.Name)
+	}
+	for _, doc := range d.PutCopies {
+		names = append(names, doc.Name)
+	}
+	names = append(names, d.DropServices...)
+	return append(names, d.DropCopies...)
+}
+
 // count records the outcome of an offer that was refused.
 func (s *Store) count(err error) {
 	switch {
--- /dev/null
+++ b/pkg/lentilconfig/store_test.go
@@ -0,0 +1,302 @@
+package lentilconfig
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+func mustDelta(from, to Document) DeltaDoc {
+	delta, err := Delta(from, to)
+	if err != nil {
+		panic(err)
+	}
+	return delta
+}
+
+// TestStoreRefuses offers things after the store has reached version 4 of a
+// history, and looks at the error, the version afterwards and what is counted.
+func TestStoreRefuses(t *testing.T) {
+	documents := history(6) // versions 2 to 7
+	fork := drained(documents[2], 8)
+	faulty := drained(documents[2], 1)
+	faulty.Copies[0].Domain = "nowhere"
+	reused := drained(documents[2], 1)
+	reused.Services[0].Name = "another"
+	reused.Copies = nil
+	wrong := mustDelta(documents[2], documents[3])
+	wrong.PutCopies[0].Draining = !wrong.PutCopies[0].Draining
+	tests := []struct {
+		name    string
+		offer   func(s *Store) error
+		want    error
+		version uint64
+		counts  Counts
+	}{
+		{"newer document", func(s *Store) error { return s.Offer(documents[3]) }, nil, 5, Counts{Applied: 2}},
+		{"newest document, late steps missing", func(s *Store) error { return s.Offer(documents[5]) }, nil, 7, Counts{Applied: 2}},
+		{"doubled document", func(s *Store) error { return s.Offer(documents[2]) }, nil, 4, Counts{Applied: 1, Same: 1}},
+		{"older document", func(s *Store) error { return s.Offer(documents[1]) }, ErrOlder, 4, Counts{Applied: 1, Older: 1}},
+		{"next delta", func(s *Store) error { return s.OfferDelta(mustDelta(documents[2], documents[3])) }, nil, 5, Counts{Applied: 2}},
+		{"long delta", func(s *Store) error { return s.OfferDelta(mustDelta(documents[2], documents[5])) }, nil, 7, Counts{Applied: 2}},
+		{"doubled delta", func(s *Store) error { return s.OfferDelta(mustDelta(documents[1], documents[2])) }, nil, 4, Counts{Applied: 1, Same: 1}},
+		{"late delta", func(s *Store) error { return s.OfferDelta(mustDelta(documents[0], documents[1])) }, ErrOlder, 4, Counts{Applied: 1, Older: 1}},
+		{"delta ahead", func(s *Store) error { return s.OfferDelta(mustDelta(documents[3], documents[4])) }, ErrGap, 4, Counts{Applied: 1, Gapped: 1}},
+		{"delta with a wrong entry", func(s *Store) error { return s.OfferDelta(wrong) }, ErrDigest, 4, Counts{Applied: 1, Faulty: 1}},
+		{"delta from a fork", func(s *Store) error {
+			return s.OfferDelta(mustDelta(drained(documents[1], 7), fork))
+		}, ErrFork, 4, Counts{Applied: 1, Forked: 1}},
+		{"same version of a fork", func(s *Store) error { return s.Offer(drained(documents[1], 7)) }, ErrFork, 4, Counts{Applied: 1, Forked: 1}},
+		{"newer version of a fork", func(s *Store) error {
+			return s.Offer(drained(drained(documents[1], 7), 8))
+		}, ErrFork, 4, Counts{Applied: 1, Forked: 1}},
+		{"number of another service", func(s *Store) error { return s.Offer(reused) }, ErrFork, 4, Counts{Applied: 1, Forked: 1}},
+		{"faulty document", func(s *Store) error { return s.Offer(faulty) }, &FaultError{}, 4, Counts{Applied: 1, Faulty: 1}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var store Store
+			if err := store.Offer(documents[2]); err != nil {
+				t.Fatal(err)
+			}
+			err := test.offer(&store)
+			var faults *FaultError
+			if errors.As(test.want, &faults) {
+				if !errors.As(err, &faults) {
+					t.Errorf("error is %v, want faults", err)
+				}
+			} else if !errors.Is(err, test.want) {
+				t.Errorf("error is %v, want %v", err, test.want)
+			}
+			if store.Version() != test.version || store.Configuration().Version() != test.version {
+				t.Errorf("version %d is in force, want %d", store.Version(), test.version)
+			}
+			if diff := cmp.Diff(test.counts, store.Counts()); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// TestStoreNeverReverts delivers a history in any order, doubled and in part, as
+// documents, deltas and shards, to a store: it never goes back, holds each
+// version as it was written, and reaches the newest that it was offered whole.
+func TestStoreNeverReverts(t *testing.T) {
+	documents := history(12)
+	digests := make(map[uint64]Digest)
+	for _, document := range documents {
+		head, _, err := Split(document)
+		if err != nil {
+			t.Fatal(err)
+		}
+		digests[document.Version] = head.Digest()
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		var store Store
+		newest := uint64(0)
+		for range rapid.IntRange(1, 30).Draw(t, "offers") {
+			to := rapid.IntRange(0, len(documents)-1).Draw(t, "to")
+			before := store.Version()
+			if rapid.Bool().Draw(t, "whole") {
+				newest = max(newest, documents[to].Version)
+				_ = store.Offer(documents[to])
+			} else {
+				from := rapid.IntRange(0, to).Draw(t, "from")
+				_ = store.OfferDelta(mustDelta(documents[from], documents[to]))
+			}
+			if store.Version() < before || store.Version() < newest {
+				t.Fatalf("version %d after %d, %d was offered", store.Version(), before, newest)
+			}
+			if store.Digest() != digests[store.Version()] {
+				t.Fatalf("version %d isn't as it was written", store.Version())
+			}
+		}
+	})
+}
+
+func TestPeerCatchesUpByOneDelta(t *testing.T) {
+	documents := history(9)
+	var ahead, behind Store
+	for _, document := range documents {
+		if err := ahead.Offer(document); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := behind.Offer(documents[3]); err != nil {
+		t.Fatal(err)
+	}
+	delta, found := ahead.Delta(behind.Version(), behind.Digest())
+	if !found {
+		t.Fatal("no delta")
+	}
+	body, err := cbor.Marshal(delta)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var received DeltaDoc
+	if err = cbor.Unmarshal(body, &received); err != nil {
+		t.Fatal(err)
+	}
+	if err = behind.OfferDelta(received); err != nil {
+		t.Fatal(err)
+	}
+	if behind.Digest() != ahead.Digest() {
+		t.Errorf("digest %s, want %s", behind.Digest(), ahead.Digest())
+	}
+}
+
+func TestAssemblyFetchesOnlyWhatChanged(t *testing.T) {
+	document := sample(100, 3000)
+	var store Store
+	if err := store.Offer(document); err != nil {
+		t.Fatal(err)
+	}
+	next := drained(document, 17)
+	head, shards, err := Split(next)
+	if err != nil {
+		t.Fatal(err)
+	}
+	assembly, err := store.Assemble(head)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if missing := assembly.Missing(); len(missing) != 1 || len(shards) < 4 {
+		t.Fatalf("%d of %d shards are missing, want 1", len(missing), len(shards))
+	}
+	if _, err = assembly.Document(); !errors.Is(err, ErrIncomplete) {
+		t.Errorf("error is %v, want %v", err, ErrIncomplete)
+	}
+	for _, shard := range shards {
+		if err = assembly.Add(shard.Name(), append([]byte(" "), shard.Body()...)); !errors.Is(err, ErrDigest) {
+			t.Errorf("error is %v, want %v", err, ErrDigest)
+		}
+		if err = assembly.Add(shard.Name(), shard.Body()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := assembly.Document()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(next, got, cmp.Comparer(sameAddress)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func sameAddress(a, b fmt.Stringer) bool { return a.String() == b.String() }
+
+// TestDeltaLeadsWhereItSays compares joined and direct deltas over any edits.
+func TestDeltaLeadsWhereItSays(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var store Store
+		document := sample(60, 600)
+		first := document
+		if err := store.Offer(document); err != nil {
+			t.Fatal(err)
+		}
+		for range rapid.IntRange(1, 8).Draw(t, "steps") {
+			document = edited(t, document)
+			if err := store.OfferDelta(mustDelta(mustDocument(&store), document)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		head, _, err := Split(first)
+		if err != nil {
+			t.Fatal(err)
+		}
+		joined, found := store.Delta(first.Version, head.Digest())
+		if !found {
+			t.Fatal("no delta")
+		}
+		got, err := first.Apply(joined)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(document, got, cmp.Comparer(sameAddress)); diff != "" {
+			t.Fatal(diff)
+		}
+	})
+}
+
+func mustDocument(store *Store) Document { return store.Configuration().Document() }
+
+// edited returns the next version with a service changed, or with one copy
+// dropped, added again or changed.
+func edited(t *rapid.T, document Document) Document {
+	next := document.Canonical().Marked(MarkDoc{NoteID: "edit", Digest: "0"})
+	if rapid.Bool().Draw(t, "service") {
+		next.Services[rapid.IntRange(0, 5).Draw(t, "index")].Slots++
+		return next
+	}
+	name := fmt.Sprintf("service-00000-%d", rapid.IntRange(1, 5).Draw(t, "copy"))
+	kept := next.Copies[:0]
+	found := false
+	for _, doc := range next.Copies {
+		if doc.Name == name {
+			found = true
+			continue
+		}
+		kept = append(kept, doc)
+	}
+	next.Copies = kept
+	if !found || rapid.Bool().Draw(t, "keep") {
+		next.Copies = append(next.Copies, CopyDoc{
+			Name: name, Service: "service-00000", Domain: "domain-01", Draining: rapid.Bool().Draw(t, "draining"),
+		})
+	}
+	return next.Canonical()
+}
+
+func FuzzShard(f *testing.F) {
+	_, shards, err := Split(sample(2, 4))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(shards[0].Body())
+	f.Add([]byte(`{"services":[{"name":"a","address":"x"}]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		name := DigestOf(body)
+		assembly := NewAssembly(HeadDoc{Version: 1, Shards: []Digest{name}})
+		if assembly.Add(name, body) != nil {
+			return
+		}
+		document, err := assembly.Document()
+		if err != nil {
+			t.Fatal(err)
+		}
+		var store Store
+		if store.Offer(document) == nil && store.Version() != 1 {
+			t.Error("an offer that was taken isn't in force")
+		}
+	})
+}
+
+func FuzzHead(f *testing.F) {
+	head, _, err := Split(sample(2, 4))
+	if err != nil {
+		f.Fatal(err)
+	}
+	body, err := json.Marshal(head)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(body)
+	f.Fuzz(func(t *testing.T, body []byte) {
+		head, err := ParseHead(body)
+		if err != nil {
+			return
+		}
+		again, err := json.Marshal(head)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if second, err := ParseHead(again); err != nil || second.Digest() != head.Digest() {
+			t.Errorf("the head changed by being written: %v", err)
+		}
+	})
+}
