--- /dev/null
+++ b/internal/lentilcontrol/node.go
@@ -0,0 +1,249 @@
+// Package lentilcontrol is the control plane among the system's own processes:
+// agents announce their copies to balancers, balancers tell each other of members,
+// records and configuration, and operators ask for status.
+//
+// Node holds the decisions and is a pure state machine. Balancer and Agent are
+// the shells around it: connect-go over TLS, an actor that owns the
+// state, and loops that carry out the calls which the state machine asks for.
+package lentilcontrol
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"lentilstair.example/lentilstair/internal/lentilcontrol/lentilcontrolpb"
+	"lentilstair.example/lentilstair/pkg/lentilbudget"
+	"lentilstair.example/lentilstair/pkg/lentilclock"
+	"lentilstair.example/lentilstair/pkg/lentilconfig"
+	"lentilstair.example/lentilstair/pkg/lentilid"
+	"lentilstair.example/lentilstair/pkg/lentilmember"
+	"lentilstair.example/lentilstair/pkg/lentilrecord"
+)
+
+// Defaults of a Node's settings.
+const (
+	// DefaultPeriod is the time between exchanges with a neighbour.
+	DefaultPeriod = time.Second
+	// DefaultCompare is the time between comparisons of whole maps with a neighbour.
+	DefaultCompare = 5 * time.Second
+	// gap is the least time between two exchanges with a neighbour that
+	// changes prompt; it gathers changes that come close together.
+	gap = 50 * time.Millisecond
+	// regionSilence is how long a region without contact counts as reached.
+	regionSilence = 5 * time.Second
+	// peerSilence is how long a peer that is no neighbour is kept without contact.
+	peerSilence = 30 * time.Second
+	// settleTime is how long a node must have known the others before its not
+	// knowing somebody says anything.
+	settleTime = time.Minute
+	// aloneTime is how long the seeds are tried before a node goes on alone.
+	aloneTime = 3 * time.Second
+	// suspectFailures is how many calls in a row must fail before a suspicion,
+	suspectFailures = 2
+	// and suspectAgain after how many more it is raised again.
+	suspectAgain = 8
+	// bytesPerSecond and bytesBurst bound what changes may prompt. The burst
+	// lets a node that joins take in everything at once.
+	bytesPerSecond = 16 << 10
+	bytesBurst     = 8 << 20
+	// readersPerRegion is how many members of a region read the platform.
+	readersPerRegion = 2
+)
+
+// Node is the control state of one balancer: events and a clock in, calls out.
+// Set the fields, then call Start. It is not safe for use by several goroutines.
+type Node struct {
+	// Clock tells the time; nil means the machine's.
+	Clock lentilclock.Clock
+	// Random is the source of jitter; nil means the shared source.
+	Random *rand.Rand
+	// Self names this member: Run, Control, Region and Domain are used.
+	Self lentilmember.Doc
+	// Seeds are addresses of other balancers to join by.
+	Seeds []netip.AddrPort
+	// Period is the time between exchanges with a neighbour; 0 means DefaultPeriod.
+	Period time.Duration
+	// Compare is the time between comparisons of whole maps; 0 means DefaultCompare.
+	Compare time.Duration
+	// Direct is up to how many changes are sent whole instead of by a notice that
+	// prompts a pull.
+	Direct int
+
+	table         lentilmember.Table
+	records       lentilrecord.Store
+	configuration lentilconfig.Store
+	parts         partCache
+	peers         map[lentilid.Incarnation]*peer
+	probes        map[netip.AddrPort]*probe
+	regions       map[string]time.Time
+	bytes         lentilbudget.Bucket
+	started       time.Time
+	synced        time.Time
+	inForce       time.Time
+	pull          pull
+	liveChanged   bool
+	leaving       bool
+}
+
+// Start makes the node a member that knows nobody yet.
+func (n *Node) Start() {
+	n.table.Clock = n.clock()
+	n.records.Clock = n.clock()
+	n.table.Join(n.Self)
+	n.peers = map[lentilid.Incarnation]*peer{}
+	n.probes = map[netip.AddrPort]*probe{}
+	n.regions = map[string]time.Time{}
+	n.bytes = lentilbudget.Bucket{PerSecond: bytesPerSecond, Burst: bytesBurst}
+	n.started = n.now()
+	n.absorb(0)
+}
+
+// Call is a call that the node asks its shell to make. Its outcome goes to Outcome.
+type Call struct {
+	// To is the address of the balancer to call.
+	To netip.AddrPort
+	// Exchange is the request of an exchange, or nil.
+	Exchange *lentilcontrolpb.ExchangeRequest
+	// Fetch is the request for a configuration, or nil.
+	Fetch *lentilcontrolpb.FetchConfigurationRequest
+
+	run  lentilid.Incarnation
+	sent sent
+}
+
+// Tick moves timers on and returns the calls that are due.
+func (n *Node) Tick() (calls []Call) {
+	now := n.now()
+	n.table.Expire()
+	n.records.Expire()
+	if n.table.Condemned() {
+		n.discard()
+	}
+	n.table.SetHeld(n.records.Held())
+	n.table.SetReaches(n.reaches(now))
+	n.absorb(0)
+	calls = n.exchanges(now)
+	calls = append(calls, n.probing(now)...)
+	return append(calls, n.pulling(now)...)
+}
+
+// discard forgets what was learned from others, after others have counted this
+// run as dead: what it holds may be out of date.
+func (n *Node) discard() {
+	n.table.Discard()
+	n.records.Discard()
+	clear(n.peers)
+	clear(n.regions)
+	n.synced = time.Time{}
+	n.started = n.now()
+	n.liveChanged = true
+}
+
+// absorb carries changes of entries to the vouchers and the peers, except for the
+// peer from which they came.
+func (n *Node) absorb(from lentilid.Incarnation) {
+	members := n.table.TakeChanged()
+	for _, run := range members {
+		doc, ok := n.table.Member(run)
+		if !ok || !doc.Counts() {
+			n.records.Vouch(run, nil)
+			delete(n.peers, run)
+			continue
+		}
+		n.records.Vouch(run, doc.Held)
+	}
+	records := n.records.TakeChanged()
+	if len(members)+len(records) == 0 {
+		return
+	}
+	n.liveChanged = true
+	for run, p := range n.peers {
+		if run != from {
+			p.members.notify(members)
+			p.records.notify(records)
+		}
+	}
+	if len(members) > 0 {
+		n.meet()
+	}
+}
+
+// meet makes peers of the neighbours that the membership asks for.
+func (n *Node) meet() {
+	for _, p := range n.peers {
+		p.neighbour = false
+	}
+	for _, doc := range n.table.Neighbours() {
+		n.peer(doc).neighbour = true
+	}
+}
+
+// peer returns the peer for a member, made anew if there is none.
+func (n *Node) peer(doc lentilmember.Doc) *peer {
+	p := n.peers[doc.Run]
+	if p == nil {
+		p = &peer{heard: n.now(), due: n.now()}
+		p.backoff.Random = n.Random
+		p.members.push = set{n.Self.Run: {}}
+		n.peers[doc.Run] = p
+	}
+	p.run = doc.Run
+	p.control = doc.Control
+	p.region = doc.Region
+	return p
+}
+
+// reaches returns the other regions with which this node is in contact.
+func (n *Node) reaches(now time.Time) (regions []string) {
+	for region, at := range n.regions {
+		if now.Sub(at) < regionSilence {
+			regions = append(regions, region)
+		} else {
+			delete(n.regions, region)
+		}
+	}
+	slices.Sort(regions)
+	return regions
+}
+
+// contact notes a success with a member of another region. A region that comes
+// back counts only once all members' entries were found to be equal, so
+// that leases which ended meanwhile are known.
+func (n *Node) contact(p *peer, equal bool) {
+	if p.region == n.Self.Region {
+		return
+	}
+	if _, reached := n.regions[p.region]; reached || equal {
+		n.regions[p.region] = n.now()
+	}
+}
+
+func (n *Node) clock() lentilclock.Clock {
+	if n.Clock == nil {
+		return lentilclock.System{}
+	}
+	return n.Clock
+}
+
+func (n *Node) now() time.Time { return n.clock().Now() }
+
+func (n *Node) period() time.Duration  { return orDefault(n.Period, DefaultPeriod) }
+func (n *Node) compare() time.Duration { return orDefault(n.Compare, DefaultCompare) }
+
+// jitter returns a time between three quarters and five quarters of d.
+func (n *Node) jitter(d time.Duration) time.Duration {
+	half := int64(d / 2)
+	if n.Random == nil {
+		return d*3/4 + time.Duration(rand.Int64N(half))
+	}
+	return d*3/4 + time.Duration(n.Random.Int64N(half))
+}
+
+func orDefault(d, standard time.Duration) time.Duration {
+	if d == 0 {
+		return standard
+	}
+	return d
+}
--- a/pkg/lentilrecord/versions.go
+++ b/pkg/lentilrecord/versions.go
@@ -60,17 +60,18 @@
 	linesPerBucket = 8
 )
 
-// Digest returns a hash for each bucket of the map. The number of buckets is a
-// power of two that grows with the map.
-func (v *Versions) Digest() []uint32 {
+// Buckets returns the number of buckets that suits a comparison of maps of this
+// many rows: a power of two that grows with them.
+func Buckets(rows int) int {
 	buckets := minBuckets
-	for buckets < maxBuckets && buckets*linesPerBucket < len(v.ranks) {
+	for buckets < maxBuckets && buckets*linesPerBucket < rows {
 		buckets *= 2
 	}
-	return v.digest(buckets)
+	return buckets
 }
 
-func (v *Versions) digest(buckets int) []uint32 {
+// Digest returns a hash for each of a number of buckets, which Buckets gives.
+func (v *Versions) Digest(buckets int) []uint32 {
 	digest := make([]uint32, buckets)
 	for owner, rank := range v.ranks {
 		digest[bucketOf(owner, buckets)] ^= uint32(hashLine(owner, rank))
@@ -78,23 +79,31 @@
 	return digest
 }
 
+// ValidDigest reports whether a digest from a peer has a size that Buckets gives.
+func ValidDigest(digest []uint32) bool {
+	buckets := len(digest)
+	return buckets >= minBuckets && buckets <= maxBuckets && buckets&(buckets-1) == 0
+}
+
 // Differing returns the rows of the buckets whose hashes differ from those of
-// another node's digest, at most limit of them. A digest of a size that no
-// Versions makes has no differing rows.
+// another node's digest: whole buckets, until limit is reached.
 func (v *Versions) Differing(digest []uint32, limit int) (lines []Line) {
-	buckets := len(digest)
-	if buckets < minBuckets || buckets > maxBuckets || buckets&(buckets-1) != 0 {
+	if !ValidDigest(digest) {
 		return nil
 	}
-	own := v.digest(buckets)
+	own := v.Digest(len(digest))
+	rows := make([][]Line, len(digest))
 	for owner, rank := range v.ranks {
-		if len(lines) == limit {
-			return lines
-		}
-		bucket := bucketOf(owner, buckets)
+		bucket := bucketOf(owner, len(digest))
 		if own[bucket] != digest[bucket] {
-			lines = append(lines, Line{Owner: owner, Rank: rank})
+			rows[bucket] = append(rows[bucket], Line{Owner: owner, Rank: rank})
+		}
+	}
+	for _, bucket := range rows {
+		if len(lines) >= limit {
+			return lines
 		}
+		lines = append(lines, bucket...)
 	}
 	return lines
 }
