Control: agents announce, balancers exchange and learn configuration

Cause: the thin path needs a transport for announcements, members and configuration. Before and after: none before.

--- /dev/null
+++ b/internal/lentilcontrol/actor.go
@@ -0,0 +1,159 @@
+package lentilcontrol
+
+import (
+	"errors"
+	"io"
+	"log/slog"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/joomcode/errorx"
+
+	"lentilstair.example/lentilstair/internal/lentilcontrol/lentilcontrolpb"
+	"lentilstair.example/lentilstair/pkg/lentilconfig"
+	"lentilstair.example/lentilstair/pkg/lentilrecord"
+)
+
+// askTimeout bounds how long a question to the actor may wait.
+const askTimeout = 2 * time.Second
+
+// errStopped says that the actor has stopped.
+var errStopped = errors.New("control has stopped")
+
+// Messages that the actor of a node understands.
+type (
+	tickMessage struct{}
+	// outcomeMessage carries what came of a call.
+	outcomeMessage struct {
+		call      Call
+		exchanged *lentilcontrolpb.ExchangeResponse
+		fetched   *lentilcontrolpb.FetchConfigurationResponse
+	}
+	offerMessage    struct{ document lentilconfig.Document }
+	assembleMessage struct{ head lentilconfig.HeadDoc }
+	leaveMessage    struct{}
+)
+
+// Answers of the actor that can fail.
+type (
+	announceAnswer struct {
+		response *lentilcontrolpb.AnnounceResponse
+		err      error
+	}
+	fetchAnswer struct {
+		response *lentilcontrolpb.FetchConfigurationResponse
+		err      error
+	}
+	offerAnswer    struct{ err error }
+	assembleAnswer struct {
+		assembly *lentilconfig.Assembly
+		err      error
+	}
+)
+
+// nodeActor owns a Node. All that happens to the node passes through its mailbox.
+type nodeActor struct {
+	node *Node
+	// call begins a call without waiting for it.
+	call func(Call)
+	// ticked is told the node's state after each tick.
+	ticked func(glance)
+	// configured and recorded are the shell's callbacks.
+	configured func(lentilconfig.Configuration)
+	recorded   func([]lentilrecord.Record)
+
+	version uint64
+	// told is when recorded was called last.
+	told time.Time
+}
+
+// glance is what a shell's queries may know of a node between ticks.
+type glance struct {
+	ready   bool
+	reader  bool
+	version uint64
+}
+
+// tellGap is the least time between two reports of the live records.
+const tellGap = 100 * time.Millisecond
+
+// Receive handles one message.
+func (a *nodeActor) Receive(ctx actor.Context) {
+	switch message := ctx.Message().(type) {
+	case *lentilcontrolpb.ExchangeRequest:
+		ctx.Respond(a.node.Exchange(message))
+	case *lentilcontrolpb.AnnounceRequest:
+		response, err := a.node.Announce(message)
+		ctx.Respond(announceAnswer{response: response, err: err})
+	case *lentilcontrolpb.FetchConfigurationRequest:
+		response, err := a.node.FetchConfiguration(message)
+		ctx.Respond(fetchAnswer{response: response, err: err})
+	case *lentilcontrolpb.StatusRequest:
+		ctx.Respond(a.node.Status(message))
+	case outcomeMessage:
+		a.node.Outcome(message.call, message.exchanged, message.fetched)
+		a.step()
+	case offerMessage:
+		ctx.Respond(offerAnswer{err: a.node.Offer(message.document)})
+		a.step()
+	case assembleMessage:
+		assembly, err := a.node.Assemble(message.head)
+		ctx.Respond(assembleAnswer{assembly: assembly, err: err})
+	case leaveMessage:
+		a.node.Leave()
+		a.step()
+	case tickMessage:
+		a.step()
+	}
+}
+
+// step carries out what is due and reports what changed.
+func (a *nodeActor) step() {
+	for _, call := range a.node.Tick() {
+		a.call(call)
+	}
+	configuration := a.node.Configuration()
+	if configuration.Version() > a.version {
+		a.version = configuration.Version()
+		a.configured(configuration)
+	}
+	now := a.node.now()
+	if now.Sub(a.told) >= tellGap && a.node.TakeLiveChanged() {
+		a.told = now
+		a.recorded(a.node.Live())
+	}
+	a.ticked(glance{ready: a.node.Ready(), reader: a.node.Reader(), version: a.version})
+}
+
+// mailbox sends messages to the actor of a node.
+type mailbox struct {
+	system *actor.ActorSystem
+	pid    *actor.PID
+}
+
+func newMailbox(receiver actor.Actor) mailbox {
+	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
+	system := actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger { return quiet }))
+	props := actor.PropsFromProducer(func() actor.Actor { return receiver })
+	return mailbox{system: system, pid: system.Root.Spawn(props)}
+}
+
+func (m mailbox) tell(message any) { m.system.Root.Send(m.pid, message) }
+
+func (m mailbox) stop() {
+	_ = m.system.Root.StopFuture(m.pid).Wait()
+	m.system.Shutdown()
+}
+
+// ask returns the actor's answer to a message.
+func ask[T any](m mailbox, message any) (answer T, err error) {
+	result, err := m.system.Root.RequestFuture(m.pid, message, askTimeout).Result()
+	if err != nil {
+		return answer, errorx.Decorate(err, "ask control")
+	}
+	answer, ok := result.(T)
+	if !ok {
+		return answer, errStopped
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/internal/lentilcontrol/dial.go
@@ -0,0 +1,99 @@
+package lentilcontrol
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"lentilstair.example/lentilstair/internal/lentilcontrol/lentilcontrolpb/lentilcontrolpbconnect"
+)
+
+const (
+	// dialTimeout bounds the making of a connection.
+	dialTimeout = time.Second
+	// callTimeout bounds an exchange or a heartbeat,
+	callTimeout = time.Second
+	// and fetchTimeout a call that brings a configuration.
+	fetchTimeout = 10 * time.Second
+	// clientsMax bounds the clients that are kept.
+	clientsMax = 256
+)
+
+// Dialer makes and keeps clients of balancers' control services. The zero Dialer
+// speaks without TLS. It is ready to use by several goroutines.
+type Dialer struct {
+	// TLS is the configuration of the dialling side, or nil for none.
+	TLS *tls.Config
+
+	once    sync.Once
+	http    *http.Client
+	mu      sync.Mutex
+	clients map[netip.AddrPort]lentilcontrolpbconnect.ControlServiceClient
+	bytes   atomic.Uint64
+}
+
+// Client returns the client of the service at an address.
+func (d *Dialer) Client(to netip.AddrPort) lentilcontrolpbconnect.ControlServiceClient {
+	d.once.Do(d.prepare)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	client := d.clients[to]
+	if client == nil {
+		if len(d.clients) >= clientsMax {
+			clear(d.clients)
+		}
+		client = lentilcontrolpbconnect.NewControlServiceClient(d.http, d.scheme()+"://"+to.String(),
+			connect.WithReadMaxBytes(messageMax))
+		d.clients[to] = client
+	}
+	return client
+}
+
+func (d *Dialer) scheme() string {
+	if d.TLS == nil {
+		return "http"
+	}
+	return "https"
+}
+
+func (d *Dialer) prepare() {
+	d.clients = map[netip.AddrPort]lentilcontrolpbconnect.ControlServiceClient{}
+	protocols := &http.Protocols{}
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
+	d.http = &http.Client{Transport: &http.Transport{
+		Protocols:           protocols,
+		TLSClientConfig:     d.TLS.Clone(),
+		TLSHandshakeTimeout: dialTimeout,
+		DialContext:         d.dial,
+		IdleConnTimeout:     idleTimeout,
+	}}
+}
+
+func (d *Dialer) dial(ctx context.Context, network, address string) (connection net.Conn, err error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	connection, err = dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{Conn: connection, bytes: &d.bytes}, nil
+}
+
+// Bytes returns how many bytes have passed in both directions, TLS included and
+// TCP excluded.
+func (d *Dialer) Bytes() uint64 { return d.bytes.Load() }
+
+// Close closes the idle connections.
+func (d *Dialer) Close() {
+	d.once.Do(d.prepare)
+	d.http.CloseIdleConnections()
+}
--- a/internal/lentilcontrol/node.go
+++ b/internal/lentilcontrol/node.go
@@ -234,11 +234,15 @@
 
 // jitter returns a time between three quarters and five quarters of d.
 func (n *Node) jitter(d time.Duration) time.Duration {
-	half := int64(d / 2)
+	return d*3/4 + time.Duration(n.draw(int(d/2)))
+}
+
+// draw returns a random number below bound.
+func (n *Node) draw(bound int) int {
 	if n.Random == nil {
-		return d*3/4 + time.Duration(rand.Int64N(half))
+		return rand.IntN(bound)
 	}
-	return d*3/4 + time.Duration(n.Random.Int64N(half))
+	return n.Random.IntN(bound)
 }
 
 func orDefault(d, standard time.Duration) time.Duration {
--- /dev/null
+++ b/internal/lentilcontrol/part.go
@@ -0,0 +1,125 @@
+package lentilcontrol
+
+import (
+	"encoding/json"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/joomcode/errorx"
+
+	"lentilstair.example/lentilstair/pkg/lentilconfig"
+	"lentilstair.example/lentilstair/pkg/lentilid"
+)
+
+// part is what the agents of one service need of a configuration: the service,
+// its copies and the failure domains.
+type part struct {
+	// digest names the content, whatever the version.
+	digest uint64
+	// body is the deflated JSON form.
+	body []byte
+	// copies is how many copies the service has.
+	copies int
+}
+
+// partCache keeps the parts of the configuration in force.
+type partCache struct {
+	version uint64
+	parts   map[lentilid.Service]part
+}
+
+// get returns the part for a service, made at its first use in each version.
+func (c *partCache) get(configuration lentilconfig.Configuration, service lentilid.Service) (p part, err error) {
+	if c.version != configuration.Version() || c.parts == nil {
+		c.version = configuration.Version()
+		c.parts = map[lentilid.Service]part{}
+	}
+	p, ok := c.parts[service]
+	if ok {
+		return p, nil
+	}
+	p, err = newPart(partOf(configuration.Document(), service))
+	if err != nil {
+		return part{}, err
+	}
+	c.parts[service] = p
+	return p, nil
+}
+
+// copies returns how many copies a service has.
+func (c *partCache) copies(configuration lentilconfig.Configuration, service lentilid.Service) int {
+	p, err := c.get(configuration, service)
+	if err != nil {
+		return 0
+	}
+	return p.copies
+}
+
+func newPart(document lentilconfig.Document) (p part, err error) {
+	defer func() {
+		if err != nil {
+			err = errorx.Decorate(err, "make part of configuration")
+		}
+	}()
+	body, err := json.Marshal(document)
+	if err != nil {
+		return part{}, err
+	}
+	p.body, err = deflate(body)
+	if err != nil {
+		return part{}, err
+	}
+	p.copies = len(document.Copies)
+	p.digest, err = contentDigest(document)
+	return p, err
+}
+
+// contentDigest hashes a document without what changes in every version.
+func contentDigest(document lentilconfig.Document) (digest uint64, err error) {
+	document.Version = 0
+	document.NoteID = ""
+	body, err := json.Marshal(document)
+	if err != nil {
+		return 0, err
+	}
+	return xxhash.Sum64(body), nil
+}
+
+func partOf(document lentilconfig.Document, service lentilid.Service) (own lentilconfig.Document) {
+	own.Version = document.Version
+	own.NoteID = document.NoteID
+	own.Domains = document.Domains
+	for _, doc := range document.Services {
+		if doc.Number == service {
+			own.Services = append(own.Services, doc)
+		}
+	}
+	for _, doc := range document.Copies {
+		if len(own.Services) > 0 && doc.Service == own.Services[0].Name {
+			own.Copies = append(own.Copies, doc)
+		}
+	}
+	return own
+}
+
+// openPart returns the configuration and the digest of a part's body.
+func openPart(body []byte) (configuration lentilconfig.Configuration, digest uint64, err error) {
+	defer func() {
+		if err != nil {
+			err = errorx.Decorate(err, "open part of configuration")
+		}
+	}()
+	body, err = inflate(body)
+	if err != nil {
+		return lentilconfig.Configuration{}, 0, err
+	}
+	var document lentilconfig.Document
+	if err = json.Unmarshal(body, &document); err != nil {
+		return lentilconfig.Configuration{}, 0, err
+	}
+	configuration, err = lentilconfig.New(document)
+	if err != nil {
+		return lentilconfig.Configuration{}, 0, err
+	}
+	digest, err = contentDigest(document)
+	return configuration, digest, err
+}
--- a/internal/lentilcontrol/pull.go
+++ b/internal/lentilcontrol/pull.go
@@ -76,17 +76,36 @@
 	if n.pull.assembly != nil {
 		return n.pullShards()
 	}
+	ahead := n.ahead()
+	if len(ahead) == 0 {
+		return nil
+	}
+	n.pull.from = ahead[n.draw(len(ahead))].control
+	return n.fetch(&lentilcontrolpb.FetchConfigurationRequest{
+		HaveVersion: n.configuration.Version(),
+		HaveDigest:  n.have(),
+	})
+}
+
+// ahead returns the peers that hold a newer configuration, those of the own
+// region alone if there are any.
+func (n *Node) ahead() (near []*peer) {
+	var far []*peer
 	for _, run := range slices.Sorted(maps.Keys(n.peers)) {
 		p := n.peers[run]
-		if p.configuration > n.configuration.Version() && p.backoff.Failures() == 0 {
-			n.pull.from = p.control
-			return n.fetch(&lentilcontrolpb.FetchConfigurationRequest{
-				HaveVersion: n.configuration.Version(),
-				HaveDigest:  n.have(),
-			})
+		if p.configuration <= n.configuration.Version() || p.backoff.Failures() > 0 {
+			continue
+		}
+		if p.region == n.Self.Region {
+			near = append(near, p)
+		} else {
+			far = append(far, p)
 		}
 	}
-	return nil
+	if len(near) == 0 {
+		return far
+	}
+	return near
 }
 
 // have returns the digest of what is held, or "" to ask for the whole.
@@ -118,16 +137,26 @@
 	version := n.configuration.Version()
 	err := n.take(call.Fetch, response)
 	n.moved(version)
-	if err == nil {
+	if err == nil && (n.configuration.Version() > version || n.pull.assembly != nil) {
 		n.pull.backoff.Reset()
 		return
 	}
+	n.doubt(call.To, response.GetVersion())
 	n.pull.assembly = nil
 	n.pull.whole = true
 	n.pull.backoff.Random = n.Random
 	n.pull.due = n.now().Add(n.pull.backoff.Next())
 }
 
+// doubt lowers what a peer is thought to hold to what it has shown.
+func (n *Node) doubt(control netip.AddrPort, version uint64) {
+	for _, p := range n.peers {
+		if p.control == control {
+			p.configuration = version
+		}
+	}
+}
+
 func (n *Node) take(request *lentilcontrolpb.FetchConfigurationRequest, response *lentilcontrolpb.FetchConfigurationResponse) (err error) {
 	switch {
 	case response == nil:
--- a/pkg/lentilmember/query.go
+++ b/pkg/lentilmember/query.go
@@ -104,7 +104,7 @@
 	rest := t.pick("", uint64(self.Run), regionNeighbours-len(near), func(d Doc) bool {
 		return d.Region == self.Region && d.Run != self.Run && !contains(near, d.Run)
 	})
-	neighbours = append(near, rest...)
+	neighbours = slices.Concat(near, rest)
 	for _, region := range t.regions() {
 		if region != self.Region {
 			neighbours = append(neighbours, t.bridge(self, region)...)
