--- a/pkg/lentiladmit/admit.go
+++ b/pkg/lentiladmit/admit.go
@@ -205,7 +205,8 @@
 // Queued returns how many requests wait.
 func (a *Admitter) Queued() int { return len(a.queue) }
 
-// Load returns the work at the copy, smoothed over the last seconds, in hundredths of a slot.
+// Load returns the work at the copy, smoothed over the last seconds, in hundredths of a slot. It
+// is the load to announce.
 func (a *Admitter) Load() uint16 { return a.Limiter.Load() }
 
 // Pressing returns what the copy works on and what waits for it at this moment, in
--- a/pkg/lentiladmit/queue.go
+++ b/pkg/lentiladmit/queue.go
@@ -12,11 +12,14 @@
 const askEvery = 20 * time.Millisecond
 
 // wait puts a request into the queue. Each caller's requests take turns one round apart,
-// so that a caller with many of them doesn't hold up the others.
+// so that a caller with many of them doesn't hold up the others. A request that comes back
+// from a peer takes its old turn.
 func (a *Admitter) wait(r *request) {
 	r.stage = waiting
 	r.taken = true
-	r.turn = a.nextTurn(r)
+	if r.turn == 0 {
+		r.turn = a.nextTurn(r)
+	}
 	at, _ := slices.BinarySearchFunc(a.queue, r.turn+1, func(q *request, turn int) int { return q.turn - turn })
 	a.queue = slices.Insert(a.queue, at, r)
 }
@@ -38,6 +41,9 @@
 
 // full reports whether the queue has no place for a request that could be served in time.
 func (a *Admitter) full(r *request) bool {
+	if r.turn > 0 {
+		return false
+	}
 	if len(a.queue) >= a.maxQueue() {
 		return true
 	}
@@ -47,7 +53,7 @@
 			ahead++
 		}
 	}
-	return a.late(r, a.waitBehind(ahead))
+	return a.late(r, caution*a.waitBehind(ahead))
 }
 
 // waitBehind returns the expected wait of a request with so many others ahead of it in the
@@ -58,6 +64,10 @@
 	return time.Duration(float64(ahead+1) * perSlot / bears * float64(time.Second))
 }
 
+// caution is by how much the wait may be longer than expected and a request that is let into
+// the queue still finishes in time.
+const caution = 2
+
 // leastBears keeps the expected wait finite, in slots.
 const leastBears = 0.01
 
@@ -90,7 +100,7 @@
 	for _, r := range a.queue {
 		switch {
 		case now.Sub(r.askedAt) >= askEvery && a.relay(r):
-		case a.late(r, a.waitBehind(len(kept))) && a.late(r, a.leastWait(len(kept))):
+		case a.late(r, a.waitBehind(len(kept))):
 			a.refuse(r, ReasonDeadline)
 		default:
 			kept = append(kept, r)
@@ -99,10 +109,6 @@
 	a.queue = kept
 }
 
-// leastWait is half the expected wait: what waits already is given up only when it is
-// far off, since an estimate that sways would otherwise refuse work that could finish.
-func (a *Admitter) leastWait(ahead int) time.Duration { return a.waitBehind(ahead) / 2 }
-
 // retryAfter returns when a refused caller may come back. Callers refused one after another
 // are given times one after another, as far apart as the copy serves them, so that
 // they do not come back together.
--- a/pkg/lentiladmit/state.go
+++ b/pkg/lentiladmit/state.go
@@ -46,6 +46,7 @@
 	actions  []Action
 }
 
+// begin makes the zero Admitter ready.
 func (a *Admitter) begin() {
 	if a.requests != nil {
 		return
@@ -81,7 +82,7 @@
 		a.refuse(r, ReasonDeadline)
 	case len(a.queue) == 0 && a.Limiter.Free():
 		a.dispatch(r)
-	case a.full(r):
+	case a.full(r), r.arrival.Relayed && a.Limiter.Bears() < lentillimit.Slot:
 		a.refuse(r, ReasonQueueFull)
 	default:
 		a.wait(r)
@@ -99,10 +100,11 @@
 }
 
 // retry decides anew about a request that may have run, if it may be repeated and the
-// budget allows.
+// budget allows. A relayed one is left to the agent that it came from, so that two
+// budgets do not multiply.
 func (a *Admitter) retry(r *request) {
 	remaining := r.arrival.Deadline.Sub(a.now())
-	if !r.silent && !r.aborted && a.Retries.Allows(r.arrival.Kind, r.attempts, remaining, a.Limiter.Expected()) {
+	if !r.silent && !r.aborted && !r.arrival.Relayed && a.Retries.Allows(r.arrival.Kind, r.attempts, remaining, a.Limiter.Expected()) {
 		a.Retries.Spend()
 		a.decide(r)
 		return
--- a/pkg/lentilhandoff/peers.go
+++ b/pkg/lentilhandoff/peers.go
@@ -11,7 +11,10 @@
 const (
 	// settle is how long own hand-offs count on top of what is known of a peer, as a time
 	// constant in seconds: about as long as a peer's load takes to show them.
-	settle = 2.0
+	settle = 1.0
+	// fade is how long what a peer said of the requests that wait there counts, as a time
+	// constant in seconds.
+	fade = 2.0
 	// rest is how long a peer that had no room is not asked for requests.
 	rest = 50 * time.Millisecond
 	// packetCost is what a handed-off first packet is taken to bring, in hundredths of a slot.
@@ -26,6 +29,7 @@
 	busy    float64 // smoothed, in hundredths of a slot
 	bears   float64 // in hundredths of a slot
 	pending float64 // own hand-offs that may not show in busy yet
+	waiting float64 // what the peer said that it had beyond busy, fading
 	at      time.Time
 	seen    time.Time
 	resting time.Time // until when no request is passed there
@@ -33,7 +37,9 @@
 
 // peers is the state of a Chooser.
 type peers struct {
-	known []*peer // at most one for each copy, in the order in which they were learned
+	known     []*peer // at most one for each copy, in the order in which they were learned
+	shedShare float64 // of the requests that is passed on while the copy has room
+	shedAt    time.Time
 }
 
 func (c *Chooser) find(owner lentilrecord.Owner) *peer {
@@ -70,8 +76,10 @@
 
 func (c *Chooser) observe(owner lentilrecord.Owner, load Load) {
 	if p := c.find(owner); p != nil {
+		c.decay(p)
 		p.busy, p.bears = float64(load.Busy), float64(load.Bears)
-		p.seen = c.now()
+		p.waiting = max(0, float64(load.Now)-float64(load.Busy))
+		p.seen = p.at
 	}
 }
 
@@ -93,6 +101,7 @@
 	now := c.now()
 	if seconds := now.Sub(p.at).Seconds(); seconds > 0 {
 		p.pending *= math.Exp(-seconds / settle)
+		p.waiting *= math.Exp(-seconds / fade)
 		p.at = now
 	}
 }
--- a/pkg/lentillimit/limit.go
+++ b/pkg/lentillimit/limit.go
@@ -94,3 +94,6 @@
 
 // Expected returns how long a request is expected to take at the copy now.
 func (l *Limiter) Expected() time.Duration { return l.expected() }
+
+// Falls returns how often the copy was taken as cold after it had started.
+func (l *Limiter) Falls() int { return l.allFalls }
--- a/pkg/lentillimit/machine.go
+++ b/pkg/lentillimit/machine.go
@@ -8,12 +8,12 @@
 
 const (
 	// smoothing is the time constant of Load, in seconds.
-	smoothing = 2.0
+	smoothing = 4.0
 	// slack is the deviation, in standard deviations, that counts as usual; alarm is the sum
 	// of what goes beyond it at which the copy is taken as cold. Together they let pure
 	// chance raise an alarm about once in exp(2*slack*alarm) requests.
 	slack = 0.75
-	alarm = 8.0
+	alarm = 10.0
 	// leastDeviation and mostDeviation bound what one request can add to the sum.
 	leastDeviation = -2.0
 	mostDeviation  = 3.0
@@ -25,6 +25,8 @@
 	unknownHang    = 2.0
 	// maxFalls bounds how often the time to warm up doubles after repeated falls.
 	maxFalls = 3
+	// fallFactor is the growth over the start from which a fall counts as a failed try.
+	fallFactor = 2.0
 	// idleAfter is for how long, in seconds, a copy may give no normal completion
 	// before it is trusted with one request at a time only.
 	idleAfter = 10.0
@@ -38,6 +40,9 @@
 	// grow, and leastEvidence is the least such time in seconds.
 	evidence      = 4.0
 	leastEvidence = 1.0
+	// rest is for how long a copy that has fallen gets nothing, so that it recovers from
+	// what made it fall.
+	rest = time.Second
 	// weightSteps is in how many steps Weight rises.
 	weightSteps = 10
 )
@@ -63,6 +68,7 @@
 	fellAt    time.Time
 	fullAt    time.Time // when all slots were reached, zero below
 	falls     int
+	allFalls  int
 	announced float64
 }
 
@@ -135,11 +141,13 @@
 
 // fall takes the copy as cold.
 func (l *Limiter) fall() {
-	if l.fullAt.IsZero() && !l.fellAt.IsZero() {
-		l.falls = min(l.falls+1, maxFalls)
-	} else {
+	switch {
+	case !l.fullAt.IsZero():
 		l.falls = 0
+	case l.level > fallFactor*l.start():
+		l.falls = min(l.falls+1, maxFalls)
 	}
+	l.allFalls++
 	l.level = l.start()
 	l.resume, l.suspicion = 0, 0
 	l.fullAt, l.normalAt = time.Time{}, time.Time{}
@@ -252,11 +260,15 @@
 // free reports whether one more request fits below the level, or, for the last part of a
 // slot, whether the work beyond the level has been made up for.
 func (l *Limiter) free() bool {
+	now := l.now()
 	inFlight := float64(len(l.flights))
+	if l.resting(now) {
+		return false
+	}
 	if inFlight+1 <= l.current() {
 		return true
 	}
-	return inFlight < l.current() && l.debtAt(l.now()) <= 0
+	return inFlight < l.current() && l.debtAt(now) <= 0
 }
 
 // debtAt returns the debt at a time after the last event.
@@ -275,8 +287,17 @@
 	if inFlight >= l.current() {
 		return time.Time{}
 	}
-	wait := l.debt / (l.level - inFlight)
-	return l.at.Add(time.Duration(math.Ceil(wait * float64(time.Second))))
+	wait := l.debt / (l.current() - inFlight)
+	at := l.at.Add(time.Duration(math.Ceil(wait * float64(time.Second))))
+	if rested := l.fellAt.Add(rest); l.resting(at) {
+		return rested
+	}
+	return at
+}
+
+// resting reports whether the copy still recovers from a fall at that time.
+func (l *Limiter) resting(now time.Time) bool {
+	return !l.fellAt.IsZero() && now.Before(l.fellAt.Add(rest))
 }
 
 func (l *Limiter) cold() bool { return max(l.current(), l.resume) < float64(l.slots()) }
--- a/pkg/lentillimit/times.go
+++ b/pkg/lentillimit/times.go
@@ -18,10 +18,10 @@
 const (
 	// memory is over how many requests a mean is taken.
 	memory = 100
-	// fewTimes is below how many requests the spread is not yet trusted.
+	// fewTimes is below how many requests no deviation is judged.
 	fewTimes = 8
-	// minSpread and earlySpread are the least standard deviations of the logarithm, of a
-	// known and of a new copy.
+	// minSpread is the least standard deviation of the logarithm, and earlySpread that after
+	// fewTimes requests, when the measured one is not yet trusted.
 	minSpread   = 0.15
 	earlySpread = 0.7
 	// defaultExpected is the duration of a request of which nothing is known, in seconds.
@@ -41,9 +41,8 @@
 	t.mean += share * (seconds - t.mean)
 }
 
-// doubt makes what was learned weigh as little as one request, so that a copy that
-// has changed is learned anew.
-func (t *times) doubt() { t.count = min(t.count, 1) }
+// doubt makes what was learned weigh little, so that a copy that has changed is learned anew.
+func (t *times) doubt() { t.count = min(t.count, fewTimes/2) }
 
 // hint fills in what peers have learned, if nothing is known.
 func (t *times) hint(typical time.Duration) {
@@ -54,16 +53,13 @@
 }
 
 func (t *times) spread() float64 {
-	least := minSpread
-	if t.count < fewTimes {
-		least = earlySpread
-	}
-	return max(math.Sqrt(t.variance), least)
+	early := earlySpread * math.Sqrt(fewTimes/float64(max(t.count, 1)))
+	return max(math.Sqrt(t.variance), min(early, earlySpread), minSpread)
 }
 
 // deviation returns how many standard deviations d lies over the usual.
 func (t *times) deviation(d time.Duration) float64 {
-	if t.count == 0 {
+	if t.count < fewTimes {
 		return 0
 	}
 	return (math.Log(max(d.Seconds(), shortest)) - t.center) / t.spread()
