--- a/pkg/lentilconfig/check.go
+++ b/pkg/lentilconfig/check.go
@@ -200,5 +200,13 @@
 }
 
 func validAddress(address netip.AddrPort) bool {
-	return address.IsValid() && address.Port() != 0 && !address.Addr().IsMulticast()
+	return address.IsValid() && address.Port() != 0 && !address.Addr().IsMulticast() && !address.Addr().IsUnspecified()
+}
+
+// Faults returns the faults of the service as entry i of a list, apart from those
+// that show only beside other entries.
+func (d ServiceDoc) Faults(list string, i int) []Fault {
+	c := &checker{}
+	entryChecker{checker: c, list: list, i: i}.service(d)
+	return c.faults
 }
--- a/pkg/lentilconfig/delta.go
+++ b/pkg/lentilconfig/delta.go
@@ -209,3 +209,9 @@
 		d.Connections == other.Connections &&
 		slices.Equal(d.Rules, other.Rules)
 }
+
+// Compare returns what differs between two documents, without digests. Such a
+// delta is for reading only; no document takes it.
+func Compare(from, to Document) DeltaDoc {
+	return deltaOf(from.Canonical(), to.Canonical(), "", "")
+}
