--- a/pkg/lentilroute/assign.go
+++ b/pkg/lentilroute/assign.go
@@ -41,6 +41,7 @@
 type assignment struct {
 	members []Member
 	seeds   []uint64
+	weights []float64
 	quotas  []int
 	held    []claims
 	owners  []uint16
@@ -79,6 +80,7 @@
 	a := &assignment{
 		members: members,
 		seeds:   seeds(members),
+		weights: weights(members),
 		quotas:  quotas(members, count),
 		held:    make([]claims, len(members)),
 		owners:  make([]uint16, count),
@@ -116,7 +118,12 @@
 func (a *assignment) best(refused claim) (next claim) {
 	next = claim{score: math.Inf(1), bucket: refused.bucket}
 	for i := range a.members {
-		c := claim{score: a.score(i, refused.bucket), bucket: refused.bucket, index: int32(i)}
+		u := a.uniform(i, refused.bucket)
+		if 1-u > next.score*a.weights[i] {
+			// The logarithm is dear, and -log(u) is never less than 1-u.
+			continue
+		}
+		c := claim{score: -math.Log(u) / a.weights[i], bucket: refused.bucket, index: int32(i)}
 		if refused.before(c) && c.before(next) {
 			next = c
 		}
@@ -129,13 +136,13 @@
 	return c.score < other.score || c.score == other.score && c.index < other.index
 }
 
-// score returns how much a bucket and a member like each other; less is better.
-// It is exponentially distributed with the member's weight as its rate, so that a
-// member has the best score for a share of the buckets that fits its weight.
-func (a *assignment) score(index int, bucket uint32) float64 {
+// uniform returns a number between 0 and 1 for a member and a bucket. The score
+// -log(uniform)/weight is exponentially distributed with the weight as its rate, so
+// that a member has the best score for a share of the buckets that fits its weight.
+func (a *assignment) uniform(index int, bucket uint32) float64 {
 	const mantissa = 53
-	uniform := (float64(mix(a.seeds[index]^uint64(bucket)<<1)>>(64-mantissa)) + 0.5) / (1 << mantissa)
-	return -math.Log(uniform) / float64(a.members[index].Weight)
+	bits := mix(a.seeds[index]^uint64(bucket)<<1) >> (64 - mantissa)
+	return (float64(bits) + 0.5) / (1 << mantissa)
 }
 
 // mix spreads every bit of x over the result.
@@ -157,6 +164,14 @@
 	return seeds
 }
 
+// weights returns the weights as floating-point numbers.
+func weights(members []Member) (weights []float64) {
+	for _, m := range members {
+		weights = append(weights, float64(m.Weight))
+	}
+	return weights
+}
+
 // quotas shares count out by weight; the largest remainders get what is left.
 func quotas(members []Member, count int) (quotas []int) {
 	var total uint64
