--- /dev/null
+++ b/internal/lentilagent/agent.go
@@ -0,0 +1,222 @@
+// Package lentilagent is the shell of an agent: it stands beside one copy, ends
+// the callers' HTTP/3 connections that live there, and passes requests to the copy
+// over HTTP on the same machine.
+//
+// The decisions are made elsewhere: lentilpin says which packets are local, and one
+// actor, the decider, owns admission, hand-off, tickets and retries. Handlers send it
+// typed messages and carry out its orders.
+package lentilagent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/joomcode/errorx"
+	"github.com/quic-go/quic-go"
+
+	"lentilstair.example/lentilstair/internal/lentilkey"
+	"lentilstair.example/lentilstair/internal/lentiltunnel"
+	"lentilstair.example/lentilstair/pkg/lentilclock"
+	"lentilstair.example/lentilstair/pkg/lentilconfig"
+	"lentilstair.example/lentilstair/pkg/lentilid"
+	"lentilstair.example/lentilstair/pkg/lentilrecord"
+	"lentilstair.example/lentilstair/pkg/lentilticket"
+)
+
+// DefaultDrainLimit is how long a planned stop waits for open streams.
+const DefaultDrainLimit = 10 * time.Minute
+
+// Options say where and how an agent works.
+type Options struct {
+	// Copy is the copy's name in configuration.
+	Copy    string
+	Service lentilid.Service
+	Domain  lentilid.Domain
+	// Incarnation tells this run of the agent from all others; it is never zero.
+	Incarnation lentilid.Incarnation
+	// Tunnel is the address (UDP, IPv4) for packets of flows. Control is the
+	// address (TCP) for relayed requests and calls.
+	Tunnel, Control netip.AddrPort
+	// Upstream is the address of the copy, such as http://127.0.0.1:8080.
+	Upstream *url.URL
+	// CertificateFile and KeyFile hold what callers see, in PEM.
+	CertificateFile, KeyFile string
+	// Ring authenticates tunnel packets, peers, tickets and places.
+	Ring lentilkey.Ring
+	// DrainLimit is how long a planned stop waits for open streams.
+	DrainLimit time.Duration
+	Clock      lentilclock.Clock
+	// Random returns evenly spread numbers in [0, 1).
+	Random func() float64
+	// Announce spreads what the agent says of its copy; nil spreads nothing.
+	Announce func(lentilrecord.Doc)
+	// Calls serves what comes to the control address beside relayed requests.
+	Calls http.Handler
+}
+
+// Agent is a running agent.
+type Agent struct {
+	options  Options
+	upstream string
+	tickets  lentilticket.Ring
+	callers  certificate
+
+	tunnel  *net.UDPConn
+	codec   *lentiltunnel.Codec
+	flows   *flowConn
+	ways    ways
+	quic    *quic.Transport
+	web     *web
+	control *http.Server
+
+	system  *actor.ActorSystem
+	decider *actor.PID
+	shown   atomic.Pointer[figures]
+	service atomic.Pointer[lentilconfig.Service]
+	domain  atomic.Bool // whether the own failure domain is out
+	ids     atomic.Uint64
+	open    atomic.Int64 // handlers and runs in progress
+	tally   tally
+
+	pool, single, peers *http.Transport
+
+	announcer announcer
+	stop      context.CancelFunc
+	workers   sync.WaitGroup
+}
+
+// New opens the sockets of an agent and begins to serve.
+func New(options Options) (agent *Agent, err error) {
+	defer func() {
+		if err != nil {
+			err = errorx.Decorate(err, "start agent")
+		}
+	}()
+	a := &Agent{options: options.withDefaults(), upstream: "http://" + options.Upstream.Host}
+	a.ways.clock = a.options.Clock
+	a.callers = certificate{certificateFile: options.CertificateFile, keyFile: options.KeyFile}
+	if err = a.callers.load(); err != nil {
+		return nil, err
+	}
+	if err = a.openSockets(); err != nil {
+		return nil, err
+	}
+	if err = a.startServers(); err != nil {
+		a.Close()
+		return nil, err
+	}
+	return a, nil
+}
+
+// withDefaults fills what is not set.
+func (o Options) withDefaults() Options {
+	if o.DrainLimit <= 0 {
+		o.DrainLimit = DefaultDrainLimit
+	}
+	if o.Clock == nil {
+		o.Clock = lentilclock.System{}
+	}
+	if o.Announce == nil {
+		o.Announce = func(lentilrecord.Doc) {}
+	}
+	if o.Calls == nil {
+		o.Calls = http.NotFoundHandler()
+	}
+	return o
+}
+
+// openSockets binds the tunnel's socket and derives the keys.
+func (a *Agent) openSockets() (err error) {
+	if a.codec, err = lentiltunnel.New(a.options.Ring); err != nil {
+		return err
+	}
+	keys, err := a.options.Ring.Derive(lentilkey.Ticket, ticketKeyBytes)
+	if err != nil {
+		return err
+	}
+	for _, k := range keys {
+		a.tickets = append(a.tickets, lentilticket.Key{ID: k.ID(), Secret: k.Bytes()})
+	}
+	a.tunnel, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(a.options.Tunnel))
+	if err != nil {
+		return err
+	}
+	_ = a.tunnel.SetReadBuffer(socketBytes)
+	_ = a.tunnel.SetWriteBuffer(socketBytes)
+	a.options.Tunnel = a.tunnel.LocalAddr().(*net.UDPAddr).AddrPort()
+	a.flows = newFlowConn(a.tunnel.LocalAddr(), a.answer)
+	return nil
+}
+
+// startServers starts the actor and everything that serves.
+func (a *Agent) startServers() (err error) {
+	listener, err := a.listenControl()
+	if err != nil {
+		return err
+	}
+	a.system = actor.NewActorSystem()
+	d := newDecider(&a.options, &a.shown)
+	a.decider = a.system.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return d }))
+	a.pool, a.single = newPool(), newSingle()
+	if err = a.startWeb(); err != nil {
+		_ = listener.Close()
+		return err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	a.stop = stop
+	a.workers.Go(func() { _ = a.control.Serve(listener) })
+	for range tunnelReaders {
+		a.workers.Go(a.receive)
+	}
+	a.workers.Go(func() { a.keepTime(ctx) })
+	return nil
+}
+
+// tell sends a message to the decider.
+func (a *Agent) tell(message any) { a.system.Root.Send(a.decider, message) }
+
+// TunnelAddress returns the address for packets of flows.
+func (a *Agent) TunnelAddress() netip.AddrPort { return a.options.Tunnel }
+
+// ControlAddress returns the address for relayed requests and calls.
+func (a *Agent) ControlAddress() netip.AddrPort { return a.options.Control }
+
+// Idle reports whether nothing is in progress.
+func (a *Agent) Idle() bool { return a.open.Load() == 0 && a.shown.Load().idle }
+
+// Configure puts a configuration in force.
+func (a *Agent) Configure(configuration lentilconfig.Configuration) {
+	service := configuration.Service(a.options.Service)
+	if service == nil {
+		return
+	}
+	a.tell(configured{
+		slots:       service.Slots(),
+		connections: service.Connections(),
+		out:         func(number uint8) bool { return isOut(configuration, lentilid.Domain(number)) },
+	})
+	a.service.Store(service)
+	a.setOut(isOut(configuration, a.options.Domain))
+	if c := configuration.Copy(a.options.Copy); c != nil {
+		a.setDraining(c.Draining())
+	}
+}
+
+// isOut reports whether operators have taken a failure domain out.
+func isOut(configuration lentilconfig.Configuration, number lentilid.Domain) bool {
+	domain := configuration.Domain(number)
+	return domain != nil && domain.Out()
+}
+
+// Peers puts the records of the other copies of the service in force.
+func (a *Agent) Peers(records []lentilrecord.Record) { a.tell(peered{records}) }
+
+// Balancers says which balancers are alive, by their tunnel addresses.
+func (a *Agent) Balancers(live []netip.AddrPort) { a.ways.setLive(live) }
--- /dev/null
+++ b/internal/lentilagent/conn.go
@@ -0,0 +1,132 @@
+package lentilagent
+
+import (
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"time"
+
+	"lentilstair.example/lentilstair/internal/lentiltunnel"
+)
+
+// queuePackets is how many packets wait for the QUIC transport; more are lost,
+// which QUIC takes for congestion, as it should.
+const queuePackets = 4096
+
+// datagram is a packet of a flow, taken out of the tunnel.
+type datagram struct {
+	payload []byte
+	caller  netip.AddrPort
+	pooled  *[lentiltunnel.MaxPayloadBytes]byte
+}
+
+// flowConn is the net.PacketConn of the QUIC transport: its peers' addresses
+// are those of callers, its packets travel in the tunnel.
+type flowConn struct {
+	local net.Addr
+	send  func(payload []byte, caller netip.AddrPort)
+
+	queue  chan datagram
+	pool   sync.Pool
+	closed chan struct{}
+	once   sync.Once
+
+	mu       sync.Mutex
+	deadline *time.Timer
+	expired  chan struct{}
+}
+
+// newFlowConn returns a connection that sends by the given function.
+func newFlowConn(local net.Addr, send func(payload []byte, caller netip.AddrPort)) (conn *flowConn) {
+	return &flowConn{
+		local:   local,
+		send:    send,
+		queue:   make(chan datagram, queuePackets),
+		pool:    sync.Pool{New: func() any { return new([lentiltunnel.MaxPayloadBytes]byte) }},
+		closed:  make(chan struct{}),
+		expired: make(chan struct{}),
+	}
+}
+
+// deliver hands a packet to the reader; it copies the payload. ok is false if
+// the queue is full.
+func (c *flowConn) deliver(payload []byte, caller netip.AddrPort) (ok bool) {
+	pooled := c.pool.Get().(*[lentiltunnel.MaxPayloadBytes]byte)
+	d := datagram{payload: pooled[:copy(pooled[:], payload)], caller: caller, pooled: pooled}
+	select {
+	case c.queue <- d:
+		return true
+	default:
+		c.pool.Put(pooled)
+		return false
+	}
+}
+
+// ReadFrom implements net.PacketConn.
+func (c *flowConn) ReadFrom(buffer []byte) (length int, from net.Addr, err error) {
+	c.mu.Lock()
+	expired := c.expired
+	c.mu.Unlock()
+	select {
+	case d := <-c.queue:
+		length = copy(buffer, d.payload)
+		c.pool.Put(d.pooled)
+		return length, net.UDPAddrFromAddrPort(d.caller), nil
+	case <-c.closed:
+		return 0, nil, net.ErrClosed
+	case <-expired:
+		return 0, nil, os.ErrDeadlineExceeded
+	}
+}
+
+// WriteTo implements net.PacketConn. Like UDP it may lose the packet.
+func (c *flowConn) WriteTo(payload []byte, to net.Addr) (length int, err error) {
+	select {
+	case <-c.closed:
+		return 0, net.ErrClosed
+	default:
+	}
+	if caller, ok := to.(*net.UDPAddr); ok {
+		address := caller.AddrPort()
+		c.send(payload, netip.AddrPortFrom(address.Addr().Unmap(), address.Port()))
+	}
+	return len(payload), nil
+}
+
+// Close implements net.PacketConn.
+func (c *flowConn) Close() (err error) {
+	c.once.Do(func() { close(c.closed) })
+	return nil
+}
+
+// LocalAddr implements net.PacketConn.
+func (c *flowConn) LocalAddr() (address net.Addr) { return c.local }
+
+// SetDeadline implements net.PacketConn.
+func (c *flowConn) SetDeadline(t time.Time) (err error) { return c.SetReadDeadline(t) }
+
+// SetWriteDeadline implements net.PacketConn; writing never waits.
+func (c *flowConn) SetWriteDeadline(time.Time) (err error) { return nil }
+
+// SetReadDeadline implements net.PacketConn. A read that waits already ends at
+// the deadline that was set when it began or at a later call with a past one.
+func (c *flowConn) SetReadDeadline(t time.Time) (err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.deadline != nil {
+		c.deadline.Stop()
+		c.deadline = nil
+	}
+	select {
+	case <-c.expired:
+		c.expired = make(chan struct{})
+	default:
+	}
+	if t.IsZero() {
+		return nil
+	}
+	expired := c.expired
+	c.deadline = time.AfterFunc(time.Until(t), func() { close(expired) })
+	return nil
+}
--- /dev/null
+++ b/internal/lentilagent/message.go
@@ -0,0 +1,169 @@
+package lentilagent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"lentilstair.example/lentilstair/pkg/lentiladmit"
+	"lentilstair.example/lentilstair/pkg/lentilconfig"
+	"lentilstair.example/lentilstair/pkg/lentilhandoff"
+	"lentilstair.example/lentilstair/pkg/lentillimit"
+	"lentilstair.example/lentilstair/pkg/lentilrecord"
+	"lentilstair.example/lentilstair/pkg/lentilticket"
+)
+
+//go:generate stringer -type=order -trimprefix=order
+
+// order is what the decider tells a handler to do.
+type order uint8
+
+const (
+	// orderRun means call the copy.
+	orderRun order = iota + 1
+	// orderRelay means pass the request to a peer.
+	orderRelay
+	// orderRefuse means answer that the request was not run.
+	orderRefuse
+	// orderUnknown means answer that the outcome is unknown.
+	orderUnknown
+	// orderReplay means answer with a stored answer.
+	orderReplay
+	// orderTicket means answer with a ticket.
+	orderTicket
+	// orderElsewhere means pass the request to the agent that the ticket names.
+	orderElsewhere
+	// orderMisused means answer that the ticket is not for this request.
+	orderMisused
+)
+
+// ending is what is known of a call under a ticket that has ended.
+type ending uint8
+
+const (
+	// endingLost calls may have been run and gave no whole answer.
+	endingLost ending = iota
+	// endingWhole calls gave a whole answer.
+	endingWhole
+	// endingNotBegun calls surely didn't reach the copy.
+	endingNotBegun
+)
+
+// reply is an order and what it needs.
+type reply struct {
+	order      order
+	peer       lentilrecord.Record
+	retryAfter time.Duration
+	reason     lentiladmit.Reason
+	answer     lentilticket.Answer
+	ticket     lentilticket.Ticket
+}
+
+// repliesPerExchange is more than the replies that one exchange ever gets.
+const repliesPerExchange = 8
+
+// exchange is one request in the hands of a handler. The decider answers on
+// replies and never waits for the handler.
+type exchange struct {
+	id       uint64
+	kind     lentilconfig.Kind
+	deadline time.Time
+	relayed  bool
+	// fixed requests can't be passed to a peer, since their body is read only once.
+	fixed   bool
+	replies chan reply
+
+	// Only the decider uses these.
+	ticket lentilticket.Ticket
+	run    bool
+
+	mu      sync.Mutex
+	abort   context.CancelFunc
+	aborted bool
+}
+
+// reply hands an order to the handler. A handler that has ended doesn't read; its
+// orders are dropped when the channel is full.
+func (x *exchange) reply(r reply) {
+	select {
+	case x.replies <- r:
+	default:
+	}
+}
+
+// onAbort sets what ends the call to the copy.
+func (x *exchange) onAbort(abort context.CancelFunc) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.abort = abort
+	if x.aborted {
+		abort()
+	}
+}
+
+// stop ends the call to the copy, also one that is about to begin.
+func (x *exchange) stop() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.aborted = true
+	if x.abort != nil {
+		x.abort()
+	}
+}
+
+// The messages to the decider.
+type (
+	// arrived is a new request that needs no ticket.
+	arrived struct{ exchange *exchange }
+	// ticketless is a new request that may not be repeated and brings no ticket.
+	ticketless struct{ exchange *exchange }
+	// presented is a new request with a ticket of this incarnation.
+	presented struct {
+		exchange    *exchange
+		ticket      lentilticket.Ticket
+		fingerprint lentilticket.Fingerprint
+	}
+	// finished tells how a call to the copy ended that needed no ticket.
+	finished struct {
+		exchange *exchange
+		outcome  lentillimit.Outcome
+	}
+	// settled tells how a call under a ticket ended.
+	settled struct {
+		exchange *exchange
+		outcome  lentillimit.Outcome
+		ending   ending
+		answer   lentilticket.Answer
+	}
+	// relayEnded tells how a relay to a peer ended, and the peer's load if it said so.
+	relayEnded struct {
+		exchange *exchange
+		peer     lentilrecord.Owner
+		result   lentiladmit.RelayResult
+		load     lentilhandoff.Load
+		told     bool
+	}
+	// cancelled tells that the caller has gone.
+	cancelled struct{ exchange *exchange }
+	// retry asks whether a failed request may be tried again as another exchange.
+	retry struct {
+		kind      lentilconfig.Kind
+		attempts  int
+		remaining time.Duration
+		allowed   chan bool
+	}
+	// tick lets time pass.
+	tick struct{}
+	// drain begins a planned stop.
+	drain struct{}
+	// configured puts a service's figures in force.
+	configured struct {
+		slots       int
+		connections int
+		out         func(domain uint8) bool
+	}
+	// peered puts the peers' records in force.
+	peered struct{ records []lentilrecord.Record }
+	// cold tells that the copy has to be taken for cold.
+	cold struct{}
+)
--- /dev/null
+++ b/internal/lentilagent/web.go
@@ -0,0 +1,186 @@
+package lentilagent
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"lentilstair.example/lentilstair/internal/lentilkey"
+)
+
+const (
+	// packetBytes is the size of QUIC packets, so that with the tunnel's headers
+	// they fit into 1500 bytes. Packets don't grow, since nothing here may be fragmented.
+	packetBytes = 1280
+	// idleTimeout ends flows whose caller has gone without a word.
+	idleTimeout = time.Minute
+	// keepAlive keeps the way to a silent caller open.
+	keepAlive = 15 * time.Second
+	// streamsPerCaller is how many requests a connection may have open at once.
+	streamsPerCaller = 1000
+	// ticketKeyBytes is the length of the keys for tickets.
+	ticketKeyBytes = 32
+	// readHeaderTimeout is how long a peer may take for its headers.
+	readHeaderTimeout = 5 * time.Second
+)
+
+// web is the HTTP/3 side of an agent.
+type web struct {
+	listener *quic.Listener
+
+	mu          sync.Mutex
+	server      *http3.Server
+	connections map[*quic.Conn]bool
+	closing     bool
+}
+
+// startWeb starts the QUIC transport on the virtual connection.
+func (a *Agent) startWeb() (err error) {
+	keys, err := a.options.Ring.Derive(lentilkey.Reset, len(quic.StatelessResetKey{}))
+	if err != nil {
+		return err
+	}
+	reset := quic.StatelessResetKey(keys[0].Bytes())
+	seal, err := a.sealPlaces()
+	if err != nil {
+		return err
+	}
+	a.quic = &quic.Transport{
+		Conn:                  a.flows,
+		ConnectionIDGenerator: placeIDs{seal: seal},
+		StatelessResetKey:     &reset,
+	}
+	config := http3.ConfigureTLSConfig(&tls.Config{MinVersion: tls.VersionTLS13, GetCertificate: a.callers.get})
+	listener, err := a.quic.Listen(config, &quic.Config{
+		MaxIdleTimeout:          idleTimeout,
+		KeepAlivePeriod:         keepAlive,
+		MaxIncomingStreams:      streamsPerCaller,
+		InitialPacketSize:       packetBytes,
+		DisablePathMTUDiscovery: true,
+		Allow0RTT:               false,
+	})
+	if err != nil {
+		return err
+	}
+	a.web = &web{listener: listener, server: a.newServer(), connections: make(map[*quic.Conn]bool)}
+	a.workers.Go(a.accept)
+	return nil
+}
+
+// newServer returns an HTTP/3 server that hasn't begun to drain.
+func (a *Agent) newServer() (server *http3.Server) { return &http3.Server{Handler: a} }
+
+// accept serves new connections until the listener is closed.
+func (a *Agent) accept() {
+	for {
+		conn, err := a.web.listener.Accept(context.Background())
+		if err != nil {
+			return
+		}
+		server, ok := a.web.add(conn)
+		if !ok {
+			_ = conn.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), "")
+			continue
+		}
+		go func() {
+			_ = server.ServeQUICConn(conn)
+			a.web.remove(conn)
+		}()
+	}
+}
+
+// add notes a new connection and returns the server for it.
+func (w *web) add(conn *quic.Conn) (server *http3.Server, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closing {
+		return nil, false
+	}
+	w.connections[conn] = true
+	return w.server, true
+}
+
+// remove forgets a connection that has ended.
+func (w *web) remove(conn *quic.Conn) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.connections, conn)
+}
+
+// swap puts another server in force and returns the old one.
+func (w *web) swap(next *http3.Server) (old *http3.Server) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	old, w.server = w.server, next
+	return old
+}
+
+// count returns how many connections are open.
+func (w *web) count() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.connections)
+}
+
+// closeAll ends every connection at once.
+func (w *web) closeAll() {
+	w.mu.Lock()
+	var open []*quic.Conn
+	for conn := range w.connections {
+		open = append(open, conn)
+	}
+	w.mu.Unlock()
+	for _, conn := range open {
+		_ = conn.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), "failure domain out")
+	}
+}
+
+// listenControl binds the control address and makes the server and the client
+// for relayed requests.
+func (a *Agent) listenControl() (listener net.Listener, err error) {
+	serverTLS, err := a.options.Ring.ServerTLS("h2", "http/1.1")
+	if err != nil {
+		return nil, err
+	}
+	clientTLS, err := a.options.Ring.ClientTLS("h2")
+	if err != nil {
+		return nil, err
+	}
+	a.peers = &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: relayDialTimeout}).DialContext,
+		TLSClientConfig:     clientTLS,
+		TLSHandshakeTimeout: relayDialTimeout,
+		ForceAttemptHTTP2:   true,
+		DisableCompression:  true,
+		IdleConnTimeout:     time.Minute,
+	}
+	plain, err := net.Listen("tcp", a.options.Control.String()) //nolint:noctx // binding an address doesn't wait
+	if err != nil {
+		return nil, err
+	}
+	a.options.Control = plain.Addr().(*net.TCPAddr).AddrPort()
+	a.options.Control = netip.AddrPortFrom(a.options.Control.Addr().Unmap(), a.options.Control.Port())
+	a.control = &http.Server{
+		Handler:           http.HandlerFunc(a.serveControl),
+		TLSConfig:         serverTLS,
+		ReadHeaderTimeout: readHeaderTimeout,
+	}
+	return tls.NewListener(plain, serverTLS), nil
+}
+
+// serveControl serves what comes to the control address.
+func (a *Agent) serveControl(w http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, relayPrefix+"/") {
+		a.serveRelayed(w, r)
+		return
+	}
+	a.options.Calls.ServeHTTP(w, r)
+}
