--- a/internal/lentilagent/agent.go
+++ b/internal/lentilagent/agent.go
@@ -68,13 +68,14 @@
 	tickets  lentilticket.Ring
 	callers  certificate
 
-	tunnel  *net.UDPConn
-	codec   *lentiltunnel.Codec
-	flows   *flowConn
-	ways    ways
-	quic    *quic.Transport
-	web     *web
-	control *http.Server
+	tunnel    *net.UDPConn
+	codec     *lentiltunnel.Codec
+	flows     *flowConn
+	flowsHere *flowKeeper
+	ways      ways
+	quic      *quic.Transport
+	web       *web
+	control   *http.Server
 
 	system  *actor.ActorSystem
 	decider *actor.PID
@@ -152,6 +153,11 @@
 	_ = a.tunnel.SetWriteBuffer(socketBytes)
 	a.options.Tunnel = a.tunnel.LocalAddr().(*net.UDPAddr).AddrPort()
 	a.flows = newFlowConn(a.tunnel.LocalAddr(), a.answer)
+	sealer, err := newSealer(a.options.Ring)
+	if err != nil {
+		return err
+	}
+	a.flowsHere = newFlowKeeper(a, sealer)
 	return nil
 }
 
@@ -191,8 +197,14 @@
 // Idle reports whether nothing is in progress.
 func (a *Agent) Idle() bool { return a.open.Load() == 0 && a.shown.Load().idle }
 
+// place returns where the agent's flows live.
+func (a *Agent) place() (place lentilid.Place) {
+	return lentilid.NewPlace(a.options.Tunnel, a.options.Domain, a.options.Service, a.options.Incarnation)
+}
+
 // Configure puts a configuration in force.
 func (a *Agent) Configure(configuration lentilconfig.Configuration) {
+	a.flowsHere.configure(configuration)
 	service := configuration.Service(a.options.Service)
 	if service == nil {
 		return
@@ -200,7 +212,7 @@
 	a.tell(configured{
 		slots:       service.Slots(),
 		connections: service.Connections(),
-		out:         func(number uint8) bool { return isOut(configuration, lentilid.Domain(number)) },
+		out:         func(domain lentilid.Domain) bool { return isOut(configuration, domain) },
 	})
 	a.service.Store(service)
 	a.setOut(isOut(configuration, a.options.Domain))
@@ -215,8 +227,12 @@
 	return domain != nil && domain.Out()
 }
 
-// Peers puts the records of the other copies of the service in force.
-func (a *Agent) Peers(records []lentilrecord.Record) { a.tell(peered{records}) }
+// Peers puts the records of the other agents of the service in force; agents
+// whose record is not among them are forgotten.
+func (a *Agent) Peers(records []lentilrecord.Record) {
+	a.tell(peered{records})
+	a.flowsHere.learn(records)
+}
 
 // Balancers says which balancers are alive, by their tunnel addresses.
 func (a *Agent) Balancers(live []netip.AddrPort) { a.ways.setLive(live) }
--- a/internal/lentilagent/announce.go
+++ b/internal/lentilagent/announce.go
@@ -34,14 +34,20 @@
 	}
 	next.Version++
 	a.announcer = announcer{last: next, at: now}
+	a.flowsHere.observe(lentilrecord.New(next))
 	a.options.Announce(next)
 }
 
+// owner returns what the agent's records belong to.
+func (a *Agent) owner() (owner lentilrecord.Owner) {
+	return lentilrecord.Owner{Copy: a.options.Copy, Incarnation: a.options.Incarnation}
+}
+
 // record returns the agent's record as it stands now, without a version.
 func (a *Agent) record() (doc lentilrecord.Doc) {
 	shown := a.shown.Load()
 	return lentilrecord.Doc{
-		Owner:   lentilrecord.Owner{Copy: a.options.Copy, Incarnation: a.options.Incarnation},
+		Owner:   a.owner(),
 		Service: a.options.Service,
 		Domain:  a.options.Domain,
 		Tunnel:  a.options.Tunnel,
--- a/internal/lentilagent/count.go
+++ b/internal/lentilagent/count.go
@@ -27,6 +27,10 @@
 	Misdirected
 	// Stale tunnel packets were for another incarnation.
 	Stale
+	// Refused packets belong to no flow here, and no flow may be opened by them.
+	Refused
+	// Noticed packets say where a flow lives.
+	Noticed
 	// DomainOut packets came while operators have taken the failure domain out.
 	DomainOut
 	// Oversized packets don't fit into the tunnel.
--- a/internal/lentilagent/counter_string.go
+++ b/internal/lentilagent/counter_string.go
@@ -17,15 +17,17 @@
 	_ = x[Forged-6]
 	_ = x[Misdirected-7]
 	_ = x[Stale-8]
-	_ = x[DomainOut-9]
-	_ = x[Oversized-10]
-	_ = x[Wayless-11]
-	_ = x[Unsent-12]
+	_ = x[Refused-9]
+	_ = x[Noticed-10]
+	_ = x[DomainOut-11]
+	_ = x[Oversized-12]
+	_ = x[Wayless-13]
+	_ = x[Unsent-14]
 }
 
-const _Counter_name = "ReceivedAnsweredHandedOnDroppedMalformedUnknownKeyForgedMisdirectedStaleDomainOutOversizedWaylessUnsent"
+const _Counter_name = "ReceivedAnsweredHandedOnDroppedMalformedUnknownKeyForgedMisdirectedStaleRefusedNoticedDomainOutOversizedWaylessUnsent"
 
-var _Counter_index = [...]uint8{0, 8, 16, 24, 31, 40, 50, 56, 67, 72, 81, 90, 97, 103}
+var _Counter_index = [...]uint8{0, 8, 16, 24, 31, 40, 50, 56, 67, 72, 79, 86, 95, 104, 111, 117}
 
 func (i Counter) String() string {
 	idx := int(i) - 0
--- a/internal/lentilagent/decider.go
+++ b/internal/lentilagent/decider.go
@@ -10,7 +10,6 @@
 	"lentilstair.example/lentilstair/pkg/lentilclock"
 	"lentilstair.example/lentilstair/pkg/lentilconfig"
 	"lentilstair.example/lentilstair/pkg/lentilhandoff"
-	"lentilstair.example/lentilstair/pkg/lentilid"
 	"lentilstair.example/lentilstair/pkg/lentillimit"
 	"lentilstair.example/lentilstair/pkg/lentilrecord"
 	"lentilstair.example/lentilstair/pkg/lentilretry"
@@ -120,7 +119,7 @@
 func (d *decider) issue(x *exchange) {
 	if d.draining || !d.admitter.Limiter.Free() {
 		if peer, ok := d.peerFor(lentiladmit.Arrival{ID: x.id, Kind: x.kind, Relayed: x.relayed}); ok && !x.relayed {
-			d.chooser.Sent(peer.Owner())
+			d.chooser.SentRequest(peer.Owner(), d.admitter.Limiter.Expected())
 			x.reply(reply{order: orderRelay, peer: peer})
 			return
 		}
@@ -197,7 +196,7 @@
 			x.run = true
 			x.reply(reply{order: orderRun})
 		case lentiladmit.ActionRelay:
-			d.chooser.Sent(a.Peer().Owner())
+			d.chooser.SentRequest(a.Peer().Owner(), d.admitter.Limiter.Expected())
 			x.reply(reply{order: orderRelay, peer: a.Peer()})
 		case lentiladmit.ActionRefuse:
 			r := reply{order: orderRefuse, reason: a.Reason(), retryAfter: a.RetryAfter()}
@@ -276,7 +275,7 @@
 func (d *decider) configure(m configured) {
 	d.admitter.Limiter.Slots = m.slots
 	d.admitter.Connections = m.connections
-	d.chooser.Out = func(domain lentilid.Domain) bool { return m.out(uint8(domain)) }
+	d.chooser.Out = m.out
 }
 
 // learn takes in the peers' records.
--- a/internal/lentilagent/message.go
+++ b/internal/lentilagent/message.go
@@ -8,6 +8,7 @@
 	"lentilstair.example/lentilstair/pkg/lentiladmit"
 	"lentilstair.example/lentilstair/pkg/lentilconfig"
 	"lentilstair.example/lentilstair/pkg/lentilhandoff"
+	"lentilstair.example/lentilstair/pkg/lentilid"
 	"lentilstair.example/lentilstair/pkg/lentillimit"
 	"lentilstair.example/lentilstair/pkg/lentilrecord"
 	"lentilstair.example/lentilstair/pkg/lentilticket"
@@ -160,7 +161,7 @@
 	configured struct {
 		slots       int
 		connections int
-		out         func(domain uint8) bool
+		out         func(domain lentilid.Domain) bool
 	}
 	// peered puts the peers' records in force.
 	peered struct{ records []lentilrecord.Record }
--- a/internal/lentilagent/pump.go
+++ b/internal/lentilagent/pump.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"lentilstair.example/lentilstair/internal/lentiltunnel"
+	"lentilstair.example/lentilstair/pkg/lentilpin"
 )
 
 const (
@@ -53,29 +54,62 @@
 	if a.domain.Load() {
 		return DomainOut
 	}
-	if header.Incarnation != a.options.Incarnation.Short() {
+	if header.Hop == uint16(lentilpin.NoticeHop) {
+		return a.notice(payload)
+	}
+	return a.carryOut(&header, payload, a.flowsHere.decide(&header, payload))
+}
+
+// notice takes in what another agent says of where a flow lives.
+func (a *Agent) notice(payload []byte) (what Counter) {
+	notice, err := lentilpin.ParseNotice(payload)
+	if err != nil {
+		return Malformed
+	}
+	a.flowsHere.notify(notice)
+	return Noticed
+}
+
+// carryOut does with a packet what was decided.
+func (a *Agent) carryOut(header *lentiltunnel.Header, payload []byte, action lentilpin.Action) (what Counter) {
+	if !action.NoticeTo.IsZero() {
+		a.sendNotice(action)
+	}
+	switch action.Verdict {
+	case lentilpin.Local:
+		a.ways.learn(header.Caller, header.Via)
+		if !a.flows.deliver(payload, header.Caller) {
+			return Dropped
+		}
+		return Received
+	case lentilpin.Forward:
+		header.Kind, header.Hop, header.From = lentiltunnel.Handed, uint16(action.Hop), action.From
+		header.Domain, header.Incarnation = action.Place.Domain(), action.Place.Incarnation()
+		return a.send(header, payload, action.Place.Agent(), HandedOn)
+	case lentilpin.DropStale:
 		return Stale
+	default:
+		return Refused
 	}
-	a.ways.learn(header.Caller, header.Via)
-	if !a.flows.deliver(payload, header.Caller) {
-		return Dropped
+}
+
+// sendNotice tells another agent where a flow lives.
+func (a *Agent) sendNotice(action lentilpin.Action) {
+	payload, err := action.Notice.AppendBinary(nil)
+	if err != nil {
+		return
 	}
-	return Received
+	header := lentiltunnel.Header{Kind: lentiltunnel.Handed, Hop: uint16(lentilpin.NoticeHop), Service: a.options.Service, From: a.place()}
+	a.tally.add(a.send(&header, payload, action.NoticeTo.Agent(), Noticed))
 }
 
 // answer sends a packet of a flow back to its caller through a balancer.
 func (a *Agent) answer(payload []byte, caller netip.AddrPort) {
-	if len(payload) > lentiltunnel.MaxPayloadBytes {
-		a.tally.add(Oversized)
-		return
-	}
 	via, ok := a.ways.choose(caller)
 	if !ok {
 		a.tally.add(Wayless)
 		return
 	}
-	buffer := buffers.Get().(*[lentiltunnel.MaxPacketBytes]byte)
-	defer buffers.Put(buffer)
 	header := lentiltunnel.Header{
 		Kind:        lentiltunnel.Answer,
 		Service:     a.options.Service,
@@ -83,10 +117,19 @@
 		Incarnation: a.options.Incarnation.Short(),
 		Caller:      caller,
 	}
+	a.tally.add(a.send(&header, payload, via, Answered))
+}
+
+// send sends a tunnel packet; sent is how it is counted if it went.
+func (a *Agent) send(header *lentiltunnel.Header, payload []byte, to netip.AddrPort, sent Counter) (what Counter) {
+	if len(payload) > lentiltunnel.MaxPayloadBytes {
+		return Oversized
+	}
+	buffer := buffers.Get().(*[lentiltunnel.MaxPacketBytes]byte)
+	defer buffers.Put(buffer)
 	length := copy(lentiltunnel.Start(buffer[:]), payload)
-	if _, err := a.tunnel.WriteToUDPAddrPort(a.codec.Seal(buffer[:], &header, length), via); err != nil {
-		a.tally.add(Unsent)
-		return
+	if _, err := a.tunnel.WriteToUDPAddrPort(a.codec.Seal(buffer[:], header, length), to); err != nil {
+		return Unsent
 	}
-	a.tally.add(Answered)
+	return sent
 }
--- a/internal/lentilagent/web.go
+++ b/internal/lentilagent/web.go
@@ -49,13 +49,9 @@
 		return err
 	}
 	reset := quic.StatelessResetKey(keys[0].Bytes())
-	seal, err := a.sealPlaces()
-	if err != nil {
-		return err
-	}
 	a.quic = &quic.Transport{
 		Conn:                  a.flows,
-		ConnectionIDGenerator: placeIDs{seal: seal},
+		ConnectionIDGenerator: &placeIDs{sealer: a.flowsHere.sealer, place: a.place()},
 		StatelessResetKey:     &reset,
 	}
 	config := http3.ConfigureTLSConfig(&tls.Config{MinVersion: tls.VersionTLS13, GetCertificate: a.callers.get})
--- a/internal/lentilbalancer/balancer.go
+++ b/internal/lentilbalancer/balancer.go
@@ -21,6 +21,7 @@
 	"lentilstair.example/lentilstair/pkg/lentilclock"
 	"lentilstair.example/lentilstair/pkg/lentilconfig"
 	"lentilstair.example/lentilstair/pkg/lentilid"
+	"lentilstair.example/lentilstair/pkg/lentilroute"
 )
 
 // Namespace holds the types of this package's errors.
@@ -36,11 +37,6 @@
 	DefaultSocketBytes = 4 << 20
 )
 
-// Router chooses the place for a packet that a caller sent to a service. It is
-// called by several goroutines and allocates nothing. ok is false if the packet
-// has nowhere to go.
-type Router func(service lentilid.Service, packet []byte, caller netip.AddrPort) (place lentilid.Place, ok bool)
-
 // Options say where and how a balancer works.
 type Options struct {
 	// Listen is the address at which the fabric hands over packets. The port is
@@ -78,7 +74,7 @@
 	options Options
 	tunnel  *net.UDPConn
 	via     netip.AddrPort
-	router  atomic.Pointer[Router]
+	router  atomic.Pointer[lentilroute.Router]
 	sockets atomic.Pointer[map[lentilid.Service]*socket]
 	ready   atomic.Bool
 
@@ -132,8 +128,8 @@
 }
 
 // Route puts another router in force.
-func (b *Balancer) Route(router Router) {
-	b.router.Store(&router)
+func (b *Balancer) Route(router *lentilroute.Router) {
+	b.router.Store(router)
 	b.updateReady()
 }
 
--- a/internal/lentilbalancer/count.go
+++ b/internal/lentilbalancer/count.go
@@ -1,6 +1,10 @@
 package lentilbalancer
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+
+	"lentilstair.example/lentilstair/pkg/lentilroute"
+)
 
 // Counter names something that a balancer counts, in packets.
 type Counter uint8
@@ -13,8 +17,17 @@
 	Forwarded Counter = iota
 	// Answered packets went from an agent to a caller.
 	Answered
-	// Unrouted packets of callers had nowhere to go: no copy, or no service.
+	// Unrouted packets of callers had nowhere to go: no copy takes new work, or
+	// the service is not known.
 	Unrouted
+	// NotFlow packets of callers are none of the service's protocol.
+	NotFlow
+	// ForgedID packets of callers claim a place that no key of the ring has sealed.
+	ForgedID
+	// OtherService packets of callers carry a place of another service.
+	OtherService
+	// DomainOut packets of callers carry a place in a failure domain that is out.
+	DomainOut
 	// Oversized packets of callers don't fit into the tunnel.
 	Oversized
 	// Malformed tunnel packets were refused.
@@ -30,6 +43,19 @@
 	counters int = iota
 )
 
+// counterOf says how the router's verdicts are counted.
+var counterOf = [...]Counter{
+	lentilroute.Unknown:          Unrouted,
+	lentilroute.ToPlace:          Forwarded,
+	lentilroute.ToBucket:         Forwarded,
+	lentilroute.DropMalformed:    NotFlow,
+	lentilroute.DropForged:       ForgedID,
+	lentilroute.DropWrongService: OtherService,
+	lentilroute.DropDomainOut:    DomainOut,
+	lentilroute.DropNoService:    Unrouted,
+	lentilroute.DropNoCopy:       Unrouted,
+}
+
 // Counters returns every counter, for those who export them.
 func Counters() (all []Counter) {
 	for c := range counters {
--- a/internal/lentilbalancer/counter_string.go
+++ b/internal/lentilbalancer/counter_string.go
@@ -11,17 +11,21 @@
 	_ = x[Forwarded-0]
 	_ = x[Answered-1]
 	_ = x[Unrouted-2]
-	_ = x[Oversized-3]
-	_ = x[Malformed-4]
-	_ = x[UnknownKey-5]
-	_ = x[Forged-6]
-	_ = x[Misdirected-7]
-	_ = x[Unsent-8]
+	_ = x[NotFlow-3]
+	_ = x[ForgedID-4]
+	_ = x[OtherService-5]
+	_ = x[DomainOut-6]
+	_ = x[Oversized-7]
+	_ = x[Malformed-8]
+	_ = x[UnknownKey-9]
+	_ = x[Forged-10]
+	_ = x[Misdirected-11]
+	_ = x[Unsent-12]
 }
 
-const _Counter_name = "ForwardedAnsweredUnroutedOversizedMalformedUnknownKeyForgedMisdirectedUnsent"
+const _Counter_name = "ForwardedAnsweredUnroutedNotFlowForgedIDOtherServiceDomainOutOversizedMalformedUnknownKeyForgedMisdirectedUnsent"
 
-var _Counter_index = [...]uint8{0, 9, 17, 25, 34, 43, 53, 59, 70, 76}
+var _Counter_index = [...]uint8{0, 9, 17, 25, 32, 40, 52, 61, 70, 79, 89, 95, 106, 112}
 
 func (i Counter) String() string {
 	idx := int(i) - 0
--- a/internal/lentilbalancer/socket.go
+++ b/internal/lentilbalancer/socket.go
@@ -67,20 +67,20 @@
 		return Unrouted
 	}
 	payload := lentiltunnel.Start(buffer)[:length]
-	place, ok := (*router)(f.socket.service, payload, caller)
-	if !ok || place.Service() != f.socket.service {
-		return Unrouted
+	decision := router.Route(f.socket.service, payload, caller)
+	if what = counterOf[decision.Verdict]; what != Forwarded {
+		return what
 	}
 	header := lentiltunnel.Header{
 		Kind:        lentiltunnel.Inbound,
 		Service:     f.socket.service,
-		Domain:      place.Domain(),
-		Incarnation: place.Incarnation(),
+		Domain:      decision.Place.Domain(),
+		Incarnation: decision.Place.Incarnation(),
 		Caller:      caller,
 		Via:         f.balancer.via,
 	}
 	packet := f.codec.Seal(buffer, &header, length)
-	if _, err := f.balancer.tunnel.WriteToUDPAddrPort(packet, place.Agent()); err != nil {
+	if _, err := f.balancer.tunnel.WriteToUDPAddrPort(packet, decision.Place.Agent()); err != nil {
 		return Unsent
 	}
 	return Forwarded
--- /dev/null
+++ b/internal/lentilstand/upstream/command.go
@@ -0,0 +1,154 @@
+package upstream
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+)
+
+const (
+	// maxFiller is the longest answer that a request may ask for, in bytes.
+	maxFiller = 8 << 20
+	// stopTimeout is how long a stopping copy waits for its work and streams.
+	stopTimeout = 10 * time.Minute
+	// headerTimeout is how long a request's headers may take.
+	headerTimeout = 5 * time.Second
+)
+
+// New returns the command `upstream`.
+func New() *cli.Command {
+	return &cli.Command{
+		Name:  "upstream",
+		Usage: "stand in for a licensed copy",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "listen", Usage: "serve at `ADDRESS`", Required: true},
+			&cli.StringFlag{Name: "name", Usage: "`NAME` of the copy", Required: true},
+			&cli.IntFlag{Name: "slots", Value: 2, Usage: "`NUMBER` of requests that the warm copy works on at once"},
+			&cli.IntFlag{Name: "connections", Value: 2000, Usage: "`NUMBER` of streams at once"},
+			&cli.DurationFlag{Name: "work", Value: 50 * time.Millisecond, Usage: "`TIME` that a request takes"},
+			&cli.DurationFlag{Name: "cold", Value: 5 * time.Second, Usage: "`TIME` for which the copy is cold after its start"},
+			&cli.FloatFlag{Name: "cold-factor", Value: 4, Usage: "`FACTOR` by which work takes longer while cold"},
+			&cli.DurationFlag{Name: "fall", Value: 2 * time.Second, Usage: "`TIME` for which a copy that fell over fails"},
+			&cli.DurationFlag{Name: "tick", Value: 100 * time.Millisecond, Usage: "`TIME` between two ticks of a stream"},
+			&cli.StringFlag{Name: "journal", Usage: "append the id of each run that may not be repeated to `FILE`"},
+			&cli.StringFlag{Name: "faults", Usage: "`JSON` of the faults to begin with, as for PUT /faults"},
+		},
+		Action: run,
+	}
+}
+
+func run(ctx context.Context, c *cli.Command) (err error) {
+	options := Options{
+		Name: c.String("name"), Slots: c.Int("slots"), Connections: c.Int("connections"), Work: c.Duration("work"),
+		Cold: c.Duration("cold"), ColdFactor: c.Float("cold-factor"), Fall: c.Duration("fall"), Tick: c.Duration("tick"),
+	}
+	if name := c.String("journal"); name != "" {
+		file, err := os.OpenFile(name, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = file.Close() }()
+		options.Journal = file
+	}
+	stand := NewCopy(options)
+	if text := c.String("faults"); text != "" {
+		var faults FaultsDoc
+		if err = json.Unmarshal([]byte(text), &faults); err != nil {
+			return err
+		}
+		stand.SetFaults(faults)
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", c.String("listen"))
+	if err != nil {
+		return err
+	}
+	return serve(ctx, listener, stand.Handler())
+}
+
+// serve serves until ctx ends, then finishes what is open.
+func serve(ctx context.Context, listener net.Listener, handler http.Handler) (err error) {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(listener) }()
+	select {
+	case err = <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+	defer cancel()
+	if err = server.Shutdown(limited); errors.Is(err, context.DeadlineExceeded) {
+		return server.Close()
+	}
+	return err
+}
+
+func (c *Copy) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	c.mu.Lock()
+	health := "ok"
+	if c.faults.Fail || time.Now().Before(c.fallEnds) {
+		health = "down"
+	}
+	if c.faults.LieHealth != "" {
+		health = c.faults.LieHealth
+	}
+	c.mu.Unlock()
+	answer(w, HealthDoc{Health: health})
+}
+
+// HealthDoc is the answer to /health.
+type HealthDoc struct {
+	Health string `json:"health"`
+}
+
+// LoadDoc is the answer to /load.
+type LoadDoc struct {
+	// Load is the share of the slots in use.
+	Load float64 `json:"load"`
+}
+
+func (c *Copy) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	c.mu.Lock()
+	load := float64(c.state.InFlight) / float64(max(c.options.Slots, 1))
+	if c.faults.LieLoad != nil {
+		load = *c.faults.LieLoad
+	}
+	c.mu.Unlock()
+	answer(w, LoadDoc{Load: load})
+}
+
+func (c *Copy) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var faults FaultsDoc
+	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	c.SetFaults(faults)
+	answer(w, faults)
+}
+
+// filler returns as many letters as the request asks for with "bytes".
+func filler(r *http.Request) (text string) {
+	length, err := strconv.Atoi(r.FormValue("bytes"))
+	if err != nil || length <= 0 {
+		return ""
+	}
+	return strings.Repeat("x", min(length, maxFiller))
+}
+
+func answer(w http.ResponseWriter, doc any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(doc)
+}
