--- a/internal/lentilagent/agent.go
+++ b/internal/lentilagent/agent.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/netip"
@@ -167,7 +168,7 @@
 	if err != nil {
 		return err
 	}
-	a.system = actor.NewActorSystem()
+	a.system = actor.NewActorSystem(actor.WithLoggerFactory(quietLogger))
 	d := newDecider(&a.options, &a.shown)
 	a.decider = a.system.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return d }))
 	a.pool, a.single = newPool(), newSingle()
@@ -185,6 +186,9 @@
 	return nil
 }
 
+// quietLogger keeps the actor library's own lines out of the log of numbered events.
+func quietLogger(*actor.ActorSystem) (logger *slog.Logger) { return slog.New(slog.DiscardHandler) }
+
 // tell sends a message to the decider.
 func (a *Agent) tell(message any) { a.system.Root.Send(a.decider, message) }
 
--- a/internal/lentilagent/conn.go
+++ b/internal/lentilagent/conn.go
@@ -100,6 +100,9 @@
 	return nil
 }
 
+// SetReadBuffer tells the QUIC transport that there is nothing to enlarge.
+func (c *flowConn) SetReadBuffer(int) (err error) { return nil }
+
 // LocalAddr implements net.PacketConn.
 func (c *flowConn) LocalAddr() (address net.Addr) { return c.local }
 
--- a/internal/lentilagent/keeper.go
+++ b/internal/lentilagent/keeper.go
@@ -76,13 +76,13 @@
 }
 
 // handOff chooses a peer for a new flow. The caller holds the lock.
-func (f *flowKeeper) handOff() (peer lentilid.Place, ok bool) {
+func (f *flowKeeper) handOff(hops int) (peer lentilid.Place, ok bool) {
 	shown := f.agent.shown.Load()
 	own := lentilhandoff.Load{Busy: shown.load, Bears: shown.bears}
 	if shown.draining {
 		own.Bears = 0
 	}
-	record, ok := f.chooser.ForPacket(own, 0)
+	record, ok := f.chooser.ForPacket(own, hops)
 	if !ok {
 		return lentilid.Place{}, false
 	}
--- a/internal/lentilagent/web.go
+++ b/internal/lentilagent/web.go
@@ -71,6 +71,13 @@
 	return nil
 }
 
+// Flows returns how many connections of callers are open.
+func (a *Agent) Flows() (open int) {
+	a.web.mu.Lock()
+	defer a.web.mu.Unlock()
+	return len(a.web.connections)
+}
+
 // newServer returns an HTTP/3 server that hasn't begun to drain.
 func (a *Agent) newServer() (server *http3.Server) { return &http3.Server{Handler: a} }
 
@@ -119,13 +126,6 @@
 	return old
 }
 
-// count returns how many connections are open.
-func (w *web) count() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return len(w.connections)
-}
-
 // closeAll ends every connection at once.
 func (w *web) closeAll() {
 	w.mu.Lock()
--- /dev/null
+++ b/internal/lentilstand/caller/report.go
@@ -0,0 +1,211 @@
+package caller
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// ReportDoc is the written form of what callers have seen.
+type ReportDoc struct {
+	Seconds     float64     `json:"seconds"`
+	Connections int         `json:"connections"`
+	Streams     StreamsDoc  `json:"streams"`
+	Repeatable  RequestsDoc `json:"repeatable"`
+	Once        RequestsDoc `json:"once"`
+	// Copies counts answers by the copy that gave them.
+	Copies map[string]int `json:"copies"`
+	// Refusals counts refusals by their reason.
+	Refusals map[string]int `json:"refusals,omitempty"`
+	// Faults describes the first faults that were seen, for people.
+	Faults []string `json:"faults,omitempty"`
+}
+
+// StreamsDoc is the written form of what became of streams.
+type StreamsDoc struct {
+	Opened int `json:"opened"`
+	// Broken streams ended before the caller ended them.
+	Broken int `json:"broken"`
+	// Gaps is how often a tick was missing or not the caller's own.
+	Gaps  int `json:"gaps"`
+	Ticks int `json:"ticks"`
+	// Refused streams were never opened, and the caller was told so.
+	Refused int `json:"refused"`
+	// LongestGapMillis is the longest time between two ticks of a stream.
+	LongestGapMillis int64 `json:"longestGapMillis"`
+}
+
+// RequestsDoc is the written form of what became of requests.
+type RequestsDoc struct {
+	Sent int `json:"sent"`
+	// Answered requests got the whole answer of a copy to themselves.
+	Answered int `json:"answered"`
+	// NotRun and Unknown requests were refused with that outcome.
+	NotRun  int `json:"notRun"`
+	Unknown int `json:"unknown"`
+	// Wrong answers were to another request, or not whole.
+	Wrong int `json:"wrong"`
+	// Failed requests got no answer in time or a broken one.
+	Failed int `json:"failed"`
+	// CopyErrors are errors that the copy itself answered.
+	CopyErrors int `json:"copyErrors"`
+	// Late answers came after the deadline.
+	Late int `json:"late"`
+	// MillisP50 and the others are the times of answered requests.
+	MillisP50 float64 `json:"millisP50"`
+	MillisP99 float64 `json:"millisP99"`
+	MillisMax float64 `json:"millisMax"`
+	// RefusalMillisMax is the longest time until a refusal.
+	RefusalMillisMax float64 `json:"refusalMillisMax"`
+	// AnsweredIDs and the others name the requests that may not be repeated.
+	AnsweredIDs []string `json:"answeredIds,omitempty"`
+	NotRunIDs   []string `json:"notRunIds,omitempty"`
+	UnknownIDs  []string `json:"unknownIds,omitempty"`
+	FailedIDs   []string `json:"failedIds,omitempty"`
+}
+
+// result is how a request ended.
+type result uint8
+
+//go:generate stringer -type=result -trimprefix=result
+
+const (
+	resultAnswered result = iota
+	resultNotRun
+	resultUnknown
+	resultWrong
+	resultFailed
+	resultCopyError
+)
+
+// maxFaults bounds the descriptions in a report.
+const maxFaults = 20
+
+// book adds up what callers see.
+type book struct {
+	mu         sync.Mutex
+	report     ReportDoc
+	repeatable []time.Duration
+	once       []time.Duration
+}
+
+// request notes how a request ended.
+func (b *book) request(once bool, id string, r result, took time.Duration, copyName, detail string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	doc, times := &b.report.Repeatable, &b.repeatable
+	if once {
+		doc, times = &b.report.Once, &b.once
+	}
+	doc.Sent++
+	switch r {
+	case resultAnswered:
+		doc.Answered++
+		*times = append(*times, took)
+		b.copies(copyName)
+	case resultNotRun:
+		doc.NotRun++
+		doc.RefusalMillisMax = max(doc.RefusalMillisMax, millis(took))
+		b.refusal(detail)
+	case resultUnknown:
+		doc.Unknown++
+		b.fault(id + ": outcome unknown: " + detail)
+	case resultCopyError:
+		doc.CopyErrors++
+	case resultWrong:
+		doc.Wrong++
+		b.fault(id + ": wrong answer: " + detail)
+	default:
+		doc.Failed++
+		b.fault(id + ": failed: " + detail)
+	}
+	if once {
+		doc.name(r, id)
+	}
+}
+
+// name notes the id of a request that may not be repeated.
+func (d *RequestsDoc) name(r result, id string) {
+	switch r {
+	case resultAnswered:
+		d.AnsweredIDs = append(d.AnsweredIDs, id)
+	case resultNotRun:
+		d.NotRunIDs = append(d.NotRunIDs, id)
+	case resultUnknown:
+		d.UnknownIDs = append(d.UnknownIDs, id)
+	default:
+		d.FailedIDs = append(d.FailedIDs, id)
+	}
+}
+
+// late notes an answer after the deadline.
+func (b *book) late(once bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if once {
+		b.report.Once.Late++
+	} else {
+		b.report.Repeatable.Late++
+	}
+}
+
+// stream changes what is known of streams.
+func (b *book) stream(change func(*StreamsDoc)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	change(&b.report.Streams)
+}
+
+// brokenStream notes a stream that ended too early.
+func (b *book) brokenStream(id, detail string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.report.Streams.Broken++
+	b.fault(id + ": stream broken: " + detail)
+}
+
+// copies counts an answer of a copy. The caller holds the lock.
+func (b *book) copies(name string) {
+	if b.report.Copies == nil {
+		b.report.Copies = make(map[string]int)
+	}
+	b.report.Copies[name]++
+}
+
+// refusal counts a refusal by its reason. The caller holds the lock.
+func (b *book) refusal(reason string) {
+	if b.report.Refusals == nil {
+		b.report.Refusals = make(map[string]int)
+	}
+	b.report.Refusals[reason]++
+}
+
+// fault describes a fault. The caller holds the lock.
+func (b *book) fault(text string) {
+	if len(b.report.Faults) < maxFaults {
+		b.report.Faults = append(b.report.Faults, text)
+	}
+}
+
+// close returns the whole report.
+func (b *book) close(took time.Duration) (report ReportDoc) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.report.Seconds = took.Seconds()
+	b.report.Repeatable.times(b.repeatable)
+	b.report.Once.times(b.once)
+	return b.report
+}
+
+// times puts the figures about times in.
+func (d *RequestsDoc) times(all []time.Duration) {
+	if len(all) == 0 {
+		return
+	}
+	slices.Sort(all)
+	d.MillisP50 = millis(all[len(all)/2])
+	d.MillisP99 = millis(all[len(all)*99/100])
+	d.MillisMax = millis(all[len(all)-1])
+}
+
+func millis(d time.Duration) (ms float64) { return float64(d.Microseconds()) / 1000 }
--- a/internal/lentilstand/stand.go
+++ b/internal/lentilstand/stand.go
@@ -11,10 +11,16 @@
 
 	"lentilstair.example/lentilstair/internal/lentilcommand"
 	"lentilstair.example/lentilstair/internal/lentilexit"
+	"lentilstair.example/lentilstair/internal/lentilstand/caller"
+	"lentilstair.example/lentilstair/internal/lentilstand/fabric"
+	"lentilstair.example/lentilstair/internal/lentilstand/upstream"
 )
 
 // commands is the table of all commands, in the order in which help lists them.
 var commands = []func() *cli.Command{
+	fabric.New,
+	upstream.New,
+	caller.New,
 	newMeasure,
 	newDocs,
 }
--- a/internal/lentilstand/upstream/command.go
+++ b/internal/lentilstand/upstream/command.go
@@ -53,7 +53,7 @@
 		Cold: c.Duration("cold"), ColdFactor: c.Float("cold-factor"), Fall: c.Duration("fall"), Tick: c.Duration("tick"),
 	}
 	if name := c.String("journal"); name != "" {
-		file, err := os.OpenFile(name, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		file, err := os.OpenFile(name, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600) //nolint:gosec // the operator names the file
 		if err != nil {
 			return err
 		}
