Control tells changes of live records, and takes the region from configuration

Cause: settings name the failure domain only, and a balancer that is told all records at each change would spend its time on copying them at 26,000 agents. Change: OnRecords gets what is new or changed and whose records ended; a member's region follows configuration.

--- a/internal/lentilcontrol/actor.go
+++ b/internal/lentilcontrol/actor.go
@@ -60,7 +60,7 @@
 	ticked func(glance)
 	// configured and recorded are the shell's callbacks.
 	configured func(lentilconfig.Configuration)
-	recorded   func([]lentilrecord.Record)
+	recorded   func([]lentilrecord.Record, []lentilrecord.Owner)
 
 	version uint64
 	// told is when recorded was called last.
@@ -118,13 +118,20 @@
 		a.configured(configuration)
 	}
 	now := a.node.now()
-	if now.Sub(a.told) >= tellGap && a.node.TakeLiveChanged() {
-		a.told = now
-		a.recorded(a.node.Live())
+	if now.Sub(a.told) >= tellGap {
+		a.tell(now)
 	}
 	a.ticked(glance{ready: a.node.Ready(), reader: a.node.Reader(), version: a.version})
 }
 
+func (a *nodeActor) tell(now time.Time) {
+	observed, forgotten := a.node.TakeLive()
+	if len(observed)+len(forgotten) > 0 {
+		a.told = now
+		a.recorded(observed, forgotten)
+	}
+}
+
 // mailbox sends messages to the actor of a node.
 type mailbox struct {
 	system *actor.ActorSystem
--- a/internal/lentilcontrol/announce.go
+++ b/internal/lentilcontrol/announce.go
@@ -117,7 +117,7 @@
 func (n *Node) regionOf(r lentilrecord.Record) string {
 	domain := n.configuration.Configuration().Domain(r.Doc().Domain)
 	if domain == nil || len(n.table.Holders(domain.Region(), 0, 1)) == 0 {
-		return n.Self.Region
+		return n.region()
 	}
 	return domain.Region()
 }
@@ -126,41 +126,11 @@
 // know the loads of all of them at first hand. A service with many copies is
 // divided by the names of the copies.
 func (n *Node) holderKey(r lentilrecord.Record) uint64 {
-	groups := uint64(1) << bits.Len(uint(n.parts.copies(n.configuration.Configuration(), r.Service())/agentsPerHolder))
+	groups := uint64(1) << bits.Len(uint(len(n.configuration.Configuration().CopiesOf(r.Service()))/agentsPerHolder))
 	group := xxhash.Sum64String(r.Owner().Copy) & (groups - 1)
 	return uint64(r.Service())<<32 | group
 }
 
-// Live returns the records that may get work: a living balancer vouches for each,
-// and its region is in contact.
-func (n *Node) Live() (records []lentilrecord.Record) {
-	reached := map[string]bool{}
-	for _, region := range n.table.Reachable() {
-		reached[region] = true
-	}
-	for _, r := range n.records.Live() {
-		domain := n.configuration.Configuration().Domain(r.Doc().Domain)
-		if domain == nil || reached[domain.Region()] || !n.inhabited(domain.Region()) {
-			records = append(records, r)
-		}
-	}
-	return records
-}
-
-// inhabited reports whether any member that counts as alive is in a region. A
-// region without balancers of its own is served from others.
-func (n *Node) inhabited(region string) bool {
-	return len(n.table.Holders(region, 0, 1)) > 0
-}
-
-// TakeLiveChanged reports whether Live or the configuration may have changed since
-// the last call.
-func (n *Node) TakeLiveChanged() (changed bool) {
-	changed = n.liveChanged
-	n.liveChanged = false
-	return changed
-}
-
 // Configuration returns the configuration in force.
 func (n *Node) Configuration() lentilconfig.Configuration { return n.configuration.Configuration() }
 
--- a/internal/lentilcontrol/balancer.go
+++ b/internal/lentilcontrol/balancer.go
@@ -35,15 +35,16 @@
 type Balancer struct {
 	// Clock tells the time; nil means the machine's.
 	Clock lentilclock.Clock
-	// Run tells this process from every other; 0 draws it at random.
+	// RunID tells this process from every other; 0 draws it at random.
 	RunID lentilid.Incarnation
 	// Listen is the address on which control calls are taken.
 	Listen netip.AddrPort
 	// Advertise is the address that others are told; zero means that of the listener.
 	Advertise netip.AddrPort
-	// Region and Domain say where this process runs.
-	Region string
+	// Domain names the failure domain in which this process runs.
 	Domain string
+	// Region names its region until configuration does; it may be empty.
+	Region string
 	// Seeds are control addresses of other balancers.
 	Seeds []netip.AddrPort
 	// ServerTLS and ClientTLS are for the two sides of control connections; nil
@@ -56,8 +57,9 @@
 	Read func(ctx context.Context, offer Offering) error
 	// OnConfiguration is called with each newer configuration.
 	OnConfiguration func(lentilconfig.Configuration)
-	// OnRecords is called with all live records when they have changed.
-	OnRecords func([]lentilrecord.Record)
+	// OnRecords is called with the live records that are new or changed, and with the
+	// owners whose records are not live any more.
+	OnRecords func(observed []lentilrecord.Record, forgotten []lentilrecord.Owner)
 	// OnFault is called with errors that an operator may want to see.
 	OnFault func(error)
 
@@ -131,9 +133,9 @@
 	}
 }
 
-func (b *Balancer) recorded(records []lentilrecord.Record) {
+func (b *Balancer) recorded(observed []lentilrecord.Record, forgotten []lentilrecord.Owner) {
 	if b.OnRecords != nil {
-		b.OnRecords(records)
+		b.OnRecords(observed, forgotten)
 	}
 }
 
--- a/internal/lentilcontrol/node.go
+++ b/internal/lentilcontrol/node.go
@@ -83,7 +83,7 @@
 	synced        time.Time
 	inForce       time.Time
 	pull          pull
-	liveChanged   bool
+	live          liveSet
 	leaving       bool
 }
 
@@ -123,6 +123,7 @@
 	}
 	n.table.SetHeld(n.records.Held())
 	n.table.SetReaches(n.reaches(now))
+	n.settleRegion()
 	n.absorb(0)
 	calls = n.exchanges(now)
 	calls = append(calls, n.probing(now)...)
@@ -138,7 +139,7 @@
 	clear(n.regions)
 	n.synced = time.Time{}
 	n.started = n.now()
-	n.liveChanged = true
+	n.live.whole = true
 }
 
 // absorb carries changes of entries to the vouchers and the peers, except for the
@@ -158,7 +159,7 @@
 	if len(members)+len(records) == 0 {
 		return
 	}
-	n.liveChanged = true
+	n.live.mark(records)
 	for run, p := range n.peers {
 		if run != from {
 			p.members.notify(members)
@@ -195,6 +196,22 @@
 	return p
 }
 
+// region returns the own region, or "" while it is not known.
+func (n *Node) region() string { return n.table.Self().Region }
+
+// settleRegion takes the own region from the configuration in force, and tells
+// when the regions in contact have changed.
+func (n *Node) settleRegion() {
+	if domain := n.configuration.Configuration().DomainNamed(n.Self.Domain); domain != nil {
+		n.table.SetRegion(domain.Region())
+	}
+	reached := n.table.Reachable()
+	if !slices.Equal(reached, n.live.reached) {
+		n.live.reached = reached
+		n.live.whole = true
+	}
+}
+
 // reaches returns the other regions with which this node is in contact.
 func (n *Node) reaches(now time.Time) (regions []string) {
 	for region, at := range n.regions {
@@ -212,7 +229,7 @@
 // back counts only once all members' entries were found to be equal, so
 // that leases which ended meanwhile are known.
 func (n *Node) contact(p *peer, equal bool) {
-	if p.region == n.Self.Region {
+	if p.region == n.region() {
 		return
 	}
 	if _, reached := n.regions[p.region]; reached || equal {
--- a/internal/lentilcontrol/part.go
+++ b/internal/lentilcontrol/part.go
@@ -17,8 +17,6 @@
 	digest uint64
 	// body is the deflated JSON form.
 	body []byte
-	// copies is how many copies the service has.
-	copies int
 }
 
 // partCache keeps the parts of the configuration in force.
@@ -37,7 +35,7 @@
 	if ok {
 		return p, nil
 	}
-	p, err = newPart(partOf(configuration.Document(), service))
+	p, err = newPart(configuration.Slice(service))
 	if err != nil {
 		return part{}, err
 	}
@@ -45,15 +43,6 @@
 	return p, nil
 }
 
-// copies returns how many copies a service has.
-func (c *partCache) copies(configuration lentilconfig.Configuration, service lentilid.Service) int {
-	p, err := c.get(configuration, service)
-	if err != nil {
-		return 0
-	}
-	return p.copies
-}
-
 func newPart(document lentilconfig.Document) (p part, err error) {
 	defer func() {
 		if err != nil {
@@ -68,7 +57,6 @@
 	if err != nil {
 		return part{}, err
 	}
-	p.copies = len(document.Copies)
 	p.digest, err = contentDigest(document)
 	return p, err
 }
@@ -84,23 +72,6 @@
 	return xxhash.Sum64(body), nil
 }
 
-func partOf(document lentilconfig.Document, service lentilid.Service) (own lentilconfig.Document) {
-	own.Version = document.Version
-	own.NoteID = document.NoteID
-	own.Domains = document.Domains
-	for _, doc := range document.Services {
-		if doc.Number == service {
-			own.Services = append(own.Services, doc)
-		}
-	}
-	for _, doc := range document.Copies {
-		if len(own.Services) > 0 && doc.Service == own.Services[0].Name {
-			own.Copies = append(own.Copies, doc)
-		}
-	}
-	return own
-}
-
 // openPart returns the configuration and the digest of a part's body.
 func openPart(body []byte) (configuration lentilconfig.Configuration, digest uint64, err error) {
 	defer func() {
--- a/internal/lentilcontrol/pull.go
+++ b/internal/lentilcontrol/pull.go
@@ -60,7 +60,7 @@
 		return
 	}
 	n.inForce = n.now()
-	n.liveChanged = true
+	n.live.whole = true
 	for _, p := range n.peers {
 		if p.configuration < n.configuration.Version() && p.backoff.Failures() == 0 {
 			p.due = n.now()
@@ -96,7 +96,7 @@
 		if p.configuration <= n.configuration.Version() || p.backoff.Failures() > 0 {
 			continue
 		}
-		if p.region == n.Self.Region {
+		if p.region == n.region() {
 			near = append(near, p)
 		} else {
 			far = append(far, p)
--- a/internal/lentilcontrol/whole_test.go
+++ b/internal/lentilcontrol/whole_test.go
@@ -87,7 +87,6 @@
 	for i := range 3 {
 		b := &lentilcontrol.Balancer{
 			Listen:    netip.MustParseAddrPort("127.0.0.1:0"),
-			Region:    "sicilia",
 			Domain:    "palermo",
 			Seeds:     seeds,
 			ServerTLS: serverTLS,
@@ -95,8 +94,8 @@
 			OnConfiguration: func(c lentilconfig.Configuration) {
 				views[i].set(func() { views[i].version = c.Version() })
 			},
-			OnRecords: func(records []lentilrecord.Record) {
-				views[i].set(func() { views[i].records = len(records) })
+			OnRecords: func(observed []lentilrecord.Record, forgotten []lentilrecord.Owner) {
+				views[i].set(func() { views[i].records += len(observed) - len(forgotten) })
 			},
 		}
 		b.Read = func(ctx context.Context, offer lentilcontrol.Offering) error {
--- a/pkg/lentilmember/member.go
+++ b/pkg/lentilmember/member.go
@@ -50,8 +50,9 @@
 	State   State
 	// Control is the address at which the member serves control calls.
 	Control netip.AddrPort
-	Region  string
-	Domain  string
+	// Region is empty while the member does not know it yet.
+	Region string
+	Domain string
 	// Held lists the agents whose leases the member holds, in order.
 	Held []lentilid.Incarnation
 	// Reaches lists the other regions with which the member is in contact, in order.
@@ -68,7 +69,7 @@
 func (d Doc) valid() bool {
 	return d.Run != 0 && d.Version != 0 && d.Version < 1<<(64-stateBits) && d.State <= Left &&
 		d.Control.Addr().Is4() && d.Control.Port() != 0 &&
-		d.Region != "" && len(d.Region) <= maxName && len(d.Domain) <= maxName &&
+		len(d.Region) <= maxName && len(d.Domain) <= maxName &&
 		len(d.Held) <= maxHeld && len(d.Reaches) <= maxReaches
 }
 
--- a/pkg/lentilmember/table.go
+++ b/pkg/lentilmember/table.go
@@ -86,10 +86,6 @@
 	if known != nil && known.doc.Rank() >= doc.Rank() {
 		return
 	}
-	if known != nil && known.doc.Region != doc.Region {
-		t.refused++
-		return
-	}
 	t.put(doc.clone())
 }
 
@@ -154,6 +150,18 @@
 	t.put(self)
 }
 
+// SetRegion makes a new version of the own entry if the region has changed, as
+// when configuration first says to which region the failure domain belongs.
+func (t *Table) SetRegion(region string) {
+	self := t.Self()
+	if self.Region == region {
+		return
+	}
+	self.Region = region
+	self.Version++
+	t.put(self)
+}
+
 // SetReaches makes a new version of the own entry if the regions in contact
 // have changed.
 func (t *Table) SetReaches(regions []string) {
