--- a/internal/lentilstand/platform/command.go
+++ b/internal/lentilstand/platform/command.go
@@ -21,8 +21,8 @@
 	stopTimeout   = 2 * time.Second
 )
 
-// Command returns the command that runs the stand-in.
-func Command() *cli.Command {
+// New returns the command `platform`, which runs the stand-in.
+func New() *cli.Command {
 	return &cli.Command{
 		Name:  "platform",
 		Usage: "stand in for the platform's object API",
--- a/internal/lentilstand/stand.go
+++ b/internal/lentilstand/stand.go
@@ -13,11 +13,13 @@
 	"lentilstair.example/lentilstair/internal/lentilexit"
 	"lentilstair.example/lentilstair/internal/lentilstand/caller"
 	"lentilstair.example/lentilstair/internal/lentilstand/fabric"
+	"lentilstair.example/lentilstair/internal/lentilstand/platform"
 	"lentilstair.example/lentilstair/internal/lentilstand/upstream"
 )
 
 // commands is the table of all commands, in the order in which help lists them.
 var commands = []func() *cli.Command{
+	platform.New,
 	fabric.New,
 	upstream.New,
 	caller.New,
