Let an agent that drains or knows a peer gone find another owner

Cause: a draining agent that asks the new owner makes that owner give way to it, and neither opens the flow; a pin to a dead peer would hold a 5-tuple flow for ever. Change: Keeper.Refuse sends unknown flows to the bucket's owner, which does the asking; Keeper.Gone and Router.Gone name places that hold no flows any more.

--- a/pkg/lentilpin/event.go
+++ b/pkg/lentilpin/event.go
@@ -91,3 +91,11 @@
 func (k *Keeper) out(place lentilid.Place) bool {
 	return k.Out != nil && k.Out(place.Domain())
 }
+
+// gone reports whether a place is known to hold no flows any more.
+func (k *Keeper) gone(place lentilid.Place) bool {
+	return k.out(place) || k.Gone != nil && k.Gone(place)
+}
+
+// refuses reports whether this agent opens no flows.
+func (k *Keeper) refuses() bool { return k.Refuse != nil && k.Refuse() }
--- a/pkg/lentilpin/keeper.go
+++ b/pkg/lentilpin/keeper.go
@@ -52,11 +52,14 @@
 	// before, or returns false to open it here. It is asked for QUIC flows only: a flow that carries no place would be lost with
 	// the agent that handed it off. Nil means that every flow is opened here.
 	HandOff func(hops int) (peer lentilid.Place, ok bool)
-	// Refuse reports whether this agent must not open flows. Such a flow is dropped
-	// unless it is handed off. Nil means that it may.
+	// Refuse reports whether this agent opens no flows, as while its copy drains. An
+	// unknown flow then goes to its bucket's owner. Nil means that it opens flows.
 	Refuse func() bool
 	// Out reports whether operators have taken a failure domain out. Nil means none.
 	Out func(domain lentilid.Domain) bool
+	// Gone reports whether a place is known to hold no flows any more, as
+	// lentilroute.Router.Gone does. Nil means none.
+	Gone func(place lentilid.Place) bool
 	// MaxFlows, Idle and AskTimeout replace the defaults if they aren't zero.
 	MaxFlows   int
 	Idle       time.Duration
@@ -115,6 +118,8 @@
 	switch {
 	case place.Service() != k.Self.Service():
 		return Action{Verdict: DropWrongService}
+	case place.Agent() != k.Self.Agent() && k.out(place):
+		return Action{Verdict: DropDomainOut}
 	case place.Agent() != k.Self.Agent():
 		return k.forward(a, place, Owned)
 	case place.Incarnation() != k.Self.Incarnation():
@@ -127,6 +132,10 @@
 // decideKey decides on a packet of which only the flow's key is known.
 func (k *Keeper) decideKey(a *Arrival) (action Action) {
 	p := k.pins.get(a.Flow.Key, k.now())
+	if p != nil && p.state == remote && k.gone(p.place) {
+		k.pins.remove(a.Flow.Key)
+		p = nil
+	}
 	purpose := a.Hop.Purpose()
 	switch {
 	case p == nil && !a.Flow.Opens:
@@ -191,6 +200,9 @@
 
 // startAsking begins to look for the flow at other agents.
 func (k *Keeper) startAsking(a *Arrival) (action Action) {
+	if k.refuses() {
+		return k.redirect(a)
+	}
 	p := k.pins.put(a.Flow.Key, asking, lentilid.Place{}, k.limit())
 	if p == nil {
 		return Action{Verdict: DropFull}
@@ -227,7 +239,7 @@
 	k.scratch = k.Owners(a.Flow.Key.Hash(k.Self.Service()), k.scratch[:0])
 	for _, place := range k.scratch {
 		asker := a.Hop.Purpose() == Ask && place.Agent() == a.From.Agent()
-		if place.Agent() != k.Self.Agent() && !asker && !slices.Contains(denied, place) && !k.out(place) {
+		if place.Agent() != k.Self.Agent() && !asker && !slices.Contains(denied, place) && !k.gone(place) {
 			return place, true
 		}
 	}
@@ -241,9 +253,8 @@
 		k.counts.HandedOff++
 		return k.forward(a, peer, HandOff)
 	}
-	if k.Refuse != nil && k.Refuse() {
-		k.pins.remove(a.Flow.Key)
-		return Action{Verdict: DropNoRoom}
+	if k.refuses() {
+		return k.redirect(a)
 	}
 	if k.pins.put(a.Flow.Key, local, k.Self, k.limit()) == nil {
 		return Action{Verdict: DropFull}
@@ -252,6 +263,20 @@
 	return Action{Verdict: Local}
 }
 
+// redirect sends a flow that this agent doesn't open to the bucket's owner, which
+// asks for it before it opens it.
+func (k *Keeper) redirect(a *Arrival) (action Action) {
+	next, ok := k.nextToAsk(a, nil)
+	if !ok {
+		k.pins.remove(a.Flow.Key)
+		return Action{Verdict: DropNoRoom}
+	}
+	if k.pins.put(a.Flow.Key, remote, next, k.limit()) == nil {
+		return Action{Verdict: DropFull}
+	}
+	return k.forward(a, next, Owned)
+}
+
 // maxHandOffs is how many agents may hand off one flow.
 const maxHandOffs = 2
 
@@ -269,7 +294,7 @@
 	}
 	peer, ok = k.HandOff(hops)
 	known := peer.Agent() == k.Self.Agent() || peer.Agent() == a.From.Agent()
-	return peer, ok && !known && !k.out(peer)
+	return peer, ok && !known && !k.gone(peer)
 }
 
 // tellFound adds to action the notice for the agent that asks where the flow lives.
@@ -289,9 +314,6 @@
 		k.pins.remove(a.Flow.Key)
 		return Action{Verdict: DropHops}
 	}
-	if k.out(place) {
-		return Action{Verdict: DropDomainOut}
-	}
 	action = Action{Verdict: Forward, Place: place, From: k.Self}
 	token := a.Hop.Token()
 	switch purpose {
--- a/pkg/lentilroute/router.go
+++ b/pkg/lentilroute/router.go
@@ -58,6 +58,7 @@
 	table    *Table
 	// without is the table as it would be without this node's own agent, or nil.
 	without *Table
+	gone    map[lentilid.Place]bool
 }
 
 // noSealer opens nothing.
@@ -120,6 +121,17 @@
 // Out reports whether operators have taken the failure domain out.
 func (r *Router) Out(domain lentilid.Domain) bool { return r.out[domain] }
 
+// Gone reports whether a place is known to hold no flows any more: its agent has
+// ended or fallen silent, or its failure domain is out. It says nothing about
+// places that this node has never heard of.
+func (r *Router) Gone(place lentilid.Place) bool {
+	if r.out[place.Domain()] {
+		return true
+	}
+	e := r.services[place.Service()]
+	return e != nil && e.gone[place]
+}
+
 // Table returns the table of a service, or nil for an unknown one.
 func (r *Router) Table(service lentilid.Service) *Table {
 	if e := r.services[service]; e != nil {
@@ -171,12 +183,27 @@
 // SetOut sets whether operators have taken a failure domain out.
 func (b *Builder) SetOut(domain lentilid.Domain, out bool) { b.router.out[domain] = out }
 
-// SetService sets the protocol and table of a service. An agent also gives the
-// table as it would be without the agent itself, others nil: an agent that has
-// just joined finds with it who owned its buckets before.
-func (b *Builder) SetService(service lentilid.Service, protocol Protocol, table, without *Table) {
+// Service is what a Builder needs to know about a service.
+type Service struct {
+	// Protocol is how the service's packets tell their flow.
+	Protocol Protocol
+	// Table gives buckets to agents. Nil is a table without a member.
+	Table *Table
+	// Without is the table as it would be without this node's own agent, or nil: an
+	// agent that has just joined finds with it who owned its buckets before.
+	Without *Table
+	// Gone holds the places that are known to hold no flows any more. The router
+	// keeps the map.
+	Gone map[lentilid.Place]bool
+}
+
+// SetService sets what the router knows about a service.
+func (b *Builder) SetService(number lentilid.Service, s Service) {
 	b.own()
-	b.router.services[service] = &entry{protocol: protocol, table: table, without: without}
+	if s.Table == nil {
+		s.Table = &Table{}
+	}
+	b.router.services[number] = &entry{protocol: s.Protocol, table: s.Table, without: s.Without, gone: s.Gone}
 }
 
 // RemoveService makes a service unknown.
--- a/pkg/lentilroute/router_test.go
+++ b/pkg/lentilroute/router_test.go
@@ -47,9 +47,9 @@
 	b := &Builder{}
 	b.SetSealer(sealer)
 	b.SetOut(9, true)
-	b.SetService(served, QUIC, NewTable(list), nil)
-	b.SetService(empty, QUIC, &Table{}, nil)
-	b.SetService(datagrams, Datagram, NewTable(list), nil)
+	b.SetService(served, Service{Table: NewTable(list)})
+	b.SetService(empty, Service{})
+	b.SetService(datagrams, Service{Protocol: Datagram, Table: NewTable(list)})
 	return b.Router()
 }
 
--- a/pkg/lentilview/view.go
+++ b/pkg/lentilview/view.go
@@ -45,6 +45,7 @@
 	names         contests[string]
 	addresses     contests[netip.AddrPort]
 	dirty         map[lentilid.Service]bool
+	ended         map[lentilid.Service]map[lentilid.Place]time.Time
 	router        *lentilroute.Router
 }
 
@@ -73,6 +74,11 @@
 		v.addresses.leave(known.Place().Agent(), owner, v.mark)
 	}
 	v.put(record)
+	if record.Phase() == lentilrecord.Gone {
+		v.end(record.Place())
+	} else {
+		delete(v.ended[record.Service()], record.Place())
+	}
 	v.names.advance(owner.Copy, owner, !seen, v.mark)
 	v.addresses.advance(record.Place().Agent(), owner, !seen, v.mark)
 	if !seen || changed(known, record) {
@@ -88,6 +94,7 @@
 	}
 	delete(v.records, owner)
 	delete(v.services[record.Service()], owner)
+	v.end(record.Place())
 	v.names.leave(owner.Copy, owner, v.mark)
 	v.addresses.leave(record.Place().Agent(), owner, v.mark)
 	v.dirty[record.Service()] = true
@@ -172,7 +179,12 @@
 		Window:  v.window(),
 		Alive:   v.alive(service),
 	})
-	builder.SetService(service, v.protocol(listed), table, without(members, own))
+	builder.SetService(service, lentilroute.Service{
+		Protocol: v.protocol(listed),
+		Table:    table,
+		Without:  without(members, own),
+		Gone:     v.gone(service),
+	})
 }
 
 // members returns the agents that get new work, and the place of this node's own agent.
@@ -224,6 +236,33 @@
 	return func(place lentilid.Place) bool { return places[place] }
 }
 
+// end notes that the agent at a place has ended or fallen silent.
+func (v *View) end(place lentilid.Place) {
+	if v.ended == nil {
+		v.ended = make(map[lentilid.Service]map[lentilid.Place]time.Time)
+	}
+	if v.ended[place.Service()] == nil {
+		v.ended[place.Service()] = make(map[lentilid.Place]time.Time)
+	}
+	v.ended[place.Service()][place] = v.now()
+}
+
+// gone returns the places that hold no flows any more, and forgets those that
+// ended longer ago than flows are looked for.
+func (v *View) gone(service lentilid.Service) (places map[lentilid.Place]bool) {
+	for place, at := range v.ended[service] {
+		if v.now().Sub(at) > v.window() {
+			delete(v.ended[service], place)
+			continue
+		}
+		if places == nil {
+			places = make(map[lentilid.Place]bool)
+		}
+		places[place] = true
+	}
+	return places
+}
+
 // out reports whether operators have taken a failure domain out.
 func (v *View) out(number lentilid.Domain) bool {
 	domain := v.configuration.Domain(number)
