--- /dev/null
+++ b/internal/lentilcontrol/platform_test.go
@@ -0,0 +1,106 @@
+package lentilcontrol_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"lentilstair.example/lentilstair/internal/lentilcontrol"
+	"lentilstair.example/lentilstair/internal/lentilstand/platform"
+	"lentilstair.example/lentilstair/pkg/lentilconfig"
+	"lentilstair.example/lentilstair/pkg/lentilplatform"
+)
+
+// accept writes a document to the platform as lentilapply does: shards, then head.
+func accept(t *testing.T, client *lentilplatform.Client, document lentilconfig.Document, held lentilplatform.Object) lentilplatform.Object {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	head, shards, err := lentilconfig.Split(document)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, shard := range shards {
+		object := lentilplatform.NewObject(lentilplatform.KindShard, string(shard.Name()), shard.Body())
+		if _, err = client.Create(ctx, object); err != nil {
+			t.Fatal(err)
+		}
+	}
+	body, err := json.Marshal(head)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if held.Version() == "" {
+		held, err = client.Create(ctx, lentilplatform.NewObject(lentilplatform.KindHead, "current", body))
+	} else {
+		held, err = client.Update(ctx, held.WithBody(body))
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return held
+}
+
+// TestPlatformOutage lets the platform fail, a balancer start meanwhile, and the
+// platform come back with older data.
+func TestPlatformOutage(t *testing.T) {
+	server := &platform.Server{Unlimited: true}
+	listener := httptest.NewServer(server)
+	defer listener.Close()
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	client := &lentilplatform.Client{Base: listener.URL, HTTP: &http.Client{Transport: transport}}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var seeds []netip.AddrPort
+	start := func() *lentilcontrol.Balancer {
+		b := &lentilcontrol.Balancer{
+			Listen: netip.MustParseAddrPort("127.0.0.1:0"),
+			Domain: "palermo",
+			Seeds:  seeds,
+			Read:   lentilcontrol.ReadPlatform(client),
+		}
+		if err := b.Start(ctx); err != nil {
+			t.Fatal(err)
+		}
+		seeds = append(seeds, b.Address())
+		return b
+	}
+	held := accept(t, client, sample(1), lentilplatform.Object{})
+	server.Save()
+	balancers := []*lentilcontrol.Balancer{start(), start()}
+	at := func(version uint64) {
+		t.Helper()
+		for i, b := range balancers {
+			eventually(t, fmt.Sprintf("balancer %d ready at version %d", i, version), func() bool {
+				return b.Ready() && b.Version() == version
+			})
+		}
+	}
+	at(1)
+	next := sample(2)
+	next.Copies[1].Draining = true
+	accept(t, client, next, held)
+	at(2)
+
+	server.Switch(platform.SwitchesDoc{Down: true})
+	server.CutWatches()
+	newcomer := start()
+	if newcomer.Ready() {
+		t.Error("a balancer without configuration is ready")
+	}
+	balancers = append(balancers, newcomer)
+	at(2)
+
+	server.Restore()
+	server.Switch(platform.SwitchesDoc{})
+	before := server.Calls()
+	eventually(t, "a reader reads the old data", func() bool { return server.Calls().Watches > before.Watches })
+	time.Sleep(200 * time.Millisecond)
+	at(2)
+}
--- a/internal/lentilcontrol/reader.go
+++ b/internal/lentilcontrol/reader.go
@@ -10,15 +10,19 @@
 	"lentilstair.example/lentilstair/pkg/lentilconfig"
 )
 
-// readerCheck is how often a process asks whether it shall read the platform.
-const readerCheck = 200 * time.Millisecond
+const (
+	// readerCheck is how often a process asks whether it shall read the platform.
+	readerCheck = 200 * time.Millisecond
+	// readerRetryMax bounds the delay before the platform is tried again.
+	readerRetryMax = 5 * time.Second
+)
 
 // read reads the platform whenever this process is one of its readers.
 func (b *Balancer) read() {
 	if b.Read == nil {
 		return
 	}
-	var backoff lentilbudget.Backoff
+	backoff := lentilbudget.Backoff{Max: readerRetryMax}
 	for b.context.Err() == nil {
 		if !b.glance.Load().reader {
 			b.pause(readerCheck)
