Run balancers and agents as processes

Cause: the commands balancer and agent had no shells. Change: both commands join data path, control and admin endpoint. An agent that has just started knows its service by name only; it announces itself with service 0, balancers answer with the part of its copy and keep nothing, and the data path opens once the numbers are known.

--- a/internal/lentilagent/agent.go
+++ b/internal/lentilagent/agent.go
@@ -154,7 +154,7 @@
 	_ = a.tunnel.SetWriteBuffer(socketBytes)
 	a.options.Tunnel = a.tunnel.LocalAddr().(*net.UDPAddr).AddrPort()
 	a.flows = newFlowConn(a.tunnel.LocalAddr(), a.answer)
-	sealer, err := newSealer(a.options.Ring)
+	sealer, err := a.options.Ring.Sealer()
 	if err != nil {
 		return err
 	}
@@ -198,6 +198,9 @@
 // ControlAddress returns the address for relayed requests and calls.
 func (a *Agent) ControlAddress() netip.AddrPort { return a.options.Control }
 
+// Draining reports whether the agent takes no new work.
+func (a *Agent) Draining() bool { return a.shown.Load().draining }
+
 // Idle reports whether nothing is in progress.
 func (a *Agent) Idle() bool { return a.open.Load() == 0 && a.shown.Load().idle }
 
--- a/internal/lentilagent/conn.go
+++ b/internal/lentilagent/conn.go
@@ -103,6 +103,9 @@
 // SetReadBuffer tells the QUIC transport that there is nothing to enlarge.
 func (c *flowConn) SetReadBuffer(int) (err error) { return nil }
 
+// SetWriteBuffer tells the same of the other direction.
+func (c *flowConn) SetWriteBuffer(int) (err error) { return nil }
+
 // LocalAddr implements net.PacketConn.
 func (c *flowConn) LocalAddr() (address net.Addr) { return c.local }
 
--- a/internal/lentilagent/path_test.go
+++ b/internal/lentilagent/path_test.go
@@ -110,7 +110,7 @@
 		p.t.Fatal(err)
 	}
 	p.t.Cleanup(b.Close)
-	sealer, err := newSealer(p.ring)
+	sealer, err := p.ring.Sealer()
 	if err != nil {
 		p.t.Fatal(err)
 	}
--- a/internal/lentilcommand/lentilagentcommand/agent.go
+++ b/internal/lentilcommand/lentilagentcommand/agent.go
@@ -5,7 +5,6 @@
 	"context"
 	_ "embed"
 
-	"github.com/joomcode/errorx"
 	"github.com/urfave/cli/v3"
 
 	"lentilstair.example/lentilstair/internal/lentilevent"
@@ -35,7 +34,16 @@
 	}
 	logger := lentilevent.New(c.Root().ErrWriter, settings.LogLevel()).
 		With(lentilevent.Str("role", "agent"), lentilevent.Str("name", settings.Copy()))
-	return lentilprocess.Run(ctx, logger, func(context.Context, lentilprocess.Stop) error {
-		return errorx.NotImplemented.New("the shell of the agent")
+	return lentilprocess.Run(ctx, logger, func(forced context.Context, stop lentilprocess.Stop) error {
+		graceful, cancel := context.WithCancel(forced)
+		defer cancel()
+		go func() {
+			select {
+			case <-stop.Graceful():
+				cancel()
+			case <-graceful.Done():
+			}
+		}()
+		return serve(graceful, forced, settings, logger)
 	})
 }
--- a/internal/lentilcontrol/announce.go
+++ b/internal/lentilcontrol/announce.go
@@ -8,6 +8,7 @@
 
 	"lentilstair.example/lentilstair/internal/lentilcontrol/lentilcontrolpb"
 	"lentilstair.example/lentilstair/pkg/lentilconfig"
+	"lentilstair.example/lentilstair/pkg/lentilid"
 	"lentilstair.example/lentilstair/pkg/lentilmember"
 	"lentilstair.example/lentilstair/pkg/lentilrecord"
 )
@@ -43,7 +44,7 @@
 	if request.GetConfigurationVersion() >= n.configuration.Version() {
 		return nil
 	}
-	p, err := n.parts.get(n.configuration.Configuration(), r.Service())
+	p, err := n.parts.get(n.configuration.Configuration(), n.serviceOf(r))
 	if err != nil {
 		return err
 	}
@@ -54,6 +55,18 @@
 	return nil
 }
 
+// serviceOf returns the service of a record. An agent that has just started knows
+// its copy by name only, and learns the number of the service from its part.
+func (n *Node) serviceOf(r lentilrecord.Record) (service lentilid.Service) {
+	if r.Service() != 0 {
+		return r.Service()
+	}
+	if listed := n.configuration.Configuration().Copy(r.Owner().Copy); listed != nil {
+		return listed.Service()
+	}
+	return 0
+}
+
 func (n *Node) answerPeers(r lentilrecord.Record, request *lentilcontrolpb.AnnounceRequest, response *lentilcontrolpb.AnnounceResponse) {
 	peers := n.records.Peers(r.Service())
 	response.PeersDigest = peersDigest(peers)
