--- a/internal/lentilagent/agent.go
+++ b/internal/lentilagent/agent.go
@@ -214,6 +214,7 @@
 	a.flowsHere.configure(configuration)
 	service := configuration.Service(a.options.Service)
 	if service == nil {
+		a.setDraining(true)
 		return
 	}
 	a.tell(configured{
@@ -223,9 +224,8 @@
 	})
 	a.service.Store(service)
 	a.setOut(isOut(configuration, a.options.Domain))
-	if c := configuration.Copy(a.options.Copy); c != nil {
-		a.setDraining(c.Draining())
-	}
+	listed := configuration.Copy(a.options.Copy)
+	a.setDraining(listed == nil || listed.Draining())
 }
 
 // isOut reports whether operators have taken a failure domain out.
--- a/internal/lentilcommand/lentilagentcommand/agent.go
+++ b/internal/lentilcommand/lentilagentcommand/agent.go
@@ -9,6 +9,7 @@
 
 	"lentilstair.example/lentilstair/internal/lentilevent"
 	"lentilstair.example/lentilstair/internal/lentilexit"
+	"lentilstair.example/lentilstair/internal/lentilnode"
 	"lentilstair.example/lentilstair/internal/lentilprocess"
 	"lentilstair.example/lentilstair/internal/lentilsetting"
 )
@@ -34,16 +35,12 @@
 	}
 	logger := lentilevent.New(c.Root().ErrWriter, settings.LogLevel()).
 		With(lentilevent.Str("role", "agent"), lentilevent.Str("name", settings.Copy()))
-	return lentilprocess.Run(ctx, logger, func(forced context.Context, stop lentilprocess.Stop) error {
-		graceful, cancel := context.WithCancel(forced)
-		defer cancel()
-		go func() {
-			select {
-			case <-stop.Graceful():
-				cancel()
-			case <-graceful.Done():
-			}
-		}()
-		return serve(graceful, forced, settings, logger)
+	return lentilprocess.Run(ctx, logger, func(graceful, forced context.Context) (err error) {
+		common, err := lentilnode.New("agent", settings.AdminAddress(), settings.Keys(), logger)
+		if err != nil {
+			return err
+		}
+		defer common.Close()
+		return newRole(settings, common).run(graceful, forced)
 	})
 }
--- /dev/null
+++ b/internal/lentilcommand/lentilagentcommand/export.go
@@ -0,0 +1,83 @@
+package lentilagentcommand
+
+import (
+	"lentilstair.example/lentilstair/internal/lentilagent"
+	"lentilstair.example/lentilstair/internal/lentilevent"
+	"lentilstair.example/lentilstair/internal/lentilmetric"
+	"lentilstair.example/lentilstair/internal/lentilnode"
+	"lentilstair.example/lentilstair/pkg/lentilrecord"
+)
+
+// refusals says how the shell's counts of refused packets are shown.
+var refusals = map[lentilagent.Counter]lentilnode.Refusal{
+	lentilagent.Malformed:   {Metric: lentilmetric.TunnelRefused, Event: lentilevent.TunnelRefused},
+	lentilagent.UnknownKey:  {Metric: lentilmetric.TunnelRefused, Event: lentilevent.TunnelRefused},
+	lentilagent.Forged:      {Metric: lentilmetric.TunnelRefused, Event: lentilevent.TunnelRefused},
+	lentilagent.Misdirected: {Metric: lentilmetric.TunnelRefused, Event: lentilevent.ServiceMismatch},
+	lentilagent.Stale:       {Metric: lentilmetric.TunnelRefused},
+	lentilagent.Dropped:     {Metric: lentilmetric.PacketsDropped},
+	lentilagent.Refused:     {Metric: lentilmetric.PacketsDropped},
+	lentilagent.DomainOut:   {Metric: lentilmetric.PacketsDropped},
+	lentilagent.Oversized:   {Metric: lentilmetric.PacketsDropped, Event: lentilevent.PacketRefused},
+	lentilagent.Wayless:     {Metric: lentilmetric.PacketsDropped},
+	lentilagent.Unsent:      {Metric: lentilmetric.PacketsDropped, Event: lentilevent.SocketFailed},
+}
+
+// export shows the agent's counts as metrics.
+func (r *role) export() {
+	mirror, registry := &r.common.Mirror, r.common.Registry
+	mirror.Count(registry.Counter(lentilmetric.PacketsForwarded), r.count(lentilagent.Received), nil)
+	mirror.Count(registry.Counter(lentilmetric.PacketsReturned), r.count(lentilagent.Answered), nil)
+	mirror.Count(registry.Counter(lentilmetric.PacketsHandedOn), r.count(lentilagent.HandedOn), nil)
+	for counter, refusal := range refusals {
+		refusal.Reason = counter.String()
+		r.common.Refused(refusal, r.count(counter))
+	}
+	mirror.Count(registry.Counter(lentilmetric.ControlBytes), r.control.Bytes, nil)
+	mirror.Gauge(registry.Gauge(lentilmetric.ConfigurationVersion), func() float64 { return float64(r.control.Version()) })
+	for metric, read := range map[lentilmetric.Metric]func(*lentilagent.Agent) float64{
+		lentilmetric.RequestsInFlight: func(a *lentilagent.Agent) float64 { return float64(a.InFlight()) },
+		lentilmetric.RequestsQueued:   func(a *lentilagent.Agent) float64 { return float64(a.Queued()) },
+		lentilmetric.StreamsOpen:      func(a *lentilagent.Agent) float64 { return float64(a.Streams()) },
+		lentilmetric.CopyBears:        func(a *lentilagent.Agent) float64 { return float64(a.Bears()) },
+		lentilmetric.CopyPhase:        phase,
+	} {
+		mirror.Gauge(registry.Gauge(metric), r.gauge(read))
+	}
+}
+
+// count reads a count of the shell, 0 before it has started.
+func (r *role) count(c lentilagent.Counter) func() uint64 {
+	return func() uint64 {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.shell == nil {
+			return 0
+		}
+		return r.shell.Count(c)
+	}
+}
+
+// gauge reads a value of the shell, 0 before it has started.
+func (r *role) gauge(read func(*lentilagent.Agent) float64) func() float64 {
+	return func() float64 {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.shell == nil {
+			return 0
+		}
+		return read(r.shell)
+	}
+}
+
+// phase returns the number of the copy's phase.
+func phase(a *lentilagent.Agent) float64 {
+	switch {
+	case a.Draining():
+		return float64(lentilrecord.Draining)
+	case a.Cold():
+		return float64(lentilrecord.Warming)
+	default:
+		return float64(lentilrecord.Ready)
+	}
+}
--- /dev/null
+++ b/internal/lentilcommand/lentilagentcommand/role.go
@@ -0,0 +1,170 @@
+package lentilagentcommand
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"lentilstair.example/lentilstair/internal/lentilagent"
+	"lentilstair.example/lentilstair/internal/lentilcontrol"
+	"lentilstair.example/lentilstair/internal/lentilevent"
+	"lentilstair.example/lentilstair/internal/lentilmetric"
+	"lentilstair.example/lentilstair/internal/lentilnode"
+	"lentilstair.example/lentilstair/internal/lentilsetting"
+	"lentilstair.example/lentilstair/pkg/lentilconfig"
+	"lentilstair.example/lentilstair/pkg/lentilid"
+	"lentilstair.example/lentilstair/pkg/lentilrecord"
+)
+
+// leaveTimeout bounds how long an agent that ends waits until a balancer knows.
+const leaveTimeout = 2 * time.Second
+
+// role joins the parts of an agent: control brings the configuration and the
+// peers, and the shell serves. The shell starts once the configuration has said by
+// which numbers the copy's service and failure domain go.
+type role struct {
+	settings    lentilsetting.Agent
+	common      *lentilnode.Common
+	control     *lentilcontrol.Agent
+	incarnation lentilid.Incarnation
+	started     chan struct{}
+	failed      chan error
+
+	mu       sync.Mutex
+	shell    *lentilagent.Agent
+	waiting  bool
+	stopping bool
+}
+
+func newRole(settings lentilsetting.Agent, common *lentilnode.Common) (r *role) {
+	r = &role{settings: settings, common: common, started: make(chan struct{}), failed: make(chan error, 1)}
+	for r.incarnation.Short() == 0 {
+		r.incarnation = lentilid.Incarnation(rand.Uint64())
+	}
+	r.control = &lentilcontrol.Agent{
+		Balancers:       settings.Balancers(),
+		ClientTLS:       common.ClientTLS,
+		OnConfiguration: r.configure,
+		OnPeers:         r.learn,
+	}
+	return r
+}
+
+// run serves until a graceful stop has ended, or at once when forced ends.
+func (r *role) run(graceful, forced context.Context) (err error) {
+	controlled, stop := context.WithCancel(context.WithoutCancel(forced))
+	defer stop()
+	// Without a service the record only asks balancers for the configuration.
+	r.control.Announce(lentilrecord.Doc{
+		Owner:   lentilrecord.Owner{Copy: r.settings.Copy(), Incarnation: r.incarnation},
+		Tunnel:  r.settings.TunnelAddress(),
+		Control: r.settings.ControlAddress(),
+		Phase:   lentilrecord.Warming,
+	})
+	r.control.Start(controlled)
+	r.export()
+	r.common.Serve(r.ready)
+	select {
+	case <-r.started:
+	case err = <-r.failed:
+		return err
+	case <-graceful.Done():
+		return nil
+	}
+	context.AfterFunc(graceful, r.noteStop)
+	r.shell.Run(graceful, forced)
+	left, cancel := context.WithTimeout(forced, leaveTimeout)
+	defer cancel()
+	r.control.Leave(left)
+	return nil
+}
+
+func (r *role) noteStop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopping = true
+}
+
+// ready says whether the copy takes new work, as far as its agent knows.
+func (r *role) ready() lentilmetric.State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case r.stopping:
+		return lentilmetric.State{Reason: "stopping"}
+	case r.waiting:
+		return lentilmetric.State{Reason: "the copy is not in the configuration"}
+	case r.shell == nil:
+		return lentilmetric.State{Reason: "no configuration yet"}
+	case r.shell.Draining():
+		return lentilmetric.State{Reason: "draining"}
+	default:
+		return lentilmetric.State{Ready: true}
+	}
+}
+
+// configure puts a configuration in force.
+func (r *role) configure(configuration lentilconfig.Configuration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.shell == nil && !r.start(configuration) {
+		return
+	}
+	r.shell.Configure(configuration)
+	r.common.Logger.Write(lentilevent.ConfigurationInForce,
+		lentilevent.Uint("version", configuration.Version()), lentilevent.Str("noteId", configuration.NoteID()))
+}
+
+// start starts the shell if the configuration has the copy as the settings name it.
+func (r *role) start(configuration lentilconfig.Configuration) (ok bool) {
+	place := configuration.Copy(r.settings.Copy())
+	if place == nil || !r.fits(configuration, place) {
+		r.waiting = true
+		r.common.Logger.Write(lentilevent.RoleWaiting,
+			lentilevent.Str("copy", r.settings.Copy()), lentilevent.Str("service", r.settings.Service()),
+			lentilevent.Str("domain", r.settings.Domain()), lentilevent.Uint("version", configuration.Version()))
+		return false
+	}
+	r.waiting = false
+	shell, err := lentilagent.New(lentilagent.Options{
+		Copy:            r.settings.Copy(),
+		Service:         place.Service(),
+		Domain:          place.Domain(),
+		Incarnation:     r.incarnation,
+		Tunnel:          r.settings.TunnelAddress(),
+		Control:         r.settings.ControlAddress(),
+		Upstream:        r.settings.Upstream(),
+		CertificateFile: r.settings.CertificateFile(),
+		KeyFile:         r.settings.KeyFile(),
+		Ring:            r.common.Ring,
+		DrainLimit:      r.settings.DrainLimit(),
+		Announce:        r.control.Announce,
+	})
+	if err != nil {
+		select {
+		case r.failed <- err:
+		default:
+		}
+		return false
+	}
+	r.shell = shell
+	close(r.started)
+	return true
+}
+
+// fits reports whether the configuration has the copy in the service and failure
+// domain of the settings.
+func (r *role) fits(configuration lentilconfig.Configuration, place *lentilconfig.Copy) bool {
+	service, domain := configuration.Service(place.Service()), configuration.Domain(place.Domain())
+	return service != nil && service.Name() == r.settings.Service() && domain != nil && domain.Name() == r.settings.Domain()
+}
+
+// learn passes the other agents of the service to the shell.
+func (r *role) learn(records []lentilrecord.Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.shell != nil {
+		r.shell.Peers(records)
+	}
+}
--- /dev/null
+++ b/internal/lentilcommand/lentilbalancercommand/role.go
@@ -0,0 +1,180 @@
+package lentilbalancercommand
+
+import (
+	"context"
+	"sync"
+
+	"lentilstair.example/lentilstair/internal/lentilbalancer"
+	"lentilstair.example/lentilstair/internal/lentilcontrol"
+	"lentilstair.example/lentilstair/internal/lentilevent"
+	"lentilstair.example/lentilstair/internal/lentilmetric"
+	"lentilstair.example/lentilstair/internal/lentilnode"
+	"lentilstair.example/lentilstair/internal/lentilreader"
+	"lentilstair.example/lentilstair/internal/lentilsetting"
+	"lentilstair.example/lentilstair/pkg/lentilconfig"
+	"lentilstair.example/lentilstair/pkg/lentilplatform"
+	"lentilstair.example/lentilstair/pkg/lentilrecord"
+	"lentilstair.example/lentilstair/pkg/lentilview"
+)
+
+// role joins the parts of a balancer: control brings configuration and records,
+// the view makes a router of them, and the shell sends packets by it.
+type role struct {
+	common   *lentilnode.Common
+	shell    *lentilbalancer.Balancer
+	control  *lentilcontrol.Balancer
+	reader   *lentilreader.Reader
+	platform *lentilplatform.Client
+	outage   outage
+
+	mu            sync.Mutex
+	view          lentilview.View
+	configuration lentilconfig.Configuration
+	known         map[lentilrecord.Owner]bool
+	stopping      bool
+}
+
+// newRole opens everything that a balancer needs.
+func newRole(settings lentilsetting.Balancer, common *lentilnode.Common) (r *role, err error) {
+	r = &role{common: common, known: make(map[lentilrecord.Owner]bool)}
+	if r.view.Sealer, err = common.Ring.Sealer(); err != nil {
+		return nil, err
+	}
+	r.platform = &lentilplatform.Client{Base: settings.Platform().URL(), Token: settings.Platform().Token()}
+	r.reader = &lentilreader.Reader{Client: r.platform, OnRefused: r.refused}
+	r.shell, err = lentilbalancer.New(lentilbalancer.Options{
+		Listen: settings.ListenAddress(),
+		Tunnel: settings.TunnelAddress(),
+		Ring:   common.Ring,
+		Grace:  settings.StopGrace(),
+	})
+	if err != nil {
+		return nil, err
+	}
+	r.control = &lentilcontrol.Balancer{
+		Listen:          settings.ControlAddress(),
+		Domain:          settings.Domain(),
+		Seeds:           settings.Peers(),
+		ServerTLS:       common.ServerTLS,
+		ClientTLS:       common.ClientTLS,
+		Read:            r.read,
+		OnConfiguration: r.configure,
+		OnRecords:       r.observe,
+		OnFault:         r.fault,
+	}
+	return r, nil
+}
+
+// run serves until a graceful stop has ended, or at once when forced ends.
+func (r *role) run(graceful, forced context.Context) (err error) {
+	controlled, stop := context.WithCancel(context.WithoutCancel(forced))
+	defer stop()
+	if err = r.control.Start(controlled); err != nil {
+		r.shell.Close()
+		return err
+	}
+	r.export()
+	r.common.Serve(r.ready)
+	context.AfterFunc(graceful, r.noteStop)
+	r.shell.Run(graceful, forced)
+	// Only now, since who has left learns nothing any more, and packets have to be
+	// forwarded by the latest view up to the end.
+	if forced.Err() == nil {
+		r.control.Leave()
+	}
+	return nil
+}
+
+func (r *role) noteStop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopping = true
+}
+
+// ready says whether the fabric may hand packets over.
+func (r *role) ready() lentilmetric.State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case r.stopping:
+		return lentilmetric.State{Reason: "stopping"}
+	case r.configuration.Version() == 0:
+		return lentilmetric.State{Reason: "no configuration yet"}
+	case !r.control.Ready():
+		return lentilmetric.State{Reason: "the other balancers are not known yet"}
+	case !r.shell.Ready():
+		return lentilmetric.State{Reason: "no service has a socket"}
+	default:
+		return lentilmetric.State{Ready: true}
+	}
+}
+
+// configure puts a configuration in force.
+func (r *role) configure(configuration lentilconfig.Configuration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.logDomains(configuration)
+	r.configuration = configuration
+	r.view.Configure(configuration)
+	r.shell.Route(r.view.Router())
+	if err := r.shell.Configure(configuration); err != nil {
+		r.common.Logger.Write(lentilevent.SocketFailed, lentilevent.Err(err))
+	}
+	r.common.Logger.Write(lentilevent.ConfigurationInForce,
+		lentilevent.Uint("version", configuration.Version()), lentilevent.Str("noteId", configuration.NoteID()))
+}
+
+// logDomains logs which failure domains the configuration takes out and brings back.
+func (r *role) logDomains(configuration lentilconfig.Configuration) {
+	for _, doc := range configuration.Document().Domains {
+		former := r.configuration.Domain(doc.Number)
+		wasOut := former != nil && former.Out()
+		if doc.Out == wasOut {
+			continue
+		}
+		event := lentilevent.DomainBack
+		if doc.Out {
+			event = lentilevent.DomainOut
+		}
+		r.common.Logger.Write(event, lentilevent.Str("domain", doc.Name), lentilevent.Uint("version", configuration.Version()))
+	}
+}
+
+// observe takes in what has changed among the live records.
+func (r *role) observe(observed []lentilrecord.Record, forgotten []lentilrecord.Owner) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, record := range observed {
+		r.known[record.Owner()] = true
+		r.view.Observe(record)
+	}
+	for _, owner := range forgotten {
+		delete(r.known, owner)
+		r.view.Forget(owner)
+	}
+	r.shell.Route(r.view.Router())
+}
+
+// read reads the platform while control wants it, and logs when the platform goes
+// and comes back.
+func (r *role) read(ctx context.Context, offering lentilcontrol.Offering) (err error) {
+	answered := lentilcontrol.Offering{
+		Assemble: func(head lentilconfig.HeadDoc) (assembly *lentilconfig.Assembly, err error) {
+			r.outage.ended(r.common.Logger)
+			return offering.Assemble(head)
+		},
+		Offer: offering.Offer,
+	}
+	if err = r.reader.Read(ctx, answered); err != nil && ctx.Err() == nil {
+		r.outage.began(r.common.Logger, err)
+	}
+	return err
+}
+
+func (r *role) refused(err error) {
+	r.common.Logger.WriteLimited(&r.common.Limit, lentilevent.ConfigurationRefused, lentilevent.Err(err))
+}
+
+func (r *role) fault(err error) {
+	r.common.Logger.WriteLimited(&r.common.Limit, lentilevent.ControlFailed, lentilevent.Err(err))
+}
--- /dev/null
+++ b/internal/lentildemo/change.go
@@ -0,0 +1,167 @@
+package lentildemo
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"lentilstair.example/lentilstair/internal/lentillab"
+	"lentilstair.example/lentilstair/internal/lentilstand/upstream"
+	"lentilstair.example/lentilstair/pkg/lentilnote"
+)
+
+const (
+	// outDomain is the failure domain that is taken out and brought back.
+	outDomain = "siracusa"
+	// leaveTime is how long after its withdrawal a copy may still get new work.
+	leaveTime = 3 * time.Second
+)
+
+// timed carries out a change and notes how long it took until it was in force.
+func (d *demo) timed(name string, do func() error) (err error) {
+	at := time.Since(d.began)
+	began := time.Now()
+	if err = do(); err != nil {
+		return errorx.Decorate(err, "%s", name)
+	}
+	took := time.Since(began)
+	d.report.Changes = append(d.report.Changes, ChangeDoc{Name: name, AtSeconds: at.Seconds(), TookMillis: took.Milliseconds()})
+	d.note("%5.1f s  %s: in force after %s", at.Seconds(), name, took.Round(time.Millisecond))
+	return nil
+}
+
+// replaceCopies replaces copies of each service one after another.
+func (d *demo) replaceCopies(ctx context.Context) (err error) {
+	for i := range d.times.replaced {
+		service := d.site.Site().Services[i]
+		old := d.copyOf(service.Name)
+		name := fmt.Sprintf("%s-%d", service.Name, service.Copies+1)
+		fresh := d.site.PlanCopy(service.Name, name, old.Domain())
+		if err = d.site.StartCopy(fresh); err != nil {
+			return err
+		}
+		note := lentillab.ReplaceNote("replace-"+strconv.Itoa(i+1), fresh, old)
+		err = d.timed(old.Name()+" replaced by "+name, func() error { return d.site.ApplyDirectly(ctx, note) })
+		if err != nil {
+			return err
+		}
+		l := &leaver{copy: old}
+		d.leaving = append(d.leaving, l)
+		time.AfterFunc(leaveTime, func() { d.watchLeaver(l) })
+		if err = d.site.AwaitCopy(ctx, fresh); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// copyOf returns the first copy of a service.
+func (d *demo) copyOf(service string) *lentillab.Copy {
+	for _, c := range d.site.Copies() {
+		if c.Service() == service {
+			return c
+		}
+	}
+	return nil
+}
+
+// watchLeaver notes what a withdrawn copy had done by now.
+func (d *demo) watchLeaver(l *leaver) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	var state upstream.StateDoc
+	err := d.site.Get(ctx, l.copy.URL()+"/state", &state)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l.done, l.seen = state.Done+uint64(state.InFlight), err == nil
+}
+
+// stopBalancer asks one balancer for a graceful stop. It ends while the rest goes on.
+func (d *demo) stopBalancer(context.Context) error {
+	stopped := d.site.Balancers()[0]
+	at := time.Since(d.began)
+	began := time.Now()
+	stopped.Process().Stop()
+	d.note("%5.1f s  %s asked to stop", at.Seconds(), stopped.Name())
+	go func() {
+		<-stopped.Process().Ended()
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.report.Changes = append(d.report.Changes, ChangeDoc{
+			Name: stopped.Name() + " stopped", AtSeconds: at.Seconds(), TookMillis: time.Since(began).Milliseconds(),
+		})
+	}()
+	return nil
+}
+
+// takeOut takes a failure domain out and counts the packets that reach it after
+// the quiet time.
+func (d *demo) takeOut(ctx context.Context) (err error) {
+	if err = d.timed(outDomain+" taken out", func() error { return d.site.ApplyDirectly(ctx, outNote(true)) }); err != nil {
+		return err
+	}
+	timer := time.NewTimer(d.times.quiet)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	d.late, err = d.packetsInto(ctx, outDomain)
+	return err
+}
+
+// bringBack brings the failure domain back.
+func (d *demo) bringBack(ctx context.Context) (err error) {
+	after, err := d.packetsInto(ctx, outDomain)
+	if err != nil {
+		return err
+	}
+	d.late = after - d.late
+	return d.timed(outDomain+" brought back", func() error { return d.site.ApplyDirectly(ctx, outNote(false)) })
+}
+
+// packetsInto returns how many packets of callers have reached the agents of a
+// failure domain, taken in or not.
+func (d *demo) packetsInto(ctx context.Context, domain string) (packets uint64, err error) {
+	for _, c := range d.site.Copies() {
+		if c.Domain() != domain || c.Agent() == nil {
+			continue
+		}
+		text, err := d.site.Text(ctx, c.Admin()+"/metrics")
+		if err != nil {
+			return 0, err
+		}
+		packets += sum(text, "lentilstair_packets_forwarded{") + sum(text, `lentilstair_packets_dropped{reason="domainOut"`)
+	}
+	return packets, nil
+}
+
+// sum adds up the values of the lines of a scrape that begin with the prefix.
+func sum(scrape, prefix string) (total uint64) {
+	for line := range strings.Lines(scrape) {
+		if !strings.HasPrefix(line, prefix) {
+			continue
+		}
+		fields := strings.Fields(line)
+		if value, err := strconv.ParseFloat(fields[len(fields)-1], 64); err == nil {
+			total += uint64(value)
+		}
+	}
+	return total
+}
+
+func outNote(out bool) (note lentilnote.Doc) {
+	note = lentilnote.Doc{ID: "out", Author: "demo"}
+	if out {
+		note.Domains.Out = []string{outDomain}
+		return note
+	}
+	note.ID = "back"
+	note.Domains.Back = []string{outDomain}
+	return note
+}
--- a/internal/lentilevent/catalogue.go
+++ b/internal/lentilevent/catalogue.go
@@ -24,14 +24,14 @@
 	AdminFailed: {Error, "admin endpoint failed", "The endpoint for ready, live and metrics can't serve.", []string{"address", "error"}},
 
 	PacketRefused: {Warn, "packet refused", "A packet from the fabric is malformed and was dropped. Logged at a bounded rate; " +
-		"the metric counts all.", []string{"reason", "from", "suppressed"}},
+		"the metric counts all.", []string{"reason", "packets", "suppressed"}},
 	TunnelRefused: {Warn, "tunnel packet refused", "A packet on the tunnel address is malformed or not signed by a key of the " +
 		"ring, and was dropped. A few after a key was removed are harmless; many mean a process with other keys, or " +
-		"an attacker.", []string{"reason", "from", "suppressed"}},
+		"an attacker.", []string{"reason", "packets", "suppressed"}},
 	PlaceRefused: {Warn, "connection ID refused", "A connection ID claims a place, but is not signed by a key of the ring. The " +
-		"packet counts as one without a place.", []string{"from", "suppressed"}},
+		"packet counts as one without a place.", []string{"reason", "packets", "suppressed"}},
 	ServiceMismatch: {Warn, "packet of another service dropped", "A packet reached an agent whose service or incarnation is not the " +
-		"one that the packet names. It was dropped; it reaches no copy.", []string{"service", "suppressed"}},
+		"one that the packet names. It was dropped; it reaches no copy.", []string{"reason", "packets", "suppressed"}},
 	SocketFailed: {Error, "socket failed", "A socket can't be opened, read or written.", []string{"address", "error"}},
 
 	ConfigurationInForce: {Info, "configuration in force", "The process works by this version of the configuration from now on.",
@@ -47,6 +47,10 @@
 	RecordRefused: {Warn, "announcement refused", "An announcement is malformed, older than what is known, or of a copy that the configuration does not hold.", []string{"copy", "reason", "suppressed"}},
 	DomainOut:     {Warn, "failure domain taken out", "Operators took the failure domain out: no packet is sent to it any more.", []string{"domain", "version"}},
 	DomainBack:    {Info, "failure domain back", "Operators brought the failure domain back; its copies count as cold.", []string{"domain", "version"}},
+	ControlFailed: {Warn, "control failed", "Something in the exchange with other processes failed; it is tried again. The error says what.",
+		[]string{"error", "suppressed"}},
+	RoleWaiting: {Warn, "copy not in the configuration", "The agent waits until a release note adds its copy to its service in its failure domain, as its settings name them.",
+		[]string{"copy", "service", "domain", "version"}},
 
 	CopyWarming: {Info, "copy warming", "The copy gets as much as it bears, and more as it proves to bear more.", []string{"weight"}},
 	CopyReady:   {Info, "copy warm", "The copy bears all its slots.", []string{"weight"}},
--- a/internal/lentilevent/event.go
+++ b/internal/lentilevent/event.go
@@ -85,6 +85,8 @@
 	RecordRefused
 	DomainOut
 	DomainBack
+	ControlFailed
+	RoleWaiting
 )
 
 // Events about copies and requests.
--- a/internal/lentilevent/event_string.go
+++ b/internal/lentilevent/event_string.go
@@ -33,6 +33,8 @@
 	_ = x[RecordRefused-2208]
 	_ = x[DomainOut-2209]
 	_ = x[DomainBack-2210]
+	_ = x[ControlFailed-2211]
+	_ = x[RoleWaiting-2212]
 	_ = x[CopyWarming-2301]
 	_ = x[CopyReady-2302]
 	_ = x[CopyCold-2303]
@@ -46,14 +48,14 @@
 const (
 	_Event_name_0 = "StartedReadyNotReadyStopAskedStopForcedStoppedStopFailedCertificateLoadedCertificateRefusedAdminFailed"
 	_Event_name_1 = "PacketRefusedTunnelRefusedPlaceRefusedServiceMismatchSocketFailed"
-	_Event_name_2 = "ConfigurationInForceConfigurationRefusedPlatformDownPlatformBackPeerDownPeerBackPeerRefusedRecordRefusedDomainOutDomainBack"
+	_Event_name_2 = "ConfigurationInForceConfigurationRefusedPlatformDownPlatformBackPeerDownPeerBackPeerRefusedRecordRefusedDomainOutDomainBackControlFailedRoleWaiting"
 	_Event_name_3 = "CopyWarmingCopyReadyCopyColdCopyDrainingCopyDownCopyBackRequestRefusedOutcomeUnknown"
 )
 
 var (
 	_Event_index_0 = [...]uint8{0, 7, 12, 20, 29, 39, 46, 56, 73, 91, 102}
 	_Event_index_1 = [...]uint8{0, 13, 26, 38, 53, 65}
-	_Event_index_2 = [...]uint8{0, 20, 40, 52, 64, 72, 80, 91, 104, 113, 123}
+	_Event_index_2 = [...]uint8{0, 20, 40, 52, 64, 72, 80, 91, 104, 113, 123, 136, 147}
 	_Event_index_3 = [...]uint8{0, 11, 20, 28, 40, 48, 56, 70, 84}
 )
 
@@ -65,7 +67,7 @@
 	case 2101 <= i && i <= 2105:
 		i -= 2101
 		return _Event_name_1[_Event_index_1[i]:_Event_index_1[i+1]]
-	case 2201 <= i && i <= 2210:
+	case 2201 <= i && i <= 2212:
 		i -= 2201
 		return _Event_name_2[_Event_index_2[i]:_Event_index_2[i+1]]
 	case 2301 <= i && i <= 2308:
--- /dev/null
+++ b/internal/lentillab/lab.go
@@ -0,0 +1,154 @@
+// Package lentillab starts the separate processes of a whole site on one machine,
+// for tests, the demo and the measurements: platform, fabric, upstream copies,
+// agents, balancers and callers, each a process of its own with an IP address of
+// its own on the loopback network.
+//
+// A lab leaves no process and no file behind: Close stops everything it started,
+// and the system ends the processes if the lab's own process dies first.
+package lentillab
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+
+	"github.com/joomcode/errorx"
+)
+
+const (
+	// firstBlock and lastBlock bound the second byte of the addresses of a lab.
+	firstBlock = 64
+	lastBlock  = 127
+	// lockPort is bound by each lab, so that two labs never share a block.
+	lockPort = 16393
+)
+
+// Lab is a directory, a block of loopback addresses and the processes of a run.
+type Lab struct {
+	binaries  string
+	directory string
+	block     byte
+	lock      *net.UDPConn
+	starter   *starter
+
+	mu        sync.Mutex
+	processes []*Process
+	closed    bool
+}
+
+// New returns a lab that starts the programs lentilstair and lentilstand of the
+// given directory. Close it in any case.
+func New(binaries string) (lab *Lab, err error) {
+	defer func() {
+		if err != nil {
+			err = errorx.Decorate(err, "make a lab")
+		}
+	}()
+	lab = &Lab{binaries: binaries}
+	if lab.lock, lab.block, err = claimBlock(); err != nil {
+		return nil, err
+	}
+	if lab.directory, err = os.MkdirTemp("", "lentillab-"); err != nil {
+		_ = lab.lock.Close()
+		return nil, err
+	}
+	lab.starter = newStarter()
+	return lab, nil
+}
+
+// claimBlock finds a block of addresses that no other lab uses.
+func claimBlock() (lock *net.UDPConn, block byte, err error) {
+	const blocks = lastBlock - firstBlock + 1
+	start := rand.IntN(blocks)
+	for i := range blocks {
+		block = byte(firstBlock + (start+i)%blocks)
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, block, 255, 1}), lockPort)
+		if lock, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address)); err == nil {
+			return lock, block, nil
+		}
+	}
+	return nil, 0, err
+}
+
+// IP returns the loopback address of a VM: its kind and its number among them.
+func (l *Lab) IP(kind, number byte) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, l.block, kind, number})
+}
+
+// Path returns the path of a file in the lab's directory.
+func (l *Lab) Path(name string) string { return filepath.Join(l.directory, name) }
+
+// Write writes a file into the lab's directory and returns its path.
+func (l *Lab) Write(name string, content []byte) (path string, err error) {
+	path = l.Path(name)
+	return path, os.WriteFile(path, content, 0o600)
+}
+
+// Stair starts the program lentilstair with the given arguments.
+func (l *Lab) Stair(name string, args ...string) (process *Process, err error) {
+	return l.start(name, "lentilstair", args)
+}
+
+// Stand starts the program lentilstand with the given arguments.
+func (l *Lab) Stand(name string, args ...string) (process *Process, err error) {
+	return l.start(name, "lentilstand", args)
+}
+
+func (l *Lab) start(name, program string, args []string) (process *Process, err error) {
+	defer func() {
+		if err != nil {
+			err = errorx.Decorate(err, "start %s", name)
+		}
+	}()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil, errorx.IllegalState.New("the lab is closed")
+	}
+	process = newProcess(name, filepath.Join(l.binaries, program), args)
+	if err = l.starter.start(process); err != nil {
+		return nil, err
+	}
+	l.processes = append(l.processes, process)
+	return process, nil
+}
+
+// Processes returns every process that was started, in the order of their starts.
+func (l *Lab) Processes() []*Process {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]*Process(nil), l.processes...)
+}
+
+// Failed describes the processes that have ended by an error of their own.
+func (l *Lab) Failed() (descriptions []string) {
+	for _, p := range l.Processes() {
+		if err := p.Failure(); err != nil {
+			descriptions = append(descriptions, fmt.Sprintf("%s: %v: %s", p.Name(), err, p.LastOutput()))
+		}
+	}
+	return descriptions
+}
+
+// Close kills every process that still runs and removes the lab's directory.
+func (l *Lab) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return
+	}
+	l.closed = true
+	for _, p := range l.processes {
+		p.Kill()
+	}
+	for _, p := range l.processes {
+		<-p.Ended()
+	}
+	l.starter.close()
+	_ = l.lock.Close()
+	_ = os.RemoveAll(l.directory)
+}
--- /dev/null
+++ b/internal/lentillab/site.go
@@ -0,0 +1,201 @@
+package lentillab
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"lentilstair.example/lentilstair/internal/lentilsetting"
+)
+
+// Site describes what a lab runs.
+type Site struct {
+	Region    string
+	Domains   []string
+	Services  []Service
+	Balancers int
+	// StopGrace is how long a balancer forwards after it was asked to stop.
+	StopGrace time.Duration
+	// DrainLimit is how long an agent that was asked to stop waits for open flows.
+	DrainLimit time.Duration
+	// LogLevel is what balancers and agents log.
+	LogLevel string
+}
+
+// Service describes a service and its copies.
+type Service struct {
+	Name string
+	// Port is the port of the service's address.
+	Port        uint16
+	Copies      int
+	Slots       int
+	Connections int
+	// Work is how long a warm copy takes for a request.
+	Work time.Duration
+	// Cold is how long a copy is cold after its start.
+	Cold time.Duration
+}
+
+// Ports that the processes use, each on the address of its VM.
+const (
+	adminPort    = 9000
+	controlPort  = 9001
+	tunnelPort   = 9002
+	upstreamPort = 8080
+	platformPort = 8080
+	fabricPort   = 9000
+)
+
+// Kinds of VMs, the third byte of their addresses.
+const (
+	surroundings byte = iota
+	entryVMs
+	upstreamVMs
+)
+
+// Consorzio returns the site of the Consorzio at its size of today.
+func Consorzio() Site {
+	return Site{
+		Region:  "sicilia",
+		Domains: []string{"palermo", "catania", "messina", "siracusa"},
+		Services: []Service{
+			{Name: "iscrizioni", Port: 7443, Copies: 7, Slots: 2, Connections: 2000, Work: 40 * time.Millisecond, Cold: time.Second},
+			{Name: "catalogo", Port: 7444, Copies: 4, Slots: 2, Connections: 2000, Work: 40 * time.Millisecond, Cold: time.Second},
+		},
+		Balancers:  4,
+		StopGrace:  2 * time.Second,
+		DrainLimit: time.Minute,
+		LogLevel:   "info",
+	}
+}
+
+// Sala returns the site of Dostępna Sala at its size of today.
+func Sala() Site {
+	return Site{
+		Region:  "pl-central",
+		Domains: []string{"pl-central-a", "pl-central-b", "pl-central-c"},
+		Services: []Service{
+			{Name: "sala-live", Port: 7443, Copies: 7, Slots: 4, Connections: 2000, Work: 40 * time.Millisecond, Cold: time.Second},
+			{Name: "sala-docs", Port: 7444, Copies: 3, Slots: 4, Connections: 2000, Work: 40 * time.Millisecond, Cold: time.Second},
+		},
+		Balancers:  3,
+		StopGrace:  2 * time.Second,
+		DrainLimit: time.Minute,
+		LogLevel:   "info",
+	}
+}
+
+// Balancer is a balancer of a running site.
+type Balancer struct {
+	name    string
+	ip      netip.Addr
+	domain  string
+	file    string
+	process *Process
+}
+
+// Name returns the balancer's name.
+func (b *Balancer) Name() string { return b.name }
+
+// IP returns the address of the balancer's VM.
+func (b *Balancer) IP() netip.Addr { return b.ip }
+
+// Process returns the process that was started last.
+func (b *Balancer) Process() *Process { return b.process }
+
+// Admin returns the URL of the admin endpoint.
+func (b *Balancer) Admin() string { return url(b.ip, adminPort) }
+
+// Control returns the address for control calls.
+func (b *Balancer) Control() netip.AddrPort { return netip.AddrPortFrom(b.ip, controlPort) }
+
+// Copy is a copy of a running site with the agent beside it.
+type Copy struct {
+	name     string
+	service  Service
+	domain   string
+	ip       netip.Addr
+	file     string
+	upstream *Process
+	agent    *Process
+}
+
+// Name returns the copy's name.
+func (c *Copy) Name() string { return c.name }
+
+// Service returns the name of the copy's service.
+func (c *Copy) Service() string { return c.service.Name }
+
+// Domain returns the name of the copy's failure domain.
+func (c *Copy) Domain() string { return c.domain }
+
+// Agent returns the agent's process.
+func (c *Copy) Agent() *Process { return c.agent }
+
+// Upstream returns the copy's process.
+func (c *Copy) Upstream() *Process { return c.upstream }
+
+// Admin returns the URL of the agent's admin endpoint.
+func (c *Copy) Admin() string { return url(c.ip, adminPort) }
+
+// URL returns the URL of the copy itself.
+func (c *Copy) URL() string { return url(c.ip, upstreamPort) }
+
+func url(ip netip.Addr, port uint16) string {
+	return "http://" + netip.AddrPortFrom(ip, port).String()
+}
+
+func address(ip netip.Addr, port uint16) string { return netip.AddrPortFrom(ip, port).String() }
+
+// balancerDoc returns the settings of a balancer.
+func (r *Running) balancerDoc(b *Balancer) lentilsetting.BalancerDoc {
+	doc := lentilsetting.BalancerDoc{
+		Name:           b.name,
+		Domain:         b.domain,
+		ListenAddress:  b.ip.String(),
+		TunnelAddress:  address(b.ip, tunnelPort),
+		ControlAddress: address(b.ip, controlPort),
+		AdminAddress:   address(b.ip, adminPort),
+		Platform:       lentilsetting.PlatformDoc{URL: r.PlatformURL()},
+		Keys:           r.keys(),
+		StopGrace:      r.site.StopGrace.String(),
+		Log:            lentilsetting.LogDoc{Level: r.site.LogLevel},
+	}
+	for _, peer := range r.balancers {
+		if peer != b {
+			doc.Peers = append(doc.Peers, peer.Control().String())
+		}
+	}
+	return doc
+}
+
+// agentDoc returns the settings of an agent.
+func (r *Running) agentDoc(c *Copy) lentilsetting.AgentDoc {
+	doc := lentilsetting.AgentDoc{
+		Copy:           c.name,
+		Service:        c.service.Name,
+		Domain:         c.domain,
+		TunnelAddress:  address(c.ip, tunnelPort),
+		ControlAddress: address(c.ip, controlPort),
+		AdminAddress:   address(c.ip, adminPort),
+		Upstream:       c.URL(),
+		Keys:           r.keys(),
+		TLS:            lentilsetting.TLSDoc{CertificateFile: certificateFile, KeyFile: keyFile},
+		DrainLimit:     r.site.DrainLimit.String(),
+		Log:            lentilsetting.LogDoc{Level: r.site.LogLevel},
+	}
+	for _, b := range r.balancers {
+		doc.Balancers = append(doc.Balancers, b.Control().String())
+	}
+	return doc
+}
+
+func (r *Running) keys() []lentilsetting.KeyDoc {
+	return []lentilsetting.KeyDoc{{ID: 1, SecretFile: secretFile}}
+}
+
+// domainOf returns the failure domain of the VM with the given number.
+func (s Site) domainOf(number int) string { return s.Domains[number%len(s.Domains)] }
+
+// copyName returns the name of a service's copy by its number, from 1 on.
+func copyName(service string, number int) string { return fmt.Sprintf("%s-%d", service, number) }
--- a/internal/lentilmetric/kind_string.go
+++ b/internal/lentilmetric/kind_string.go
@@ -10,12 +10,11 @@
 	var x [1]struct{}
 	_ = x[Counter-0]
 	_ = x[Gauge-1]
-	_ = x[Histogram-2]
 }
 
-const _Kind_name = "CounterGaugeHistogram"
+const _Kind_name = "CounterGauge"
 
-var _Kind_index = [...]uint8{0, 7, 12, 21}
+var _Kind_index = [...]uint8{0, 7, 12}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/internal/lentilmetric/metric_string.go
+++ b/internal/lentilmetric/metric_string.go
@@ -11,34 +11,24 @@
 	_ = x[PacketsForwarded-0]
 	_ = x[PacketsDropped-1]
 	_ = x[PacketsReturned-2]
-	_ = x[TunnelRefused-3]
-	_ = x[FlowsOpened-4]
-	_ = x[FlowsOpen-5]
-	_ = x[FlowsHandedOff-6]
-	_ = x[RequestsStarted-7]
-	_ = x[RequestsFinished-8]
-	_ = x[RequestsRefused-9]
-	_ = x[RequestsRelayed-10]
-	_ = x[RequestsInFlight-11]
-	_ = x[RequestsQueued-12]
-	_ = x[RequestMillis-13]
-	_ = x[OutcomesUnknown-14]
-	_ = x[AnswersReplayed-15]
-	_ = x[CopyBears-16]
-	_ = x[CopyPhase-17]
-	_ = x[ConfigurationVersion-18]
-	_ = x[ConfigurationAge-19]
-	_ = x[RecordsKnown-20]
-	_ = x[RecordsRefused-21]
-	_ = x[PeersKnown-22]
-	_ = x[ControlBytes-23]
-	_ = x[PlatformCalls-24]
-	_ = x[PlatformFailures-25]
+	_ = x[PacketsHandedOn-3]
+	_ = x[TunnelRefused-4]
+	_ = x[RequestsInFlight-5]
+	_ = x[RequestsQueued-6]
+	_ = x[StreamsOpen-7]
+	_ = x[CopyBears-8]
+	_ = x[CopyPhase-9]
+	_ = x[ConfigurationVersion-10]
+	_ = x[RecordsKnown-11]
+	_ = x[ControlBytes-12]
+	_ = x[ControlRefused-13]
+	_ = x[PlatformCalls-14]
+	_ = x[PlatformFailures-15]
 }
 
-const _Metric_name = "PacketsForwardedPacketsDroppedPacketsReturnedTunnelRefusedFlowsOpenedFlowsOpenFlowsHandedOffRequestsStartedRequestsFinishedRequestsRefusedRequestsRelayedRequestsInFlightRequestsQueuedRequestMillisOutcomesUnknownAnswersReplayedCopyBearsCopyPhaseConfigurationVersionConfigurationAgeRecordsKnownRecordsRefusedPeersKnownControlBytesPlatformCallsPlatformFailures"
+const _Metric_name = "PacketsForwardedPacketsDroppedPacketsReturnedPacketsHandedOnTunnelRefusedRequestsInFlightRequestsQueuedStreamsOpenCopyBearsCopyPhaseConfigurationVersionRecordsKnownControlBytesControlRefusedPlatformCallsPlatformFailures"
 
-var _Metric_index = [...]uint16{0, 16, 30, 45, 58, 69, 78, 92, 107, 123, 138, 153, 169, 183, 196, 211, 226, 235, 244, 264, 280, 292, 306, 316, 328, 341, 357}
+var _Metric_index = [...]uint8{0, 16, 30, 45, 60, 73, 89, 103, 114, 123, 132, 152, 164, 176, 190, 203, 219}
 
 func (i Metric) String() string {
 	idx := int(i) - 0
--- a/internal/lentilmetric/registry.go
+++ b/internal/lentilmetric/registry.go
@@ -14,9 +14,6 @@
 // reportInterval is how often tally passes what was counted to the scrape endpoint.
 const reportInterval = 250 * time.Millisecond
 
-// requestBuckets are the upper bounds of the request times, from 1 ms to about 33 s.
-var requestBuckets = tally.MustMakeExponentialValueBuckets(1, 2, 16)
-
 // Registry collects the metrics of a process. The zero Registry counts nothing.
 type Registry struct {
 	scope   tally.Scope
@@ -73,12 +70,6 @@
 	return r.tagged(m, values).Gauge(catalogue[m].name)
 }
 
-// Histogram returns the histogram of a metric in milliseconds, with a value for
-// each of its labels in the order of the table.
-func (r *Registry) Histogram(m Metric, values ...string) tally.Histogram {
-	return r.tagged(m, values).Histogram(catalogue[m].name, requestBuckets)
-}
-
 // tagged returns the scope with the metric's labels. A label without a value is
 // empty, so that a metric always has the same labels.
 func (r *Registry) tagged(m Metric, values []string) tally.Scope {
--- /dev/null
+++ b/internal/lentilnode/node.go
@@ -0,0 +1,120 @@
+// Package lentilnode is what the roles balancer and agent have in common when they
+// run: the key ring, the admin endpoint, and the metrics and events about packets.
+package lentilnode
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"unicode"
+
+	"github.com/joomcode/errorx"
+
+	"lentilstair.example/lentilstair/internal/lentilevent"
+	"lentilstair.example/lentilstair/internal/lentilkey"
+	"lentilstair.example/lentilstair/internal/lentilmetric"
+	"lentilstair.example/lentilstair/internal/lentilsetting"
+)
+
+// controlProtocol is spoken over control connections.
+const controlProtocol = "h2"
+
+// Common is the frame in which a role runs. Make one with New, and Close it.
+type Common struct {
+	// Logger takes the role's events.
+	Logger lentilevent.Logger
+	// Registry holds its metrics, and Mirror copies counts into it.
+	Registry *lentilmetric.Registry
+	Mirror   lentilmetric.Mirror
+	// Ring and the TLS configurations authenticate it.
+	Ring      lentilkey.Ring
+	ServerTLS *tls.Config
+	ClientTLS *tls.Config
+	// Limit bounds the events that strangers can provoke.
+	Limit lentilevent.Limit
+
+	admin   net.Listener
+	stop    context.CancelFunc
+	workers sync.WaitGroup
+}
+
+// New opens the admin endpoint of a role. Serve answers on it.
+func New(role string, admin netip.AddrPort, keys []lentilsetting.Key, logger lentilevent.Logger) (common *Common, err error) {
+	defer func() {
+		if err != nil {
+			err = errorx.Decorate(err, "prepare the process")
+		}
+	}()
+	c := &Common{Logger: logger, Registry: lentilmetric.New(role)}
+	docs := make([]lentilkey.KeyDoc, 0, len(keys))
+	for _, key := range keys {
+		docs = append(docs, lentilkey.KeyDoc{ID: key.ID(), Secret: key.Secret()})
+	}
+	if c.Ring, err = lentilkey.New(docs); err != nil {
+		return nil, err
+	}
+	if c.ServerTLS, err = c.Ring.ServerTLS(controlProtocol); err != nil {
+		return nil, err
+	}
+	if c.ClientTLS, err = c.Ring.ClientTLS(controlProtocol); err != nil {
+		return nil, err
+	}
+	c.admin, err = (&net.ListenConfig{}).Listen(context.Background(), "tcp", admin.String())
+	return c, err
+}
+
+// Serve begins to answer on the admin endpoint and to copy counts, until Close.
+func (c *Common) Serve(ready func() lentilmetric.State) {
+	ctx, stop := context.WithCancel(context.Background())
+	c.stop = stop
+	admin := lentilmetric.Admin{Ready: ready, Registry: c.Registry}
+	c.workers.Go(func() {
+		if err := admin.Serve(ctx, c.admin); err != nil {
+			c.Logger.Write(lentilevent.AdminFailed, lentilevent.Str("address", c.admin.Addr().String()), lentilevent.Err(err))
+		}
+	})
+	c.workers.Go(func() { c.Mirror.Run(ctx) })
+	c.Logger.Write(lentilevent.Started, lentilevent.Str("admin", c.admin.Addr().String()))
+}
+
+// Close ends the admin endpoint.
+func (c *Common) Close() {
+	if c.stop == nil {
+		_ = c.admin.Close()
+		return
+	}
+	c.stop()
+	c.workers.Wait()
+	_ = c.Registry.Close()
+}
+
+// Refusal says how a count of refused packets is shown.
+type Refusal struct {
+	// Reason is the label of the metric, as the count's own name.
+	Reason string
+	Metric lentilmetric.Metric
+	// Event is logged at a bounded rate when the count has grown; zero logs nothing.
+	Event lentilevent.Event
+}
+
+// Refused shows a count of refused packets as a metric and as events.
+func (c *Common) Refused(refusal Refusal, read func() uint64) {
+	reason := camel(refusal.Reason)
+	c.Mirror.Count(c.Registry.Counter(refusal.Metric, reason), read, func(by uint64) {
+		if refusal.Event != 0 {
+			c.Logger.WriteLimited(&c.Limit, refusal.Event, lentilevent.Str("reason", reason), lentilevent.Uint("packets", by))
+		}
+	})
+}
+
+// camel returns a name with a small first letter.
+func camel(name string) string {
+	first := []rune(name)
+	if len(first) == 0 {
+		return name
+	}
+	return string(unicode.ToLower(first[0])) + strings.TrimPrefix(name, string(first[0]))
+}
--- a/internal/lentilprocess/process.go
+++ b/internal/lentilprocess/process.go
@@ -17,49 +17,39 @@
 // ErrForced is the cause of a context that ended by a second signal.
 var ErrForced = errors.New("a second signal asked to stop at once")
 
-// Stop tells a shell how to end.
-type Stop struct {
-	graceful <-chan struct{}
-}
-
-// NewStop returns a Stop that asks for a graceful stop when the channel is closed.
-func NewStop(graceful <-chan struct{}) Stop { return Stop{graceful: graceful} }
-
-// Graceful returns a channel that is closed when a graceful stop is asked for.
-func (s Stop) Graceful() <-chan struct{} { return s.graceful }
+// Shell runs until it has ended by itself, some time after graceful ends, or at
+// once when forced ends.
+type Shell func(graceful, forced context.Context) error
 
-// Run runs a shell. The shell returns when it has ended: by itself, some time
-// after stop.Graceful is closed, or at once when ctx ends.
-func Run(ctx context.Context, logger lentilevent.Logger, shell func(ctx context.Context, stop Stop) error) (err error) {
-	signals := make(chan os.Signal, 2)
+// Run runs a shell and ends it by signals: the first SIGTERM or SIGINT ends the
+// graceful context, the second one the forced context.
+func Run(ctx context.Context, logger lentilevent.Logger, shell Shell) (err error) {
+	const kept = 2
+	signals := make(chan os.Signal, kept)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
 	return run(ctx, logger, signals, shell)
 }
 
-func run(ctx context.Context, logger lentilevent.Logger, signals <-chan os.Signal, shell func(context.Context, Stop) error) (err error) {
+func run(ctx context.Context, logger lentilevent.Logger, signals <-chan os.Signal, shell Shell) (err error) {
 	forced, force := context.WithCancelCause(ctx)
 	defer force(nil)
-	graceful := make(chan struct{})
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		err = shell(forced, NewStop(graceful))
-	}()
-	for asked := 0; ; asked++ {
+	graceful, ask := context.WithCancel(forced)
+	defer ask()
+	ended := make(chan error, 1)
+	go func() { ended <- shell(graceful, forced) }()
+	for {
 		select {
-		case <-ended:
+		case err = <-ended:
 			return result(logger, err, context.Cause(forced))
 		case got := <-signals:
-			if asked == 0 {
+			if graceful.Err() == nil {
 				logger.Write(lentilevent.StopAsked, lentilevent.Str("signal", got.String()))
-				close(graceful)
+				ask()
 				continue
 			}
 			logger.Write(lentilevent.StopForced, lentilevent.Str("reason", "second signal"))
 			force(ErrForced)
-			<-ended
-			return result(logger, err, ErrForced)
 		}
 	}
 }
--- a/internal/lentilstand/caller/caller.go
+++ b/internal/lentilstand/caller/caller.go
@@ -85,6 +85,8 @@
 	transport *http3.Transport
 	http      *http.Client
 	opened    time.Time
+	// streams is the transport of the caller's streams, which is never replaced.
+	streams *http3.Transport
 }
 
 // Run calls until ctx ends and returns what was seen.
@@ -129,20 +131,36 @@
 	if old := l.transport; old != nil {
 		time.AfterFunc(o.Timeout+patience, func() { _ = old.Close() })
 	}
-	l.transport = &http3.Transport{
-		TLSClientConfig: o.TLS,
-		QUICConfig:      &quic.Config{MaxIdleTimeout: idleTimeout, KeepAlivePeriod: idleTimeout / 3},
-	}
+	l.transport = newTransport(o)
 	l.http = &http.Client{Transport: l.transport}
 	l.opened = time.Now()
 	return l.http
 }
 
+// getStreams returns the HTTP client for streams.
+func (l *client) getStreams(o *Options) (h *http.Client) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.streams == nil {
+		l.streams = newTransport(o)
+	}
+	return &http.Client{Transport: l.streams}
+}
+
+func newTransport(o *Options) *http3.Transport {
+	return &http3.Transport{
+		TLSClientConfig: o.TLS,
+		QUICConfig:      &quic.Config{MaxIdleTimeout: idleTimeout, KeepAlivePeriod: idleTimeout / 3},
+	}
+}
+
 func (l *client) close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.transport != nil {
-		_ = l.transport.Close()
+	for _, transport := range []*http3.Transport{l.transport, l.streams} {
+		if transport != nil {
+			_ = transport.Close()
+		}
 	}
 }
 
@@ -295,7 +313,7 @@
 	}
 	silence := time.AfterFunc(tickTimeout, cancel)
 	defer silence.Stop()
-	response, err := one.get(&c.options).Do(request)
+	response, err := one.getStreams(&c.options).Do(request)
 	if err != nil {
 		if ctx.Err() == nil {
 			c.book.stream(func(d *StreamsDoc) { d.Refused++ })
@@ -308,16 +326,17 @@
 		return false
 	}
 	c.book.stream(func(d *StreamsDoc) { d.Opened++ })
-	err = c.readTicks(response.Body, id, silence)
+	copyName, err := c.readTicks(response.Body, id, silence)
 	if ctx.Err() != nil {
 		return true
 	}
-	c.book.brokenStream(id, err.Error())
+	c.book.brokenStream(id, copyName, err.Error())
 	return false
 }
 
-// readTicks reads a stream to its end, which is always an error.
-func (c *Caller) readTicks(body io.Reader, id string, silence *time.Timer) (err error) {
+// readTicks reads a stream to its end, which is always an error, and returns the
+// name of the copy that sent it.
+func (c *Caller) readTicks(body io.Reader, id string, silence *time.Timer) (copyName string, err error) {
 	lines := bufio.NewScanner(body)
 	last, previous := time.Now(), uint64(0)
 	for lines.Scan() {
@@ -327,7 +346,7 @@
 		last = time.Now()
 		silence.Reset(tickTimeout)
 		whole := err == nil && tick.ID == id && tick.Sequence == previous+1
-		previous = tick.Sequence
+		previous, copyName = tick.Sequence, tick.Copy
 		c.book.stream(func(d *StreamsDoc) {
 			d.Ticks++
 			d.LongestGapMillis = max(d.LongestGapMillis, gap.Milliseconds())
@@ -337,7 +356,7 @@
 		})
 	}
 	if lines.Err() == nil {
-		return io.EOF
+		return copyName, io.EOF
 	}
-	return lines.Err()
+	return copyName, lines.Err()
 }
--- a/internal/lentilstand/caller/report.go
+++ b/internal/lentilstand/caller/report.go
@@ -26,6 +26,8 @@
 	Opened int `json:"opened"`
 	// Broken streams ended before the caller ended them.
 	Broken int `json:"broken"`
+	// BrokenByCopy counts them by the copy that held them.
+	BrokenByCopy map[string]int `json:"brokenByCopy,omitempty"`
 	// Gaps is how often a tick was missing or not the caller's own.
 	Gaps  int `json:"gaps"`
 	Ticks int `json:"ticks"`
@@ -157,10 +159,14 @@
 }
 
 // brokenStream notes a stream that ended too early.
-func (b *book) brokenStream(id, detail string) {
+func (b *book) brokenStream(id, copyName, detail string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.report.Streams.Broken++
+	if b.report.Streams.BrokenByCopy == nil {
+		b.report.Streams.BrokenByCopy = make(map[string]int)
+	}
+	b.report.Streams.BrokenByCopy[copyName]++
 	b.fault(id + ": stream broken: " + detail)
 }
 
--- a/internal/lentilstand/stand.go
+++ b/internal/lentilstand/stand.go
@@ -23,6 +23,7 @@
 	fabric.New,
 	upstream.New,
 	caller.New,
+	newDemo,
 	newMeasure,
 	newDocs,
 }
