--- a/internal/lentilmeasure/lentilarrival/perform.go
+++ b/internal/lentilmeasure/lentilarrival/perform.go
@@ -37,14 +37,14 @@
 	x.began = true
 	w.tally.began(a)
 	knowing := 0
-	if !a.upstream.coldFrom.IsZero() && w.clock.Now().Sub(a.upstream.coldFrom) >= time.Second {
+	if since, cold := a.upstream.ColdFor(w.schedule.Now()); cold && since >= time.Second {
 		knowing = 1
 	}
-	a.upstream.knowing += knowing
-	lasts, shed := a.upstream.begin(w.clock.Now(), x.work)
-	w.at(w.clock.Now().Add(lasts), func() {
-		a.upstream.end(w.clock.Now())
-		a.upstream.knowing -= knowing
+	a.knowing += knowing
+	lasts, shed := a.upstream.Begin(w.schedule.Now(), x.work)
+	w.schedule.At(w.schedule.Now().Add(lasts), func() {
+		a.upstream.End(w.schedule.Now())
+		a.knowing -= knowing
 		if shed {
 			w.perform(a, a.admitter.Lost(id, lentillimit.OutcomeShed))
 			return
@@ -81,7 +81,7 @@
 	runner := w.runners[id]
 	delete(w.runners, id)
 	load := runner.load()
-	w.at(w.clock.Now().Add(hop), func() {
+	w.schedule.At(w.schedule.Now().Add(hop), func() {
 		x.entry.chooser.Observe(runner.owner, load)
 		switch result {
 		case lentiladmit.RelayAnswered:
@@ -101,7 +101,7 @@
 	a.chooser.SentRequest(peer.owner, a.admitter.Limiter.Expected())
 	w.next++
 	id := w.next
-	w.at(w.clock.Now().Add(hop), func() {
+	w.schedule.At(w.schedule.Now().Add(hop), func() {
 		w.relays[id] = x
 		w.runners[id] = peer
 		w.perform(peer, peer.admitter.Arrive(lentiladmit.Arrival{
--- a/internal/lentilmeasure/lentilarrival/tally.go
+++ b/internal/lentilmeasure/lentilarrival/tally.go
@@ -39,16 +39,16 @@
 }
 
 func (t *tally) step(w *world) {
-	now := w.clock.Now()
+	now := w.schedule.Now()
 	t.started = !now.Before(w.begin)
 	if !t.started || !now.Before(w.end) {
 		return
 	}
 	for i, a := range w.agents {
-		bears := a.upstream.bears(now)
-		t.current.busy[i] += float64(a.upstream.inFlight)
+		bears := a.upstream.Bears(now)
+		t.current.busy[i] += float64(a.upstream.InFlight())
 		t.current.bears[i] += bears
-		t.capacity += bears / a.upstream.factor * step.Seconds()
+		t.capacity += bears / a.upstream.Factor * step.Seconds()
 		t.cold(i, a, now, bears)
 	}
 	if !now.Before(t.endsAt) {
@@ -60,14 +60,14 @@
 
 // cold compares the load of a copy that turned cold with what it bears, second by second.
 func (t *tally) cold(i int, a *agent, now time.Time, bears float64) {
-	since := now.Sub(a.upstream.coldFrom)
-	if a.upstream.coldFrom.IsZero() || since < time.Second || since > warming {
+	since, cold := a.upstream.ColdFor(now)
+	if !cold || since < time.Second {
 		t.seconds[i] = secondLoad{}
 		return
 	}
 	s := &t.seconds[i]
-	s.busy += float64(a.upstream.inFlight)
-	s.sent += float64(a.upstream.knowing)
+	s.busy += float64(a.upstream.InFlight())
+	s.sent += float64(a.knowing)
 	s.bears += bears
 	s.steps++
 	if s.steps == int(time.Second/step) {
@@ -105,7 +105,7 @@
 	if x.over || !x.measured {
 		return
 	}
-	if w.clock.Now().After(x.deadline) {
+	if w.schedule.Now().After(x.deadline) {
 		t.late(x)
 		return
 	}
@@ -130,7 +130,7 @@
 	if x.began {
 		t.result.FalseNotRun++
 	}
-	now := w.clock.Now()
+	now := w.schedule.Now()
 	t.result.SlowestRefusal = max(t.result.SlowestRefusal, now.Sub(x.arrived))
 	t.returns[int(now.Add(retryAfter).Sub(w.begin).Seconds())]++
 }
--- a/internal/lentilmeasure/lentilarrival/world.go
+++ b/internal/lentilmeasure/lentilarrival/world.go
@@ -1,14 +1,14 @@
 package lentilarrival
 
 import (
-	"container/heap"
 	"math"
 	"math/rand/v2"
 	"net/netip"
 	"time"
 
+	"lentilstair.example/lentilstair/internal/lentilmodel"
+	"lentilstair.example/lentilstair/internal/lentilschedule"
 	"lentilstair.example/lentilstair/pkg/lentiladmit"
-	"lentilstair.example/lentilstair/pkg/lentilclock"
 	"lentilstair.example/lentilstair/pkg/lentilconfig"
 	"lentilstair.example/lentilstair/pkg/lentilhandoff"
 	"lentilstair.example/lentilstair/pkg/lentilid"
@@ -19,6 +19,8 @@
 const (
 	// hop is the time from one VM to another.
 	hop = time.Millisecond
+	// slowFactor is how much longer a slow copy takes.
+	slowFactor = 2.0
 	// step is how often agents' ticks and the load measurement run.
 	step = 20 * time.Millisecond
 )
@@ -27,7 +29,8 @@
 type agent struct {
 	number   int
 	owner    lentilrecord.Owner
-	upstream upstream
+	upstream lentilmodel.Copy
+	knowing  int // requests at the copy that were sent when it had been cold for a second or more
 	admitter lentiladmit.Admitter
 	chooser  lentilhandoff.Chooser
 	record   lentilrecord.Record
@@ -49,11 +52,9 @@
 // world is one run.
 type world struct {
 	options   Options
-	clock     lentilclock.Fake
+	schedule  lentilschedule.Schedule
 	random    *rand.Rand
 	agents    []*agent
-	events    events
-	order     uint64
 	next      uint64
 	turn      int
 	shares    float64 // of all open connections
@@ -68,14 +69,7 @@
 // Run runs the options.
 func Run(options Options) Result {
 	w := newWorld(options.withDefaults())
-	for len(w.events) > 0 {
-		e := heap.Pop(&w.events).(event)
-		if e.at.After(w.end.Add(2 * w.options.Deadline)) {
-			break
-		}
-		w.clock.Advance(e.at.Sub(w.clock.Now()))
-		e.run()
-	}
+	w.schedule.Run(w.end.Add(2 * w.options.Deadline))
 	return w.result()
 }
 
@@ -87,21 +81,21 @@
 		relays:    make(map[uint64]*exchange),
 		runners:   make(map[uint64]*agent),
 	}
-	w.begin = w.clock.Now().Add(options.Warmup)
+	w.begin = w.schedule.Now().Add(options.Warmup)
 	w.end = w.begin.Add(options.Length)
 	for i := range options.Copies {
 		w.agents = append(w.agents, w.newAgent(i))
 	}
 	w.tally.begin(w)
-	w.every(options.RecordEvery, w.announce)
-	w.every(step, w.step)
+	w.schedule.Every(options.RecordEvery, w.announce)
+	w.schedule.Every(step, w.step)
 	for range options.Connections {
-		w.at(w.clock.Now(), w.connect)
+		w.schedule.At(w.schedule.Now(), w.connect)
 	}
 	for i := range options.Cold {
 		u := &w.agents[options.Copies-1-i].upstream
-		w.at(w.begin, func() { u.coldFrom = w.clock.Now() })
-		w.at(w.begin.Add(options.Length/2), func() { u.coldFrom = w.clock.Now() })
+		w.schedule.At(w.begin, func() { u.TurnCold(w.schedule.Now()) })
+		w.schedule.At(w.begin.Add(options.Length/2), func() { u.TurnCold(w.schedule.Now()) })
 	}
 	return w
 }
@@ -109,12 +103,12 @@
 func (w *world) newAgent(number int) *agent {
 	o := w.options
 	a := &agent{number: number, owner: lentilrecord.Owner{Copy: string(rune('a' + number)), Incarnation: lentilid.Incarnation(number + 1)}}
-	a.upstream = upstream{slots: float64(o.Slots), factor: 1, at: w.clock.Now()}
+	a.upstream = lentilmodel.Copy{Slots: float64(o.Slots), Factor: 1}
 	if number < o.Slow {
-		a.upstream.factor = slowFactor
+		a.upstream.Factor = slowFactor
 	}
-	a.chooser = lentilhandoff.Chooser{Clock: &w.clock, Random: w.random.Float64, Self: a.owner}
-	a.admitter = lentiladmit.Admitter{Clock: &w.clock, Random: w.random.Float64, Limiter: lentillimit.Limiter{Slots: o.Slots}}
+	a.chooser = lentilhandoff.Chooser{Clock: w.schedule.Clock(), Random: w.random.Float64, Self: a.owner}
+	a.admitter = lentiladmit.Admitter{Clock: w.schedule.Clock(), Random: w.random.Float64, Limiter: lentillimit.Limiter{Slots: o.Slots}}
 	if o.NoAdmission {
 		a.admitter.Limiter = lentillimit.Limiter{Slots: 1000, StartPercent: 100}
 	}
@@ -151,7 +145,7 @@
 
 func (w *world) step() {
 	for _, a := range w.agents {
-		a.upstream.feel(w.clock.Now())
+		a.upstream.Feel(w.schedule.Now())
 		w.perform(a, a.admitter.Tick())
 	}
 	w.tally.step(w)
@@ -160,7 +154,7 @@
 // connect opens a connection and lets it send requests until its life ends.
 func (w *world) connect() {
 	home := w.place()
-	end := w.clock.Now().Add(w.exponential(w.options.Lifetime))
+	end := w.schedule.Now().Add(w.exponential(w.options.Lifetime))
 	// Some callers are busier than others.
 	share := w.random.ExpFloat64()
 	w.shares += share
@@ -170,18 +164,18 @@
 // request plans the next request of a connection.
 func (w *world) request(home *agent, share float64, end time.Time) {
 	rate := share * w.rate() / w.shares
-	at := w.clock.Now().Add(w.exponential(time.Duration(float64(time.Second) / rate)))
+	at := w.schedule.Now().Add(w.exponential(time.Duration(float64(time.Second) / rate)))
 	if !at.Before(w.end) {
 		return
 	}
 	if at.After(end) {
-		w.at(end, func() {
+		w.schedule.At(end, func() {
 			w.shares -= share
 			w.connect()
 		})
 		return
 	}
-	w.at(at, func() {
+	w.schedule.At(at, func() {
 		w.arrive(home)
 		w.request(home, share, end)
 	})
@@ -191,7 +185,7 @@
 func (w *world) rate() float64 {
 	sum := 0.0
 	for _, a := range w.agents {
-		sum += a.upstream.bears(w.clock.Now()) / a.upstream.factor
+		sum += a.upstream.Bears(w.schedule.Now()) / a.upstream.Factor
 	}
 	return w.options.Load * sum / w.options.Service.Seconds()
 }
@@ -255,7 +249,7 @@
 
 func (w *world) arrive(home *agent) {
 	w.next++
-	now := w.clock.Now()
+	now := w.schedule.Now()
 	x := &exchange{
 		id: w.next, work: w.work(), arrived: now, deadline: now.Add(w.options.Deadline),
 		entry: home, measured: !now.Before(w.begin),
--- a/pkg/lentiladmit/action.go
+++ b/pkg/lentiladmit/action.go
@@ -38,6 +38,8 @@
 	ReasonConnections
 	// ReasonDraining means that the copy takes no new work.
 	ReasonDraining
+	// ReasonCopy means that the copy could not be reached or shed the request again and again.
+	ReasonCopy
 )
 
 // RelayResult is how a relay to a peer ended.
--- a/pkg/lentiladmit/admit.go
+++ b/pkg/lentiladmit/admit.go
@@ -67,10 +67,14 @@
 	OnceGrace = 10 * time.Second
 	// MinRetryAfter is the least time after which a refused caller may come back.
 	MinRetryAfter = time.Second
-	// MaxRetryAfter is the longest time after which a refused caller may come back.
-	MaxRetryAfter = 30 * time.Second
+	// MaxRetryAfter is the longest time after which a refused caller may come back, before
+	// jitter adds up to half.
+	MaxRetryAfter = 20 * time.Second
 	// MaxRelays is how many peers a request is passed to at most, one after another.
 	MaxRelays = 2
+	// MaxDispatches is how often a request is sent to the copy at most, if it surely did not
+	// run before.
+	MaxDispatches = 3
 	// TickEvery is how often Tick is due while the Admitter holds requests.
 	TickEvery = 20 * time.Millisecond
 )
@@ -218,5 +222,9 @@
 // Draining reports whether a planned stop has begun.
 func (a *Admitter) Draining() bool { return a.draining }
 
+// Holds reports whether the Admitter still holds a request. After Cancelled, one that it no
+// longer holds was surely not run.
+func (a *Admitter) Holds(id uint64) bool { return a.requests[id] != nil }
+
 // Idle reports whether the Admitter holds no request, so that a drained agent may end.
 func (a *Admitter) Idle() bool { return len(a.requests) == 0 }
--- a/pkg/lentiladmit/enum_string.go
+++ b/pkg/lentiladmit/enum_string.go
@@ -34,11 +34,12 @@
 	_ = x[ReasonDeadline-2]
 	_ = x[ReasonConnections-3]
 	_ = x[ReasonDraining-4]
+	_ = x[ReasonCopy-5]
 }
 
-const _Reason_name = "ReasonQueueFullReasonDeadlineReasonConnectionsReasonDraining"
+const _Reason_name = "ReasonQueueFullReasonDeadlineReasonConnectionsReasonDrainingReasonCopy"
 
-var _Reason_index = [...]uint8{0, 15, 29, 46, 60}
+var _Reason_index = [...]uint8{0, 15, 29, 46, 60, 70}
 
 func (i Reason) String() string {
 	idx := int(i) - 1
--- a/pkg/lentiladmit/queue.go
+++ b/pkg/lentiladmit/queue.go
@@ -59,15 +59,35 @@
 // waitBehind returns the expected wait of a request with so many others ahead of it in the
 // queue, while the copy has no room.
 func (a *Admitter) waitBehind(ahead int) time.Duration {
-	perSlot := a.Limiter.Expected().Seconds()
+	opens := a.Limiter.Opens()
+	if opens == lentillimit.Never {
+		return longest
+	}
+	return min(opens+time.Duration(float64(ahead)*float64(a.perRequest())), longest)
+}
+
+// perRequest returns how often the copy serves a request, as the time between two.
+func (a *Admitter) perRequest() time.Duration {
 	bears := max(float64(a.Limiter.Bears())/lentillimit.Slot, leastBears)
-	return time.Duration(float64(ahead+1) * perSlot / bears * float64(time.Second))
+	return time.Duration(a.Limiter.Expected().Seconds() / bears * float64(time.Second))
 }
 
+// longest bounds a wait, so that sums with it stay in range.
+const longest = time.Hour
+
 // caution is by how much the wait may be longer than expected and a request that is let into
 // the queue still finishes in time.
 const caution = 2
 
+// keepCaution is the same for a request that waits already: only a cold copy may still turn
+// out slower.
+func (a *Admitter) keepCaution() time.Duration {
+	if a.Limiter.Cold() {
+		return caution
+	}
+	return 1
+}
+
 // leastBears keeps the expected wait finite, in slots.
 const leastBears = 0.01
 
@@ -100,7 +120,7 @@
 	for _, r := range a.queue {
 		switch {
 		case now.Sub(r.askedAt) >= askEvery && a.relay(r):
-		case a.late(r, a.waitBehind(len(kept))):
+		case a.late(r, a.keepCaution()*a.waitBehind(len(kept))):
 			a.refuse(r, ReasonDeadline)
 		default:
 			kept = append(kept, r)
@@ -114,7 +134,7 @@
 // they do not come back together.
 func (a *Admitter) retryAfter() time.Duration {
 	now := a.now()
-	served := a.waitBehind(0)
+	served := a.perRequest()
 	earliest := now.Add(max(a.waitBehind(len(a.queue)), MinRetryAfter))
 	if a.returnAt.Before(earliest) {
 		a.returnAt = earliest
@@ -124,7 +144,7 @@
 		a.returnAt = latest
 	}
 	spread := a.returnAt.Sub(now)
-	return min(spread+time.Duration(a.random()*float64(spread)/2), MaxRetryAfter)
+	return spread + time.Duration(a.random()*float64(spread)/2)
 }
 
 func (a *Admitter) random() float64 {
--- a/pkg/lentiladmit/state.go
+++ b/pkg/lentiladmit/state.go
@@ -28,6 +28,7 @@
 	askedAt  time.Time // when a peer was last looked for
 	attempts int       // dispatches and relays that may have run it, and the present one
 	relays   int
+	tries    int  // dispatches
 	taken    bool // was queued, dispatched or relayed before
 	aborted  bool
 	silent   bool // the caller is gone or has its final answer
@@ -92,11 +93,14 @@
 // again decides anew about a request that surely did not run.
 func (a *Admitter) again(r *request) {
 	r.attempts = max(0, r.attempts-1)
-	if r.silent {
+	switch {
+	case r.silent:
 		delete(a.requests, r.arrival.ID)
-		return
+	case r.tries >= MaxDispatches:
+		a.refuse(r, ReasonCopy)
+	default:
+		a.decide(r)
 	}
-	a.decide(r)
 }
 
 // retry decides anew about a request that may have run, if it may be repeated and the
@@ -136,6 +140,7 @@
 	r.stage = dispatched
 	r.taken = true
 	r.attempts++
+	r.tries++
 	a.act(r, ActionDispatch)
 	if r.arrival.Kind == lentilconfig.KindStream {
 		a.streams++
--- a/pkg/lentilhandoff/peers.go
+++ b/pkg/lentilhandoff/peers.go
@@ -16,7 +16,7 @@
 	// constant in seconds.
 	fade = 2.0
 	// rest is how long a peer that had no room is not asked for requests.
-	rest = 50 * time.Millisecond
+	rest = 300 * time.Millisecond
 	// packetCost is what a handed-off first packet is taken to bring, in hundredths of a slot.
 	packetCost = 20.0
 	// slot is one slot in hundredths.
@@ -29,7 +29,7 @@
 	busy    float64 // smoothed, in hundredths of a slot
 	bears   float64 // in hundredths of a slot
 	pending float64 // own hand-offs that may not show in busy yet
-	waiting float64 // what the peer said that it had beyond busy, fading
+	waiting float64 // what the peer said that waited there, fading
 	at      time.Time
 	seen    time.Time
 	resting time.Time // until when no request is passed there
@@ -78,7 +78,7 @@
 	if p := c.find(owner); p != nil {
 		c.decay(p)
 		p.busy, p.bears = float64(load.Busy), float64(load.Bears)
-		p.waiting = max(0, float64(load.Now)-float64(load.Busy))
+		p.waiting = max(0, float64(load.Now)-float64(load.Bears))
 		p.seen = p.at
 	}
 }
@@ -93,6 +93,9 @@
 	if p := c.find(owner); p != nil {
 		c.decay(p)
 		p.pending += cost
+		if p.waiting > 0 {
+			p.waiting += slot
+		}
 	}
 }
 
--- a/pkg/lentillimit/limit.go
+++ b/pkg/lentillimit/limit.go
@@ -89,6 +89,13 @@
 // means not before some request has ended.
 func (l *Limiter) FreeAt() time.Time { return l.freeAt() }
 
+// Opens returns how long it is expected to take until Free becomes true. Never is the answer while
+// requests that look stuck hold the room.
+func (l *Limiter) Opens() time.Duration { return l.opens() }
+
+// Never is a wait without an end.
+const Never = time.Duration(1<<63 - 1)
+
 // Cold reports whether the copy bears less than all its slots.
 func (l *Limiter) Cold() bool { return l.cold() }
 
--- a/pkg/lentillimit/machine.go
+++ b/pkg/lentillimit/machine.go
@@ -16,7 +16,7 @@
 	alarm = 10.0
 	// leastDeviation and mostDeviation bound what one request can add to the sum.
 	leastDeviation = -2.0
-	mostDeviation  = 3.0
+	mostDeviation  = 5.0
 	// hangDeviations, and the factors over the typical time that bound it, say when a
 	// request is stuck. unknownHang, in seconds, holds if no time is known.
 	hangDeviations = 4.0
@@ -51,6 +51,7 @@
 type flight struct {
 	id    uint64
 	start time.Time
+	stuck bool // was taken as stuck
 }
 
 // machine is the state of a Limiter. Levels are in slots.
@@ -160,13 +161,16 @@
 	l.pause(now)
 	running := l.suspicion
 	stuck := false
-	for _, f := range l.flights {
+	hung := l.times.hung()
+	for i := range l.flights {
+		f := &l.flights[i]
+		age := now.Sub(f.start)
+		f.stuck = f.stuck || age.Seconds() > hung
 		if f.start.Before(l.fellAt) {
 			continue
 		}
-		age := now.Sub(f.start)
 		running += max(0, l.excess(age))
-		stuck = stuck || (age.Seconds() > l.times.hung() && !l.normalAt.After(f.start))
+		stuck = stuck || (f.stuck && !l.normalAt.After(f.start))
 	}
 	if stuck || running > alarm {
 		l.fall()
@@ -295,6 +299,32 @@
 	return at
 }
 
+// opens looks at how many of the requests at the copy have to end before there is room, and
+// at how long they have run.
+func (l *Limiter) opens() time.Duration {
+	now := l.now()
+	if at := l.freeAt(); !at.IsZero() {
+		return at.Sub(now)
+	}
+	remaining := make([]time.Duration, 0, len(l.flights))
+	for _, f := range l.flights {
+		remaining = append(remaining, l.remaining(now, f))
+	}
+	slices.Sort(remaining)
+	mustEnd := len(l.flights) + 1 - max(int(l.current()), 1)
+	return remaining[max(mustEnd, 1)-1]
+}
+
+// remaining returns how long a request is expected to run on: one that has run longer than
+// usual as long again, and one that looks stuck without an end.
+func (l *Limiter) remaining(now time.Time, f flight) time.Duration {
+	if f.stuck {
+		return Never
+	}
+	age := now.Sub(f.start)
+	return max(l.expected()-age, age)
+}
+
 // resting reports whether the copy still recovers from a fall at that time.
 func (l *Limiter) resting(now time.Time) bool {
 	return !l.fellAt.IsZero() && now.Before(l.fellAt.Add(rest))
