--- a/internal/lentilmatrix/request_copy.go
+++ b/internal/lentilmatrix/request_copy.go
@@ -47,7 +47,7 @@
 	known   bool // sent a second or more after the first symptom
 	stream  bool
 	stalled bool
-	slow    bool // takes long enough to show that the copy is cold
+	slow    bool // shows the agent that the copy is cold
 }
 
 func (c *requestCopy) during(d time.Duration, set func(on bool)) {
@@ -94,7 +94,7 @@
 		var shed bool
 		if lasts, shed = c.model.Begin(now, serviceTime); shed {
 			c.model.End(now)
-			c.show()
+			r.slow = true
 			c.world.schedule.After(lasts, func() { c.finish(r, endNotBegun) })
 			return r
 		}
@@ -145,9 +145,6 @@
 		return
 	}
 	r.ended = true
-	if r.slow {
-		c.show()
-	}
 	if !r.stream && e != endNotBegun {
 		c.model.End(c.world.schedule.Now())
 	}
--- a/internal/lentilmatrix/request_fault.go
+++ b/internal/lentilmatrix/request_fault.go
@@ -1,6 +1,7 @@
 package lentilmatrix
 
-//go:generate stringer -type=requestStep,requestFault -output=request_string.go
+//go:generate stringer -type=requestStep -trimprefix=step -output=request_step_string.go
+//go:generate stringer -type=requestFault -trimprefix=fault -output=request_fault_string.go
 
 import "time"
 
--- a/internal/lentilmatrix/request_matrix.go
+++ b/internal/lentilmatrix/request_matrix.go
@@ -1,11 +1,7 @@
-// Package lentilmatrix holds the fault matrix: real decisions over small fakes, with every fault at
-// every step. The request_ files are its part about requests at agents.
 package lentilmatrix
 
 import (
-	"fmt"
 	"math/rand/v2"
-	"strings"
 	"time"
 
 	"lentilstair.example/lentilstair/pkg/lentilconfig"
@@ -19,8 +15,6 @@
 	burstCalls = 15
 	// secondFaultAfter is the time from the first fault of a pair to the second.
 	secondFaultAfter = 50 * time.Millisecond
-	// traceLines is how much of a failing cell's trace is printed.
-	traceLines = 120
 )
 
 // requestCell is one cell of the matrix: faults that begin at a step.
@@ -30,23 +24,13 @@
 	faults []requestFault
 }
 
-func (c requestCell) String() string {
-	return fmt.Sprintf("%v at %s, seed %d", c.faults, c.step, c.seed)
-}
-
 // cellResult is what became of a cell.
 type cellResult struct {
-	broken  []string
-	trace   []string
+	Outcome
 	reached bool // the faults were brought about
 	words   map[replyKind]int
 }
 
-// tail returns the end of the trace.
-func (r cellResult) tail() string {
-	return strings.Join(r.trace[max(0, len(r.trace)-traceLines):], "\n")
-}
-
 // run drives one cell to its end and checks the promises along the way.
 func (c requestCell) run() (result cellResult) {
 	w := newRequestWorld(c.seed)
@@ -68,7 +52,10 @@
 	}
 	w.schedule.Run(start.Add(warmTime + runTime + endTime))
 	w.checkEnd()
-	result.broken, result.trace = w.broken, w.trace
+	if !result.reached && c.step != 0 {
+		w.fail("the step was not reached")
+	}
+	result.Outcome = w.outcome
 	result.words = make(map[replyKind]int)
 	for _, c := range w.calls {
 		result.words[c.lastWord]++
--- a/internal/lentilmatrix/request_perform.go
+++ b/internal/lentilmatrix/request_perform.go
@@ -85,6 +85,9 @@
 
 // ended takes in how a run at the copy ended.
 func (a *requestAgent) ended(x *work, e runEnd) {
+	if x.run.slow {
+		a.upstream.show()
+	}
 	x.run = nil
 	switch e {
 	case endAnswer:
--- a/internal/lentilmatrix/request_test.go
+++ b/internal/lentilmatrix/request_test.go
@@ -1,57 +1,49 @@
 package lentilmatrix
 
 import (
+	"strings"
 	"testing"
 )
 
-// cellSeeds is how often each cell of single faults is run.
-const cellSeeds = 2
-
 func TestRequestsWithoutFault(t *testing.T) {
-	result := requestCell{seed: 1, step: stepAdmitted, faults: []requestFault{faultNone}}.run()
-	report(t, requestCell{seed: 1}, result)
+	result := requestCell{seed: 1}.run()
+	if result.Violated() > 0 {
+		t.Errorf("%q\n%s", result.Violations(), strings.Join(result.Trace(), "\n"))
+	}
 	if n := result.words[replyAnswer]; n != warmCalls+watchedCalls+burstCalls {
 		t.Errorf("%d of %d calls were answered: %v", n, warmCalls+watchedCalls+burstCalls, result.words)
 	}
 }
 
 func TestRequestMatrix(t *testing.T) {
+	var cells []cell
 	for _, f := range requestFaults {
-		t.Run(f.String(), func(t *testing.T) {
-			t.Parallel()
-			for _, s := range requestSteps {
-				for seed := range uint64(cellSeeds) {
-					runCell(t, requestCell{seed: seed + 1, step: s, faults: []requestFault{f}})
-				}
+		for _, s := range requestSteps {
+			for _, variant := range []string{"", "-again"} {
+				cells = append(cells, newRequestCell(s, variant, f))
 			}
-		})
+		}
 	}
+	runCells(t, cells)
 }
 
 func TestRequestMatrixPairs(t *testing.T) {
+	var cells []cell
 	for i, f := range requestFaults {
-		t.Run(f.String(), func(t *testing.T) {
-			t.Parallel()
-			for j, g := range requestFaults {
-				s := requestSteps[(i+j)%len(requestSteps)]
-				runCell(t, requestCell{seed: uint64(100*i + j), step: s, faults: []requestFault{f, g}})
-			}
-		})
-	}
-}
-
-func runCell(t *testing.T, c requestCell) {
-	t.Helper()
-	result := c.run()
-	if !result.reached {
-		t.Errorf("%s: the step was not reached", c)
+		for j, g := range requestFaults {
+			cells = append(cells, newRequestCell(requestSteps[(i+j)%len(requestSteps)], "", f, g))
+		}
 	}
-	report(t, c, result)
+	runCells(t, cells)
 }
 
-func report(t *testing.T, c requestCell, result cellResult) {
-	t.Helper()
-	if len(result.broken) > 0 {
-		t.Errorf("%s: %q\n%s", c, result.broken, result.tail())
+func newRequestCell(s requestStep, variant string, faults ...requestFault) cell {
+	var names []string
+	for _, f := range faults {
+		names = append(names, f.String())
 	}
+	return cell{fault: strings.Join(names, "+"), step: s.String() + variant, run: func(seed uint64) *Outcome {
+		result := requestCell{seed: seed, step: s, faults: faults}.run()
+		return &result.Outcome
+	}}
 }
--- a/internal/lentilmatrix/request_world.go
+++ b/internal/lentilmatrix/request_world.go
@@ -1,7 +1,6 @@
 package lentilmatrix
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -67,8 +66,7 @@
 	runs     map[string]int // by ticket
 	onStep   func(s requestStep, a *requestAgent, t *attempt)
 	stopAt   time.Time // callers give up
-	trace    []string
-	broken   []string
+	outcome  Outcome
 }
 
 // newRequestWorld returns a world whose copies are about to warm up.
@@ -135,17 +133,16 @@
 }
 
 func (w *requestWorld) note(format string, values ...any) {
-	line := fmt.Sprintf("%9.3fs ", w.schedule.Now().Sub(time.Unix(0, 0)).Seconds()) + fmt.Sprintf(format, values...)
-	w.trace = append(w.trace, line)
+	w.outcome.Tracef(w.sinceStart(), format, values...)
 }
 
 // fail records that a check failed.
 func (w *requestWorld) fail(format string, values ...any) {
-	text := fmt.Sprintf(format, values...)
-	w.note("BROKEN: %s", text)
-	w.broken = append(w.broken, text)
+	w.outcome.Violatef(w.sinceStart(), format, values...)
 }
 
+func (w *requestWorld) sinceStart() time.Duration { return w.schedule.Now().Sub(time.Unix(0, 0)) }
+
 // find returns the agent that listens on a control address, or nil.
 func (w *requestWorld) find(control netip.AddrPort) *requestAgent {
 	for _, a := range w.agents {
--- a/pkg/lentillimit/times.go
+++ b/pkg/lentillimit/times.go
@@ -9,7 +9,8 @@
 // twice as long is as far from the usual at a millisecond as at a second. The zero times has
 // seen nothing.
 type times struct {
-	count    int
+	count    int     // requests since the last doubt, up to memory
+	seen     int     // requests in all, up to memory
 	center   float64 // mean of the logarithm of the seconds
 	variance float64 // of the same logarithm
 	mean     float64 // seconds
@@ -34,6 +35,7 @@
 func (t *times) learn(d time.Duration) {
 	seconds := max(d.Seconds(), shortest)
 	t.count = min(t.count+1, memory)
+	t.seen = min(t.seen+1, memory)
 	share := 1 / float64(t.count)
 	step := math.Log(seconds) - t.center
 	t.center += share * step
@@ -53,7 +55,7 @@
 }
 
 func (t *times) spread() float64 {
-	early := earlySpread * math.Sqrt(fewTimes/float64(max(t.count, 1)))
+	early := earlySpread * math.Sqrt(fewTimes/float64(max(t.seen, 1)))
 	return max(math.Sqrt(t.variance), min(early, earlySpread), minSpread)
 }
 
