Test the whole path under faults

Cause: nothing showed that streams and answers stay whole while something fails. Agent.Close may be called twice; Options.Warm.

--- a/internal/lentilagent/agent.go
+++ b/internal/lentilagent/agent.go
@@ -53,7 +53,9 @@
 	Ring lentilkey.Ring
 	// DrainLimit is how long a planned stop waits for open streams.
 	DrainLimit time.Duration
-	Clock      lentilclock.Clock
+	// Warm is the least time from cold to all slots; zero is lentillimit's default.
+	Warm  time.Duration
+	Clock lentilclock.Clock
 	// Random returns evenly spread numbers in [0, 1).
 	Random func() float64
 	// Announce spreads what the agent says of its copy; nil spreads nothing.
@@ -92,6 +94,7 @@
 	announcer announcer
 	stop      context.CancelFunc
 	workers   sync.WaitGroup
+	closing   sync.Once
 }
 
 // New opens the sockets of an agent and begins to serve.
--- a/internal/lentilagent/decider.go
+++ b/internal/lentilagent/decider.go
@@ -55,6 +55,7 @@
 	d.chooser = lentilhandoff.Chooser{Clock: o.Clock, Random: o.Random, Self: lentilrecord.Owner{Copy: o.Copy, Incarnation: o.Incarnation}}
 	d.admitter = newAdmitter(o.Clock, o.Random)
 	d.admitter.Peer = d.peerFor
+	d.admitter.Limiter.Warm = o.Warm
 	d.show()
 	return d
 }
--- a/internal/lentilagent/path_test.go
+++ b/internal/lentilagent/path_test.go
@@ -21,6 +21,8 @@
 	"testing"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"lentilstair.example/lentilstair/internal/lentilbalancer"
 	"lentilstair.example/lentilstair/internal/lentilkey"
 	"lentilstair.example/lentilstair/internal/lentilstand/caller"
@@ -43,6 +45,7 @@
 	copies    []*upstream.Copy
 	servers   []*httptest.Server
 	roots     *x509.CertPool
+	stops     sync.WaitGroup
 
 	mu       sync.Mutex
 	document lentilconfig.Document
@@ -133,6 +136,7 @@
 		Copy: options.Name, Service: testService, Domain: lentilid.Domain(number%2 + 1), Incarnation: lentilid.Incarnation(number + 100),
 		Tunnel: netip.MustParseAddrPort("127.0.0.1:0"), Control: netip.MustParseAddrPort("127.0.0.1:0"),
 		Upstream: target, CertificateFile: certificate, KeyFile: key, Ring: p.ring, DrainLimit: 5 * time.Second,
+		Warm:     100 * time.Millisecond,
 		Announce: p.announce,
 		Random: func() float64 {
 			guard.Lock()
@@ -143,13 +147,24 @@
 	if err != nil {
 		p.t.Fatal(err)
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.agents = append(p.agents, a)
 	p.copies = append(p.copies, stand)
 	p.servers = append(p.servers, server)
 }
 
+// listens returns where the balancers take datagrams.
+func (p *path) listens() (all []fabric.Balancer) {
+	for i := range p.balancers {
+		all = append(all, fabric.Balancer{Listen: netip.AddrFrom4([4]byte{127, 0, 13, byte(i + 1)})})
+	}
+	return all
+}
+
 // closeAgents ends all agents at once.
 func (p *path) closeAgents() {
+	p.stops.Wait()
 	var all sync.WaitGroup
 	for _, a := range p.agents {
 		all.Go(a.Close)
@@ -178,8 +193,8 @@
 	}
 	for i, b := range p.balancers {
 		p.views[i].Configure(configuration)
-		if err := b.Configure(configuration); err != nil {
-			p.t.Fatal(err)
+		if err := b.Configure(configuration); err != nil && !errorx.IsOfType(err, lentilbalancer.ErrClosed) {
+			p.t.Error(err)
 		}
 	}
 	for _, a := range p.agents {
@@ -244,7 +259,7 @@
 	p.t.Helper()
 	options := caller.Options{
 		Target: "https://" + p.fabric.Services()[0].String(), Connections: 4, Streams: 8, Repeatable: 12, Once: 6,
-		Timeout: 3 * time.Second, Bytes: 2000, Attempts: 2, Seed: 1, Name: "c",
+		Timeout: time.Second, Bytes: 2000, Attempts: 2, Seed: 1, Name: "c",
 		TLS: &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: p.roots},
 	}
 	if adapt != nil {
--- a/internal/lentilagent/stop.go
+++ b/internal/lentilagent/stop.go
@@ -78,8 +78,11 @@
 	}
 }
 
-// Close ends everything at once.
-func (a *Agent) Close() {
+// Close ends everything at once. Further calls do nothing.
+func (a *Agent) Close() { a.closing.Do(a.close) }
+
+// close ends everything.
+func (a *Agent) close() {
 	if a.stop != nil {
 		a.stop()
 	}
--- a/internal/lentilstand/fabric/fabric.go
+++ b/internal/lentilstand/fabric/fabric.go
@@ -80,12 +80,13 @@
 
 	in, out, none, lost atomic.Uint64
 
-	mu     sync.Mutex
-	random *rand.Rand
-	faults FaultsDoc
-	ready  []netip.Addr
-	sent   map[netip.Addr]uint64
-	flows  map[flowKey]*flow
+	mu        sync.Mutex
+	random    *rand.Rand
+	faults    FaultsDoc
+	balancers []Balancer
+	ready     []netip.Addr
+	sent      map[netip.Addr]uint64
+	flows     map[flowKey]*flow
 }
 
 type flowKey struct {
@@ -108,11 +109,12 @@
 	}()
 	ctx, stop := context.WithCancel(context.Background())
 	f := &Fabric{
-		options: options,
-		stop:    stop,
-		random:  rand.New(rand.NewPCG(options.Seed, options.Seed)),
-		sent:    make(map[netip.Addr]uint64),
-		flows:   make(map[flowKey]*flow),
+		options:   options,
+		stop:      stop,
+		balancers: options.Balancers,
+		random:    rand.New(rand.NewPCG(options.Seed, options.Seed)),
+		sent:      make(map[netip.Addr]uint64),
+		flows:     make(map[flowKey]*flow),
 	}
 	for i, address := range options.Services {
 		conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
@@ -142,6 +144,14 @@
 	f.faults = faults
 }
 
+// SetBalancers says which balancers may get datagrams from now on.
+func (f *Fabric) SetBalancers(balancers []Balancer) {
+	f.mu.Lock()
+	f.balancers = balancers
+	f.mu.Unlock()
+	f.poll(context.Background())
+}
+
 // Faults returns what goes wrong now.
 func (f *Fabric) Faults() FaultsDoc {
 	f.mu.Lock()
@@ -297,16 +307,19 @@
 
 // poll asks all balancers at once.
 func (f *Fabric) poll(ctx context.Context) {
-	answers := make([]bool, len(f.options.Balancers))
+	f.mu.Lock()
+	balancers := f.balancers
+	f.mu.Unlock()
+	answers := make([]bool, len(balancers))
 	var asked sync.WaitGroup
-	for i, b := range f.options.Balancers {
+	for i, b := range balancers {
 		asked.Go(func() { answers[i] = b.Ready == "" || isReady(ctx, b.Ready) })
 	}
 	asked.Wait()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.ready = nil
-	for i, b := range f.options.Balancers {
+	for i, b := range balancers {
 		if answers[i] {
 			f.ready = append(f.ready, b.Listen)
 		}
