Measure a failure domain out and back, and restarts, with real processes

Cause: no figure told what callers notice when a failure domain leaves and returns or when processes are replaced. Change: experiments domain and restart through lentillab; callers can end their streams after a time; one place (Totals) compares what callers saw with what ran.

--- a/internal/lentildemo/change.go
+++ b/internal/lentildemo/change.go
@@ -4,13 +4,11 @@
 	"context"
 	"fmt"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/joomcode/errorx"
 
 	"lentilstair.example/lentilstair/internal/lentillab"
-	"lentilstair.example/lentilstair/internal/lentilstand/upstream"
 	"lentilstair.example/lentilstair/pkg/lentilnote"
 )
 
@@ -73,8 +71,7 @@
 func (d *demo) watchLeaver(l *leaver) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	var state upstream.StateDoc
-	err := d.site.Get(ctx, l.copy.URL()+"/state", &state)
+	state, err := d.site.State(ctx, l.copy)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	l.done, l.seen = state.Done+uint64(state.InFlight), err == nil
@@ -104,20 +101,16 @@
 	if err = d.timed(outDomain+" taken out", func() error { return d.site.ApplyDirectly(ctx, outNote(true)) }); err != nil {
 		return err
 	}
-	timer := time.NewTimer(d.times.quiet)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-		return ctx.Err()
+	if err = lentillab.Pause(ctx, d.times.quiet); err != nil {
+		return err
 	}
-	d.late, err = d.packetsInto(ctx, outDomain)
+	d.late, err = d.site.PacketsInto(ctx, outDomain)
 	return err
 }
 
 // bringBack brings the failure domain back.
 func (d *demo) bringBack(ctx context.Context) (err error) {
-	after, err := d.packetsInto(ctx, outDomain)
+	after, err := d.site.PacketsInto(ctx, outDomain)
 	if err != nil {
 		return err
 	}
@@ -125,36 +118,6 @@
 	return d.timed(outDomain+" brought back", func() error { return d.site.ApplyDirectly(ctx, outNote(false)) })
 }
 
-// packetsInto returns how many packets of callers have reached the agents of a
-// failure domain, taken in or not.
-func (d *demo) packetsInto(ctx context.Context, domain string) (packets uint64, err error) {
-	for _, c := range d.site.Copies() {
-		if c.Domain() != domain || c.Agent() == nil {
-			continue
-		}
-		text, err := d.site.Text(ctx, c.Admin()+"/metrics")
-		if err != nil {
-			return 0, err
-		}
-		packets += sum(text, "lentilstair_packets_forwarded{") + sum(text, `lentilstair_packets_dropped{reason="domainOut"`)
-	}
-	return packets, nil
-}
-
-// sum adds up the values of the lines of a scrape that begin with the prefix.
-func sum(scrape, prefix string) (total uint64) {
-	for line := range strings.Lines(scrape) {
-		if !strings.HasPrefix(line, prefix) {
-			continue
-		}
-		fields := strings.Fields(line)
-		if value, err := strconv.ParseFloat(fields[len(fields)-1], 64); err == nil {
-			total += uint64(value)
-		}
-	}
-	return total
-}
-
 func outNote(out bool) (note lentilnote.Doc) {
 	note = lentilnote.Doc{ID: "out", Author: "demo"}
 	if out {
--- a/internal/lentildemo/demo.go
+++ b/internal/lentildemo/demo.go
@@ -145,12 +145,5 @@
 }
 
 func (d *demo) sleepUntil(ctx context.Context, at time.Duration) error {
-	timer := time.NewTimer(time.Until(d.began.Add(at)))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return lentillab.Pause(ctx, time.Until(d.began.Add(at)))
 }
--- a/internal/lentildemo/judge.go
+++ b/internal/lentildemo/judge.go
@@ -7,9 +7,9 @@
 	"strings"
 	"time"
 
+	"lentilstair.example/lentilstair/internal/lentillab"
 	"lentilstair.example/lentilstair/internal/lentilstand/caller"
 	"lentilstair.example/lentilstair/internal/lentilstand/fabric"
-	"lentilstair.example/lentilstair/internal/lentilstand/upstream"
 )
 
 const (
@@ -30,7 +30,7 @@
 	r.Processes = len(d.lab.Processes())
 	r.Services = make(map[string]caller.ReportDoc)
 	for _, c := range d.callers {
-		r.Services[c.service.Name] = c.report
+		r.Services[c.Service().Name] = c.report
 	}
 	runs, err := d.takeStock(ctx)
 	if err != nil {
@@ -58,22 +58,14 @@
 		d.report.Balancers[b.Name()] = counts.ByBalancer[b.IP().String()]
 	}
 	d.report.Copies = make(map[string]uint64)
-	runs = make(map[string]int)
 	for _, c := range d.site.Copies() {
-		var state upstream.StateDoc
-		if err = d.site.Get(ctx, c.URL()+"/state", &state); err != nil {
+		state, err := d.site.State(ctx, c)
+		if err != nil {
 			return nil, err
 		}
 		d.report.Copies[c.Name()] = state.Done
-		var journal map[string]int
-		if err = d.site.Get(ctx, c.URL()+"/journal", &journal); err != nil {
-			return nil, err
-		}
-		for id, n := range journal {
-			runs[id] += n
-		}
 	}
-	return runs, nil
+	return d.site.Runs(ctx)
 }
 
 // judgeFlows judges the streams.
@@ -100,45 +92,19 @@
 
 // judgeRequests judges the answers, refusals and runs.
 func (d *demo) judgeRequests(runs map[string]int) {
-	var sum caller.RequestsDoc
-	var faults []string
+	var reports []caller.ReportDoc
 	for _, c := range d.callers {
-		faults = append(faults, c.report.Faults...)
-		for _, q := range []caller.RequestsDoc{c.report.Repeatable, c.report.Once} {
-			sum.Sent += q.Sent
-			sum.Wrong += q.Wrong
-			sum.Failed += q.Failed
-			sum.CopyErrors += q.CopyErrors
-			sum.NotRun += q.NotRun
-			sum.Unknown += q.Unknown
-			sum.AnsweredIDs = append(sum.AnsweredIDs, q.AnsweredIDs...)
-			sum.NotRunIDs = append(sum.NotRunIDs, q.NotRunIDs...)
-		}
-	}
-	var doubled, lied, lost []string
-	for id, n := range runs {
-		if n > 1 {
-			doubled = append(doubled, id)
-		}
-	}
-	for _, id := range sum.NotRunIDs {
-		if runs[id] > 0 {
-			lied = append(lied, id)
-		}
-	}
-	for _, id := range sum.AnsweredIDs {
-		if runs[id] == 0 {
-			lost = append(lost, id)
-		}
+		reports = append(reports, c.report)
 	}
+	t := lentillab.NewTotals(runs, reports...)
 	r := &d.report
-	r.promise("every answer is whole and to the caller's own request", float64(sum.Wrong), 0, first(faults))
-	r.promise("what may not be repeated runs at most once", float64(len(doubled)), 0, first(doubled))
-	r.promise("a refusal that says not run is true", float64(len(lied)), 0, first(lied))
-	r.promise("what was answered did run", float64(len(lost)), 0, first(lost))
-	r.promise("no request fails without an answer, and no copy fails", float64(sum.Failed+sum.CopyErrors), 0, first(faults))
-	r.RefusedShare = share(sum.NotRun, sum.Sent)
-	r.promise("share of requests with outcome unknown", share(sum.Unknown, sum.Sent), unknownShare, first(faults))
+	r.RefusedShare = t.Share(t.Refused)
+	r.promise("every answer is whole and to the caller's own request", float64(t.Wrong), 0, first(t.Faults))
+	r.promise("what may not be repeated runs at most once", float64(len(t.Doubled)), 0, first(t.Doubled))
+	r.promise("a refusal that says not run is true", float64(len(t.FalseRefusals)), 0, first(t.FalseRefusals))
+	r.promise("what was answered did run", float64(len(t.Lost)), 0, first(t.Lost))
+	r.promise("no request fails without an answer, and no copy fails", float64(t.Failed+t.CopyErrors), 0, first(t.Faults))
+	r.promise("share of requests with outcome unknown", t.Share(t.Unknown), unknownShare, first(t.Faults))
 }
 
 // judgeChanges judges the changes of configuration and of processes.
@@ -154,8 +120,8 @@
 	r.promise("packets into the failure domain more than 3 s after it was taken out", float64(d.late), 0, "")
 	var newWork uint64
 	for _, l := range d.leaving {
-		var state upstream.StateDoc
-		if !l.seen || d.site.Get(ctx, l.copy.URL()+"/state", &state) != nil {
+		state, err := d.site.State(ctx, l.copy)
+		if !l.seen || err != nil {
 			newWork++
 			continue
 		}
@@ -184,13 +150,6 @@
 	d.report.promise("balancers and copies left unused", float64(len(idle)), 0, strings.Join(idle, ", "))
 }
 
-func share(part, whole int) float64 {
-	if whole == 0 {
-		return 0
-	}
-	return float64(part) / float64(whole)
-}
-
 // first describes the first few of many.
 func first(all []string) string {
 	const shown = 5
--- a/internal/lentillab/client.go
+++ b/internal/lentillab/client.go
@@ -80,19 +80,18 @@
 
 // awaitURL waits until url answers 200, or a process of the lab fails.
 func (r *Running) awaitURL(ctx context.Context, name, url string) (err error) {
-	ticker := time.NewTicker(pollPeriod)
-	defer ticker.Stop()
-	for {
-		if _, err = r.client.get(ctx, url); err == nil {
-			return nil
+	var last error
+	err = Poll(ctx, func() (ok bool, err error) {
+		if _, last = r.client.get(ctx, url); last == nil {
+			return true, nil
 		}
 		if failed := r.lab.Failed(); len(failed) > 0 {
-			return errorx.ExternalError.New("processes ended by an error: %s", strings.Join(failed, "; "))
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return errorx.TimeoutElapsed.New("%s is not ready: %v", name, err)
+			return false, errorx.ExternalError.New("processes ended by an error: %s", strings.Join(failed, "; "))
 		}
+		return false, nil
+	})
+	if ctx.Err() != nil {
+		return errorx.TimeoutElapsed.New("%s is not ready: %v", name, last)
 	}
+	return err
 }
--- a/internal/lentillab/direct.go
+++ b/internal/lentillab/direct.go
@@ -15,46 +15,55 @@
 	"lentilstair.example/lentilstair/pkg/lentilplatform"
 )
 
-// ApplyDirectly writes the outcome of a note into the platform without the command
-// `apply`, and returns when every process that runs has it in force.
+// ApplyDirectly accepts a note without the command `apply`, and returns when every
+// process that runs has it in force.
 func (r *Running) ApplyDirectly(ctx context.Context, doc lentilnote.Doc) (err error) {
+	if _, err = r.Accept(ctx, doc); err != nil {
+		return err
+	}
+	return r.AwaitInForce(ctx)
+}
+
+// Accept writes the outcome of a note into the platform without the command `apply`,
+// and returns when that had happened.
+func (r *Running) Accept(ctx context.Context, doc lentilnote.Doc) (accepted time.Time, err error) {
 	defer func() {
 		if err != nil {
-			err = errorx.Decorate(err, "apply %s", doc.ID)
+			err = errorx.Decorate(err, "accept note %s", doc.ID)
 		}
 	}()
 	note, err := lentilnote.New(doc)
 	if err != nil {
-		return err
+		return time.Time{}, err
 	}
 	plan, err := note.Plan(r.document)
 	if err != nil {
-		return err
+		return time.Time{}, err
 	}
 	head, shards, err := lentilconfig.Split(plan.Next())
 	if err != nil {
-		return err
+		return time.Time{}, err
 	}
 	client := &lentilplatform.Client{Base: r.PlatformURL()}
 	for _, shard := range shards {
 		body, err := shard.ObjectBody(doc.ID)
 		if err != nil {
-			return err
+			return time.Time{}, err
 		}
 		object := lentilplatform.NewObject(lentilplatform.KindShard, string(shard.Name()), body)
 		if _, err = client.Create(ctx, object); err != nil && !errors.Is(err, lentilplatform.ErrExists) {
-			return err
+			return time.Time{}, err
 		}
 	}
 	body, err := json.Marshal(lentilconfig.HeadObjectDoc{HeadDoc: head})
 	if err != nil {
-		return err
+		return time.Time{}, err
 	}
 	if err = putHead(ctx, client, body); err != nil {
-		return err
+		return time.Time{}, err
 	}
 	r.document = plan.Next()
-	return r.awaitVersion(ctx, r.document.Version)
+	return time.Now(), nil
 }
 
 // putHead creates the head or puts another body in its place.
@@ -69,8 +78,10 @@
 	return err
 }
 
-// awaitVersion waits until every process that runs has the version in force.
-func (r *Running) awaitVersion(ctx context.Context, version uint64) (err error) {
+// AwaitInForce waits until every process that runs has the configuration accepted
+// last in force.
+func (r *Running) AwaitInForce(ctx context.Context) (err error) {
+	version := r.document.Version
 	for _, b := range r.balancers {
 		if b.process != nil {
 			err = errors.Join(err, r.awaitVersionAt(ctx, b.process, b.Admin(), version))
@@ -86,27 +97,24 @@
 
 // awaitVersionAt waits until a process has the version in force or has ended.
 func (r *Running) awaitVersionAt(ctx context.Context, process *Process, admin string, version uint64) (err error) {
-	for !process.Over() {
-		if text, err := r.Text(ctx, admin+"/metrics"); err == nil && metric(text, "lentilstair_configuration_version") >= version {
-			return nil
-		}
-		select {
-		case <-time.After(pollPeriod):
-		case <-ctx.Done():
-			return errorx.TimeoutElapsed.New("version %d is not in force at %s", version, process.Name())
-		}
+	err = Poll(ctx, func() (ok bool, err error) {
+		text, err := r.Text(ctx, admin+"/metrics")
+		return process.Over() || err == nil && Sum(text, "lentilstair_configuration_version") >= version, nil
+	})
+	if err != nil {
+		return errorx.TimeoutElapsed.New("version %d is not in force at %s", version, process.Name())
 	}
 	return nil
 }
 
-func metric(scrape, name string) uint64 {
+// Sum adds up the values of a metric in a scrape, over all its labels.
+func Sum(scrape, name string) (total uint64) {
 	for line := range strings.Lines(scrape) {
 		if fields := strings.Fields(line); len(fields) == 2 && strings.HasPrefix(line, name+"{") {
-			value, err := strconv.ParseFloat(fields[1], 64)
-			if err == nil {
-				return uint64(value)
+			if value, err := strconv.ParseFloat(fields[1], 64); err == nil {
+				total += uint64(value)
 			}
 		}
 	}
-	return 0
+	return total
 }
--- a/internal/lentillab/running.go
+++ b/internal/lentillab/running.go
@@ -7,7 +7,6 @@
 	"net/netip"
 	"slices"
 	"strconv"
-	"time"
 
 	"github.com/joomcode/errorx"
 
@@ -167,14 +166,6 @@
 // JournalFile returns the file in which a copy notes what it ran that may not be repeated.
 func (r *Running) JournalFile(c *Copy) string { return r.lab.Path("journal-" + c.name) }
 
-// Call starts callers of a service. Their standard output is a report.
-func (r *Running) Call(name string, service Service, duration time.Duration, args ...string) (process *Process, err error) {
-	return r.lab.Stand(name, append([]string{
-		"caller", "--target", "https://" + r.Address(service).String(), "--ca", r.lab.Path(certificateFile),
-		"--name", name, "--duration", duration.String(),
-	}, args...)...)
-}
-
 // AwaitReady waits until every process of the site that runs takes new work.
 func (r *Running) AwaitReady(ctx context.Context) (err error) {
 	for _, b := range r.balancers {
@@ -190,6 +181,26 @@
 			return err
 		}
 	}
+	return r.awaitRecords(ctx)
+}
+
+// awaitRecords waits until every balancer knows every copy that runs.
+func (r *Running) awaitRecords(ctx context.Context) error {
+	wanted := uint64(0)
+	for _, c := range r.copies {
+		if c.agent != nil && !c.agent.Over() {
+			wanted++
+		}
+	}
+	for _, b := range r.balancers {
+		err := Poll(ctx, func() (ok bool, err error) {
+			text, err := r.Text(ctx, b.Admin()+"/metrics")
+			return err == nil && Sum(text, "lentilstair_records_known") >= wanted, nil
+		})
+		if err != nil {
+			return errorx.TimeoutElapsed.New("%s does not know all %d copies", b.name, wanted)
+		}
+	}
 	return nil
 }
 
--- /dev/null
+++ b/internal/lentilmeasure/lentildomainmeasure/domain.go
@@ -0,0 +1,228 @@
+// Package lentildomainmeasure measures with real processes what happens when a
+// failure domain is taken out and brought back under load: how long packets still
+// reach it, and how the service elsewhere fares meanwhile.
+package lentildomainmeasure
+
+import (
+	"context"
+	"time"
+
+	"lentilstair.example/lentilstair/internal/lentilfigure"
+	"lentilstair.example/lentilstair/internal/lentillab"
+	"lentilstair.example/lentilstair/internal/lentilstand/caller"
+	"lentilstair.example/lentilstair/pkg/lentilnote"
+)
+
+// Experiment is the entry in the table of experiments.
+var Experiment = lentilfigure.Experiment{
+	Name: "domain",
+	Text: "a failure domain out and back under load, real processes: seconds until its last packet, service elsewhere",
+	Run:  run,
+}
+
+const (
+	// warmTime is how long the copies get to become warm.
+	warmTime = 25 * time.Second
+	// outTime is how long the failure domain stays out.
+	outTime = 8 * time.Second
+	// backTime is how long it is watched after it came back.
+	backTime = 8 * time.Second
+	// stepTimeout bounds each step.
+	stepTimeout = 30 * time.Second
+	// pollPeriod is how often the packets into the failure domain are counted. The
+	// agents show counts up to half a second late, so that the figure is an upper bound.
+	pollPeriod = 50 * time.Millisecond
+
+	// lastPacketBound is until when packets may reach the failure domain, in seconds.
+	lastPacketBound = 3
+	// finishedBound is the least share of requests finished in time.
+	finishedBound = 0.99
+	// inForceBound is until when a change is in force everywhere, in seconds.
+	inForceBound = 2
+
+	// loadShare is how much of the slots of all warm copies the callers ask for.
+	loadShare = 0.4
+	// streams is how many streams are kept open.
+	streams = 40
+)
+
+// trial is one run on one site.
+type trial struct {
+	site   *lentillab.Running
+	domain string
+	crowd  *lentillab.Crowd
+	setup  lentilfigure.Setup
+}
+
+func run(ctx context.Context, setup lentilfigure.Setup) (figures []lentilfigure.Figure, err error) {
+	lab, err := lentillab.New(setup.Binaries)
+	if err != nil {
+		return nil, err
+	}
+	defer lab.Close()
+	plan := lentillab.Consorzio()
+	started, cancel := context.WithTimeout(ctx, stepTimeout)
+	defer cancel()
+	t := trial{domain: plan.Domains[len(plan.Domains)-1], setup: setup}
+	if t.site, err = lab.Start(started, plan); err != nil {
+		return nil, err
+	}
+	if err = t.warm(ctx); err != nil {
+		return nil, err
+	}
+	return t.measure(ctx)
+}
+
+// demand asks for a share of what the warm copies of a service do.
+func demand(service lentillab.Service, share float64, seed uint64) lentillab.Demand {
+	capacity := float64(service.Copies*service.Slots) / service.Work.Seconds()
+	const onceShare = 0.4
+	return lentillab.Demand{
+		Connections: streams, Repeatable: capacity * share * (1 - onceShare), Once: capacity * share * onceShare,
+		Timeout: 2 * time.Second, Reconnect: 2 * time.Second, Seed: seed,
+	}
+}
+
+// warm calls until the copies are warm. Nothing of it is counted.
+func (t *trial) warm(ctx context.Context) (err error) {
+	service := t.site.Site().Services[0]
+	warmth := warmTime
+	if t.setup.Short {
+		warmth /= 5
+	}
+	t.setup.Note("domain: warming %s for %s", service.Name, warmth)
+	crowd, err := t.site.StartCrowd("warm", service, warmth, demand(service, loadShare, t.setup.Seed))
+	if err != nil {
+		return err
+	}
+	limited, cancel := context.WithTimeout(ctx, warmth+stepTimeout)
+	defer cancel()
+	_, err = crowd.Report(limited)
+	return err
+}
+
+func (t *trial) measure(ctx context.Context) (figures []lentilfigure.Figure, err error) {
+	service := t.site.Site().Services[0]
+	wanted := demand(service, loadShare, t.setup.Seed+1)
+	wanted.Streams = streams
+	const lead = 2 * time.Second
+	t.crowd, err = t.site.StartCrowd("measured", service, lead+outTime+backTime+stepTimeout, wanted)
+	if err != nil {
+		return nil, err
+	}
+	if err = lentillab.Pause(ctx, lead); err != nil {
+		return nil, err
+	}
+	outForce, last, err := t.takeOut(ctx)
+	if err != nil {
+		return nil, err
+	}
+	backForce, use, err := t.bringBack(ctx)
+	if err != nil {
+		return nil, err
+	}
+	t.crowd.Process().Stop()
+	limited, cancel := context.WithTimeout(ctx, stepTimeout)
+	defer cancel()
+	report, err := t.crowd.Report(limited)
+	if err != nil {
+		return nil, err
+	}
+	for _, fault := range report.Faults {
+		t.setup.Note("domain: %s", fault)
+	}
+	runs, err := t.site.Runs(limited)
+	if err != nil {
+		return nil, err
+	}
+	return append([]lentilfigure.Figure{
+		lentilfigure.New("domain.lastPacket", last.Seconds(), "s after acceptance").AtMost(lastPacketBound),
+		lentilfigure.New("domain.inForce.out", outForce.Seconds(), "s").AtMost(inForceBound),
+		lentilfigure.New("domain.inForce.back", backForce.Seconds(), "s").AtMost(inForceBound),
+		lentilfigure.New("domain.usedAgain", use.Seconds(), "s after acceptance"),
+	}, t.judge(report, runs)...), nil
+}
+
+// judge returns the figures about the service elsewhere.
+func (t *trial) judge(report caller.ReportDoc, runs map[string]int) (figures []lentilfigure.Figure) {
+	elsewhere := report.Streams.Broken
+	for _, c := range t.site.Copies() {
+		if c.Domain() == t.domain {
+			elsewhere -= report.Streams.BrokenByCopy[c.Name()]
+		}
+	}
+	totals := lentillab.NewTotals(runs, report)
+	return []lentilfigure.Figure{
+		lentilfigure.New("domain.elsewhere.brokenFlows", float64(elsewhere), "flows").AtMost(0),
+		lentilfigure.New("domain.finishedInTime", totals.Share(totals.Answered-totals.Late), "share of requests").AtLeast(finishedBound),
+		lentilfigure.New("domain.refused", totals.Share(totals.Refused), "share of requests"),
+		lentilfigure.New("domain.unknown", float64(totals.Unknown), "requests"),
+		lentilfigure.New("domain.failed", float64(totals.Failed), "requests").AtMost(0),
+		lentilfigure.New("domain.wrong", float64(totals.Wrong), "answers").AtMost(0),
+		lentilfigure.New("domain.doubled", float64(len(totals.Doubled)), "requests").AtMost(0),
+		lentilfigure.New("domain.falseRefusals", float64(len(totals.FalseRefusals)), "requests").AtMost(0),
+	}
+}
+
+// takeOut takes the failure domain out and returns how long after the acceptance
+// the change was in force everywhere, and the last packet reached the domain.
+func (t *trial) takeOut(ctx context.Context) (inForce, last time.Duration, err error) {
+	limited, cancel := context.WithTimeout(ctx, outTime+stepTimeout)
+	defer cancel()
+	note := lentilnote.Doc{ID: "out", Author: "measure", Domains: lentilnote.DomainsDoc{Out: []string{t.domain}}}
+	accepted, err := t.site.Accept(limited, note)
+	if err != nil {
+		return 0, 0, err
+	}
+	waited := make(chan error, 1)
+	go func() {
+		waitErr := t.site.AwaitInForce(limited)
+		inForce = time.Since(accepted)
+		waited <- waitErr
+	}()
+	before, err := t.site.PacketsInto(limited, t.domain)
+	for err == nil && time.Since(accepted) < outTime {
+		var now uint64
+		if now, err = t.site.PacketsInto(limited, t.domain); now > before {
+			before, last = now, time.Since(accepted)
+		}
+		if err == nil {
+			err = lentillab.Pause(limited, pollPeriod)
+		}
+	}
+	if waitErr := <-waited; err == nil {
+		err = waitErr
+	}
+	return inForce, last, err
+}
+
+// bringBack brings the failure domain back and returns how long after the
+// acceptance the change was in force, and packets reached the domain again.
+func (t *trial) bringBack(ctx context.Context) (inForce, use time.Duration, err error) {
+	limited, cancel := context.WithTimeout(ctx, backTime+stepTimeout)
+	defer cancel()
+	before, err := t.site.PacketsInto(limited, t.domain)
+	if err != nil {
+		return 0, 0, err
+	}
+	note := lentilnote.Doc{ID: "back", Author: "measure", Domains: lentilnote.DomainsDoc{Back: []string{t.domain}}}
+	accepted, err := t.site.Accept(limited, note)
+	if err != nil {
+		return 0, 0, err
+	}
+	if err = t.site.AwaitInForce(limited); err != nil {
+		return 0, 0, err
+	}
+	inForce = time.Since(accepted)
+	for now := before; err == nil && now == before; {
+		now, err = t.site.PacketsInto(limited, t.domain)
+		use = time.Since(accepted)
+		if err == nil {
+			err = lentillab.Pause(limited, pollPeriod)
+		}
+	}
+	if err != nil {
+		return 0, 0, err
+	}
+	return inForce, use, lentillab.Pause(limited, backTime-use)
+}
--- a/internal/lentilmeasure/table.go
+++ b/internal/lentilmeasure/table.go
@@ -1,6 +1,13 @@
 package lentilmeasure
 
-import "lentilstair.example/lentilstair/internal/lentilfigure"
+import (
+	"lentilstair.example/lentilstair/internal/lentilfigure"
+	"lentilstair.example/lentilstair/internal/lentilmeasure/lentildomainmeasure"
+	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilrestartmeasure"
+)
 
 // experiments is the table of all experiments.
-var experiments = []lentilfigure.Experiment{}
+var experiments = []lentilfigure.Experiment{
+	lentildomainmeasure.Experiment,
+	lentilrestartmeasure.Experiment,
+}
--- a/internal/lentilstand/caller/caller.go
+++ b/internal/lentilstand/caller/caller.go
@@ -46,7 +46,10 @@
 	// Reconnect is the time after which a caller opens a new connection for its
 	// requests; zero is never.
 	Reconnect time.Duration
-	Seed      uint64
+	// StreamLength is the time after which a caller ends a stream itself and opens
+	// the next one; zero is never.
+	StreamLength time.Duration
+	Seed         uint64
 	// Name begins the ids of this process's requests.
 	Name string
 	TLS  *tls.Config
@@ -307,7 +310,9 @@
 func (c *Caller) watchOnce(ctx context.Context, one *client, id string) (ok bool) {
 	own, cancel := context.WithCancel(ctx)
 	defer cancel()
-	request, err := http.NewRequestWithContext(own, http.MethodGet, c.options.Target+"/watch?id="+url.QueryEscape(id), nil)
+	whole, end := c.streamContext(own)
+	defer end()
+	request, err := http.NewRequestWithContext(whole, http.MethodGet, c.options.Target+"/watch?id="+url.QueryEscape(id), nil)
 	if err != nil {
 		return false
 	}
@@ -327,13 +332,21 @@
 	}
 	c.book.stream(func(d *StreamsDoc) { d.Opened++ })
 	copyName, err := c.readTicks(response.Body, id, silence)
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || whole.Err() != nil && own.Err() == nil {
 		return true
 	}
 	c.book.brokenStream(id, copyName, err.Error())
 	return false
 }
 
+// streamContext ends when the caller wants no more of a stream.
+func (c *Caller) streamContext(ctx context.Context) (whole context.Context, end context.CancelFunc) {
+	if c.options.StreamLength == 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, c.options.StreamLength)
+}
+
 // readTicks reads a stream to its end, which is always an error, and returns the
 // name of the copy that sent it.
 func (c *Caller) readTicks(body io.Reader, id string, silence *time.Timer) (copyName string, err error) {
--- a/internal/lentilstand/caller/command.go
+++ b/internal/lentilstand/caller/command.go
@@ -33,6 +33,7 @@
 			&cli.IntFlag{Name: "bytes", Value: 0, Usage: "`LENGTH` of the answers that may be repeated"},
 			&cli.IntFlag{Name: "attempts", Value: 2, Usage: "`NUMBER` of further attempts under the same ticket"},
 			&cli.DurationFlag{Name: "reconnect", Usage: "`TIME` after which a caller opens a new connection"},
+			&cli.DurationFlag{Name: "stream-length", Usage: "`TIME` after which a caller ends a stream and opens the next"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`NUMBER` that the random choices start from"},
 		},
 		Action: run,
@@ -51,7 +52,7 @@
 	report := Run(ctx, Options{
 		Target: c.String("target"), Connections: c.Int("connections"), Streams: c.Int("streams"),
 		Repeatable: c.Float("repeatable"), Once: c.Float("once"), Timeout: c.Duration("timeout"),
-		Bytes: c.Int("bytes"), Attempts: c.Int("attempts"), Reconnect: c.Duration("reconnect"),
+		Bytes: c.Int("bytes"), Attempts: c.Int("attempts"), Reconnect: c.Duration("reconnect"), StreamLength: c.Duration("stream-length"),
 		Seed: c.Uint64("seed"), Name: c.String("name"), TLS: trusted,
 	})
 	return json.NewEncoder(c.Root().Writer).Encode(report)
