--- a/internal/lentilcontrol/exchange.go
+++ b/internal/lentilcontrol/exchange.go
@@ -186,6 +186,7 @@
 	if p.backoff.Failures()%suspectAgain == suspectFailures {
 		n.table.Suspect(p.run)
 		n.absorb(0)
+		n.meet()
 	}
 }
 
@@ -241,7 +242,7 @@
 // forgotten even its death.
 func (n *Node) forgotten(p *peer, response *lentilcontrolpb.ExchangeResponse, now time.Time) bool {
 	return response.GetKnownRank() == 0 && response.GetSettled() &&
-		p.region == n.region() && now.Sub(n.started) > settleTime
+		p.domain == n.Self.Domain && now.Sub(n.started) > settleTime
 }
 
 // compared notes whether a peer holds the same as this node.
@@ -252,7 +253,7 @@
 	equal := p.members.root == n.table.Versions().Root()
 	n.contact(p, equal)
 	same := equal && p.records.root == n.records.Versions().Root() && p.configuration <= n.configuration.Version()
-	if same && p.region == n.region() && n.synced.IsZero() {
+	if same && n.synced.IsZero() {
 		n.synced = n.now()
 	}
 }
--- a/internal/lentilcontrol/live.go
+++ b/internal/lentilcontrol/live.go
@@ -1,8 +1,6 @@
 package lentilcontrol
 
 import (
-	"slices"
-
 	"lentilstair.example/lentilstair/pkg/lentilid"
 	"lentilstair.example/lentilstair/pkg/lentilrecord"
 )
@@ -14,34 +12,13 @@
 	dirty set
 	// whole is true when any record may have changed.
 	whole bool
-	// reached lists the regions in contact.
-	reached []string
 }
 
 func (l *liveSet) mark(owners []lentilid.Incarnation) { l.dirty.add(owners...) }
 
-// Live returns the records that may get work, in order of their owners.
-func (n *Node) Live() (records []lentilrecord.Record) {
-	for _, r := range n.records.Live() {
-		if n.mayWork(r) {
-			records = append(records, r)
-		}
-	}
-	return records
-}
-
-// mayWork reports whether a live record is of a region in contact. A region
-// without balancers of its own is served from the others.
-func (n *Node) mayWork(r lentilrecord.Record) bool {
-	domain := n.configuration.Configuration().Domain(r.Doc().Domain)
-	return r.Phase() != lentilrecord.Gone &&
-		(domain == nil || slices.Contains(n.live.reached, domain.Region()) || !n.inhabited(domain.Region()))
-}
-
-// inhabited reports whether any member that counts as alive is in a region.
-func (n *Node) inhabited(region string) bool {
-	return len(n.table.Holders(region, 0, 1)) > 0
-}
+// Live returns the records for which a living balancer in contact vouches, in
+// order of their owners.
+func (n *Node) Live() []lentilrecord.Record { return n.records.Live() }
 
 // TakeLive returns the live records that are new or changed since the last call,
 // and the owners whose records are not live any more.
@@ -61,7 +38,7 @@
 	for _, owner := range n.live.dirty.take(len(n.live.dirty)) {
 		told, known := n.live.told[owner]
 		r, ok := n.records.Get(owner)
-		ok = ok && n.mayWork(r)
+		ok = ok && r.Phase() != lentilrecord.Gone
 		switch {
 		case ok && (!known || told != r):
 			n.live.told[owner] = r
@@ -73,3 +50,6 @@
 	}
 	return observed, forgotten
 }
+
+// Reached returns the failure domains with which this node is in contact.
+func (n *Node) Reached() []string { return n.table.Reached() }
--- a/internal/lentilcontrol/node.go
+++ b/internal/lentilcontrol/node.go
@@ -31,8 +31,15 @@
 	// gap is the least time between two exchanges with a neighbour that
 	// changes prompt; it gathers changes that come close together.
 	gap = 50 * time.Millisecond
-	// regionSilence is how long a region without contact counts as reached.
-	regionSilence = 5 * time.Second
+	// domainSilence is how long a failure domain without contact counts as reached.
+	domainSilence = 5 * time.Second
+	// awayTime is the time between two ticks from which on this process must have
+	// been paused or its clock set, and what it has learned may be out of date.
+	awayTime = 10 * time.Second
+	// formerMax bounds the former members by which a node joins again.
+	formerMax = 16
+	// chorePeriod is the time between tasks that go over all members.
+	chorePeriod = 500 * time.Millisecond
 	// peerSilence is how long a peer that is no neighbour is kept without contact.
 	peerSilence = 30 * time.Second
 	// settleTime is how long a node must have known the others before its not
@@ -77,7 +84,11 @@
 	parts         partCache
 	peers         map[lentilid.Incarnation]*peer
 	probes        map[netip.AddrPort]*probe
-	regions       map[string]time.Time
+	former        []netip.AddrPort
+	contacts      map[string]time.Time
+	reached       []string
+	ticked        time.Time
+	chores        time.Time
 	bytes         lentilbudget.Bucket
 	started       time.Time
 	synced        time.Time
@@ -94,7 +105,7 @@
 	n.table.Join(n.Self)
 	n.peers = map[lentilid.Incarnation]*peer{}
 	n.probes = map[netip.AddrPort]*probe{}
-	n.regions = map[string]time.Time{}
+	n.contacts = map[string]time.Time{}
 	n.bytes = lentilbudget.Bucket{PerSecond: bytesPerSecond, Burst: bytesBurst}
 	n.started = n.now()
 	n.absorb(0)
@@ -116,30 +127,40 @@
 // Tick moves timers on and returns the calls that are due.
 func (n *Node) Tick() (calls []Call) {
 	now := n.now()
+	away := !n.ticked.IsZero() && (now.Sub(n.ticked) > awayTime || now.Before(n.ticked))
+	n.ticked = now
 	n.table.Expire()
 	n.records.Expire()
-	if n.table.Condemned() {
+	if away || n.table.Condemned() {
 		n.discard()
 	}
 	n.table.SetHeld(n.records.Held())
 	n.table.SetReaches(n.reaches(now))
 	n.settleRegion()
 	n.absorb(0)
+	n.revouch()
 	calls = n.exchanges(now)
 	calls = append(calls, n.probing(now)...)
 	return append(calls, n.pulling(now)...)
 }
 
-// discard forgets what was learned from others, after others have counted this
-// run as dead: what it holds may be out of date.
+// discard forgets what was learned from others and the leases, after this process
+// was away or others have counted it as dead: what it holds may be out of date.
 func (n *Node) discard() {
+	n.former = nil
+	for _, doc := range n.table.Alive() {
+		if doc.Run != n.Self.Run && len(n.former) < formerMax {
+			n.former = append(n.former, doc.Control)
+		}
+	}
 	n.table.Discard()
 	n.records.Discard()
 	clear(n.peers)
-	clear(n.regions)
+	clear(n.contacts)
 	n.synced = time.Time{}
 	n.started = n.now()
 	n.live.whole = true
+	n.chores = time.Time{}
 }
 
 // absorb carries changes of entries to the vouchers and the peers, except for the
@@ -149,11 +170,9 @@
 	for _, run := range members {
 		doc, ok := n.table.Member(run)
 		if !ok || !doc.Counts() {
-			n.records.Vouch(run, nil)
 			delete(n.peers, run)
-			continue
 		}
-		n.records.Vouch(run, doc.Held)
+		n.vouch(run, doc)
 	}
 	records := n.records.TakeChanged()
 	if len(members)+len(records) == 0 {
@@ -176,11 +195,35 @@
 	for _, p := range n.peers {
 		p.neighbour = false
 	}
-	for _, doc := range n.table.Neighbours() {
+	avoid := func(run lentilid.Incarnation) bool {
+		p := n.peers[run]
+		return p != nil && p.backoff.Failures() >= suspectFailures
+	}
+	for _, doc := range n.table.Neighbours(avoid) {
 		n.peer(doc).neighbour = true
 	}
 }
 
+// vouch passes on whose leases a member holds, if the member counts.
+func (n *Node) vouch(run lentilid.Incarnation, doc lentilmember.Doc) {
+	if !doc.Counts() || !slices.Contains(n.table.Reached(), doc.Domain) {
+		doc.Held = nil
+	}
+	n.records.Vouch(run, doc.Held)
+}
+
+// revouch judges all vouchers anew after the failure domains in contact changed.
+func (n *Node) revouch() {
+	if slices.Equal(n.reached, n.table.Reached()) {
+		return
+	}
+	n.reached = n.table.Reached()
+	for _, doc := range n.table.Members() {
+		n.vouch(doc.Run, doc)
+	}
+	n.absorb(0)
+}
+
 // peer returns the peer for a member, made anew if there is none.
 func (n *Node) peer(doc lentilmember.Doc) *peer {
 	p := n.peers[doc.Run]
@@ -193,47 +236,42 @@
 	p.run = doc.Run
 	p.control = doc.Control
 	p.region = doc.Region
+	p.domain = doc.Domain
 	return p
 }
 
 // region returns the own region, or "" while it is not known.
 func (n *Node) region() string { return n.table.Self().Region }
 
-// settleRegion takes the own region from the configuration in force, and tells
-// when the regions in contact have changed.
+// settleRegion takes the own region from the configuration in force.
 func (n *Node) settleRegion() {
 	if domain := n.configuration.Configuration().DomainNamed(n.Self.Domain); domain != nil {
 		n.table.SetRegion(domain.Region())
 	}
-	reached := n.table.Reachable()
-	if !slices.Equal(reached, n.live.reached) {
-		n.live.reached = reached
-		n.live.whole = true
-	}
 }
 
-// reaches returns the other regions with which this node is in contact.
-func (n *Node) reaches(now time.Time) (regions []string) {
-	for region, at := range n.regions {
-		if now.Sub(at) < regionSilence {
-			regions = append(regions, region)
+// reaches returns the other failure domains with which this node is in contact.
+func (n *Node) reaches(now time.Time) (domains []string) {
+	for domain, at := range n.contacts {
+		if now.Sub(at) < domainSilence {
+			domains = append(domains, domain)
 		} else {
-			delete(n.regions, region)
+			delete(n.contacts, domain)
 		}
 	}
-	slices.Sort(regions)
-	return regions
+	slices.Sort(domains)
+	return domains
 }
 
-// contact notes a success with a member of another region. A region that comes
+// contact notes a success with a member of another failure domain. One that comes
 // back counts only once all members' entries were found to be equal, so
 // that leases which ended meanwhile are known.
 func (n *Node) contact(p *peer, equal bool) {
-	if p.region == n.region() {
+	if p.domain == n.Self.Domain {
 		return
 	}
-	if _, reached := n.regions[p.region]; reached || equal {
-		n.regions[p.region] = n.now()
+	if _, reached := n.contacts[p.domain]; reached || equal {
+		n.contacts[p.domain] = n.now()
 	}
 }
 
--- a/internal/lentilcontrol/peer.go
+++ b/internal/lentilcontrol/peer.go
@@ -47,6 +47,7 @@
 	run       lentilid.Incarnation
 	control   netip.AddrPort
 	region    string
+	domain    string
 	neighbour bool
 	inFlight  bool
 	// called is when the latest exchange began, due when the next shall.
--- a/internal/lentilcontrol/probe.go
+++ b/internal/lentilcontrol/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"lentilstair.example/lentilstair/internal/lentilcontrol/lentilcontrolpb"
@@ -14,7 +15,7 @@
 	seedBase = 400 * time.Millisecond
 	seedMax  = 30 * time.Second
 	lostBase = 30 * time.Second
-	lostMax  = 10 * time.Minute
+	lostMax  = time.Minute
 	// probesPerTick bounds the probes that begin together.
 	probesPerTick = 4
 )
@@ -29,7 +30,10 @@
 
 // probing returns probes of the seeds and of lost members that are due.
 func (n *Node) probing(now time.Time) (calls []Call) {
-	n.aim()
+	if now.Sub(n.chores) >= chorePeriod {
+		n.chores = now
+		n.aim()
+	}
 	for address, p := range n.probes {
 		if !p.wanted && !p.inFlight {
 			delete(n.probes, address)
@@ -55,7 +59,10 @@
 	for _, doc := range n.table.Alive() {
 		known[doc.Control] = true
 	}
-	for _, address := range n.Seeds {
+	if len(known) > 1 {
+		n.former = nil
+	}
+	for _, address := range slices.Concat(n.Seeds, n.former) {
 		if !known[address] {
 			n.want(address, seedBase, seedMax)
 		}
--- a/pkg/lentilmember/member.go
+++ b/pkg/lentilmember/member.go
@@ -55,7 +55,7 @@
 	Domain string
 	// Held lists the agents whose leases the member holds, in order.
 	Held []lentilid.Incarnation
-	// Reaches lists the other regions with which the member is in contact, in order.
+	// Reaches lists the other failure domains with which the member is in contact, in order.
 	Reaches []string
 }
 
--- a/pkg/lentilmember/query.go
+++ b/pkg/lentilmember/query.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,12 +14,10 @@
 // Numbers of members chosen for a task.
 const (
 	// domainNeighbours is how many neighbours come from the own failure domain.
-	domainNeighbours = 1
-	// regionNeighbours is how many neighbours come from the own region in all.
-	regionNeighbours = 4
-	// bridgesPerRegion is how many members of a region keep contact with another region.
-	bridgesPerRegion = 2
-	// lostWatchers is how many members of a region look for a lost member.
+	domainNeighbours = 3
+	// bridges is how many members of a failure domain keep contact with another one.
+	bridges = 2
+	// lostWatchers is how many members of a failure domain look for a lost member.
 	lostWatchers = 2
 )
 
@@ -43,15 +42,15 @@
 	return m.doc.Rank()
 }
 
-// Alive returns the members that count as alive, the own one included, in order
-// of their runs. The caller must not change it.
+// Alive returns the members that count as alive and whose failure domains are
+// reached, the own one included, in order of their runs. The caller must not change it.
 func (t *Table) Alive() []Doc {
 	if !t.stale {
 		return t.alive
 	}
 	t.alive = make([]Doc, 0, len(t.members))
 	for _, m := range t.members {
-		if m.doc.Counts() {
+		if m.doc.Counts() && slices.Contains(t.reached, m.doc.Domain) {
 			t.alive = append(t.alive, m.doc)
 		}
 	}
@@ -60,6 +59,15 @@
 	return t.alive
 }
 
+// Members returns all entries, in no order: also of the dead that are remembered,
+// and of failure domains that are not reached.
+func (t *Table) Members() (docs []Doc) {
+	for _, m := range t.members {
+		docs = append(docs, m.doc)
+	}
+	return docs
+}
+
 // Versions returns the owner-version map of the entries shown to peers. The
 // caller must not change it.
 func (t *Table) Versions() *lentilrecord.Versions { return &t.versions }
@@ -79,67 +87,49 @@
 // Refused returns how many entries were refused as malformed.
 func (t *Table) Refused() uint64 { return t.refused }
 
-// Reachable returns the regions that the own region is in contact with, the own
-// one included, in order.
-func (t *Table) Reachable() (regions []string) {
-	own := t.Self().Region
-	regions = []string{own}
-	for _, doc := range t.Alive() {
-		if doc.Region == own {
-			regions = append(regions, doc.Reaches...)
-		}
-	}
-	slices.Sort(regions)
-	return slices.Compact(regions)
-}
+// Reached returns the failure domains that count as reached, the own one
+// included, in order. The caller must not change it.
+func (t *Table) Reached() []string { return t.reached }
 
 // Neighbours returns the members with which this one keeps up exchanges: some of
-// its failure domain and region, and, if it is one of its region's
-// bridges, one of each other region.
-func (t *Table) Neighbours() (neighbours []Doc) {
+// its failure domain, and, if it is one of the bridges of its failure domain to another
+// one, a member there. A bridge passes over members to avoid while there are others.
+func (t *Table) Neighbours(avoid func(lentilid.Incarnation) bool) (neighbours []Doc) {
 	self := t.Self()
-	near := t.pick("", uint64(self.Run), domainNeighbours, func(d Doc) bool {
-		return d.Region == self.Region && d.Domain == self.Domain && d.Run != self.Run
-	})
-	rest := t.pick("", uint64(self.Run), regionNeighbours-len(near), func(d Doc) bool {
-		return d.Region == self.Region && d.Run != self.Run && !contains(near, d.Run)
-	})
-	neighbours = slices.Concat(near, rest)
-	for _, region := range t.regions() {
-		if region != self.Region {
-			neighbours = append(neighbours, t.bridge(self, region)...)
+	domains := map[string][]Doc{}
+	for _, m := range t.members {
+		if m.doc.Counts() {
+			domains[m.doc.Domain] = append(domains[m.doc.Domain], m.doc)
 		}
 	}
-	return neighbours
-}
-
-// bridge returns the member of another region that this one calls, if it is one
-// of the own region's bridges to it.
-func (t *Table) bridge(self Doc, region string) []Doc {
-	own := t.pick(region, 0, bridgesPerRegion, func(d Doc) bool { return d.Region == self.Region })
-	place := slices.IndexFunc(own, func(d Doc) bool { return d.Run == self.Run })
-	if place < 0 {
-		return nil
-	}
-	theirs := t.pick(self.Region, 0, bridgesPerRegion, func(d Doc) bool { return d.Region == region })
-	if len(theirs) == 0 {
-		return nil
+	own := domains[self.Domain]
+	neighbours = pick(own, "neighbour", uint64(self.Run), domainNeighbours+1)
+	neighbours = slices.DeleteFunc(neighbours, func(d Doc) bool { return d.Run == self.Run })
+	neighbours = neighbours[:min(domainNeighbours, len(neighbours))]
+	for _, domain := range slices.Sorted(maps.Keys(domains)) {
+		place := slices.IndexFunc(pick(own, domain, 0, bridges), func(d Doc) bool { return d.Run == self.Run })
+		if domain != self.Domain && place >= 0 {
+			neighbours = append(neighbours, bridge(domains[domain], self.Domain, place, avoid))
+		}
 	}
-	return []Doc{theirs[place%len(theirs)]}
+	return neighbours
 }
 
-func (t *Table) regions() (regions []string) {
-	for _, doc := range t.Alive() {
-		regions = append(regions, doc.Region)
+// bridge chooses the member of another failure domain for the bridge at a place.
+func bridge(theirs []Doc, domain string, place int, avoid func(lentilid.Incarnation) bool) Doc {
+	theirs = pick(theirs, domain, 0, len(theirs))
+	for i := range theirs {
+		if doc := theirs[(place+i)%len(theirs)]; !avoid(doc.Run) {
+			return doc
+		}
 	}
-	slices.Sort(regions)
-	return slices.Compact(regions)
+	return theirs[place%len(theirs)]
 }
 
 // Holders returns the n members of a region that shall hold the leases of the
 // agents with a key, of different failure domains where there are enough.
 func (t *Table) Holders(region string, key uint64, n int) (holders []Doc) {
-	all := t.pick("holder", key, len(t.members), func(d Doc) bool { return d.Region == region })
+	all := pick(t.within(region), "holder", key, len(t.members))
 	for _, doc := range all {
 		other := !slices.ContainsFunc(holders, func(d Doc) bool { return d.Domain == doc.Domain })
 		if len(holders) < n && other {
@@ -154,22 +144,34 @@
 	return holders
 }
 
+// within returns the living members of a region.
+func (t *Table) within(region string) (docs []Doc) {
+	for _, doc := range t.Alive() {
+		if doc.Region == region {
+			docs = append(docs, doc)
+		}
+	}
+	return docs
+}
+
 // Readers returns the n members of the own region that shall read the platform.
 // Nodes with different views may choose differently, which only adds reads.
-func (t *Table) Readers(n int) []Doc {
-	region := t.Self().Region
-	return t.pick("reader", 0, n, func(d Doc) bool { return d.Region == region })
-}
+func (t *Table) Readers(n int) []Doc { return pick(t.within(t.Self().Region), "reader", 0, n) }
 
-// Lost returns the dead members of the own region that this one shall look for.
+// Lost returns the dead members of the own failure domain that this one shall look for.
 func (t *Table) Lost() (lost []Doc) {
-	region := t.Self().Region
+	self := t.Self()
+	var own []Doc
+	for _, doc := range t.Alive() {
+		if doc.Domain == self.Domain {
+			own = append(own, doc)
+		}
+	}
 	for run, m := range t.tombs {
-		if m.doc.State != Dead || m.doc.Region != region {
+		if m.doc.State != Dead || m.doc.Domain != self.Domain {
 			continue
 		}
-		watchers := t.pick("lost", uint64(run), lostWatchers, func(d Doc) bool { return d.Region == region })
-		if contains(watchers, t.self) {
+		if contains(pick(own, "lost", uint64(run), lostWatchers), t.self) {
 			lost = append(lost, m.doc)
 		}
 	}
@@ -177,23 +179,20 @@
 	return lost
 }
 
-// pick returns the n living members that pass and whose hashes with a task and a
-// key are the highest, highest first.
-func (t *Table) pick(task string, key uint64, n int, pass func(Doc) bool) []Doc {
+// pick returns the n members whose hashes with a task and a key are the highest,
+// highest first.
+func pick(from []Doc, task string, key uint64, n int) (docs []Doc) {
 	type candidate struct {
-		doc  Doc
-		hash uint64
+		place int
+		hash  uint64
 	}
-	var candidates []candidate
-	for _, doc := range t.Alive() {
-		if pass(doc) {
-			candidates = append(candidates, candidate{doc: doc, hash: hash(task, key, uint64(doc.Run))})
-		}
+	candidates := make([]candidate, 0, len(from))
+	for place, doc := range from {
+		candidates = append(candidates, candidate{place: place, hash: hash(task, key, uint64(doc.Run))})
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int { return compare(b.hash, a.hash) })
-	var docs []Doc
 	for _, c := range candidates[:min(n, len(candidates))] {
-		docs = append(docs, c.doc)
+		docs = append(docs, from[c.place])
 	}
 	return docs
 }
--- a/pkg/lentilmember/table.go
+++ b/pkg/lentilmember/table.go
@@ -18,13 +18,17 @@
 	// DefaultRetention is how long a dead member is remembered, so that an old
 	// entry of it does not count again.
 	DefaultRetention = 24 * time.Hour
+	// ReachDelay is how long after another member has listed a failure domain as
+	// reached it counts as reached here, so that its entries have come before.
+	ReachDelay = 2 * time.Second
 	// MaxTombstones bounds the dead members that are remembered.
 	MaxTombstones = 4096
 )
 
-// Table holds the members that one balancer knows. Only members of a region
-// judge the members of that region; a region that cannot be reached keeps its
-// entries, so that a split between regions ends without anybody having died.
+// Table holds the members that one balancer knows. Only members of a failure
+// domain judge the members of that failure domain. One that cannot be reached
+// keeps its entries but does not count, so that a split between failure domains or
+// regions ends without anybody having died.
 //
 // Join must be called first. It is not safe for use by several goroutines.
 type Table struct {
@@ -43,10 +47,14 @@
 	versions  lentilrecord.Versions
 	changed   []lentilid.Incarnation
 	refused   uint64
+	suspects  map[lentilid.Incarnation]*member
 	condemned bool
 	seen      time.Time
-	alive     []Doc
-	stale     bool
+	// listed holds since when other members of the failure domain list others as reached.
+	listed  map[string]time.Time
+	reached []string
+	alive   []Doc
+	stale   bool
 }
 
 // member is an entry with the time at which its state was learned.
@@ -61,6 +69,9 @@
 	self.State = Alive
 	t.members = map[lentilid.Incarnation]*member{}
 	t.tombs = map[lentilid.Incarnation]*member{}
+	t.suspects = map[lentilid.Incarnation]*member{}
+	t.listed = map[string]time.Time{}
+	t.reached = []string{self.Domain}
 	t.versions = lentilrecord.Versions{}
 	t.self = self.Run
 	t.put(self.clone())
@@ -110,16 +121,20 @@
 	t.changed = append(t.changed, doc.Run)
 	t.stale = true
 	delete(t.tombs, doc.Run)
+	delete(t.suspects, doc.Run)
+	if doc.State == Suspect && doc.Domain == t.Self().Domain {
+		t.suspects[doc.Run] = m
+	}
 	if !doc.Counts() && doc.Run != t.self {
 		t.tombs[doc.Run] = m
 		t.bound()
 	}
 }
 
-// Suspect marks a member of the own region that did not answer.
+// Suspect marks a member of the own failure domain that did not answer.
 func (t *Table) Suspect(run lentilid.Incarnation) {
 	m := t.members[run]
-	if m == nil || run == t.self || m.doc.State != Alive || m.doc.Region != t.Self().Region {
+	if m == nil || run == t.self || m.doc.State != Alive || m.doc.Domain != t.Self().Domain {
 		return
 	}
 	doc := m.doc
@@ -127,12 +142,12 @@
 	t.put(doc)
 }
 
-// Replaced marks the members of the own region at an address where another run
-// has answered: their processes have ended.
+// Replaced marks the members at an address where another run has answered: their
+// processes have ended.
 func (t *Table) Replaced(by Doc) {
 	for _, m := range t.members {
 		doc := m.doc
-		if doc.Control == by.Control && doc.Run != by.Run && doc.Run != t.self && doc.Counts() && doc.Region == t.Self().Region {
+		if doc.Control == by.Control && doc.Run != by.Run && doc.Run != t.self && doc.Counts() {
 			doc.State = Dead
 			t.put(doc)
 		}
@@ -162,14 +177,14 @@
 	t.put(self)
 }
 
-// SetReaches makes a new version of the own entry if the regions in contact
-// have changed.
-func (t *Table) SetReaches(regions []string) {
+// SetReaches makes a new version of the own entry if the failure domains in
+// contact have changed.
+func (t *Table) SetReaches(domains []string) {
 	self := t.Self()
-	if slices.Equal(self.Reaches, regions) {
+	if slices.Equal(self.Reaches, domains) {
 		return
 	}
-	self.Reaches = slices.Clone(regions)
+	self.Reaches = slices.Clone(domains)
 	self.Version++
 	t.put(self)
 }
@@ -190,11 +205,7 @@
 	now := t.now()
 	jumped := !t.seen.IsZero() && (now.Sub(t.seen) > t.suspicion() || now.Before(t.seen))
 	t.seen = now
-	region := t.Self().Region
-	for _, m := range t.members {
-		if m.doc.State != Suspect || m.doc.Region != region {
-			continue
-		}
+	for _, m := range t.suspects {
 		if jumped {
 			m.since = now
 		}
@@ -205,6 +216,38 @@
 		}
 	}
 	t.bury(now)
+	t.reach(now)
+}
+
+// reach works out which failure domains count as reached.
+func (t *Table) reach(now time.Time) {
+	self := t.Self()
+	reached := append([]string{self.Domain}, self.Reaches...)
+	listed := map[string]time.Time{}
+	for _, m := range t.members {
+		if m.doc.Domain != self.Domain || !m.doc.Counts() || m.doc.Run == t.self {
+			continue
+		}
+		for _, domain := range m.doc.Reaches {
+			since, known := t.listed[domain]
+			if !known {
+				since = now
+			}
+			listed[domain] = since
+		}
+	}
+	for domain, since := range listed {
+		if now.Sub(since) >= ReachDelay {
+			reached = append(reached, domain)
+		}
+	}
+	t.listed = listed
+	slices.Sort(reached)
+	reached = slices.Compact(reached)
+	if !slices.Equal(reached, t.reached) {
+		t.reached = reached
+		t.stale = true
+	}
 }
 
 func (t *Table) bury(now time.Time) {
@@ -236,6 +279,7 @@
 func (t *Table) forget(run lentilid.Incarnation) {
 	delete(t.members, run)
 	delete(t.tombs, run)
+	delete(t.suspects, run)
 	t.versions.Delete(uint64(run))
 	t.stale = true
 }
--- a/pkg/lentilrecord/store.go
+++ b/pkg/lentilrecord/store.go
@@ -16,9 +16,9 @@
 	// so that every node that can hold an older version learns of the end.
 	DefaultGoneRetention = time.Minute
 	// DefaultStray is how long a record for which nobody vouches is kept.
-	DefaultStray = 10 * time.Minute
+	DefaultStray = 2 * time.Hour
 	// MaxStrays bounds the records for which nobody vouches.
-	MaxStrays = 4096
+	MaxStrays = 32 << 10
 )
 
 // Store keeps the records that one balancer knows. A record is live while a
@@ -221,15 +221,15 @@
 	}
 }
 
-// Discard forgets all that was learned from others. Leases held here stay.
+// Discard forgets everything. Leases must be renewed by heartbeats: a process that
+// was away cannot know whether those it held have ended.
 func (s *Store) Discard() {
+	clear(s.leases)
 	for holder := range s.vouchers {
 		s.Vouch(holder, nil)
 	}
 	for owner := range s.entries {
-		if s.leases[owner] == nil {
-			s.forget(owner)
-		}
+		s.forget(owner)
 	}
 }
 
