--- a/internal/lentilcontrol/announce.go
+++ b/internal/lentilcontrol/announce.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"math/bits"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -90,19 +91,63 @@
 }
 
 func (n *Node) answerBalancers(r lentilrecord.Record, request *lentilcontrolpb.AnnounceRequest, response *lentilcontrolpb.AnnounceResponse) {
-	region := n.regionOf(r)
-	holders := n.table.Holders(region, n.holderKey(r), leaseHolders)
-	spares := n.spares(region, r, holders)
-	response.BalancersDigest = balancersDigest(holders, spares)
-	if response.BalancersDigest != request.GetBalancersDigest() {
-		response.Holders = toEndpoints(holders)
-		response.Spares = toEndpoints(spares)
+	named := n.holdersOf(r)
+	response.BalancersDigest = named.digest
+	if named.digest != request.GetBalancersDigest() {
+		response.Holders = toEndpoints(named.holders)
+		response.Spares = toEndpoints(named.spares)
 	}
 }
 
-func balancersDigest(holders, spares []lentilmember.Doc) uint64 {
+// holderCache keeps the choice of lease holders while the members alive stay the same.
+type holderCache struct {
+	epoch uint64
+	named map[holderKey]namedBalancers
+}
+
+// holderKey is the same for the agents of a service, so that its lease holders know
+// the loads of all of them at first hand. A service with many copies is divided.
+type holderKey struct {
+	region  string
+	service lentilid.Service
+	group   uint64
+}
+
+// namedBalancers are the balancers that an agent is told of.
+type namedBalancers struct {
+	holders, spares []lentilmember.Doc
+	digest          uint64
+}
+
+func (n *Node) holdersOf(r lentilrecord.Record) namedBalancers {
+	if epoch := n.table.Epoch(); n.holders.epoch != epoch || n.holders.named == nil {
+		n.holders = holderCache{epoch: epoch, named: map[holderKey]namedBalancers{}}
+	}
+	key := holderKey{region: n.regionOf(r), service: r.Service(), group: n.group(r)}
+	named, ok := n.holders.named[key]
+	if !ok {
+		named = n.name(key)
+		n.holders.named[key] = named
+	}
+	return named
+}
+
+func (n *Node) name(key holderKey) (named namedBalancers) {
+	hash := xxhash.Sum64(binary.LittleEndian.AppendUint64(nil, uint64(key.service)<<32|key.group))
+	named.holders = n.table.Holders(key.region, hash, leaseHolders)
+	for _, doc := range n.table.Holders(key.region, ^hash, leaseHolders+leaseSpares) {
+		held := slices.ContainsFunc(named.holders, func(h lentilmember.Doc) bool { return h.Run == doc.Run })
+		if !held && len(named.spares) < leaseSpares {
+			named.spares = append(named.spares, doc)
+		}
+	}
+	named.digest = balancersDigest(named.holders, named.spares)
+	return named
+}
+
+func balancersDigest(lists ...[]lentilmember.Doc) uint64 {
 	var rows []byte
-	for _, list := range [][]lentilmember.Doc{holders, spares} {
+	for _, list := range lists {
 		for _, doc := range list {
 			rows = binary.LittleEndian.AppendUint64(rows, uint64(doc.Run))
 		}
@@ -111,50 +156,33 @@
 	return xxhash.Sum64(rows)
 }
 
-// spares returns members that are no holders of the agent's lease.
-func (n *Node) spares(region string, r lentilrecord.Record, holders []lentilmember.Doc) (spares []lentilmember.Doc) {
-	key := xxhash.Sum64String(r.Owner().Copy)
-	for _, doc := range n.table.Holders(region, key, leaseHolders+leaseSpares) {
-		held := false
-		for _, holder := range holders {
-			held = held || holder.Run == doc.Run
-		}
-		if !held && len(spares) < leaseSpares {
-			spares = append(spares, doc)
-		}
-	}
-	return spares
+// group divides the copies of a service by their names.
+func (n *Node) group(r lentilrecord.Record) uint64 {
+	copies := len(n.configuration.Configuration().CopiesOf(r.Service()))
+	groups := uint64(1) << bits.Len(uint(copies/agentsPerHolder))
+	return xxhash.Sum64String(r.Owner().Copy) & (groups - 1)
 }
 
 // regionOf returns the region of a record's failure domain, if members live there.
 func (n *Node) regionOf(r lentilrecord.Record) string {
 	domain := n.configuration.Configuration().Domain(r.Doc().Domain)
-	if domain == nil || len(n.table.Holders(domain.Region(), 0, 1)) == 0 {
+	if domain == nil || !n.table.Inhabited(domain.Region()) {
 		return n.region()
 	}
 	return domain.Region()
 }
 
-// holderKey is the same for the agents of a service, so that its lease holders
-// know the loads of all of them at first hand. A service with many copies is
-// divided by the names of the copies.
-func (n *Node) holderKey(r lentilrecord.Record) uint64 {
-	groups := uint64(1) << bits.Len(uint(len(n.configuration.Configuration().CopiesOf(r.Service()))/agentsPerHolder))
-	group := xxhash.Sum64String(r.Owner().Copy) & (groups - 1)
-	return uint64(r.Service())<<32 | group
-}
-
 // Configuration returns the configuration in force.
 func (n *Node) Configuration() lentilconfig.Configuration { return n.configuration.Configuration() }
 
 // Reader reports whether this node shall read the platform.
 func (n *Node) Reader() bool {
-	for _, doc := range n.table.Readers(readersPerRegion) {
-		if doc.Run == n.Self.Run {
-			return true
-		}
+	if epoch := n.table.Epoch(); epoch != n.reading.epoch {
+		readers := n.table.Readers(readersPerRegion)
+		n.reading.epoch = epoch
+		n.reading.chosen = slices.ContainsFunc(readers, func(d lentilmember.Doc) bool { return d.Run == n.Self.Run })
 	}
-	return false
+	return n.reading.chosen
 }
 
 // Ready reports whether the node may take packets: it holds a configuration and
--- a/internal/lentilcontrol/exchange.go
+++ b/internal/lentilcontrol/exchange.go
@@ -1,8 +1,6 @@
 package lentilcontrol
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -15,15 +13,19 @@
 
 // exchanges returns the exchanges with neighbours that are due.
 func (n *Node) exchanges(now time.Time) (calls []Call) {
-	for _, run := range slices.Sorted(maps.Keys(n.peers)) {
+	var silent []lentilid.Incarnation
+	for _, run := range n.order {
 		p := n.peers[run]
 		if !p.neighbour && now.Sub(p.heard) > peerSilence {
-			delete(n.peers, run)
+			silent = append(silent, run)
 		}
 		if p.neighbour && !p.inFlight && !now.Before(n.dueAt(p, now)) {
 			calls = append(calls, n.exchange(p, now))
 		}
 	}
+	for _, run := range silent {
+		n.part(run)
+	}
 	return calls
 }
 
--- a/internal/lentilcontrol/node.go
+++ b/internal/lentilcontrol/node.go
@@ -83,19 +83,25 @@
 	configuration lentilconfig.Store
 	parts         partCache
 	peers         map[lentilid.Incarnation]*peer
-	probes        map[netip.AddrPort]*probe
-	former        []netip.AddrPort
-	contacts      map[string]time.Time
-	reached       []string
-	ticked        time.Time
-	chores        time.Time
-	bytes         lentilbudget.Bucket
-	started       time.Time
-	synced        time.Time
-	inForce       time.Time
-	pull          pull
-	live          liveSet
-	leaving       bool
+	order         []lentilid.Incarnation
+	holders       holderCache
+	reading       struct {
+		epoch  uint64
+		chosen bool
+	}
+	probes   map[netip.AddrPort]*probe
+	former   []netip.AddrPort
+	contacts map[string]time.Time
+	reached  []string
+	ticked   time.Time
+	chores   time.Time
+	bytes    lentilbudget.Bucket
+	started  time.Time
+	synced   time.Time
+	inForce  time.Time
+	pull     pull
+	live     liveSet
+	leaving  bool
 }
 
 // Start makes the node a member that knows nobody yet.
@@ -156,6 +162,7 @@
 	n.table.Discard()
 	n.records.Discard()
 	clear(n.peers)
+	n.order = nil
 	clear(n.contacts)
 	n.synced = time.Time{}
 	n.started = n.now()
@@ -170,7 +177,7 @@
 	for _, run := range members {
 		doc, ok := n.table.Member(run)
 		if !ok || !doc.Counts() {
-			delete(n.peers, run)
+			n.part(run)
 		}
 		n.vouch(run, doc)
 	}
@@ -204,6 +211,14 @@
 	}
 }
 
+// part forgets a peer.
+func (n *Node) part(run lentilid.Incarnation) {
+	if place, found := slices.BinarySearch(n.order, run); found {
+		n.order = slices.Delete(n.order, place, place+1)
+		delete(n.peers, run)
+	}
+}
+
 // vouch passes on whose leases a member holds, if the member counts.
 func (n *Node) vouch(run lentilid.Incarnation, doc lentilmember.Doc) {
 	if !doc.Counts() || !slices.Contains(n.table.Reached(), doc.Domain) {
@@ -232,6 +247,8 @@
 		p.backoff.Random = n.Random
 		p.members.push = set{n.Self.Run: {}}
 		n.peers[doc.Run] = p
+		place, _ := slices.BinarySearch(n.order, doc.Run)
+		n.order = slices.Insert(n.order, place, doc.Run)
 	}
 	p.run = doc.Run
 	p.control = doc.Control
--- a/internal/lentilcontrol/probe.go
+++ b/internal/lentilcontrol/probe.go
@@ -1,6 +1,7 @@
 package lentilcontrol
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -34,7 +35,8 @@
 		n.chores = now
 		n.aim()
 	}
-	for address, p := range n.probes {
+	for _, address := range slices.SortedFunc(maps.Keys(n.probes), netip.AddrPort.Compare) {
+		p := n.probes[address]
 		if !p.wanted && !p.inFlight {
 			delete(n.probes, address)
 		}
--- a/internal/lentilcontrol/pull.go
+++ b/internal/lentilcontrol/pull.go
@@ -5,9 +5,7 @@
 	"compress/flate"
 	"errors"
 	"io"
-	"maps"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -91,7 +89,7 @@
 // region alone if there are any.
 func (n *Node) ahead() (near []*peer) {
 	var far []*peer
-	for _, run := range slices.Sorted(maps.Keys(n.peers)) {
+	for _, run := range n.order {
 		p := n.peers[run]
 		if p.configuration <= n.configuration.Version() || p.backoff.Failures() > 0 {
 			continue
--- a/pkg/lentilmember/query.go
+++ b/pkg/lentilmember/query.go
@@ -56,9 +56,16 @@
 	}
 	slices.SortFunc(t.alive, func(a, b Doc) int { return compare(uint64(a.Run), uint64(b.Run)) })
 	t.stale = false
+	t.epoch++
 	return t.alive
 }
 
+// Epoch changes whenever Alive may have changed.
+func (t *Table) Epoch() uint64 {
+	t.Alive()
+	return t.epoch
+}
+
 // Members returns all entries, in no order: also of the dead that are remembered,
 // and of failure domains that are not reached.
 func (t *Table) Members() (docs []Doc) {
@@ -154,6 +161,11 @@
 	return docs
 }
 
+// Inhabited reports whether a living member is in a region.
+func (t *Table) Inhabited(region string) bool {
+	return slices.ContainsFunc(t.Alive(), func(d Doc) bool { return d.Region == region })
+}
+
 // Readers returns the n members of the own region that shall read the platform.
 // Nodes with different views may choose differently, which only adds reads.
 func (t *Table) Readers(n int) []Doc { return pick(t.within(t.Self().Region), "reader", 0, n) }
--- a/pkg/lentilmember/table.go
+++ b/pkg/lentilmember/table.go
@@ -51,9 +51,12 @@
 	condemned bool
 	seen      time.Time
 	// listed holds since when other members of the failure domain list others as reached.
-	listed  map[string]time.Time
+	listed map[string]time.Time
+	// relist is true while listed may change by an entry or by time.
+	relist  bool
 	reached []string
 	alive   []Doc
+	epoch   uint64
 	stale   bool
 }
 
@@ -122,7 +125,9 @@
 	t.stale = true
 	delete(t.tombs, doc.Run)
 	delete(t.suspects, doc.Run)
-	if doc.State == Suspect && doc.Domain == t.Self().Domain {
+	own := doc.Domain == t.Self().Domain
+	t.relist = t.relist || own
+	if doc.State == Suspect && own {
 		t.suspects[doc.Run] = m
 	}
 	if !doc.Counts() && doc.Run != t.self {
@@ -198,9 +203,10 @@
 	t.put(self)
 }
 
-// Expire declares suspects dead that did not refute in time, and forgets the
-// dead that have been remembered long enough. After a jump of the clock the
-// suspects get their whole time anew, since this process may have been paused.
+// Expire declares suspects dead that did not refute in time, forgets the dead that
+// have been remembered long enough, and works out which failure domains count as reached.
+// After a jump of the clock the suspects get their whole time anew, since this
+// process may have been paused.
 func (t *Table) Expire() {
 	now := t.now()
 	jumped := !t.seen.IsZero() && (now.Sub(t.seen) > t.suspicion() || now.Before(t.seen))
@@ -221,7 +227,11 @@
 
 // reach works out which failure domains count as reached.
 func (t *Table) reach(now time.Time) {
+	if !t.relist {
+		return
+	}
 	self := t.Self()
+	t.relist = false
 	reached := append([]string{self.Domain}, self.Reaches...)
 	listed := map[string]time.Time{}
 	for _, m := range t.members {
@@ -239,6 +249,8 @@
 	for domain, since := range listed {
 		if now.Sub(since) >= ReachDelay {
 			reached = append(reached, domain)
+		} else {
+			t.relist = true
 		}
 	}
 	t.listed = listed
@@ -281,6 +293,7 @@
 	delete(t.tombs, run)
 	delete(t.suspects, run)
 	t.versions.Delete(uint64(run))
+	t.relist = true
 	t.stale = true
 }
 
--- a/pkg/lentilrecord/query.go
+++ b/pkg/lentilrecord/query.go
@@ -1,6 +1,7 @@
 package lentilrecord
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -23,13 +24,14 @@
 // Configuration returns the version of the configuration in force at the agent.
 func (l Lease) Configuration() uint64 { return l.reported }
 
-// Held returns the owners whose leases this balancer holds, in order.
-func (s *Store) Held() (owners []lentilid.Incarnation) {
-	for owner := range s.leases {
-		owners = append(owners, owner)
+// Held returns the owners whose leases this balancer holds, in order. The caller
+// must not change it.
+func (s *Store) Held() []lentilid.Incarnation {
+	if s.reheld {
+		s.held = slices.Sorted(maps.Keys(s.leases))
+		s.reheld = false
 	}
-	slices.Sort(owners)
-	return owners
+	return s.held
 }
 
 // Leases returns the leases that this balancer holds, in order of their owners.
--- a/pkg/lentilrecord/store.go
+++ b/pkg/lentilrecord/store.go
@@ -42,6 +42,8 @@
 	strays   map[lentilid.Incarnation]*entry
 	vouchers map[lentilid.Incarnation][]lentilid.Incarnation
 	versions Versions
+	held     []lentilid.Incarnation
+	reheld   bool
 	refused  uint64
 	changed  []lentilid.Incarnation
 	seen     time.Time
@@ -184,7 +186,10 @@
 	if e.record.Phase() == Gone {
 		e.lease = now.Add(s.goneRetention())
 	}
-	s.leases[owner] = e
+	if s.leases[owner] == nil {
+		s.leases[owner] = e
+		s.reheld = true
+	}
 	e.beat = beat
 	e.heard = now
 	e.load = r.Load()
@@ -197,7 +202,7 @@
 	for owner, e := range s.leases {
 		if e.record.doc.Tunnel == r.doc.Tunnel && owner != r.doc.Owner.Incarnation {
 			e.superseded = true
-			delete(s.leases, owner)
+			s.endLease(owner)
 		}
 	}
 }
@@ -211,7 +216,7 @@
 	s.seen = now
 	for owner, e := range s.leases {
 		if jumped || !now.Before(e.lease) {
-			delete(s.leases, owner)
+			s.endLease(owner)
 		}
 	}
 	for owner, e := range s.strays {
@@ -221,10 +226,16 @@
 	}
 }
 
+func (s *Store) endLease(owner lentilid.Incarnation) {
+	delete(s.leases, owner)
+	s.reheld = true
+}
+
 // Discard forgets everything. Leases must be renewed by heartbeats: a process that
 // was away cannot know whether those it held have ended.
 func (s *Store) Discard() {
 	clear(s.leases)
+	s.reheld = true
 	for holder := range s.vouchers {
 		s.Vouch(holder, nil)
 	}
