Survey of all balancers for operators

Cause: status and apply need to know what is in force where. Change: lentilcontrol.Survey asks a seed for the members and each member for its status, 32 at a time, and merges what the lease holders know of agents. Conclusion: commands can wait for Result.Everywhere(version).

--- a/internal/lentilcontrol/fleet_test.go
+++ b/internal/lentilcontrol/fleet_test.go
@@ -118,7 +118,7 @@
 }
 
 // startNode starts the process of balancer i, anew if there was one.
-func (f *fleet) startNode(i int) *lentilcontrol.Node {
+func (f *fleet) startNode(i int) {
 	f.runs++
 	clock := &ownClock{base: &f.clock}
 	node := &lentilcontrol.Node{
@@ -138,11 +138,10 @@
 		f.nodes, f.clocks = append(f.nodes, node), append(f.clocks, clock)
 	}
 	f.wire.Add(node)
-	return node
 }
 
 // startAgent starts the process of agent i, anew if there was one.
-func (f *fleet) startAgent(i int) *lentilcontrol.Announcer {
+func (f *fleet) startAgent(i int) {
 	f.runs++
 	doc := lentilrecord.Doc{
 		Owner:   lentilrecord.Owner{Copy: fmt.Sprintf("copy-%d", i), Incarnation: lentilid.Incarnation(f.runs)},
@@ -166,7 +165,6 @@
 		f.agents, f.docs = append(f.agents, announcer), append(f.docs, doc)
 	}
 	f.wire.AddAgent(agentAddress(i), announcer)
-	return announcer
 }
 
 // document returns the fleet's configuration.
--- /dev/null
+++ b/internal/lentilcontrol/survey.go
@@ -0,0 +1,205 @@
+package lentilcontrol
+
+import (
+	"cmp"
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/joomcode/errorx"
+
+	"lentilstair.example/lentilstair/internal/lentilcontrol/lentilcontrolpb"
+	"lentilstair.example/lentilstair/pkg/lentilid"
+	"lentilstair.example/lentilstair/pkg/lentilmember"
+	"lentilstair.example/lentilstair/pkg/lentilrecord"
+)
+
+const (
+	// surveyParallel is how many balancers a survey asks at once.
+	surveyParallel = 32
+	// surveyTimeout bounds the wait for one balancer's answer.
+	surveyTimeout = 2 * time.Second
+)
+
+// ErrNobody says that none of the balancers to begin with has answered.
+var ErrNobody = errorx.ExternalError.New("no balancer answered")
+
+// Survey asks all balancers what they know, for an operator.
+type Survey struct {
+	// Dialer makes the connections.
+	Dialer *Dialer
+	// Seeds are control addresses of balancers to begin with.
+	Seeds []netip.AddrPort
+}
+
+// BalancerStatus is what one balancer knows of itself.
+type BalancerStatus struct {
+	member  lentilmember.Doc
+	version uint64
+	age     time.Duration
+	ready   bool
+	reader  bool
+	live    int
+	err     error
+}
+
+// Member returns the balancer's entry.
+func (s BalancerStatus) Member() lentilmember.Doc { return s.member }
+
+// Version returns the version of the configuration in force there.
+func (s BalancerStatus) Version() uint64 { return s.version }
+
+// Age returns for how long that version has been in force there.
+func (s BalancerStatus) Age() time.Duration { return s.age }
+
+// Ready reports whether the balancer may take packets.
+func (s BalancerStatus) Ready() bool { return s.ready }
+
+// Reader reports whether the balancer reads the platform.
+func (s BalancerStatus) Reader() bool { return s.reader }
+
+// LiveRecords returns how many live records the balancer holds.
+func (s BalancerStatus) LiveRecords() int { return s.live }
+
+// Err returns why the balancer did not answer, or nil.
+func (s BalancerStatus) Err() error { return s.err }
+
+// AgentStatus is what a lease holder knows of an agent.
+type AgentStatus struct {
+	record  lentilrecord.Record
+	version uint64
+	silence time.Duration
+}
+
+// Record returns the agent's record with its latest load.
+func (s AgentStatus) Record() lentilrecord.Record { return s.record }
+
+// Version returns the version of the configuration in force at the agent.
+func (s AgentStatus) Version() uint64 { return s.version }
+
+// Silence returns the time since the agent's latest heartbeat.
+func (s AgentStatus) Silence() time.Duration { return s.silence }
+
+// Result is what a survey has found.
+type Result struct {
+	balancers []BalancerStatus
+	agents    []AgentStatus
+}
+
+// Balancers returns the status of every balancer, in order of control addresses.
+func (r Result) Balancers() []BalancerStatus { return r.balancers }
+
+// Agents returns the status of every agent that holds a lease, in order of the names
+// of their copies, as its latest heartbeat told it.
+func (r Result) Agents() []AgentStatus { return r.agents }
+
+// Everywhere reports whether at least the given version is in force at every
+// balancer and agent.
+func (r Result) Everywhere(version uint64) bool {
+	behind := func(s BalancerStatus) bool { return s.err != nil || s.version < version }
+	late := func(s AgentStatus) bool { return s.version < version }
+	return !slices.ContainsFunc(r.balancers, behind) && !slices.ContainsFunc(r.agents, late)
+}
+
+// Run asks one of the seeds for the members, then each member for its status.
+func (s *Survey) Run(ctx context.Context) (result Result, err error) {
+	defer func() {
+		if err != nil {
+			err = errorx.Decorate(err, "survey balancers")
+		}
+	}()
+	members, err := s.members(ctx)
+	if err != nil {
+		return Result{}, err
+	}
+	responses := make([]*lentilcontrolpb.StatusResponse, len(members))
+	result.balancers = make([]BalancerStatus, len(members))
+	var wait sync.WaitGroup
+	places := make(chan int)
+	for range min(surveyParallel, len(members)) {
+		wait.Go(func() {
+			for i := range places {
+				responses[i], result.balancers[i] = s.ask(ctx, members[i])
+			}
+		})
+	}
+	for i := range members {
+		places <- i
+	}
+	close(places)
+	wait.Wait()
+	result.agents = agentsOf(responses)
+	return result, nil
+}
+
+// members returns the members that the first seed to answer knows.
+func (s *Survey) members(ctx context.Context) (members []lentilmember.Doc, err error) {
+	err = ErrNobody
+	for _, seed := range s.Seeds {
+		response, failure := s.call(ctx, seed, true)
+		if failure != nil {
+			err = failure
+			continue
+		}
+		for _, message := range response.GetMembers() {
+			members = append(members, fromMember(message))
+		}
+		slices.SortFunc(members, func(a, b lentilmember.Doc) int { return a.Control.Compare(b.Control) })
+		return members, nil
+	}
+	return nil, err
+}
+
+func (s *Survey) ask(ctx context.Context, member lentilmember.Doc) (response *lentilcontrolpb.StatusResponse, status BalancerStatus) {
+	response, err := s.call(ctx, member.Control, false)
+	if err != nil {
+		return nil, BalancerStatus{member: member, err: err}
+	}
+	return response, BalancerStatus{
+		member:  fromMember(response.GetSelf()),
+		version: response.GetConfigurationVersion(),
+		age:     time.Duration(response.GetConfigurationAgeMilliseconds()) * time.Millisecond,
+		ready:   response.GetReady(),
+		reader:  response.GetReader(),
+		live:    int(response.GetLiveRecords()),
+	}
+}
+
+func (s *Survey) call(ctx context.Context, to netip.AddrPort, members bool) (response *lentilcontrolpb.StatusResponse, err error) {
+	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
+	defer cancel()
+	answer, err := s.Dialer.Client(to).Status(ctx, connect.NewRequest(&lentilcontrolpb.StatusRequest{Members: members}))
+	if err != nil {
+		return nil, err
+	}
+	return answer.Msg, nil
+}
+
+// agentsOf merges what several lease holders know, the latest heartbeat of each agent.
+func agentsOf(responses []*lentilcontrolpb.StatusResponse) (agents []AgentStatus) {
+	latest := map[lentilid.Incarnation]AgentStatus{}
+	for _, response := range responses {
+		for _, message := range response.GetAgents() {
+			status := AgentStatus{
+				record:  fromRecord(message.GetRecord()),
+				version: message.GetConfigurationVersion(),
+				silence: time.Duration(message.GetSilenceMilliseconds()) * time.Millisecond,
+			}
+			owner := status.record.Owner().Incarnation
+			if known, ok := latest[owner]; !ok || status.silence < known.silence {
+				latest[owner] = status
+			}
+		}
+	}
+	for _, status := range latest {
+		agents = append(agents, status)
+	}
+	slices.SortFunc(agents, func(a, b AgentStatus) int {
+		one, other := a.record.Owner(), b.record.Owner()
+		return cmp.Or(cmp.Compare(one.Copy, other.Copy), cmp.Compare(one.Incarnation, other.Incarnation))
+	})
+	return agents
+}
--- a/internal/lentilcontrol/whole_test.go
+++ b/internal/lentilcontrol/whole_test.go
@@ -170,6 +170,12 @@
 	if took := time.Since(began); took > 2*time.Second {
 		t.Errorf("change in force everywhere after %v, bound 2 s", took)
 	}
+	survey := &lentilcontrol.Survey{Dialer: &lentilcontrol.Dialer{TLS: clientTLS}, Seeds: seeds[:1]}
+	defer survey.Dialer.Close()
+	eventually(t, "the survey finds version 2 everywhere", func() bool {
+		result, err := survey.Run(ctx)
+		return err == nil && len(result.Balancers()) == 3 && len(result.Agents()) == 4 && result.Everywhere(2) && !result.Everywhere(3)
+	})
 	leave, stop := context.WithTimeout(ctx, time.Second)
 	defer stop()
 	agents[0].Leave(leave)
