--- a/internal/lentilagent/agent.go
+++ b/internal/lentilagent/agent.go
@@ -60,6 +60,9 @@
 	Random func() float64
 	// Announce spreads what the agent says of its copy; nil spreads nothing.
 	Announce func(lentilrecord.Doc)
+	// OnCertificate is called when the certificate's files have changed and were
+	// read, with the error if they can't be used; nil wants no call.
+	OnCertificate func(error)
 	// Calls serves what comes to the control address beside relayed requests.
 	Calls http.Handler
 }
@@ -131,6 +134,9 @@
 	if o.Announce == nil {
 		o.Announce = func(lentilrecord.Doc) {}
 	}
+	if o.OnCertificate == nil {
+		o.OnCertificate = func(error) {}
+	}
 	if o.Calls == nil {
 		o.Calls = http.NotFoundHandler()
 	}
--- a/internal/lentilagent/certificate.go
+++ b/internal/lentilagent/certificate.go
@@ -30,13 +30,16 @@
 		}
 	}()
 	changed := c.lastChange()
+	c.mu.Lock()
+	c.changed = changed
+	c.mu.Unlock()
 	pair, err := tls.LoadX509KeyPair(c.certificateFile, c.keyFile)
 	if err != nil {
 		return err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.loaded, c.changed = &pair, changed
+	c.loaded = &pair
 	return nil
 }
 
--- a/internal/lentilagent/count.go
+++ b/internal/lentilagent/count.go
@@ -2,7 +2,7 @@
 
 import "sync/atomic"
 
-// Counter names something that an agent counts, in packets.
+// Counter names something that an agent counts.
 type Counter uint8
 
 //go:generate stringer -type=Counter
@@ -39,6 +39,13 @@
 	Wayless
 	// Unsent packets were refused by the machine.
 	Unsent
+	// RequestsAnswered counts the callers' requests that were answered by the copy, or
+	// with a ticket.
+	RequestsAnswered
+	// RequestsRefused counts those that were surely not run.
+	RequestsRefused
+	// OutcomesUnknown counts those that may or may not have run.
+	OutcomesUnknown
 	counters int = iota
 )
 
--- a/internal/lentilagent/counter_string.go
+++ b/internal/lentilagent/counter_string.go
@@ -23,11 +23,14 @@
 	_ = x[Oversized-12]
 	_ = x[Wayless-13]
 	_ = x[Unsent-14]
+	_ = x[RequestsAnswered-15]
+	_ = x[RequestsRefused-16]
+	_ = x[OutcomesUnknown-17]
 }
 
-const _Counter_name = "ReceivedAnsweredHandedOnDroppedMalformedUnknownKeyForgedMisdirectedStaleRefusedNoticedDomainOutOversizedWaylessUnsent"
+const _Counter_name = "ReceivedAnsweredHandedOnDroppedMalformedUnknownKeyForgedMisdirectedStaleRefusedNoticedDomainOutOversizedWaylessUnsentRequestsAnsweredRequestsRefusedOutcomesUnknown"
 
-var _Counter_index = [...]uint8{0, 8, 16, 24, 31, 40, 50, 56, 67, 72, 79, 86, 95, 104, 111, 117}
+var _Counter_index = [...]uint8{0, 8, 16, 24, 31, 40, 50, 56, 67, 72, 79, 86, 95, 104, 111, 117, 133, 148, 163}
 
 func (i Counter) String() string {
 	idx := int(i) - 0
--- a/internal/lentilagent/handler.go
+++ b/internal/lentilagent/handler.go
@@ -14,6 +14,19 @@
 	defer a.open.Add(-1)
 	r.Header.Del(headerRelayed)
 	a.serve(w, r, false)
+	a.tally.add(outcomeCounter(w.Header().Get(HeaderOutcome)))
+}
+
+// outcomeCounter says what counts an answer with the given outcome.
+func outcomeCounter(outcome string) Counter {
+	switch outcome {
+	case OutcomeNotRun:
+		return RequestsRefused
+	case OutcomeUnknown:
+		return OutcomesUnknown
+	default:
+		return RequestsAnswered
+	}
 }
 
 // serve serves a request of a caller or, if relayed is true, of a peer agent.
--- a/internal/lentilagent/stop.go
+++ b/internal/lentilagent/stop.go
@@ -135,6 +135,6 @@
 // recheckCertificate reads the certificate anew if its files have changed.
 func (a *Agent) recheckCertificate() {
 	if a.callers.stale() {
-		_ = a.callers.load()
+		a.options.OnCertificate(a.callers.load())
 	}
 }
--- a/internal/lentilcommand/lentilagentcommand/export.go
+++ b/internal/lentilcommand/lentilagentcommand/export.go
@@ -29,6 +29,11 @@
 	mirror.Count(registry.Counter(lentilmetric.PacketsForwarded), r.count(lentilagent.Received), nil)
 	mirror.Count(registry.Counter(lentilmetric.PacketsReturned), r.count(lentilagent.Answered), nil)
 	mirror.Count(registry.Counter(lentilmetric.PacketsHandedOn), r.count(lentilagent.HandedOn), nil)
+	mirror.Count(registry.Counter(lentilmetric.RequestsAnswered), r.count(lentilagent.RequestsAnswered), nil)
+	mirror.Count(registry.Counter(lentilmetric.RequestsRefused), r.count(lentilagent.RequestsRefused), nil)
+	mirror.Count(registry.Counter(lentilmetric.OutcomesUnknown), r.count(lentilagent.OutcomesUnknown), func(by uint64) {
+		r.common.Logger.WriteLimited(&r.common.Limit, lentilevent.OutcomeUnknown, lentilevent.Uint("requests", by))
+	})
 	for counter, refusal := range refusals {
 		refusal.Reason = counter.String()
 		r.common.Refused(refusal, r.count(counter))
@@ -46,6 +51,30 @@
 	}
 }
 
+// watchCopy logs where the copy stands when that has changed.
+func (r *role) watchCopy() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.shell == nil {
+		return
+	}
+	now := lentilrecord.Phase(phase(r.shell))
+	if now == r.phase {
+		return
+	}
+	event := lentilevent.CopyReady
+	switch {
+	case now == lentilrecord.Draining:
+		event = lentilevent.CopyDraining
+	case now == lentilrecord.Warming && r.phase == lentilrecord.Ready:
+		event = lentilevent.CopyCold
+	case now == lentilrecord.Warming:
+		event = lentilevent.CopyWarming
+	}
+	r.phase = now
+	r.common.Logger.Write(event, lentilevent.Int("bears", int(r.shell.Bears())))
+}
+
 // count reads a count of the shell, 0 before it has started.
 func (r *role) count(c lentilagent.Counter) func() uint64 {
 	return func() uint64 {
--- a/internal/lentilcommand/lentilagentcommand/role.go
+++ b/internal/lentilcommand/lentilagentcommand/role.go
@@ -33,6 +33,7 @@
 
 	mu       sync.Mutex
 	shell    *lentilagent.Agent
+	phase    lentilrecord.Phase
 	waiting  bool
 	stopping bool
 }
@@ -64,7 +65,7 @@
 	})
 	r.control.Start(controlled)
 	r.export()
-	r.common.Serve(r.ready)
+	r.common.Serve(r.ready, r.watchCopy)
 	select {
 	case <-r.started:
 	case err = <-r.failed:
@@ -121,7 +122,7 @@
 	place := configuration.Copy(r.settings.Copy())
 	if place == nil || !r.fits(configuration, place) {
 		r.waiting = true
-		r.common.Logger.Write(lentilevent.RoleWaiting,
+		r.common.Logger.Write(lentilevent.CopyUnlisted,
 			lentilevent.Str("copy", r.settings.Copy()), lentilevent.Str("service", r.settings.Service()),
 			lentilevent.Str("domain", r.settings.Domain()), lentilevent.Uint("version", configuration.Version()))
 		return false
@@ -140,6 +141,7 @@
 		Ring:            r.common.Ring,
 		DrainLimit:      r.settings.DrainLimit(),
 		Announce:        r.control.Announce,
+		OnCertificate:   r.certificate,
 	})
 	if err != nil {
 		select {
@@ -168,3 +170,13 @@
 		r.shell.Peers(records)
 	}
 }
+
+// certificate logs that changed certificate files were read.
+func (r *role) certificate(err error) {
+	file := lentilevent.Str("file", r.settings.CertificateFile())
+	if err != nil {
+		r.common.Logger.Write(lentilevent.CertificateRefused, file, lentilevent.Err(err))
+		return
+	}
+	r.common.Logger.Write(lentilevent.CertificateLoaded, file)
+}
--- a/internal/lentilevent/catalogue.go
+++ b/internal/lentilevent/catalogue.go
@@ -14,11 +14,10 @@
 	StopAsked: {Info, "graceful stop begun", "A signal asked for a stop. The process is not ready any more, goes on with " +
 		"what it has, and ends when that is done or the grace time is over.", []string{"signal", "graceMillis"}},
 	StopForced: {Warn, "stop at once", "A second signal, or the end of the grace time, ends the process at once; " +
-		"what was open is cut.", []string{"reason", "open"}},
-	Stopped:    {Info, "process stopped", "The process ended with nothing left open.", nil},
-	StopFailed: {Error, "process ended by an error", "The process can't go on; the error says why.", []string{"error"}},
-	CertificateLoaded: {Info, "certificate loaded", "The TLS certificate and key in the settings were read and are used " +
-		"for new connections.", []string{"file", "notAfter"}},
+		"what was open is cut.", []string{"reason"}},
+	Stopped:           {Info, "process stopped", "The process ended with nothing left open.", nil},
+	StopFailed:        {Error, "process ended by an error", "The process can't go on; the error says why.", []string{"error"}},
+	CertificateLoaded: {Info, "certificate loaded", "The files of the TLS certificate and key have changed; the new pair is used for new connections.", []string{"file"}},
 	CertificateRefused: {Error, "certificate refused", "The TLS certificate or key can't be used; the one loaded before stays " +
 		"in use. See docs/operating/keys-and-certificates.md.", []string{"file", "error"}},
 	AdminFailed: {Error, "admin endpoint failed", "The endpoint for ready, live and metrics can't serve.", []string{"address", "error"}},
@@ -40,27 +39,20 @@
 		"force, and changes nothing.", []string{"version", "error"}},
 	PlatformDown: {Warn, "platform not reachable", "The platform's object API does not answer. What is in force stays in force and " +
 		"keeps spreading; changes can't be accepted. See docs/operating/platform-outage.md.", []string{"error"}},
-	PlatformBack:  {Info, "platform reachable again", "The platform's object API answers again.", []string{"downMillis"}},
-	PeerDown:      {Warn, "peer not reachable", "Another balancer does not answer; the rest go on without it.", []string{"peer", "error"}},
-	PeerBack:      {Info, "peer reachable again", "Another balancer answers again.", []string{"peer"}},
-	PeerRefused:   {Warn, "control connection refused", "A process without a key of the ring asked for a control connection.", []string{"from", "error", "suppressed"}},
-	RecordRefused: {Warn, "announcement refused", "An announcement is malformed, older than what is known, or of a copy that the configuration does not hold.", []string{"copy", "reason", "suppressed"}},
-	DomainOut:     {Warn, "failure domain taken out", "Operators took the failure domain out: no packet is sent to it any more.", []string{"domain", "version"}},
-	DomainBack:    {Info, "failure domain back", "Operators brought the failure domain back; its copies count as cold.", []string{"domain", "version"}},
+	PlatformBack: {Info, "platform reachable again", "The platform's object API answers again.", []string{"downMillis"}},
+	DomainOut:    {Warn, "failure domain taken out", "Operators took the failure domain out: no packet is sent to it any more.", []string{"domain", "version"}},
+	DomainBack:   {Info, "failure domain back", "Operators brought the failure domain back; its copies count as cold.", []string{"domain", "version"}},
 	ControlFailed: {Warn, "control failed", "Something in the exchange with other processes failed; it is tried again. The error says what.",
 		[]string{"error", "suppressed"}},
-	RoleWaiting: {Warn, "copy not in the configuration", "The agent waits until a release note adds its copy to its service in its failure domain, as its settings name them.",
+	CopyUnlisted: {Warn, "copy not in the configuration", "The agent waits until a release note adds its copy to its service in its failure domain, as its settings name them.",
 		[]string{"copy", "service", "domain", "version"}},
 
-	CopyWarming: {Info, "copy warming", "The copy gets as much as it bears, and more as it proves to bear more.", []string{"weight"}},
-	CopyReady:   {Info, "copy warm", "The copy bears all its slots.", []string{"weight"}},
-	CopyCold: {Warn, "copy cold again", "The copy takes far longer than before, or sheds: it counts as cold and is warmed " +
-		"anew.", []string{"weight", "reason"}},
-	CopyDraining:   {Info, "copy draining", "The copy gets no new work; its flows go on.", []string{"reason"}},
-	CopyDown:       {Error, "copy not reachable", "The copy beside the agent does not answer; it gets no new work.", []string{"error"}},
-	CopyBack:       {Info, "copy reachable again", "The copy answers again and counts as cold.", nil},
-	RequestRefused: {Debug, "request refused", "A request was not run, for want of room or time; the caller was told so and when to come back.", []string{"reason"}},
-	OutcomeUnknown: {Warn, "outcome unknown", "A request that may run only once may or may not have run; the caller was told so.", []string{"reason"}},
+	CopyWarming: {Info, "copy warming", "The copy gets as much as it bears, and more as it proves to bear more.", []string{"bears"}},
+	CopyReady:   {Info, "copy warm", "The copy bears all its slots.", []string{"bears"}},
+	CopyCold: {Warn, "copy cold again", "The copy takes far longer than before, fails or sheds, or its failure domain came back: it counts as cold " +
+		"and is warmed anew.", []string{"bears"}},
+	CopyDraining:   {Info, "copy draining", "The copy gets no new work; its flows go on.", []string{"bears"}},
+	OutcomeUnknown: {Warn, "outcome unknown", "Requests that may run only once may or may not have run, and their callers were told so. A copy, an agent or a failure domain went away while it worked on them.", []string{"requests", "suppressed"}},
 }
 
 // order returns the events by number.
--- a/internal/lentilevent/event.go
+++ b/internal/lentilevent/event.go
@@ -79,14 +79,10 @@
 	ConfigurationRefused
 	PlatformDown
 	PlatformBack
-	PeerDown
-	PeerBack
-	PeerRefused
-	RecordRefused
 	DomainOut
 	DomainBack
 	ControlFailed
-	RoleWaiting
+	CopyUnlisted
 )
 
 // Events about copies and requests.
@@ -95,9 +91,6 @@
 	CopyReady
 	CopyCold
 	CopyDraining
-	CopyDown
-	CopyBack
-	RequestRefused
 	OutcomeUnknown
 )
 
--- a/internal/lentilevent/event_string.go
+++ b/internal/lentilevent/event_string.go
@@ -27,36 +27,29 @@
 	_ = x[ConfigurationRefused-2202]
 	_ = x[PlatformDown-2203]
 	_ = x[PlatformBack-2204]
-	_ = x[PeerDown-2205]
-	_ = x[PeerBack-2206]
-	_ = x[PeerRefused-2207]
-	_ = x[RecordRefused-2208]
-	_ = x[DomainOut-2209]
-	_ = x[DomainBack-2210]
-	_ = x[ControlFailed-2211]
-	_ = x[RoleWaiting-2212]
+	_ = x[DomainOut-2205]
+	_ = x[DomainBack-2206]
+	_ = x[ControlFailed-2207]
+	_ = x[CopyUnlisted-2208]
 	_ = x[CopyWarming-2301]
 	_ = x[CopyReady-2302]
 	_ = x[CopyCold-2303]
 	_ = x[CopyDraining-2304]
-	_ = x[CopyDown-2305]
-	_ = x[CopyBack-2306]
-	_ = x[RequestRefused-2307]
-	_ = x[OutcomeUnknown-2308]
+	_ = x[OutcomeUnknown-2305]
 }
 
 const (
 	_Event_name_0 = "StartedReadyNotReadyStopAskedStopForcedStoppedStopFailedCertificateLoadedCertificateRefusedAdminFailed"
 	_Event_name_1 = "PacketRefusedTunnelRefusedPlaceRefusedServiceMismatchSocketFailed"
-	_Event_name_2 = "ConfigurationInForceConfigurationRefusedPlatformDownPlatformBackPeerDownPeerBackPeerRefusedRecordRefusedDomainOutDomainBackControlFailedRoleWaiting"
-	_Event_name_3 = "CopyWarmingCopyReadyCopyColdCopyDrainingCopyDownCopyBackRequestRefusedOutcomeUnknown"
+	_Event_name_2 = "ConfigurationInForceConfigurationRefusedPlatformDownPlatformBackDomainOutDomainBackControlFailedCopyUnlisted"
+	_Event_name_3 = "CopyWarmingCopyReadyCopyColdCopyDrainingOutcomeUnknown"
 )
 
 var (
 	_Event_index_0 = [...]uint8{0, 7, 12, 20, 29, 39, 46, 56, 73, 91, 102}
 	_Event_index_1 = [...]uint8{0, 13, 26, 38, 53, 65}
-	_Event_index_2 = [...]uint8{0, 20, 40, 52, 64, 72, 80, 91, 104, 113, 123, 136, 147}
-	_Event_index_3 = [...]uint8{0, 11, 20, 28, 40, 48, 56, 70, 84}
+	_Event_index_2 = [...]uint8{0, 20, 40, 52, 64, 73, 83, 96, 108}
+	_Event_index_3 = [...]uint8{0, 11, 20, 28, 40, 54}
 )
 
 func (i Event) String() string {
@@ -67,10 +60,10 @@
 	case 2101 <= i && i <= 2105:
 		i -= 2101
 		return _Event_name_1[_Event_index_1[i]:_Event_index_1[i+1]]
-	case 2201 <= i && i <= 2212:
+	case 2201 <= i && i <= 2208:
 		i -= 2201
 		return _Event_name_2[_Event_index_2[i]:_Event_index_2[i+1]]
-	case 2301 <= i && i <= 2308:
+	case 2301 <= i && i <= 2305:
 		i -= 2301
 		return _Event_name_3[_Event_index_3[i]:_Event_index_3[i+1]]
 	default:
--- a/internal/lentillab/totals.go
+++ b/internal/lentillab/totals.go
@@ -10,12 +10,15 @@
 
 // Totals is what callers saw together, compared with what the copies ran.
 type Totals struct {
-	Sent       int
-	Answered   int
-	Late       int
-	Refused    int
-	Unknown    int
-	Failed     int
+	Sent     int
+	Answered int
+	Late     int
+	Refused  int
+	Unknown  int
+	Failed   int
+	// GivenUp counts those of the failed requests that ended with a failure domain
+	// which operators took out.
+	GivenUp    int
 	CopyErrors int
 	Wrong      int
 	// Doubled names the requests that ran more than once though they may not.
@@ -62,6 +65,7 @@
 	t.Refused += requests.NotRun
 	t.Unknown += requests.Unknown
 	t.Failed += requests.Failed
+	t.GivenUp += requests.GivenUp
 	t.CopyErrors += requests.CopyErrors
 	t.Wrong += requests.Wrong
 }
--- a/internal/lentilmetric/metric.go
+++ b/internal/lentilmetric/metric.go
@@ -33,6 +33,9 @@
 	PacketsReturned
 	PacketsHandedOn
 	TunnelRefused
+	RequestsAnswered
+	RequestsRefused
+	OutcomesUnknown
 	RequestsInFlight
 	RequestsQueued
 	StreamsOpen
@@ -60,6 +63,9 @@
 	PacketsReturned:      {"packets_returned", Counter, "packets", nil, "Packets sent back to callers."},
 	PacketsHandedOn:      {"packets_handed_on", Counter, "packets", nil, "Packets that an agent passed to a peer agent, because the flow lives or had better live there."},
 	TunnelRefused:        {"tunnel_refused", Counter, "packets", []string{"reason"}, "Tunnel packets that were malformed, not signed by a key of the ring, or of another service or incarnation."},
+	RequestsAnswered:     {"requests_answered", Counter, "requests", nil, "Requests and streams of callers that ended with an answer of a copy, or with a ticket."},
+	RequestsRefused:      {"requests_refused", Counter, "requests", nil, "Requests of callers that were surely not run, and whose callers were told so."},
+	OutcomesUnknown:      {"outcomes_unknown", Counter, "requests", nil, "Requests of callers that may or may not have run, and whose callers were told so."},
 	RequestsInFlight:     {"requests_in_flight", Gauge, "requests", nil, "Requests that the copy works on now, streams not among them."},
 	RequestsQueued:       {"requests_queued", Gauge, "requests", nil, "Requests that wait for a slot now."},
 	StreamsOpen:          {"streams_open", Gauge, "streams", nil, "Streams that the copy holds now."},
--- a/internal/lentilmetric/metric_string.go
+++ b/internal/lentilmetric/metric_string.go
@@ -13,22 +13,25 @@
 	_ = x[PacketsReturned-2]
 	_ = x[PacketsHandedOn-3]
 	_ = x[TunnelRefused-4]
-	_ = x[RequestsInFlight-5]
-	_ = x[RequestsQueued-6]
-	_ = x[StreamsOpen-7]
-	_ = x[CopyBears-8]
-	_ = x[CopyPhase-9]
-	_ = x[ConfigurationVersion-10]
-	_ = x[RecordsKnown-11]
-	_ = x[ControlBytes-12]
-	_ = x[ControlRefused-13]
-	_ = x[PlatformCalls-14]
-	_ = x[PlatformFailures-15]
+	_ = x[RequestsAnswered-5]
+	_ = x[RequestsRefused-6]
+	_ = x[OutcomesUnknown-7]
+	_ = x[RequestsInFlight-8]
+	_ = x[RequestsQueued-9]
+	_ = x[StreamsOpen-10]
+	_ = x[CopyBears-11]
+	_ = x[CopyPhase-12]
+	_ = x[ConfigurationVersion-13]
+	_ = x[RecordsKnown-14]
+	_ = x[ControlBytes-15]
+	_ = x[ControlRefused-16]
+	_ = x[PlatformCalls-17]
+	_ = x[PlatformFailures-18]
 }
 
-const _Metric_name = "PacketsForwardedPacketsDroppedPacketsReturnedPacketsHandedOnTunnelRefusedRequestsInFlightRequestsQueuedStreamsOpenCopyBearsCopyPhaseConfigurationVersionRecordsKnownControlBytesControlRefusedPlatformCallsPlatformFailures"
+const _Metric_name = "PacketsForwardedPacketsDroppedPacketsReturnedPacketsHandedOnTunnelRefusedRequestsAnsweredRequestsRefusedOutcomesUnknownRequestsInFlightRequestsQueuedStreamsOpenCopyBearsCopyPhaseConfigurationVersionRecordsKnownControlBytesControlRefusedPlatformCallsPlatformFailures"
 
-var _Metric_index = [...]uint8{0, 16, 30, 45, 60, 73, 89, 103, 114, 123, 132, 152, 164, 176, 190, 203, 219}
+var _Metric_index = [...]uint16{0, 16, 30, 45, 60, 73, 89, 104, 119, 135, 149, 160, 169, 178, 198, 210, 222, 236, 249, 265}
 
 func (i Metric) String() string {
 	idx := int(i) - 0
--- a/internal/lentilnode/node.go
+++ b/internal/lentilnode/node.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"time"
 	"unicode"
 
 	"github.com/joomcode/errorx"
@@ -22,6 +23,9 @@
 // controlProtocol is spoken over control connections.
 const controlProtocol = "h2"
 
+// watchPeriod is how often the state of a role is looked at.
+const watchPeriod = 100 * time.Millisecond
+
 // Common is the frame in which a role runs. Make one with New, and Close it.
 type Common struct {
 	// Logger takes the role's events.
@@ -66,8 +70,9 @@
 	return c, err
 }
 
-// Serve begins to answer on the admin endpoint and to copy counts, until Close.
-func (c *Common) Serve(ready func() lentilmetric.State) {
+// Serve begins to answer on the admin endpoint, to copy counts and to log changes
+// of the state, until Close. It calls the watchers again and again.
+func (c *Common) Serve(ready func() lentilmetric.State, watchers ...func()) {
 	ctx, stop := context.WithCancel(context.Background())
 	c.stop = stop
 	admin := lentilmetric.Admin{Ready: ready, Registry: c.Registry}
@@ -77,9 +82,44 @@
 		}
 	})
 	c.workers.Go(func() { c.Mirror.Run(ctx) })
+	c.workers.Go(func() { c.watch(ctx, append(watchers, c.readiness(ready))) })
 	c.Logger.Write(lentilevent.Started, lentilevent.Str("admin", c.admin.Addr().String()))
 }
 
+// watch calls the watchers until ctx ends.
+func (c *Common) watch(ctx context.Context, watchers []func()) {
+	ticker := time.NewTicker(watchPeriod)
+	defer ticker.Stop()
+	for {
+		for _, watcher := range watchers {
+			watcher()
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// readiness returns a watcher that logs when the role becomes ready and not ready,
+// and when the reason for the latter changes.
+func (c *Common) readiness(ready func() lentilmetric.State) func() {
+	var last lentilmetric.State
+	return func() {
+		now := ready()
+		if now == last {
+			return
+		}
+		last = now
+		if now.Ready {
+			c.Logger.Write(lentilevent.Ready)
+			return
+		}
+		c.Logger.Write(lentilevent.NotReady, lentilevent.Str("reason", now.Reason))
+	}
+}
+
 // Close ends the admin endpoint.
 func (c *Common) Close() {
 	if c.stop == nil {
--- a/internal/lentilstand/caller/report.go
+++ b/internal/lentilstand/caller/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -49,6 +50,9 @@
 	Wrong int `json:"wrong"`
 	// Failed requests got no answer in time or a broken one.
 	Failed int `json:"failed"`
+	// GivenUp are those of the failed requests whose connection an agent ended because
+	// operators had taken its failure domain out.
+	GivenUp int `json:"givenUp"`
 	// CopyErrors are errors that the copy itself answered.
 	CopyErrors int `json:"copyErrors"`
 	// Late answers came after the deadline.
@@ -80,6 +84,10 @@
 	resultCopyError
 )
 
+// domainOutReason is what agents say when they end connections because operators
+// took their failure domain out.
+const domainOutReason = "failure domain out"
+
 // maxFaults bounds the descriptions in a report.
 const maxFaults = 20
 
@@ -119,6 +127,9 @@
 		b.fault(id + ": wrong answer: " + detail)
 	default:
 		doc.Failed++
+		if strings.Contains(detail, domainOutReason) {
+			doc.GivenUp++
+		}
 		b.fault(id + ": failed: " + detail)
 	}
 	if once {
