Close connections in their handshake when a failure domain is taken out

Change: the agent's listener is closed while its failure domain is out, which refuses handshakes, and a new one is opened when the domain is back. Shown to fail: without a new listener the copy is not used after the domain came back; without closing the old one Accept still waits. Conclusion: flows in a failure domain that is taken out are told so.

--- a/internal/lentilagent/stop.go
+++ b/internal/lentilagent/stop.go
@@ -26,6 +26,8 @@
 		return
 	}
 	a.tell(cold{})
+	// Taking connections again fails only while the agent is being closed.
+	_ = a.listen()
 }
 
 // setDraining begins to lead callers elsewhere. Streams go on.
@@ -87,11 +89,7 @@
 		a.stop()
 	}
 	if a.web != nil {
-		a.web.mu.Lock()
-		a.web.closing = true
-		a.web.mu.Unlock()
 		a.web.closeAll()
-		_ = a.web.listener.Close()
 	}
 	if a.control != nil {
 		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
--- a/internal/lentilagent/web.go
+++ b/internal/lentilagent/web.go
@@ -34,12 +34,15 @@
 
 // web is the HTTP/3 side of an agent.
 type web struct {
-	listener *quic.Listener
+	tls    *tls.Config
+	config *quic.Config
 
 	mu          sync.Mutex
+	listener    *quic.Listener
 	server      *http3.Server
 	connections map[*quic.Conn]bool
-	closing     bool
+	// shut is true while no new connection is taken.
+	shut bool
 }
 
 // startWeb starts the QUIC transport on the virtual connection.
@@ -54,20 +57,32 @@
 		ConnectionIDGenerator: &placeIDs{sealer: a.flowsHere.sealer, place: a.place()},
 		StatelessResetKey:     &reset,
 	}
-	config := http3.ConfigureTLSConfig(&tls.Config{MinVersion: tls.VersionTLS13, GetCertificate: a.callers.get})
-	listener, err := a.quic.Listen(config, &quic.Config{
-		MaxIdleTimeout:          idleTimeout,
-		KeepAlivePeriod:         keepAlive,
-		MaxIncomingStreams:      streamsPerCaller,
-		InitialPacketSize:       packetBytes,
-		DisablePathMTUDiscovery: true,
-		Allow0RTT:               false,
-	})
+	a.web = &web{
+		tls: http3.ConfigureTLSConfig(&tls.Config{MinVersion: tls.VersionTLS13, GetCertificate: a.callers.get}),
+		config: &quic.Config{
+			MaxIdleTimeout:          idleTimeout,
+			KeepAlivePeriod:         keepAlive,
+			MaxIncomingStreams:      streamsPerCaller,
+			InitialPacketSize:       packetBytes,
+			DisablePathMTUDiscovery: true,
+			Allow0RTT:               false,
+		},
+		server:      a.newServer(),
+		connections: make(map[*quic.Conn]bool),
+	}
+	return a.listen()
+}
+
+// listen begins to take new connections.
+func (a *Agent) listen() (err error) {
+	a.web.mu.Lock()
+	defer a.web.mu.Unlock()
+	listener, err := a.quic.Listen(a.web.tls, a.web.config)
 	if err != nil {
 		return err
 	}
-	a.web = &web{listener: listener, server: a.newServer(), connections: make(map[*quic.Conn]bool)}
-	a.workers.Go(a.accept)
+	a.web.listener, a.web.shut = listener, false
+	a.workers.Go(func() { a.accept(listener) })
 	return nil
 }
 
@@ -82,15 +97,15 @@
 func (a *Agent) newServer() (server *http3.Server) { return &http3.Server{Handler: a} }
 
 // accept serves new connections until the listener is closed.
-func (a *Agent) accept() {
+func (a *Agent) accept(listener *quic.Listener) {
 	for {
-		conn, err := a.web.listener.Accept(context.Background())
+		conn, err := listener.Accept(context.Background())
 		if err != nil {
 			return
 		}
 		server, ok := a.web.add(conn)
 		if !ok {
-			_ = conn.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), "")
+			closeOut(conn)
 			continue
 		}
 		go func() {
@@ -104,7 +119,7 @@
 func (w *web) add(conn *quic.Conn) (server *http3.Server, ok bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.closing {
+	if w.shut {
 		return nil, false
 	}
 	w.connections[conn] = true
@@ -126,19 +141,29 @@
 	return old
 }
 
-// closeAll ends every connection at once.
+// closeAll ends every connection at once, those in their handshake too, and takes
+// no new one until listen is called.
 func (w *web) closeAll() {
 	w.mu.Lock()
+	w.shut = true
 	var open []*quic.Conn
 	for conn := range w.connections {
 		open = append(open, conn)
 	}
+	listener := w.listener
 	w.mu.Unlock()
+	if listener != nil {
+		_ = listener.Close()
+	}
 	for _, conn := range open {
-		_ = conn.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), "failure domain out")
+		closeOut(conn)
 	}
 }
 
+func closeOut(conn *quic.Conn) {
+	_ = conn.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), "failure domain out")
+}
+
 // listenControl binds the control address and makes the server and the client
 // for relayed requests.
 func (a *Agent) listenControl() (listener net.Listener, err error) {
