Wire Gone, Others and Clear into the agent's flows

Cause: lentilpin.Keeper gained them after the agent's shell was written. Change: the agent passes them from its router, and forgets its pins when its failure domain goes out.

--- a/internal/lentilagent/keeper.go
+++ b/internal/lentilagent/keeper.go
@@ -42,9 +42,11 @@
 		Protocol: lentilroute.QUIC,
 		Clock:    a.options.Clock,
 		Owners:   f.owners,
+		Others:   func() []lentilid.Place { return f.router.Others(a.options.Service, a.options.Clock.Now()) },
 		HandOff:  f.handOff,
 		Refuse:   func() bool { return a.shown.Load().draining },
 		Out:      func(domain lentilid.Domain) bool { return f.router.Out(domain) },
+		Gone:     func(place lentilid.Place) bool { return f.router.Gone(place) },
 	}
 	f.chooser.Out = f.keeper.Out
 	return f
@@ -96,6 +98,9 @@
 	defer f.mu.Unlock()
 	f.view.Configure(configuration)
 	f.router = f.view.Router()
+	if f.router.Out(f.agent.options.Domain) {
+		f.keeper.Clear()
+	}
 }
 
 // learn takes in the records of the other agents; those that are not among them
