--- a/internal/lentilmatrix/flow_agent.go
+++ b/internal/lentilmatrix/flow_agent.go
@@ -10,8 +10,8 @@
 	"lentilstair.example/lentilstair/pkg/lentilroute"
 )
 
-// agent is the process beside a copy: a real Keeper and View over the fake wire.
-type agent struct {
+// flowAgent is the process beside a copy: a real Keeper and View over the fake wire.
+type flowAgent struct {
 	node
 	owner   lentilrecord.Owner
 	service lentilid.Service
@@ -50,9 +50,9 @@
 }
 
 // startAgent starts the process of a copy.
-func (w *world) startAgent(copy string, service lentilid.Service, domain lentilid.Domain, address netip.AddrPort, weight uint16) (a *agent) {
+func (w *flowWorld) startAgent(copy string, service lentilid.Service, domain lentilid.Domain, address netip.AddrPort, weight uint16) (a *flowAgent) {
 	owner := lentilrecord.Owner{Copy: copy, Incarnation: lentilid.Incarnation(w.random.Uint64() | 1)}
-	a = &agent{
+	a = &flowAgent{
 		owner: owner, service: service, domain: domain,
 		place:  lentilid.NewPlace(address, domain, service, owner.Incarnation),
 		phase:  lentilrecord.Ready,
@@ -84,7 +84,7 @@
 }
 
 // closeIfOut gives up all flows when the failure domain of the agent is out.
-func (a *agent) closeIfOut() {
+func (a *flowAgent) closeIfOut() {
 	if a.router.Out(a.domain) {
 		clear(a.flows)
 		a.keeper.Clear()
@@ -92,13 +92,13 @@
 }
 
 // leaving reports whether the agent knows that its copy leaves.
-func (a *agent) leaving() bool {
+func (a *flowAgent) leaving() bool {
 	listed := a.configuration.Copy(a.owner.Copy)
 	return listed == nil || listed.Draining() || a.phase == lentilrecord.Draining
 }
 
 // renew announces the agent again and again, until it is dead.
-func (w *world) renew(a *agent) {
+func (w *flowWorld) renew(a *flowAgent) {
 	if a.dead {
 		return
 	}
@@ -109,7 +109,7 @@
 }
 
 // announce spreads a new version of the agent's record.
-func (w *world) announce(a *agent) {
+func (w *flowWorld) announce(a *flowAgent) {
 	a.version++
 	record := lentilrecord.New(lentilrecord.Doc{
 		Owner: a.owner, Version: a.version, Service: a.service, Domain: a.domain,
@@ -120,7 +120,7 @@
 }
 
 // arrive takes a tunnel packet, or holds it while the process is paused.
-func (w *world) arrive(a *agent, d *datagram) {
+func (w *flowWorld) arrive(a *flowAgent, d *datagram) {
 	if a.dead {
 		return
 	}
@@ -133,7 +133,7 @@
 }
 
 // take works on a tunnel packet.
-func (w *world) take(a *agent, d *datagram) {
+func (w *flowWorld) take(a *flowAgent, d *datagram) {
 	if a.dead || a.router.Out(a.domain) {
 		return
 	}
@@ -150,7 +150,7 @@
 }
 
 // decide asks the keeper and carries out what it says.
-func (w *world) decide(a *agent, d *datagram) {
+func (w *flowWorld) decide(a *flowAgent, d *datagram) {
 	action := a.keeper.Decide(&lentilpin.Arrival{
 		Service: d.service,
 		Hop:     d.hop,
@@ -175,7 +175,7 @@
 }
 
 // tunnel sends a tunnel packet to the process at a place, whoever that is now.
-func (w *world) tunnel(place lentilid.Place, d *datagram) {
+func (w *flowWorld) tunnel(place lentilid.Place, d *datagram) {
 	w.send(func() {
 		if a := w.processes[place.Agent()]; a != nil {
 			w.arrive(a, d)
@@ -184,7 +184,7 @@
 }
 
 // chooseHandOff hands some of the new QUIC flows to a peer.
-func (w *world) chooseHandOff(a *agent) (peer lentilid.Place, ok bool) {
+func (w *flowWorld) chooseHandOff(a *flowAgent) (peer lentilid.Place, ok bool) {
 	if w.random.Float64() >= handOffShare {
 		return lentilid.Place{}, false
 	}
@@ -196,7 +196,7 @@
 }
 
 // kill ends the process of an agent.
-func (w *world) kill(a *agent) {
+func (w *flowWorld) kill(a *flowAgent) {
 	if a.dead {
 		return
 	}
@@ -208,7 +208,7 @@
 }
 
 // pause stops a process for a time, in which what it gets is held.
-func (w *world) pause(a *agent, d time.Duration) {
+func (w *flowWorld) pause(a *flowAgent, d time.Duration) {
 	a.paused = true
 	a.silent = max(a.silent, d)
 	w.tracef("agent %s is paused for %v", a.owner.Copy, d)
--- a/internal/lentilmatrix/flow_caller.go
+++ b/internal/lentilmatrix/flow_caller.go
@@ -52,7 +52,7 @@
 
 	started, lastAnswer, endsAt time.Duration
 	// home is the agent where the flow lives, once a packet has opened it.
-	home *agent
+	home *flowAgent
 	// answered is true once the caller has an answer.
 	answered bool
 	ended    bool
@@ -62,7 +62,7 @@
 }
 
 // openFlow starts a flow that ends after life.
-func (w *world) openFlow(service lentilid.Service, life time.Duration) {
+func (w *flowWorld) openFlow(service lentilid.Service, life time.Duration) {
 	number := len(w.flows)
 	address := netip.AddrFrom4([4]byte{198, 51, byte(number >> 8), byte(number)})
 	f := &flow{
@@ -77,7 +77,7 @@
 }
 
 // speak sends what the caller has to send now, and goes on until the flow ends.
-func (w *world) speak(f *flow) {
+func (w *flowWorld) speak(f *flow) {
 	if f.ended || f.broken {
 		return
 	}
@@ -117,7 +117,7 @@
 }
 
 // local is what an agent does with a packet that its keeper says is its own.
-func (w *world) local(a *agent, p *packet) {
+func (w *flowWorld) local(a *flowAgent, p *packet) {
 	f := p.flow
 	w.checkService(a, f)
 	c := a.flows[f]
@@ -142,7 +142,7 @@
 }
 
 // accept opens a flow at an agent.
-func (w *world) accept(a *agent, f *flow) (c *connection) {
+func (w *flowWorld) accept(a *flowAgent, f *flow) (c *connection) {
 	c = &connection{}
 	a.flows[f] = c
 	f.opened++
@@ -160,7 +160,7 @@
 
 // answer sends an answer to the caller. The first answer of a QUIC flow names the
 // connection ID that the caller uses from then on.
-func (w *world) answer(a *agent, f *flow) {
+func (w *flowWorld) answer(a *flowAgent, f *flow) {
 	var id []byte
 	if f.protocol == lentilroute.QUIC {
 		a.nonce++
--- a/internal/lentilmatrix/flow_check.go
+++ b/internal/lentilmatrix/flow_check.go
@@ -11,7 +11,7 @@
 
 // breakFlow notes that an established flow has broken, unless it is one that its
 // promise gives up.
-func (w *world) breakFlow(f *flow, format string, args ...any) {
+func (w *flowWorld) breakFlow(f *flow, format string, args ...any) {
 	if f.broken || f.ended || w.givenUp(f) {
 		return
 	}
@@ -23,7 +23,7 @@
 // givenUp reports whether a flow lived at an agent that died, or in a failure
 // domain that was taken out. A flow that carries no place is also given up when
 // its agent was silent for longer than its lease: then it can't be told from a dead one.
-func (w *world) givenUp(f *flow) bool {
+func (w *flowWorld) givenUp(f *flow) bool {
 	a := f.home
 	if a == nil {
 		return false
@@ -36,12 +36,12 @@
 
 // lapsed reports whether a pause of the agent may have outlasted its lease, as
 // some node that control reaches late sees it.
-func (w *world) lapsed(a *agent) bool {
+func (w *flowWorld) lapsed(a *flowAgent) bool {
 	return a.silent > 0 && a.silent+renewEvery+w.skew >= lease
 }
 
 // checkCut notes a flow whose packets find no answer.
-func (w *world) checkCut(f *flow) {
+func (w *flowWorld) checkCut(f *flow) {
 	patience := openWithin
 	if f.answered {
 		patience = cutAfter
@@ -55,7 +55,7 @@
 }
 
 // checkService notes a packet that reached another service.
-func (w *world) checkService(a *agent, f *flow) {
+func (w *flowWorld) checkService(a *flowAgent, f *flow) {
 	if f.service != a.service {
 		w.figures.WrongService++
 		w.outcome.Violatef(w.now, "flow %d of service %d reached %s of service %d", f.number, f.service, a.owner.Copy, a.service)
@@ -63,7 +63,7 @@
 }
 
 // checkOut notes a packet to a failure domain that has been out for a while.
-func (w *world) checkOut(a *agent) {
+func (w *flowWorld) checkOut(a *flowAgent) {
 	if w.out[a.domain] && w.now-w.lastOut[a.domain] > settled {
 		w.figures.AfterOut++
 		w.outcome.Violatef(w.now, "%s got a packet %v after its failure domain went out", a.owner.Copy, w.now-w.lastOut[a.domain])
@@ -71,7 +71,7 @@
 }
 
 // checkLeaving notes new work at a copy that has been leaving for a while.
-func (w *world) checkLeaving(a *agent, f *flow) {
+func (w *flowWorld) checkLeaving(a *flowAgent, f *flow) {
 	if a.leavesAt > 0 && w.now-a.leavesAt > settled {
 		w.figures.AfterLeaving++
 		w.outcome.Violatef(w.now, "%s opened flow %d %v after it began to leave", a.owner.Copy, f.number, w.now-a.leavesAt)
--- a/internal/lentilmatrix/flow_fault.go
+++ b/internal/lentilmatrix/flow_fault.go
@@ -53,7 +53,7 @@
 const faultTime = 4 * time.Second
 
 // strike brings a fault about.
-func (w *world) strike(fault Fault) {
+func (w *flowWorld) strike(fault Fault) {
 	w.tracef("fault %v", fault)
 	switch fault {
 	case BalancerDies:
@@ -63,9 +63,9 @@
 	case AgentDies:
 		w.eachVictim(w.kill)
 	case AgentPaused:
-		w.eachVictim(func(a *agent) { w.pause(a, lease-1500*time.Millisecond) })
+		w.eachVictim(func(a *flowAgent) { w.pause(a, lease-1500*time.Millisecond) })
 	case AgentPausedLong:
-		w.eachVictim(func(a *agent) { w.pause(a, lease+time.Second) })
+		w.eachVictim(func(a *flowAgent) { w.pause(a, lease+time.Second) })
 	case ViewsUneven:
 		w.skew = skewUneven
 	case DomainGoesOut:
@@ -85,7 +85,7 @@
 }
 
 // disturb brings about a fault of the wire.
-func (w *world) disturb(fault Fault) {
+func (w *flowWorld) disturb(fault Fault) {
 	switch fault {
 	case PacketsLost:
 		w.loss = 0.1
@@ -100,9 +100,9 @@
 }
 
 // eachVictim does something to a random agent of each main service that gets new work.
-func (w *world) eachVictim(do func(a *agent)) {
+func (w *flowWorld) eachVictim(do func(a *flowAgent)) {
 	for _, service := range []lentilid.Service{quicService, datagramService} {
-		var candidates []*agent
+		var candidates []*flowAgent
 		for _, a := range w.agents {
 			if a.service == service && !a.dead && !a.paused && a.leavesAt == 0 {
 				candidates = append(candidates, a)
@@ -115,7 +115,7 @@
 }
 
 // drain tells a copy to leave.
-func (w *world) drain(a *agent) {
+func (w *flowWorld) drain(a *flowAgent) {
 	a.leavesAt = w.now
 	w.change(func(d *lentilconfig.Document) {
 		for i := range d.Copies {
@@ -125,7 +125,7 @@
 }
 
 // withdraw removes a copy. Its agent ends when no flow is left.
-func (w *world) withdraw(a *agent) {
+func (w *flowWorld) withdraw(a *flowAgent) {
 	a.leavesAt = max(a.leavesAt, w.now)
 	w.change(func(d *lentilconfig.Document) {
 		kept := []lentilconfig.CopyDoc{}
@@ -140,7 +140,7 @@
 }
 
 // endWhenEmpty ends the process of an agent once no flow is left.
-func (w *world) endWhenEmpty(a *agent) {
+func (w *flowWorld) endWhenEmpty(a *flowAgent) {
 	for f := range a.flows {
 		if f.ended || f.broken {
 			delete(a.flows, f)
@@ -156,7 +156,7 @@
 }
 
 // turnDomain takes a failure domain out, or back in with its copies cold.
-func (w *world) turnDomain(number int, out bool) {
+func (w *flowWorld) turnDomain(number int, out bool) {
 	domain := lentilid.Domain(number)
 	w.out[domain] = out
 	if out {
@@ -167,8 +167,8 @@
 
 // reuseAddresses ends an agent of each service and starts one of another service
 // at its address.
-func (w *world) reuseAddresses() {
-	w.eachVictim(func(a *agent) {
+func (w *flowWorld) reuseAddresses() {
+	w.eachVictim(func(a *flowAgent) {
 		w.kill(a)
 		name := "strange-" + a.owner.Copy
 		w.change(func(d *lentilconfig.Document) {
--- a/internal/lentilmatrix/flow_node.go
+++ b/internal/lentilmatrix/flow_node.go
@@ -37,7 +37,7 @@
 }
 
 // newNode returns a node that knows nothing.
-func (w *world) newNode() (n node) {
+func (w *flowWorld) newNode() (n node) {
 	view := &lentilview.View{Clock: &w.clock, Sealer: w.sealer, Protocol: func(s *lentilconfig.Service) lentilroute.Protocol {
 		return protocolOf(s.Number())
 	}}
@@ -50,7 +50,7 @@
 }
 
 // eachNode calls do for every process that lives.
-func (w *world) eachNode(do func(n *node)) {
+func (w *flowWorld) eachNode(do func(n *node)) {
 	for _, b := range w.balancers {
 		if b.up {
 			do(&b.node)
@@ -64,7 +64,7 @@
 }
 
 // catchUp gives a process that starts what its peers know.
-func (w *world) catchUp(n *node, only lentilid.Service) {
+func (w *flowWorld) catchUp(n *node, only lentilid.Service) {
 	n.only = only
 	n.configure(w.configuration)
 	for _, a := range w.agents {
@@ -76,7 +76,7 @@
 
 // announced returns when an agent last renewed its record, as far as the first
 // balancer knows.
-func (w *world) announced(a *agent) (at time.Duration) {
+func (w *flowWorld) announced(a *flowAgent) (at time.Duration) {
 	if len(w.balancers) == 0 {
 		return w.now
 	}
@@ -96,7 +96,7 @@
 }
 
 // observe takes a record and watches its lease.
-func (n *node) observe(w *world, record lentilrecord.Record) {
+func (n *node) observe(w *flowWorld, record lentilrecord.Record) {
 	owner := record.Owner()
 	if n.only != 0 && record.Service() != n.only || record.Version() <= n.versions[owner] {
 		return
@@ -114,14 +114,14 @@
 }
 
 // startBalancer starts a balancer that has caught up with its peers.
-func (w *world) startBalancer() {
+func (w *flowWorld) startBalancer() {
 	b := &balancer{node: w.newNode(), up: true}
 	w.catchUp(&b.node, 0)
 	w.balancers = append(w.balancers, b)
 }
 
 // spray hands a packet of a caller to any balancer, as the fabric does.
-func (w *world) spray(p *packet) {
+func (w *flowWorld) spray(p *packet) {
 	first := w.random.IntN(len(w.balancers))
 	for i := range w.balancers {
 		b := w.balancers[(first+i)%len(w.balancers)]
@@ -133,7 +133,7 @@
 }
 
 // forward is what a balancer does with a packet.
-func (w *world) forward(b *balancer, p *packet) {
+func (w *flowWorld) forward(b *balancer, p *packet) {
 	if !b.up {
 		return
 	}
--- a/internal/lentilmatrix/flow_run.go
+++ b/internal/lentilmatrix/flow_run.go
@@ -17,7 +17,7 @@
 
 // Run returns what came of it, the same for the same fields.
 func (r FlowRun) Run() (outcome *Outcome, figures FlowFigures) {
-	w := newWorld(&r)
+	w := newFlowWorld(&r)
 	w.operate(r.Step)
 	for _, fault := range r.Faults {
 		if fault == ViewsUneven {
@@ -33,7 +33,7 @@
 }
 
 // openFlows makes callers open flows of random length.
-func (w *world) openFlows() {
+func (w *flowWorld) openFlows() {
 	if w.now >= opensUntil {
 		return
 	}
--- a/internal/lentilmatrix/flow_step.go
+++ b/internal/lentilmatrix/flow_step.go
@@ -78,7 +78,7 @@
 }
 
 // operate schedules the operation to which the step belongs.
-func (w *world) operate(s Step) {
+func (w *flowWorld) operate(s Step) {
 	switch s {
 	case FlowsOpen:
 		w.burst(operationAt, 5*time.Second)
@@ -100,10 +100,10 @@
 }
 
 // at schedules do for a time since the start.
-func (w *world) at(time time.Duration, do func()) { w.after(time-w.now, do) }
+func (w *flowWorld) at(time time.Duration, do func()) { w.after(time-w.now, do) }
 
 // burst opens many flows at once, which end together.
-func (w *world) burst(at, life time.Duration) {
+func (w *flowWorld) burst(at, life time.Duration) {
 	w.at(at, func() {
 		for range manyFlows {
 			w.openFlow(quicService, life)
@@ -113,7 +113,7 @@
 }
 
 // join lists a new copy of each service and starts it cold.
-func (w *world) join(number int) {
+func (w *flowWorld) join(number int) {
 	for _, service := range []string{"quic", "datagram"} {
 		doc := copyDoc(service, number)
 		w.change(func(d *lentilconfig.Document) { d.Copies = append(d.Copies, doc) })
@@ -123,7 +123,7 @@
 }
 
 // ramp raises the weight of a cold copy.
-func (w *world) ramp(a *agent) {
+func (w *flowWorld) ramp(a *flowAgent) {
 	w.after(rampStep, func() {
 		if a.weight >= fullWeight || a.dead || a.leavesAt > 0 {
 			return
@@ -137,7 +137,7 @@
 }
 
 // leave drains a copy of each service and withdraws it after a while.
-func (w *world) leave(number int, after time.Duration) {
+func (w *flowWorld) leave(number int, after time.Duration) {
 	for _, service := range []string{"quic", "datagram"} {
 		a := w.agentOf(copyDoc(service, number).Name)
 		if a == nil {
--- a/internal/lentilmatrix/flow_wire.go
+++ b/internal/lentilmatrix/flow_wire.go
@@ -40,9 +40,9 @@
 	return last
 }
 
-// wire is time and the network: it carries out events in order, and loses,
+// flowWire is time and the network: it carries out events in order, and loses,
 // doubles and holds up packets as it is told.
-type wire struct {
+type flowWire struct {
 	clock  lentilclock.Fake
 	random *rand.Rand
 	now    time.Duration
@@ -56,13 +56,13 @@
 }
 
 // after schedules do.
-func (w *wire) after(delay time.Duration, do func()) {
+func (w *flowWire) after(delay time.Duration, do func()) {
 	w.number++
 	heap.Push(&w.events, event{at: w.now + delay, number: w.number, do: do})
 }
 
 // run carries out all events until a time.
-func (w *wire) run(until time.Duration) {
+func (w *flowWire) run(until time.Duration) {
 	for len(w.events) > 0 && w.events[0].at <= until {
 		e := heap.Pop(&w.events).(event)
 		w.advance(e.at)
@@ -72,13 +72,13 @@
 }
 
 // advance moves time forward.
-func (w *wire) advance(to time.Duration) {
+func (w *flowWire) advance(to time.Duration) {
 	w.clock.Advance(to - w.now)
 	w.now = to
 }
 
 // send carries a packet, which arrives by do.
-func (w *wire) send(do func()) {
+func (w *flowWire) send(do func()) {
 	copies := 1
 	if w.random.Float64() < w.double {
 		copies = 2
@@ -91,7 +91,7 @@
 }
 
 // trip returns how long a packet takes.
-func (w *wire) trip() time.Duration {
+func (w *flowWire) trip() time.Duration {
 	trip := w.between(shortestTrip, longestTrip)
 	if w.random.Float64() < w.late {
 		trip += w.between(0, w.lateness)
@@ -100,7 +100,7 @@
 }
 
 // between returns a random time between two others.
-func (w *wire) between(least, most time.Duration) time.Duration {
+func (w *flowWire) between(least, most time.Duration) time.Duration {
 	if most <= least {
 		return least
 	}
--- a/internal/lentilmatrix/flow_world.go
+++ b/internal/lentilmatrix/flow_world.go
@@ -64,9 +64,9 @@
 	Unrouted int
 }
 
-// world is a handful of balancers, agents and callers in one process.
-type world struct {
-	wire
+// flowWorld is a handful of balancers, agents and callers in one process.
+type flowWorld struct {
+	flowWire
 	outcome Outcome
 	figures FlowFigures
 	// naive makes it the baseline: a hash of the 5-tuple and no pins.
@@ -78,8 +78,8 @@
 	configuration lentilconfig.Configuration
 	sealer        *lentilid.Sealer
 	balancers     []*balancer
-	agents        []*agent
-	processes     map[netip.AddrPort]*agent
+	agents        []*flowAgent
+	processes     map[netip.AddrPort]*flowAgent
 	records       map[lentilrecord.Owner]lentilrecord.Record
 	flows         []*flow
 	addresses     int
@@ -87,13 +87,13 @@
 	lastOut       map[lentilid.Domain]time.Duration
 }
 
-// newWorld returns a world whose copies are configured and running.
-func newWorld(r *FlowRun) (w *world) {
-	w = &world{
+// newFlowWorld returns a world whose copies are configured and running.
+func newFlowWorld(r *FlowRun) (w *flowWorld) {
+	w = &flowWorld{
 		naive:     r.Naive,
 		tracing:   r.Trace,
 		skew:      skewUsual,
-		processes: make(map[netip.AddrPort]*agent),
+		processes: make(map[netip.AddrPort]*flowAgent),
 		records:   make(map[lentilrecord.Owner]lentilrecord.Record),
 		out:       make(map[lentilid.Domain]bool),
 		lastOut:   make(map[lentilid.Domain]time.Duration),
@@ -154,7 +154,7 @@
 }
 
 // change accepts a changed configuration, which then spreads.
-func (w *world) change(edit func(document *lentilconfig.Document)) {
+func (w *flowWorld) change(edit func(document *lentilconfig.Document)) {
 	edit(&w.document)
 	w.adopt()
 	configuration := w.configuration
@@ -163,7 +163,7 @@
 }
 
 // adopt makes the document the configuration in force.
-func (w *world) adopt() {
+func (w *flowWorld) adopt() {
 	w.document.Version++
 	document := w.document
 	document.Services = append([]lentilconfig.ServiceDoc(nil), document.Services...)
@@ -177,7 +177,7 @@
 }
 
 // startCopy starts the process of a listed copy at a new address.
-func (w *world) startCopy(doc lentilconfig.CopyDoc, weight uint16) (a *agent) {
+func (w *flowWorld) startCopy(doc lentilconfig.CopyDoc, weight uint16) (a *flowAgent) {
 	w.addresses++
 	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(w.addresses)}), 7000)
 	listed := w.configuration.Copy(doc.Name)
@@ -185,7 +185,7 @@
 }
 
 // agentOf returns the living agent of a copy, or nil.
-func (w *world) agentOf(copy string) (a *agent) {
+func (w *flowWorld) agentOf(copy string) (a *flowAgent) {
 	for _, a := range w.agents {
 		if a.owner.Copy == copy && !a.dead {
 			return a
@@ -195,14 +195,14 @@
 }
 
 // tracef notes what happens.
-func (w *world) tracef(format string, args ...any) {
+func (w *flowWorld) tracef(format string, args ...any) {
 	if w.tracing {
 		w.outcome.Tracef(w.now, format, args...)
 	}
 }
 
 // nameOf returns the copy at an address, for traces.
-func (w *world) nameOf(address netip.AddrPort) (name string) {
+func (w *flowWorld) nameOf(address netip.AddrPort) (name string) {
 	if a := w.processes[address]; a != nil {
 		return a.owner.Copy
 	}
