--- a/internal/lentilmatrix/request_copy.go
+++ b/internal/lentilmatrix/request_copy.go
@@ -62,16 +62,21 @@
 // die drops all runs; the copy starts again, cold, a while later.
 func (c *requestCopy) die() {
 	c.dead = true
-	c.changed()
-	for _, r := range c.runs {
-		c.finish(r, endLost)
-	}
+	c.reset()
 	c.world.schedule.After(faultLength, func() {
 		c.dead = false
 		c.turnCold()
 	})
 }
 
+// reset drops all runs, of which nobody knows how far they came; the copy goes on.
+func (c *requestCopy) reset() {
+	c.changed()
+	for _, r := range c.runs {
+		c.finish(r, endLost)
+	}
+}
+
 func (c *requestCopy) changed() { c.changedAt = c.world.schedule.Now() }
 
 // turnCold makes the copy cold; what it bears rises all the time from then on.
--- a/internal/lentilmatrix/request_fault.go
+++ b/internal/lentilmatrix/request_fault.go
@@ -34,6 +34,7 @@
 	faultAgentDies
 	faultAgentPaused
 	faultCopyDies
+	faultCopyResets
 	faultCopyCold
 	faultCopySheds
 	faultCopyHangs
@@ -54,7 +55,7 @@
 
 // requestFaults are the rows of the matrix.
 var requestFaults = []requestFault{
-	faultAgentDies, faultAgentPaused, faultCopyDies, faultCopyCold, faultCopySheds, faultCopyHangs, faultLoadLies,
+	faultAgentDies, faultAgentPaused, faultCopyDies, faultCopyResets, faultCopyCold, faultCopySheds, faultCopyHangs, faultLoadLies,
 	faultAnswerLost, faultAnswerLate, faultAnswerCrossed, faultAnswerDuplicated, faultRequestDuplicated,
 	faultCallerCancels, faultCallerRetries, faultCallerStartsOver, faultRelayLostThere, faultRelayLostBack,
 	faultDeadlinePasses, faultDrain,
@@ -77,6 +78,8 @@
 		a.pause(pauseLength)
 	case faultCopyDies:
 		c.die()
+	case faultCopyResets:
+		c.reset()
 	case faultCopyCold:
 		c.turnCold()
 	case faultCopySheds:
--- a/internal/lentilmatrix/request_fault_string.go
+++ b/internal/lentilmatrix/request_fault_string.go
@@ -12,27 +12,28 @@
 	_ = x[faultAgentDies-1]
 	_ = x[faultAgentPaused-2]
 	_ = x[faultCopyDies-3]
-	_ = x[faultCopyCold-4]
-	_ = x[faultCopySheds-5]
-	_ = x[faultCopyHangs-6]
-	_ = x[faultLoadLies-7]
-	_ = x[faultAnswerLost-8]
-	_ = x[faultAnswerLate-9]
-	_ = x[faultAnswerCrossed-10]
-	_ = x[faultAnswerDuplicated-11]
-	_ = x[faultRequestDuplicated-12]
-	_ = x[faultCallerCancels-13]
-	_ = x[faultCallerRetries-14]
-	_ = x[faultCallerStartsOver-15]
-	_ = x[faultRelayLostThere-16]
-	_ = x[faultRelayLostBack-17]
-	_ = x[faultDeadlinePasses-18]
-	_ = x[faultDrain-19]
+	_ = x[faultCopyResets-4]
+	_ = x[faultCopyCold-5]
+	_ = x[faultCopySheds-6]
+	_ = x[faultCopyHangs-7]
+	_ = x[faultLoadLies-8]
+	_ = x[faultAnswerLost-9]
+	_ = x[faultAnswerLate-10]
+	_ = x[faultAnswerCrossed-11]
+	_ = x[faultAnswerDuplicated-12]
+	_ = x[faultRequestDuplicated-13]
+	_ = x[faultCallerCancels-14]
+	_ = x[faultCallerRetries-15]
+	_ = x[faultCallerStartsOver-16]
+	_ = x[faultRelayLostThere-17]
+	_ = x[faultRelayLostBack-18]
+	_ = x[faultDeadlinePasses-19]
+	_ = x[faultDrain-20]
 }
 
-const _requestFault_name = "NoneAgentDiesAgentPausedCopyDiesCopyColdCopyShedsCopyHangsLoadLiesAnswerLostAnswerLateAnswerCrossedAnswerDuplicatedRequestDuplicatedCallerCancelsCallerRetriesCallerStartsOverRelayLostThereRelayLostBackDeadlinePassesDrain"
+const _requestFault_name = "NoneAgentDiesAgentPausedCopyDiesCopyResetsCopyColdCopyShedsCopyHangsLoadLiesAnswerLostAnswerLateAnswerCrossedAnswerDuplicatedRequestDuplicatedCallerCancelsCallerRetriesCallerStartsOverRelayLostThereRelayLostBackDeadlinePassesDrain"
 
-var _requestFault_index = [...]uint8{0, 4, 13, 24, 32, 40, 49, 58, 66, 76, 86, 99, 115, 132, 145, 158, 174, 188, 201, 215, 220}
+var _requestFault_index = [...]uint8{0, 4, 13, 24, 32, 42, 50, 59, 68, 76, 86, 96, 109, 125, 142, 155, 168, 184, 198, 211, 225, 230}
 
 func (i requestFault) String() string {
 	idx := int(i) - 0
--- a/internal/lentilmatrix/request_perform.go
+++ b/internal/lentilmatrix/request_perform.go
@@ -17,9 +17,13 @@
 	kindOnce       = lentilconfig.KindOnce
 )
 
-// refusalTime is the longest time from when a request could be judged to its refusal: from its
-// arrival, from the last change of the copy, or from the end of a pause or a relay.
-const refusalTime = callTimeout / 2
+const (
+	// refusalTime is the longest time from when a request could be judged to its refusal: from its
+	// arrival, from the last change or failure of the copy, or from the end of a pause or a relay.
+	refusalTime = callTimeout / 2
+	// latestRefusal is the longest time from arrival to refusal, whatever happens to the copy.
+	latestRefusal = callTimeout * 9 / 10
+)
 
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
@@ -89,6 +93,9 @@
 		a.upstream.show()
 	}
 	x.run = nil
+	if e == endNotBegun || e == endLost {
+		a.upstream.changed()
+	}
 	switch e {
 	case endAnswer:
 		a.world.reach(stepAnswered, a, x.attempt)
@@ -96,14 +103,28 @@
 	case endNotBegun:
 		x.begun = false
 		a.perform(a.admitter.NotBegun(x.id, lentillimit.OutcomeShed))
+		a.close(x, a.ledger.NotBegun, reply{kind: replyNotRun, after: time.Second})
 	case endLost:
 		a.perform(a.admitter.Lost(x.id, lentillimit.OutcomeFailed))
+		a.close(x, a.ledger.Lost, reply{kind: replyUnknown})
 	case endCancelled:
 		a.lose(x)
 		a.perform(a.admitter.Finished(x.id, lentillimit.OutcomeTimedOut))
 	}
 }
 
+// close closes the ticket of a request that the admitter let go without a word, because its
+// caller is gone: others may wait for the same ticket.
+func (a *requestAgent) close(x *work, how func(t lentilticket.Ticket) []uint64, r reply) {
+	if a.admitter.Holds(x.id) || a.works[x.id] == nil {
+		return
+	}
+	delete(a.works, x.id)
+	if !x.ticket.IsZero() {
+		a.wake(how(x.ticket), r)
+	}
+}
+
 func (a *requestAgent) answered(x *work) {
 	text := answerOf(x.attempt.call)
 	delete(a.works, x.id)
@@ -163,7 +184,7 @@
 		w.fail("call %d was told \"not run\" although a run had begun", x.attempt.call.id)
 	}
 	waited := w.schedule.Now().Sub(later(x.arrived, later(a.upstream.changedAt, a.resumedAt)))
-	if waited > refusalTime {
+	if all := w.schedule.Now().Sub(later(x.arrived, a.resumedAt)); waited > refusalTime || all > latestRefusal {
 		w.fail("call %d was refused only after %s", x.attempt.call.id, waited)
 	}
 	r := reply{kind: replyNotRun, after: after}
--- a/pkg/lentiladmit/admit.go
+++ b/pkg/lentiladmit/admit.go
@@ -110,7 +110,8 @@
 
 // NotBegun tells that a dispatched request surely did not run, because the copy could
 // not be reached or said so. The request is decided about anew if it may still finish in
-// time, and is refused otherwise.
+// time, and is refused otherwise. A request whose caller is gone is let go without an action, as
+// by Lost and Relayed: the shell asks Holds, and closes the entry of its ticket.
 func (a *Admitter) NotBegun(id uint64, outcome lentillimit.Outcome) (actions []Action) {
 	if r := a.release(id, outcome); r != nil {
 		a.again(r)
--- /dev/null
+++ b/pkg/lentiladmit/admit_test.go
@@ -0,0 +1,205 @@
+package lentiladmit
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"lentilstair.example/lentilstair/pkg/lentilclock"
+	"lentilstair.example/lentilstair/pkg/lentilconfig"
+	"lentilstair.example/lentilstair/pkg/lentillimit"
+)
+
+// testTime is how long requests take in these tests.
+const testTime = 100 * time.Millisecond
+
+// warmAdmitter returns an Admitter of a warm copy of two slots, as a peer knows its times.
+func warmAdmitter(clock lentilclock.Clock) *Admitter {
+	return &Admitter{Clock: clock, Limiter: lentillimit.Limiter{StartPercent: 100, Typical: testTime}}
+}
+
+// kinds returns the kinds of actions, for comparison.
+func kinds(actions []Action) (k []ActionKind) {
+	for _, a := range actions {
+		k = append(k, a.Kind())
+	}
+	return k
+}
+
+func TestArrive(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		ahead   int // requests that came before
+		drained bool
+		kind    lentilconfig.Kind
+		timeout time.Duration
+		want    []ActionKind
+		reason  Reason
+	}{
+		{"free slot", 1, false, lentilconfig.KindOnce, time.Second, []ActionKind{ActionDispatch}, 0},
+		{"queue", 2, false, lentilconfig.KindOnce, time.Second, nil, 0},
+		{"deadline can't be met behind the queue", 12, false, lentilconfig.KindOnce, time.Second, []ActionKind{ActionRefuse}, ReasonQueueFull},
+		{"deadline passed", 0, false, lentilconfig.KindRepeatable, 0, []ActionKind{ActionRefuse}, ReasonDeadline},
+		{"too short to run once", 0, false, lentilconfig.KindOnce, testTime / 2, []ActionKind{ActionRefuse}, ReasonDeadline},
+		{"short, but may be repeated", 0, false, lentilconfig.KindRepeatable, testTime / 2, []ActionKind{ActionDispatch}, 0},
+		{"stream needs no slot", 10, false, lentilconfig.KindStream, time.Second, []ActionKind{ActionDispatch}, 0},
+		{"drained", 0, true, lentilconfig.KindOnce, time.Second, []ActionKind{ActionRefuse}, ReasonDraining},
+		{"stream to a drained copy", 0, true, lentilconfig.KindStream, time.Second, []ActionKind{ActionRefuse}, ReasonDraining},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var clock lentilclock.Fake
+			a := warmAdmitter(&clock)
+			for i := range c.ahead {
+				a.Arrive(Arrival{ID: uint64(100 + i), Kind: lentilconfig.KindOnce, Deadline: clock.Now().Add(time.Minute)})
+			}
+			if c.drained {
+				a.Drain()
+			}
+			got := a.Arrive(Arrival{ID: 1, Kind: c.kind, Deadline: clock.Now().Add(c.timeout)})
+			if diff := cmp.Diff(c.want, kinds(got)); diff != "" {
+				t.Errorf("actions (-want +got):\n%s", diff)
+			}
+			if len(got) > 0 && got[0].Reason() != c.reason {
+				t.Errorf("reason %s, want %s", got[0].Reason(), c.reason)
+			}
+		})
+	}
+}
+
+func TestQueueIsBounded(t *testing.T) {
+	var clock lentilclock.Fake
+	a := warmAdmitter(&clock)
+	a.Queue = 3
+	var got []ActionKind
+	for id := range uint64(6) {
+		got = append(got, kinds(a.Arrive(Arrival{ID: id, Kind: lentilconfig.KindOnce, Deadline: clock.Now().Add(time.Hour)}))...)
+	}
+	if diff := cmp.Diff([]ActionKind{ActionDispatch, ActionDispatch, ActionRefuse}, got); diff != "" {
+		t.Errorf("actions (-want +got):\n%s", diff)
+	}
+}
+
+// What was lost at the copy and then finds no room for another try may have run.
+func TestNoRoomForARetryIsUnknown(t *testing.T) {
+	var clock lentilclock.Fake
+	a := warmAdmitter(&clock)
+	a.Queue = 1
+	for id := range uint64(3) {
+		a.Arrive(Arrival{ID: id, Kind: lentilconfig.KindRepeatable, Deadline: clock.Now().Add(time.Hour)})
+	}
+	got := a.Lost(0, lentillimit.OutcomeFailed)
+	if diff := cmp.Diff([]ActionKind{ActionUnknown}, kinds(got)); diff != "" {
+		t.Errorf("actions (-want +got):\n%s", diff)
+	}
+}
+
+func TestStreamsAreBounded(t *testing.T) {
+	var clock lentilclock.Fake
+	a := warmAdmitter(&clock)
+	a.Connections = 2
+	var got []ActionKind
+	for i := range 3 {
+		got = append(got, kinds(a.Arrive(Arrival{ID: uint64(i), Kind: lentilconfig.KindStream}))...)
+	}
+	if diff := cmp.Diff([]ActionKind{ActionDispatch, ActionDispatch, ActionRefuse}, got); diff != "" {
+		t.Errorf("actions (-want +got):\n%s", diff)
+	}
+}
+
+func TestCallersTakeTurns(t *testing.T) {
+	var clock lentilclock.Fake
+	a := warmAdmitter(&clock)
+	deadline := clock.Now().Add(time.Minute)
+	for id := range uint64(7) {
+		a.Arrive(Arrival{ID: id, Caller: 1, Deadline: deadline})
+	}
+	a.Arrive(Arrival{ID: 100, Caller: 2, Deadline: deadline})
+	var order []uint64
+	for _, id := range []uint64{0, 1, 2, 100, 3} {
+		for _, next := range a.Finished(id, lentillimit.OutcomeDone) {
+			order = append(order, next.ID())
+		}
+	}
+	if diff := cmp.Diff([]uint64{2, 100, 3, 4, 5}, order); diff != "" {
+		t.Errorf("order (-want +got):\n%s", diff)
+	}
+}
+
+func TestCancelled(t *testing.T) {
+	var clock lentilclock.Fake
+	a := warmAdmitter(&clock)
+	deadline := clock.Now().Add(time.Second)
+	a.Arrive(Arrival{ID: 1, Kind: lentilconfig.KindOnce, Deadline: deadline})
+	a.Arrive(Arrival{ID: 2, Kind: lentilconfig.KindRepeatable, Deadline: deadline})
+	a.Arrive(Arrival{ID: 3, Kind: lentilconfig.KindOnce, Deadline: deadline})
+	got := [][]ActionKind{kinds(a.Cancelled(1)), kinds(a.Cancelled(2)), kinds(a.Cancelled(2)), kinds(a.Cancelled(3))}
+	want := [][]ActionKind{nil, {ActionAbort}, nil, nil}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("actions (-want +got):\n%s", diff)
+	}
+	if !a.Holds(1) || a.Holds(3) || a.Queued() != 0 {
+		t.Error("a run that may not be repeated must go on, what waits must leave")
+	}
+}
+
+// A run that may not be repeated is told as unknown at its deadline, and goes on for a while.
+func TestDeadlineOfARun(t *testing.T) {
+	var clock lentilclock.Fake
+	a := warmAdmitter(&clock)
+	for id, kind := range []lentilconfig.Kind{lentilconfig.KindOnce, lentilconfig.KindRepeatable} {
+		a.Arrive(Arrival{ID: uint64(id), Kind: kind, Deadline: clock.Now().Add(time.Second)})
+	}
+	clock.Advance(time.Second)
+	if diff := cmp.Diff([]ActionKind{ActionUnknown, ActionUnknown, ActionAbort}, kinds(a.Tick())); diff != "" {
+		t.Errorf("at the deadline (-want +got):\n%s", diff)
+	}
+	clock.Advance(OnceGrace)
+	if diff := cmp.Diff([]ActionKind{ActionAbort}, kinds(a.Tick())); diff != "" {
+		t.Errorf("after the grace (-want +got):\n%s", diff)
+	}
+}
+
+// What waits is refused as soon as the copy turns out slow, not at its deadline.
+func TestWaitingIsRefusedWhenTheCopyHangs(t *testing.T) {
+	var clock lentilclock.Fake
+	a := warmAdmitter(&clock)
+	for id := range uint64(6) {
+		a.Arrive(Arrival{ID: id, Kind: lentilconfig.KindOnce, Deadline: clock.Now().Add(3 * time.Minute)})
+	}
+	start := clock.Now()
+	for a.Queued() > 0 && clock.Now().Sub(start) < time.Minute {
+		clock.Advance(TickEvery)
+		a.Tick()
+	}
+	if waited := clock.Now().Sub(start); waited > 3*time.Second {
+		t.Errorf("refused after %s", waited)
+	}
+}
+
+func TestRefusedCallersComeBackSpread(t *testing.T) {
+	var clock lentilclock.Fake
+	a := warmAdmitter(&clock)
+	fraction := 0.0
+	a.Random = func() float64 { fraction += 0.37; return fraction - float64(int(fraction)) }
+	var times []time.Duration
+	for id := range uint64(200) {
+		for _, action := range a.Arrive(Arrival{ID: id, Kind: lentilconfig.KindOnce, Deadline: clock.Now().Add(time.Second)}) {
+			if action.Kind() == ActionRefuse {
+				times = append(times, action.RetryAfter().Truncate(time.Second))
+			}
+		}
+	}
+	slices.Sort(times)
+	most := 0
+	for _, t := range times {
+		first, _ := slices.BinarySearch(times, t)
+		next, _ := slices.BinarySearch(times, t+1)
+		most = max(most, next-first)
+	}
+	// The copy serves 20 a second.
+	if most > 25 {
+		t.Errorf("%d of %d callers come back in one second", most, len(times))
+	}
+}
--- /dev/null
+++ b/pkg/lentilhandoff/handoff_test.go
@@ -0,0 +1,159 @@
+package lentilhandoff
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"lentilstair.example/lentilstair/pkg/lentilclock"
+	"lentilstair.example/lentilstair/pkg/lentilid"
+	"lentilstair.example/lentilstair/pkg/lentilrecord"
+)
+
+const outDomain = lentilid.Domain(9)
+
+// peerDoc returns the record of a copy that bears two slots.
+func peerDoc(name string, load uint16) lentilrecord.Doc {
+	return lentilrecord.Doc{
+		Owner: lentilrecord.Owner{Copy: name, Incarnation: 1}, Version: 1, Service: 1, Domain: 1,
+		Tunnel: netip.MustParseAddrPort("10.0.0.1:1"), Phase: lentilrecord.Ready, Weight: 200, Load: load,
+	}
+}
+
+func newChooser(clock lentilclock.Clock, docs ...lentilrecord.Doc) *Chooser {
+	random := rand.New(rand.NewPCG(1, 1))
+	c := &Chooser{
+		Clock: clock, Random: random.Float64, Self: lentilrecord.Owner{Copy: "self", Incarnation: 1},
+		Out: func(d lentilid.Domain) bool { return d == outDomain },
+	}
+	for _, d := range docs {
+		c.Learn(lentilrecord.New(d))
+	}
+	return c
+}
+
+// full and idle are loads of the own copy.
+var (
+	full = Load{Busy: 200, Now: 200, Bears: 200}
+	idle = Load{Busy: 20, Now: 0, Bears: 200}
+)
+
+func TestUsable(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(d *lentilrecord.Doc)
+		age    time.Duration
+		want   bool
+	}{
+		{"idle", func(*lentilrecord.Doc) {}, 0, true},
+		{"warming", func(d *lentilrecord.Doc) { d.Phase = lentilrecord.Warming }, 0, true},
+		{"draining", func(d *lentilrecord.Doc) { d.Phase = lentilrecord.Draining }, 0, false},
+		{"gone", func(d *lentilrecord.Doc) { d.Phase = lentilrecord.Gone }, 0, false},
+		{"no phase", func(d *lentilrecord.Doc) { d.Phase = 0 }, 0, false},
+		{"taken out", func(d *lentilrecord.Doc) { d.Domain = outDomain }, 0, false},
+		{"bears nothing", func(d *lentilrecord.Doc) { d.Weight = 0 }, 0, false},
+		{"cold and full", func(d *lentilrecord.Doc) { d.Weight, d.Load = 20, 20 }, 0, false},
+		{"as full", func(d *lentilrecord.Doc) { d.Load = 200 }, 0, false},
+		{"old", func(*lentilrecord.Doc) {}, DefaultMaxAge + time.Second, false},
+		{"itself", func(d *lentilrecord.Doc) { d.Owner.Copy = "self" }, 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var clock lentilclock.Fake
+			d := peerDoc("peer", 20)
+			c.change(&d)
+			chooser := newChooser(&clock, d)
+			clock.Advance(c.age)
+			_, request := chooser.ForRequest(full)
+			_, packet := chooser.ForPacket(full, 0)
+			if diff := cmp.Diff([]bool{c.want, c.want}, []bool{request, packet}); diff != "" {
+				t.Errorf("request and packet (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestStays(t *testing.T) {
+	var clock lentilclock.Fake
+	c := newChooser(&clock, peerDoc("a", 100), peerDoc("b", 100))
+	if _, ok := c.ForPacket(full, MaxHops); ok {
+		t.Error("a first packet made more than the allowed hops")
+	}
+	if _, ok := c.ForRequest(idle); ok {
+		t.Error("an idle copy passed a request on")
+	}
+	if _, ok := c.ForPacket(Load{Busy: 102, Bears: 200}, 0); ok {
+		t.Error("a packet moved for a gain that is too small")
+	}
+	if _, ok := newChooser(&clock).ForRequest(full); ok {
+		t.Error("a chooser without peers chose one")
+	}
+}
+
+func TestLessLoadedOfTwo(t *testing.T) {
+	var clock lentilclock.Fake
+	c := newChooser(&clock, peerDoc("low", 0), peerDoc("high", 150))
+	for range 20 {
+		if p, ok := c.ForRequest(full); !ok || p.Owner().Copy != "low" {
+			t.Fatalf("chose %q", p.Owner().Copy)
+		}
+	}
+}
+
+// Hand-offs count before the peers' records show them, so that none is flooded.
+func TestNoHerd(t *testing.T) {
+	var clock lentilclock.Fake
+	c := newChooser(&clock, peerDoc("a", 0), peerDoc("b", 0), peerDoc("c", 0), peerDoc("d", 0))
+	got := make(map[string]int)
+	for range 100 {
+		p, ok := c.ForPacket(full, 0)
+		if !ok {
+			break
+		}
+		got[p.Owner().Copy]++
+		c.SentPacket(p.Owner())
+	}
+	for name, n := range got {
+		if n > 15 {
+			t.Errorf("%d packets to %s before it could say a word", n, name)
+		}
+	}
+}
+
+func TestRefusedRests(t *testing.T) {
+	var clock lentilclock.Fake
+	c := newChooser(&clock, peerDoc("a", 0))
+	c.Refused(peerDoc("a", 0).Owner)
+	if _, ok := c.ForRequest(full); ok {
+		t.Error("asked again at once")
+	}
+	clock.Advance(time.Second)
+	if _, ok := c.ForRequest(full); !ok {
+		t.Error("never asked again")
+	}
+}
+
+func TestNewerKnowledgeCounts(t *testing.T) {
+	var clock lentilclock.Fake
+	c := newChooser(&clock, peerDoc("a", 0))
+	c.Observe(peerDoc("a", 0).Owner, Load{Busy: 200, Now: 900, Bears: 200})
+	if _, ok := c.ForRequest(full); ok {
+		t.Error("went by the record, not by what the peer said since")
+	}
+	c.Learn(lentilrecord.New(peerDoc("a", 0)))
+	if _, ok := c.ForRequest(full); ok {
+		t.Error("went by a record that it had before")
+	}
+	restarted := peerDoc("a", 0)
+	restarted.Owner.Incarnation = 2
+	c.Learn(lentilrecord.New(restarted))
+	if p, ok := c.ForRequest(full); !ok || p.Owner().Incarnation != 2 {
+		t.Error("kept to the incarnation before")
+	}
+	c.Forget(restarted.Owner)
+	if _, ok := c.ForRequest(full); ok {
+		t.Error("chose a peer that is forgotten")
+	}
+}
--- a/pkg/lentillimit/machine.go
+++ b/pkg/lentillimit/machine.go
@@ -66,7 +66,8 @@
 	times     times
 	suspicion float64
 	normalAt  time.Time // last normal completion
-	fellAt    time.Time
+	fellAt    time.Time // what began before says nothing of the copy since
+	restsFrom time.Time
 	fullAt    time.Time // when all slots were reached, zero below
 	falls     int
 	allFalls  int
@@ -140,8 +141,14 @@
 	return min(max(l.times.deviation(d), leastDeviation), mostDeviation) - slack
 }
 
-// fall takes the copy as cold.
+// fall takes the copy as cold. At a copy that is at its start already nothing was gained that
+// could be lost: it only rests, and is learned from, since its times may have changed for good.
 func (l *Limiter) fall() {
+	l.restsFrom = l.at
+	l.suspicion = 0
+	if l.level <= l.start() && !l.fellAt.IsZero() {
+		return
+	}
 	switch {
 	case !l.fullAt.IsZero():
 		l.falls = 0
@@ -150,7 +157,7 @@
 	}
 	l.allFalls++
 	l.level = l.start()
-	l.resume, l.suspicion = 0, 0
+	l.resume = 0
 	l.fullAt, l.normalAt = time.Time{}, time.Time{}
 	l.fellAt = l.at
 	l.times.doubt()
@@ -293,8 +300,8 @@
 	}
 	wait := l.debt / (l.current() - inFlight)
 	at := l.at.Add(time.Duration(math.Ceil(wait * float64(time.Second))))
-	if rested := l.fellAt.Add(rest); l.resting(at) {
-		return rested
+	if l.resting(at) {
+		return l.restsFrom.Add(rest)
 	}
 	return at
 }
@@ -327,7 +334,7 @@
 
 // resting reports whether the copy still recovers from a fall at that time.
 func (l *Limiter) resting(now time.Time) bool {
-	return !l.fellAt.IsZero() && now.Before(l.fellAt.Add(rest))
+	return !l.restsFrom.IsZero() && now.Before(l.restsFrom.Add(rest))
 }
 
 func (l *Limiter) cold() bool { return max(l.current(), l.resume) < float64(l.slots()) }
--- a/pkg/lentilticket/book.go
+++ b/pkg/lentilticket/book.go
@@ -128,12 +128,12 @@
 	}
 	size := answer.size()
 	if size > l.maxAnswer() {
-		return e.settle(unknown)
+		return l.settle(e, unknown)
 	}
 	e.answer, e.size = answer, size
 	l.bytes += size
 	l.answered = append(l.answered, ticket.sequence)
-	waiters = e.settle(done)
+	waiters = l.settle(e, done)
 	l.trim()
 	return waiters
 }
@@ -144,7 +144,7 @@
 		return nil
 	}
 	e.peer = peer
-	return e.settle(delegated)
+	return l.settle(e, delegated)
 }
 
 func (l *Ledger) notBegun(ticket Ticket) (waiters []uint64) {
@@ -152,7 +152,7 @@
 	if e == nil || e.phase != running {
 		return nil
 	}
-	return e.settle(open)
+	return l.settle(e, open)
 }
 
 func (l *Ledger) lost(ticket Ticket) (waiters []uint64) {
@@ -160,7 +160,7 @@
 	if e == nil || e.phase != running {
 		return nil
 	}
-	return e.settle(unknown)
+	return l.settle(e, unknown)
 }
 
 func (l *Ledger) leave(ticket Ticket, waiter uint64) {
@@ -177,9 +177,11 @@
 	return l.entries[ticket.sequence]
 }
 
-func (e *entry) settle(next phase) (waiters []uint64) {
+// settle ends a run. An entry that was kept beyond the bound because it ran goes now.
+func (l *Ledger) settle(e *entry, next phase) (waiters []uint64) {
 	waiters, e.waiters = e.waiters, nil
 	e.phase = next
+	l.evict()
 	return waiters
 }
 
