Let the admitter alone decide what becomes of a call that failed

Cause: the admitter came to retry by itself (NotBegun, Lost) while the agent's shell kept its own retry, so a request that failed was dispatched twice in the admitter's books and once for real: a copy stood with 2 in flight and 32 queued after all callers had gone. And the own load that was passed to the chooser had no part that says what presses now, so that requests queued beside idle peers. Change: the shell reports finished, notBegun or lost and carries out one order after the other under one id; loads carry Pressing; a copy that surely didn't run a request may say so by Lentil-Outcome: notRun (the stand-in does when it sheds). Admitter.Resume takes a drain back.

--- a/internal/lentilagent/decider.go
+++ b/internal/lentilagent/decider.go
@@ -2,17 +2,14 @@
 
 import (
 	"sync/atomic"
-	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
 
 	"lentilstair.example/lentilstair/pkg/lentiladmit"
 	"lentilstair.example/lentilstair/pkg/lentilclock"
-	"lentilstair.example/lentilstair/pkg/lentilconfig"
 	"lentilstair.example/lentilstair/pkg/lentilhandoff"
 	"lentilstair.example/lentilstair/pkg/lentillimit"
 	"lentilstair.example/lentilstair/pkg/lentilrecord"
-	"lentilstair.example/lentilstair/pkg/lentilretry"
 	"lentilstair.example/lentilstair/pkg/lentilticket"
 )
 
@@ -20,6 +17,7 @@
 type figures struct {
 	weight   uint16
 	load     uint16
+	pressing uint16
 	bears    uint16
 	cold     bool
 	draining bool
@@ -35,11 +33,9 @@
 	ledger   lentilticket.Ledger
 	issuer   lentilticket.Issuer
 	chooser  lentilhandoff.Chooser
-	budget   lentilretry.Budget
 
 	exchanges map[uint64]*exchange
 	waiting   map[uint64]*exchange
-	draining  bool
 	shown     *atomic.Pointer[figures]
 }
 
@@ -76,21 +72,21 @@
 		d.present(m)
 	case finished:
 		d.perform(d.admitter.Finished(m.exchange.id, m.outcome))
-		d.leave(m.exchange, m.outcome == lentillimit.OutcomeDone)
+	case notBegun:
+		d.perform(d.admitter.NotBegun(m.exchange.id, m.outcome))
+		d.forgetUnrun(m.exchange)
+	case lost:
+		d.lose(m)
 	case settled:
 		d.settle(m)
 	case relayEnded:
 		d.relayed(m)
 	case cancelled:
 		d.cancel(m.exchange)
-	case retry:
-		d.retry(m)
 	case tick:
-		d.admitter.Limiter.Tick()
 		d.perform(d.admitter.Tick())
 	case drain:
-		d.draining = true
-		d.perform(d.admitter.Drain())
+		d.drain(m.begin)
 	case configured:
 		d.configure(m)
 	case peered:
@@ -100,6 +96,7 @@
 	default:
 		return
 	}
+	d.sweep(ctx.Message())
 	d.show()
 }
 
@@ -110,6 +107,7 @@
 		ID:       x.id,
 		Kind:     x.kind,
 		Deadline: x.deadline,
+		Caller:   x.caller,
 		Relayed:  x.relayed,
 		Bound:    x.fixed || !x.ticket.IsZero(),
 	}))
@@ -118,15 +116,14 @@
 // issue gives a ticket, or names a peer that had better give one: whoever gives
 // the ticket runs the request.
 func (d *decider) issue(x *exchange) {
-	if d.draining || !d.admitter.Limiter.Free() {
-		if peer, ok := d.peerFor(lentiladmit.Arrival{ID: x.id, Kind: x.kind, Relayed: x.relayed}); ok && !x.relayed {
-			d.chooser.SentRequest(peer.Owner(), d.admitter.Limiter.Expected())
-			x.reply(reply{order: orderRelay, peer: peer})
-			return
-		}
+	arrival := lentiladmit.Arrival{ID: x.id, Kind: x.kind, Caller: x.caller, Relayed: x.relayed}
+	if peer, ok := d.peerFor(arrival); ok {
+		d.sent(peer)
+		x.reply(reply{order: orderRelay, peer: peer})
+		return
 	}
-	if d.draining {
-		x.reply(reply{order: orderRefuse, reason: lentiladmit.ReasonDraining, retryAfter: time.Second})
+	if d.admitter.Draining() {
+		x.reply(reply{order: orderRefuse, reason: lentiladmit.ReasonDraining, retryAfter: lentiladmit.MinRetryAfter})
 		return
 	}
 	x.reply(reply{order: orderTicket, ticket: d.issuer.Issue()})
@@ -154,25 +151,24 @@
 	}
 }
 
-// settle closes a run under a ticket and tells everybody who waits for it.
+// settle stores the answer of a run under a ticket and gives it to all who wait for it.
 func (d *decider) settle(m settled) {
+	d.perform(d.admitter.Finished(m.exchange.id, m.outcome))
+	r := reply{order: orderReplay, answer: m.answer}
+	m.exchange.reply(r)
+	d.wake(d.ledger.Complete(m.exchange.ticket, m.answer), r)
+}
+
+// lose closes a call that may have been run and gave no answer.
+func (d *decider) lose(m lost) {
 	x := m.exchange
-	d.perform(d.admitter.Finished(x.id, m.outcome))
-	delete(d.exchanges, x.id)
-	switch m.ending {
-	case endingWhole:
-		r := reply{order: orderReplay, answer: m.answer}
-		x.reply(r)
-		d.wake(d.ledger.Complete(x.ticket, m.answer), r)
-	case endingNotBegun:
-		r := reply{order: orderRefuse, reason: lentiladmit.ReasonDraining, retryAfter: time.Second}
-		x.reply(r)
-		d.wake(d.ledger.NotBegun(x.ticket), r)
-	default:
-		r := reply{order: orderUnknown}
-		x.reply(r)
-		d.wake(d.ledger.Lost(x.ticket), r)
+	d.perform(d.admitter.Lost(x.id, m.outcome))
+	if x.ticket.IsZero() {
+		return
 	}
+	r := reply{order: orderUnknown}
+	x.reply(r)
+	d.wake(d.ledger.Lost(x.ticket), r)
 }
 
 // wake gives the same reply to all who wait for a run.
@@ -194,34 +190,62 @@
 		}
 		switch a.Kind() {
 		case lentiladmit.ActionDispatch:
-			x.run = true
 			x.reply(reply{order: orderRun})
 		case lentiladmit.ActionRelay:
-			d.chooser.SentRequest(a.Peer().Owner(), d.admitter.Limiter.Expected())
+			d.sent(a.Peer())
 			x.reply(reply{order: orderRelay, peer: a.Peer()})
 		case lentiladmit.ActionRefuse:
-			r := reply{order: orderRefuse, reason: a.Reason(), retryAfter: a.RetryAfter()}
-			x.reply(r)
-			d.notBegun(x, r)
+			d.refuse(x, reply{order: orderRefuse, reason: a.Reason(), retryAfter: a.RetryAfter()})
 		case lentiladmit.ActionUnknown:
 			x.reply(reply{order: orderUnknown})
-			if !x.run {
-				delete(d.exchanges, x.id)
-			}
 		case lentiladmit.ActionAbort:
 			x.stop()
 		}
 	}
 }
 
-// notBegun forgets a request that never reached the copy.
-func (d *decider) notBegun(x *exchange, r reply) {
+// sent notes that a request goes to a peer.
+func (d *decider) sent(peer lentilrecord.Record) {
+	d.chooser.SentRequest(peer.Owner(), d.admitter.Limiter.Expected())
+}
+
+// refuse answers a request that was surely not run, and all who wait for it.
+func (d *decider) refuse(x *exchange, r reply) {
 	delete(d.exchanges, x.id)
+	x.reply(r)
 	if !x.ticket.IsZero() {
 		d.wake(d.ledger.NotBegun(x.ticket), r)
 	}
 }
 
+// forgetUnrun closes a request that surely didn't run if the admitter has given it
+// up without a word, since its caller has gone.
+func (d *decider) forgetUnrun(x *exchange) {
+	if d.exchanges[x.id] != nil && !d.admitter.Holds(x.id) {
+		d.refuse(x, reply{order: orderRefuse, reason: lentiladmit.ReasonCopy, retryAfter: lentiladmit.MinRetryAfter})
+	}
+}
+
+// sweep forgets the exchange of a message if the admitter has.
+func (d *decider) sweep(message any) {
+	var x *exchange
+	switch m := message.(type) {
+	case finished:
+		x = m.exchange
+	case lost:
+		x = m.exchange
+	case settled:
+		x = m.exchange
+	case relayEnded:
+		x = m.exchange
+	default:
+		return
+	}
+	if !d.admitter.Holds(x.id) {
+		delete(d.exchanges, x.id)
+	}
+}
+
 // cancel takes a request back whose caller has gone. A run under a ticket goes on.
 func (d *decider) cancel(x *exchange) {
 	if d.waiting[x.id] != nil {
@@ -233,9 +257,7 @@
 		return
 	}
 	d.perform(d.admitter.Cancelled(x.id))
-	if !x.run {
-		d.notBegun(x, reply{order: orderRefuse, reason: lentiladmit.ReasonDeadline, retryAfter: time.Second})
-	}
+	d.forgetUnrun(x)
 }
 
 // relayed takes in how a relay ended.
@@ -246,30 +268,16 @@
 	if m.result == lentiladmit.RelayNotRun {
 		d.chooser.Refused(m.peer)
 	}
-	if d.exchanges[m.exchange.id] == nil {
-		return
-	}
 	d.perform(d.admitter.Relayed(m.exchange.id, m.result))
-	if m.result != lentiladmit.RelayNotRun {
-		delete(d.exchanges, m.exchange.id)
-	}
 }
 
-// leave forgets a request that the copy has answered or failed.
-func (d *decider) leave(x *exchange, succeeded bool) {
-	delete(d.exchanges, x.id)
-	if succeeded && x.kind == lentilconfig.KindRepeatable {
-		d.budget.Succeeded()
-	}
-}
-
-// retry answers whether one more attempt may be made, and takes it out of the budget.
-func (d *decider) retry(m retry) {
-	allowed := d.budget.Allows(m.kind, m.attempts, m.remaining, d.admitter.Limiter.Expected())
-	if allowed {
-		d.budget.Spend()
+// drain begins or ends a planned stop.
+func (d *decider) drain(begin bool) {
+	if !begin {
+		d.admitter.Resume()
+		return
 	}
-	m.allowed <- allowed
+	d.perform(d.admitter.Drain())
 }
 
 // configure puts the figures of the service in force.
@@ -299,8 +307,16 @@
 	if arrival.Relayed || arrival.Bound {
 		return lentilrecord.Record{}, false
 	}
-	own := lentilhandoff.Load{Busy: d.admitter.Load(), Bears: d.admitter.Limiter.Bears()}
-	return d.chooser.ForRequest(own)
+	return d.chooser.ForRequest(d.load())
+}
+
+// load returns the load of the own copy.
+func (d *decider) load() (load lentilhandoff.Load) {
+	load = lentilhandoff.Load{Busy: d.admitter.Load(), Now: d.admitter.Pressing(), Bears: d.admitter.Limiter.Bears()}
+	if d.admitter.Draining() {
+		load.Bears = 0
+	}
+	return load
 }
 
 // show publishes the figures.
@@ -308,9 +324,10 @@
 	d.shown.Store(&figures{
 		weight:   d.admitter.Limiter.Weight(),
 		load:     d.admitter.Load(),
+		pressing: d.admitter.Pressing(),
 		bears:    d.admitter.Limiter.Bears(),
 		cold:     d.admitter.Limiter.Cold(),
-		draining: d.draining,
+		draining: d.admitter.Draining(),
 		idle:     d.admitter.Idle() && len(d.exchanges) == 0 && len(d.waiting) == 0,
 		inFlight: d.admitter.InFlight(),
 		streams:  d.admitter.Streams(),
--- a/internal/lentilagent/handler.go
+++ b/internal/lentilagent/handler.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lentilstair.example/lentilstair/pkg/lentilconfig"
 	"lentilstair.example/lentilstair/pkg/lentilticket"
 )
@@ -57,6 +59,7 @@
 		kind:     kind,
 		deadline: in.deadline,
 		relayed:  relayed,
+		caller:   xxhash.Sum64String(in.request.RemoteAddr),
 		fixed:    in.streamed,
 		replies:  make(chan reply, repliesPerExchange),
 	}
@@ -68,38 +71,31 @@
 		refuseFor(w, http.StatusBadRequest, reasonBodyBroken)
 		return
 	}
-	for attempt := 1; ; attempt++ {
-		x := a.newExchange(in, kind, relayed)
-		a.tell(arrived{x})
-		if !a.attempt(w, in, x, attempt) {
-			return
-		}
-	}
+	x := a.newExchange(in, kind, relayed)
+	a.tell(arrived{x})
+	a.carry(w, in, x)
 }
 
-// attempt carries one attempt to its end. again is true if the request has to be
-// tried once more; nothing was written to w then.
-func (a *Agent) attempt(w http.ResponseWriter, in *input, x *exchange, number int) (again bool) {
+// carry does what the decider orders until the caller has an answer or is gone.
+func (a *Agent) carry(w http.ResponseWriter, in *input, x *exchange) {
 	ctx := in.request.Context()
-	for {
+	for done := false; !done; {
 		select {
 		case <-ctx.Done():
 			a.tell(cancelled{x})
-			return false
+			return
 		case r := <-x.replies:
 			switch r.order {
 			case orderRun:
-				return a.run(w, in, x, number)
+				done = a.run(w, in, x)
 			case orderRelay:
-				if a.relay(w, in, x, r.peer) {
-					return false
-				}
+				done = a.relay(w, in, x, r.peer)
 			case orderRefuse:
 				refuse(w, r.reason, r.retryAfter)
-				return false
+				return
 			default:
 				unknown(w, reasonTimedOut)
-				return false
+				return
 			}
 		}
 	}
@@ -149,7 +145,7 @@
 	a.tell(ticketless{x})
 	r := <-x.replies
 	if r.order == orderRelay {
-		if a.relay(w, in, x, r.peer) {
+		if a.relay(w, in, x, r.peer) || in.request.Context().Err() != nil {
 			return
 		}
 		// Nothing was run by asking the peer for a ticket; this agent gives one.
--- a/internal/lentilagent/keeper.go
+++ b/internal/lentilagent/keeper.go
@@ -80,7 +80,7 @@
 // handOff chooses a peer for a new flow. The caller holds the lock.
 func (f *flowKeeper) handOff(hops int) (peer lentilid.Place, ok bool) {
 	shown := f.agent.shown.Load()
-	own := lentilhandoff.Load{Busy: shown.load, Bears: shown.bears}
+	own := lentilhandoff.Load{Busy: shown.load, Now: shown.pressing, Bears: shown.bears}
 	if shown.draining {
 		own.Bears = 0
 	}
--- a/internal/lentilagent/message.go
+++ b/internal/lentilagent/message.go
@@ -38,18 +38,6 @@
 	orderMisused
 )
 
-// ending is what is known of a call under a ticket that has ended.
-type ending uint8
-
-const (
-	// endingLost calls may have been run and gave no whole answer.
-	endingLost ending = iota
-	// endingWhole calls gave a whole answer.
-	endingWhole
-	// endingNotBegun calls surely didn't reach the copy.
-	endingNotBegun
-)
-
 // reply is an order and what it needs.
 type reply struct {
 	order      order
@@ -70,13 +58,14 @@
 	kind     lentilconfig.Kind
 	deadline time.Time
 	relayed  bool
+	// caller tells callers apart.
+	caller uint64
 	// fixed requests can't be passed to a peer, since their body is read only once.
 	fixed   bool
 	replies chan reply
 
-	// Only the decider uses these.
+	// ticket is set by the decider alone.
 	ticket lentilticket.Ticket
-	run    bool
 
 	mu      sync.Mutex
 	abort   context.CancelFunc
@@ -124,16 +113,27 @@
 		ticket      lentilticket.Ticket
 		fingerprint lentilticket.Fingerprint
 	}
-	// finished tells how a call to the copy ended that needed no ticket.
+	// finished tells how a call to the copy ended of whose answer the caller got
+	// something, or which was aborted.
 	finished struct {
 		exchange *exchange
 		outcome  lentillimit.Outcome
 	}
-	// settled tells how a call under a ticket ended.
+	// notBegun tells that a call surely did not reach the copy, or that the copy
+	// surely did not run it.
+	notBegun struct {
+		exchange *exchange
+		outcome  lentillimit.Outcome
+	}
+	// lost tells that a call may have been run and that the caller got nothing of its answer.
+	lost struct {
+		exchange *exchange
+		outcome  lentillimit.Outcome
+	}
+	// settled gives the whole answer to a call under a ticket.
 	settled struct {
 		exchange *exchange
 		outcome  lentillimit.Outcome
-		ending   ending
 		answer   lentilticket.Answer
 	}
 	// relayEnded tells how a relay to a peer ended, and the peer's load if it said so.
@@ -146,17 +146,10 @@
 	}
 	// cancelled tells that the caller has gone.
 	cancelled struct{ exchange *exchange }
-	// retry asks whether a failed request may be tried again as another exchange.
-	retry struct {
-		kind      lentilconfig.Kind
-		attempts  int
-		remaining time.Duration
-		allowed   chan bool
-	}
 	// tick lets time pass.
 	tick struct{}
-	// drain begins a planned stop.
-	drain struct{}
+	// drain begins a planned stop, or ends it if operators change their mind.
+	drain struct{ begin bool }
 	// configured puts a service's figures in force.
 	configured struct {
 		slots       int
@@ -168,3 +161,10 @@
 	// cold tells that the copy has to be taken for cold.
 	cold struct{}
 )
+
+// wasAborted reports whether the decider has ended the call.
+func (x *exchange) wasAborted() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.aborted
+}
--- a/internal/lentilagent/refusal.go
+++ b/internal/lentilagent/refusal.go
@@ -12,7 +12,8 @@
 // Header names that the agent adds to answers and reads from requests.
 const (
 	// HeaderOutcome says in an answer that the agent itself gave what became of
-	// the request: OutcomeNotRun or OutcomeUnknown. Answers of the copy don't have it.
+	// the request: OutcomeNotRun or OutcomeUnknown. A copy that surely didn't run a
+	// request may say OutcomeNotRun; callers then see it from the agent, if at all.
 	HeaderOutcome = "Lentil-Outcome"
 	// HeaderTimeout is how many milliseconds the caller waits for the answer. The
 	// copy gets what is left of it.
@@ -57,6 +58,7 @@
 	lentiladmit.ReasonDeadline:    "deadline",
 	lentiladmit.ReasonConnections: "connections",
 	lentiladmit.ReasonDraining:    "draining",
+	lentiladmit.ReasonCopy:        reasonCopyDown,
 }
 
 // refuse answers that the request was not run and when to come back.
--- a/internal/lentilagent/relay.go
+++ b/internal/lentilagent/relay.go
@@ -20,15 +20,16 @@
 	relayPrefix = "/relay"
 	// headerRelayed carries the caller's address in a relayed request.
 	headerRelayed = "Lentil-Relayed"
-	// headerLoad and headerBears carry the peer's load in answers, in hundredths of a slot.
+	// headerLoad, headerNow and headerBears carry the peer's load in answers, in hundredths of a slot.
 	headerLoad  = "Lentil-Load"
+	headerNow   = "Lentil-Pressing"
 	headerBears = "Lentil-Bears"
 	// relayDialTimeout is how long a peer may take to accept a connection.
 	relayDialTimeout = time.Second
 )
 
-// relay passes a request that has not begun to a peer. done is false if the peer
-// surely didn't run it; the decider then decides anew.
+// relay passes a request that has not begun to a peer. done is false if the peer gave
+// no answer; the decider then says what to do.
 func (a *Agent) relay(w http.ResponseWriter, in *input, x *exchange, peer lentilrecord.Record) (done bool) {
 	response, sent, err := a.ask(in.request.Context(), in, peer.Control(), in.target)
 	ended := relayEnded{exchange: x, peer: peer.Owner(), result: lentiladmit.RelayAnswered}
@@ -38,10 +39,7 @@
 			ended.result = lentiladmit.RelayLost
 		}
 		a.tell(ended)
-		if sent {
-			unknown(w, reasonRelayFailed)
-		}
-		return sent
+		return false
 	}
 	defer func() { _ = response.Body.Close() }()
 	ended.load, ended.told = loadOf(response.Header)
@@ -108,11 +106,15 @@
 	if err != nil {
 		return lentilhandoff.Load{}, false
 	}
+	now, err := strconv.ParseUint(h.Get(headerNow), 10, 16)
+	if err != nil {
+		return lentilhandoff.Load{}, false
+	}
 	bears, err := strconv.ParseUint(h.Get(headerBears), 10, 16)
 	if err != nil {
 		return lentilhandoff.Load{}, false
 	}
-	return lentilhandoff.Load{Busy: uint16(busy), Bears: uint16(bears)}, true
+	return lentilhandoff.Load{Busy: uint16(busy), Now: uint16(now), Bears: uint16(bears)}, true
 }
 
 // serveRelayed serves requests that peer agents pass on. TLS has checked the peer.
@@ -125,6 +127,7 @@
 	r.URL.RawPath = strings.TrimPrefix(r.URL.RawPath, relayPrefix)
 	shown := a.shown.Load()
 	w.Header().Set(headerLoad, strconv.Itoa(int(shown.load)))
+	w.Header().Set(headerNow, strconv.Itoa(int(shown.pressing)))
 	w.Header().Set(headerBears, strconv.Itoa(int(shown.bears)))
 	a.serve(w, r, true)
 }
--- a/internal/lentilagent/request.go
+++ b/internal/lentilagent/request.go
@@ -121,7 +121,8 @@
 // reader returns the body for one attempt.
 func (in *input) reader() (body io.Reader) {
 	if in.streamed {
-		return in.request.Body
+		// The body is not closed with an attempt that sends nothing of it.
+		return io.NopCloser(in.request.Body)
 	}
 	if len(in.body) == 0 {
 		return http.NoBody
--- a/internal/lentilagent/stop.go
+++ b/internal/lentilagent/stop.go
@@ -30,13 +30,15 @@
 	_ = a.listen()
 }
 
-// setDraining begins to lead callers elsewhere. Streams go on.
+// setDraining begins to lead callers elsewhere, or ends it. Streams go on.
 func (a *Agent) setDraining(draining bool) {
-	if !draining || a.shown.Load().draining {
+	if a.leaving.Swap(draining) == draining {
 		return
 	}
-	a.tell(drain{})
-	a.leadAway()
+	a.tell(drain{begin: draining})
+	if draining {
+		a.leadAway()
+	}
 }
 
 // leadAway tells callers by GOAWAY to send new requests over new connections.
@@ -50,8 +52,7 @@
 // new work, and goes on until what is open has ended, or the drain limit or kill has.
 func (a *Agent) Run(ctx, kill context.Context) {
 	<-ctx.Done()
-	a.tell(drain{})
-	a.leadAway()
+	a.setDraining(true)
 	a.awaitIdle(kill)
 	a.Close()
 }
--- a/internal/lentilagent/upstream.go
+++ b/internal/lentilagent/upstream.go
@@ -30,6 +30,10 @@
 // deadline, so that a late answer is there if the caller asks again.
 const onceGrace = 30 * time.Second
 
+// errNotRun is the error about an answer in which the copy says that it did not run
+// the request. Any other answer to a request that may not be repeated is passed on as it is.
+var errNotRun = errors.New("the copy did not run the request")
+
 // errLongAnswer is the error about an answer longer than maxAnswer.
 var errLongAnswer = errors.New("the answer is too long")
 
@@ -55,13 +59,10 @@
 
 // outcomeOf returns what a call that failed says of the copy.
 func outcomeOf(ctx context.Context, x *exchange) (outcome lentillimit.Outcome) {
-	x.mu.Lock()
-	aborted := x.aborted
-	x.mu.Unlock()
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return lentillimit.OutcomeTimedOut
-	case aborted || ctx.Err() != nil:
+	case x.wasAborted() || ctx.Err() != nil:
 		return lentillimit.OutcomeCancelled
 	default:
 		return lentillimit.OutcomeFailed
@@ -97,25 +98,21 @@
 	return ctx, cancel
 }
 
-// run calls the copy and passes its answer on as it comes. again is true if the
-// call failed before anything was passed on and may be made once more.
-func (a *Agent) run(w http.ResponseWriter, in *input, x *exchange, number int) (again bool) {
+// run calls the copy and passes its answer on as it comes. done is false if nothing
+// was passed on; the decider then says what to do.
+func (a *Agent) run(w http.ResponseWriter, in *input, x *exchange) (done bool) {
 	ctx, cancel := a.callContext(in.request.Context(), in, x)
 	defer cancel()
 	response, sent, err := a.call(ctx, a.pool, in)
 	if err != nil {
-		outcome := outcomeOf(ctx, x)
-		a.tell(finished{x, outcome})
-		if outcome == lentillimit.OutcomeFailed && a.mayRetry(in, x, number) {
-			return true
-		}
-		a.fail(w, in, outcome, sent)
+		a.runFailed(in, x, outcomeOf(ctx, x), sent)
 		return false
 	}
 	defer func() { _ = response.Body.Close() }()
-	if sheds(response.StatusCode) && a.mayRetry(in, x, number) {
-		a.tell(finished{x, lentillimit.OutcomeShed})
-		return true
+	if !in.streamed && (sheds(response.StatusCode) || saysNotRun(response)) {
+		// A copy that sheds may be asked once more without harm, or a peer may.
+		a.tell(notBegun{x, lentillimit.OutcomeShed})
+		return false
 	}
 	if err = a.pass(w, response); err != nil {
 		a.tell(finished{x, outcomeOf(ctx, x)})
@@ -123,37 +120,26 @@
 		panic(http.ErrAbortHandler)
 	}
 	a.tell(finished{x, outcomeOfStatus(response.StatusCode)})
-	return false
+	return true
 }
 
-// fail answers a request that may be repeated and whose call gave no answer.
-func (a *Agent) fail(w http.ResponseWriter, in *input, outcome lentillimit.Outcome, sent bool) {
-	if in.request.Context().Err() != nil {
-		return
-	}
-	if !sent {
-		refuseFor(w, http.StatusServiceUnavailable, reasonCopyDown)
-		return
-	}
-	if outcome == lentillimit.OutcomeTimedOut {
-		unknown(w, reasonTimedOut)
-		return
+// runFailed tells the decider of a call that gave no answer.
+func (a *Agent) runFailed(in *input, x *exchange, outcome lentillimit.Outcome, sent bool) {
+	switch {
+	case !sent && outcome == lentillimit.OutcomeFailed:
+		a.tell(notBegun{x, outcome})
+	case in.streamed || x.wasAborted():
+		// A body that was streamed can't be sent again.
+		a.tell(finished{x, outcome})
+		x.reply(reply{order: orderUnknown})
+	default:
+		a.tell(lost{x, outcome})
 	}
-	unknown(w, reasonCopyFailed)
 }
 
-// mayRetry reports whether a request whose attempt failed may be tried again.
-func (a *Agent) mayRetry(in *input, x *exchange, attempts int) (allowed bool) {
-	if in.streamed || x.kind != lentilconfig.KindRepeatable {
-		return false
-	}
-	remaining := maxTimeout
-	if in.timed {
-		remaining = in.deadline.Sub(a.options.Clock.Now())
-	}
-	answer := make(chan bool, 1)
-	a.tell(retry{kind: x.kind, attempts: attempts, remaining: remaining, allowed: answer})
-	return <-answer
+// saysNotRun reports whether the copy itself says that it didn't run a request.
+func saysNotRun(response *http.Response) bool {
+	return response.Header.Get(HeaderOutcome) == OutcomeNotRun
 }
 
 // call sends one attempt to the copy. sent is false if surely nothing was sent.
@@ -225,12 +211,14 @@
 	defer cancel()
 	answer, sent, err := a.wholeAnswer(ctx, in)
 	switch {
+	case errors.Is(err, errNotRun):
+		a.tell(notBegun{x, lentillimit.OutcomeShed})
 	case err == nil:
-		a.tell(settled{exchange: x, outcome: outcomeOfStatus(answer.Status), ending: endingWhole, answer: answer})
+		a.tell(settled{exchange: x, outcome: outcomeOfStatus(answer.Status), answer: answer})
 	case sent:
-		a.tell(settled{exchange: x, outcome: outcomeOf(ctx, x), ending: endingLost})
+		a.tell(lost{x, outcomeOf(ctx, x)})
 	default:
-		a.tell(settled{exchange: x, outcome: outcomeOf(ctx, x), ending: endingNotBegun})
+		a.tell(notBegun{x, outcomeOf(ctx, x)})
 	}
 }
 
@@ -241,6 +229,9 @@
 		return lentilticket.Answer{}, sent, err
 	}
 	defer func() { _ = response.Body.Close() }()
+	if saysNotRun(response) {
+		return lentilticket.Answer{}, true, errNotRun
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
 	if err != nil {
 		return lentilticket.Answer{}, true, err
--- a/internal/lentilstand/upstream/copy.go
+++ b/internal/lentilstand/upstream/copy.go
@@ -196,7 +196,7 @@
 	began := time.Now()
 	took, status := c.begin()
 	if status != http.StatusOK {
-		http.Error(w, "the copy can't", status)
+		refuse(w, status)
 		return false
 	}
 	defer c.end(began)
@@ -214,6 +214,14 @@
 	}
 }
 
+// refuse answers a request that was not run; a copy that sheds says so.
+func refuse(w http.ResponseWriter, status int) {
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Lentil-Outcome", "notRun")
+	}
+	http.Error(w, "the copy can't", status)
+}
+
 func (c *Copy) hangs() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -243,7 +251,7 @@
 	began := time.Now()
 	took, status := c.begin()
 	if status != http.StatusOK {
-		http.Error(w, "the copy can't", status)
+		refuse(w, status)
 		return
 	}
 	defer c.end(began)
--- a/pkg/lentiladmit/admit.go
+++ b/pkg/lentiladmit/admit.go
@@ -188,6 +188,9 @@
 	return a.take()
 }
 
+// Resume ends a planned stop that operators have taken back.
+func (a *Admitter) Resume() { a.draining = false }
+
 // Wake returns when Tick is due; the zero time means not before another event.
 func (a *Admitter) Wake() time.Time {
 	if len(a.queue) == 0 && len(a.active) == 0 {
