Add the state machine that carries out a release note

Cause: a note has to get through whole or not at all while the platform is down, slow, loses answers or comes back with older data, and operators race.

Change: lentilapply.Run reads head and shards, closes the audit record of the note before, opens its own, writes content-named shards, moves the head by a conditional update, settles a lost answer by the marks in the head, verifies the shards, records the outcome and waits for the nodes. Replaced older data of the platform are put back from the nodes.

Not provable without a transaction: a cleanup whose list a platform forgets may remove a shard that the older head names; the next note mends it from the nodes.

--- /dev/null
+++ b/pkg/lentilapply/audit.go
@@ -0,0 +1,92 @@
+package lentilapply
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"lentilstair.example/lentilstair/pkg/lentilconfig"
+	"lentilstair.example/lentilstair/pkg/lentilerror"
+	"lentilstair.example/lentilstair/pkg/lentilnote"
+)
+
+// Bounds of the audit trail.
+const (
+	// AuditMax is how many records are kept; a cleanup removes the oldest beyond it.
+	AuditMax = 20_000
+	// auditChanges is how many changes a record spells out.
+	auditChanges = 50
+	// auditText bounds a text within a record in bytes.
+	auditText = 300
+)
+
+// The results of a record, as written.
+const (
+	// ResultPending: the note is being carried out, or its writer has ended. The head
+	// tells which, and the next note settles it.
+	ResultPending = "pending"
+	// ResultAccepted: the note made the record's version.
+	ResultAccepted = "accepted"
+	// ResultConflict: another note was accepted first.
+	ResultConflict = "conflict"
+	// ResultRefused: the note didn't fit.
+	ResultRefused = "refused"
+	// ResultNothing: there was nothing to change.
+	ResultNothing = "nothing"
+)
+
+// AuditDoc is the written form of an audit record: who changed what, when, by
+// which note, and what came of it.
+type AuditDoc struct {
+	NoteID  string `json:"noteId"`
+	Digest  string `json:"digest"`
+	Author  string `json:"author"`
+	Reason  string `json:"reason,omitempty"`
+	Result  string `json:"result"`
+	Version uint64 `json:"version,omitempty"`
+	// Started and Finished are by the clock of the operator's machine.
+	Started  time.Time `json:"started,omitzero"`
+	Finished time.Time `json:"finished,omitzero"`
+	// Changes are the first changes of the plan, for people.
+	Changes []string `json:"changes,omitempty"`
+	// ChangeCount is how many changes the plan has.
+	ChangeCount int    `json:"changeCount,omitempty"`
+	Error       string `json:"error,omitempty"`
+}
+
+// ParseAudit reads an audit record.
+func ParseAudit(body []byte) (doc AuditDoc, err error) {
+	defer lentilerror.Annotate(&err, "parse audit record")
+	err = json.Unmarshal(body, &doc)
+	return doc, err
+}
+
+// describe puts the first changes of a plan into the record.
+func (d *AuditDoc) describe(plan lentilnote.Plan) {
+	d.Changes = nil
+	d.ChangeCount = 0
+	for _, change := range plan.Changes() {
+		if change.Action() == lentilnote.ActionNone {
+			continue
+		}
+		d.ChangeCount++
+		if len(d.Changes) < auditChanges {
+			d.Changes = append(d.Changes, bounded(fmt.Sprintf("%s %s %s", change.Action(), change.Object(), change.Detail())))
+		}
+	}
+}
+
+// markAudit returns the record of a note of which only the mark is known.
+func markAudit(mark lentilconfig.MarkDoc) AuditDoc {
+	return AuditDoc{
+		NoteID: mark.NoteID, Digest: mark.Digest, Author: mark.Author,
+		Result: ResultAccepted, Version: mark.Version,
+	}
+}
+
+func bounded(text string) string {
+	if len(text) <= auditText {
+		return text
+	}
+	return text[:auditText] + "..."
+}
--- /dev/null
+++ b/pkg/lentilapply/run.go
@@ -0,0 +1,327 @@
+package lentilapply
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"lentilstair.example/lentilstair/pkg/lentilconfig"
+	"lentilstair.example/lentilstair/pkg/lentilnote"
+	"lentilstair.example/lentilstair/pkg/lentilplatform"
+)
+
+// Defaults of a Run.
+const (
+	// DefaultAccept bounds the time until the note is accepted.
+	DefaultAccept = 30 * time.Second
+	// DefaultSpread bounds the time until it is in force everywhere.
+	DefaultSpread = 30 * time.Second
+	// auditWithin bounds the time for the last audit record.
+	auditWithin = 5 * time.Second
+	// lookedSpread bounds the wait after the head was read once more.
+	lookedSpread = time.Second
+	// spreadEvery is the time between two questions to the nodes.
+	spreadEvery = 300 * time.Millisecond
+	// retryMin and retryMax bound the time between two attempts.
+	retryMin = 50 * time.Millisecond
+	retryMax = 2 * time.Second
+	// restartsMax bounds how often the platform's data may be found to have moved.
+	restartsMax = 50
+)
+
+// Step is where a run stands.
+type Step uint8
+
+// The steps, in the order in which a run without faults takes them.
+const (
+	// StepHead reads the head.
+	StepHead Step = iota
+	// StepNodes asks the nodes whether the platform holds older data than they do.
+	StepNodes
+	// StepDocument asks the nodes for the newer configuration.
+	StepDocument
+	// StepShards reads the shards that the head names.
+	StepShards
+	// StepLookup reads the note's audit record.
+	StepLookup
+	// StepPrevious reads the audit record of the note before, and
+	StepPrevious
+	// StepSettle completes it if its writer didn't.
+	StepSettle
+	// StepIntent writes the note's audit record as pending.
+	StepIntent
+	// StepWrite stores a new shard;
+	StepWrite
+	// StepTouch reads one that exists already, and
+	StepTouch
+	// StepTouched marks it as taken up, so that no removal under way takes it.
+	StepTouched
+	// StepMove moves the head.
+	StepMove
+	// StepVerify looks whether the shards of the new head are still there: the
+	// platform may have gone back to older data that holds the same head.
+	StepVerify
+	// StepResult reads the note's audit record again, and
+	StepResult
+	// StepRecord writes what came of the note.
+	StepRecord
+	// StepSpread waits until the nodes have the version in force.
+	StepSpread
+	// StepDone ends.
+	StepDone
+)
+
+// Run carries out one note. Set Note, then call Start; every other field may be
+// zero. A Run is used by one goroutine.
+type Run struct {
+	// Note is carried out.
+	Note lentilnote.Note
+	// Random returns a number from 0 up to 1, for jitter and for marks that must
+	// differ between runs; nil means 0.5 and is for a single writer.
+	Random func() float64
+	// AskNodes says that ActionNodes and ActionDocument can be answered.
+	AskNodes bool
+	// Accept and Spread bound the time; zero means DefaultAccept and DefaultSpread.
+	Accept time.Duration
+	Spread time.Duration
+
+	step     Step
+	report   Report
+	started  time.Time
+	deadline time.Time
+	wait     time.Duration
+	attempts int
+	restarts int
+
+	headObject lentilplatform.Object
+	headDoc    lentilconfig.HeadObjectDoc
+	seen       uint64
+	checked    bool
+	suspected  uint64
+	forked     bool
+	regressed  bool
+	recorded   bool
+	looked     bool
+	confirmed  bool
+	missingAt  string
+	verifying  bool
+	assembly   *lentilconfig.Assembly
+	known      map[lentilconfig.Digest][]byte
+	base       *lentilconfig.Document
+	current    lentilconfig.Document
+
+	auditObject    lentilplatform.Object
+	auditDoc       AuditDoc
+	previousObject lentilplatform.Object
+	previousDoc    AuditDoc
+
+	repairing  bool
+	target     lentilconfig.HeadDoc
+	whole      map[lentilconfig.Digest]lentilconfig.Shard
+	shards     []lentilconfig.Shard
+	touching   lentilplatform.Object
+	mark       string
+	opened     bool
+	inDoubt    bool
+	doubtAt    string
+	doubtAfter uint64
+}
+
+// Start begins the run.
+func (r *Run) Start(now time.Time) {
+	if r.Accept == 0 {
+		r.Accept = DefaultAccept
+	}
+	if r.Spread == 0 {
+		r.Spread = DefaultSpread
+	}
+	r.started = now
+	r.deadline = now.Add(r.Accept)
+	r.known = make(map[lentilconfig.Digest][]byte)
+}
+
+// Step returns where the run stands.
+func (r *Run) Step() Step { return r.step }
+
+// Report returns what came of the run, or how far it is.
+func (r *Run) Report() Report { return r.report }
+
+// Action returns what has to be done next.
+func (r *Run) Action() (action Action) {
+	if r.wait > 0 {
+		return Action{kind: ActionWait, wait: r.wait}
+	}
+	switch r.step {
+	case StepHead:
+		return get(lentilplatform.KindHead, lentilconfig.HeadName)
+	case StepNodes, StepSpread:
+		return Action{kind: ActionNodes}
+	case StepDocument:
+		return Action{kind: ActionDocument}
+	case StepShards:
+		return get(lentilplatform.KindShard, string(r.assembly.Missing()[0]))
+	case StepLookup, StepResult:
+		return get(lentilplatform.KindAudit, r.Note.ID())
+	case StepPrevious:
+		return get(lentilplatform.KindAudit, r.headDoc.NoteID)
+	case StepSettle:
+		return put(r.previousObject, r.previousDoc)
+	case StepIntent, StepRecord:
+		return put(r.auditObject, r.auditDoc)
+	case StepWrite:
+		return r.createShard()
+	case StepTouch:
+		return get(lentilplatform.KindShard, string(r.shards[0].Name()))
+	case StepTouched:
+		return r.touchShard()
+	case StepMove:
+		return r.moveHead()
+	case StepVerify:
+		return list(lentilplatform.KindShard)
+	default:
+		return Action{kind: ActionDone}
+	}
+}
+
+// Handle takes what came of the action that Action returned.
+func (r *Run) Handle(now time.Time, answer Answer) {
+	if r.wait > 0 {
+		r.wait = 0
+		return
+	}
+	if r.again(now, answer.Err) {
+		return
+	}
+	r.attempts = 0
+	switch r.step {
+	case StepHead:
+		r.handleHead(now, answer)
+	case StepNodes:
+		r.handleNodes(now, answer)
+	case StepDocument:
+		r.handleDocument(now, answer)
+	case StepShards:
+		r.handleShard(now, answer)
+	case StepLookup:
+		r.handleLookup(now, answer)
+	case StepPrevious:
+		r.handlePrevious(now, answer)
+	case StepSettle:
+		r.plan(now)
+	case StepIntent:
+		r.handleIntent(now, answer)
+	case StepWrite:
+		r.handleWrite(now, answer)
+	case StepTouch:
+		r.handleTouch(now, answer)
+	case StepTouched:
+		r.handleTouched(now, answer)
+	case StepMove:
+		r.handleMove(now, answer)
+	case StepVerify:
+		r.handleVerify(now, answer)
+	case StepResult:
+		r.handleResult(now, answer)
+	case StepRecord:
+		r.handleRecord(now, answer)
+	case StepSpread:
+		r.handleSpread(now, answer)
+	}
+}
+
+// again repeats the step after a pause if the platform couldn't be used, and
+// gives up when the time is over. A lost answer isn't its matter.
+func (r *Run) again(now time.Time, err error) (handled bool) {
+	unavailable := errors.Is(err, lentilplatform.ErrUnavailable) ||
+		errors.Is(err, lentilplatform.ErrLimited) ||
+		errors.Is(err, lentilplatform.ErrFaulty)
+	if !unavailable || r.step == StepNodes || r.step == StepDocument || r.step == StepSpread {
+		return false
+	}
+	if now.After(r.deadline) {
+		r.giveUp(now, err)
+		return true
+	}
+	r.pause(err)
+	return true
+}
+
+// pause lets time pass before the next attempt: twice as long each time, with
+// jitter, and never shorter than the platform asks.
+func (r *Run) pause(err error) {
+	r.attempts++
+	wait := min(retryMin<<min(r.attempts-1, 10), retryMax)
+	wait = wait/2 + time.Duration(r.random()*float64(wait/2))
+	var failure *lentilplatform.Error
+	if errors.As(err, &failure) {
+		wait = max(wait, failure.RetryAfter())
+	}
+	r.wait = max(wait, time.Millisecond)
+}
+
+func (r *Run) random() float64 {
+	if r.Random == nil {
+		return 0.5
+	}
+	return r.Random()
+}
+
+// giveUp ends a step whose time is over.
+func (r *Run) giveUp(now time.Time, err error) {
+	switch {
+	case r.report.outcome != OutcomeOpen:
+		r.remark("the audit record isn't complete: %v; the next note completes it", err)
+		r.spread(now)
+	case r.inDoubt:
+		r.end(OutcomeUnknown, err)
+	default:
+		r.end(OutcomeUnavailable, err)
+	}
+}
+
+// restart reads everything anew because the platform's data have moved.
+func (r *Run) restart(now time.Time, err error) {
+	r.restarts++
+	if now.After(r.deadline) || r.restarts > restartsMax {
+		r.giveUp(now, err)
+		return
+	}
+	r.step = StepHead
+	r.pause(nil)
+}
+
+// fail ends the run for an error of the platform that no repetition mends.
+func (r *Run) fail(err error) {
+	outcome := OutcomeUnavailable
+	if errors.Is(err, lentilplatform.ErrRefused) || errors.Is(err, lentilplatform.ErrTooLarge) || errors.Is(err, ErrDamaged) {
+		outcome = OutcomeRefused
+	}
+	r.end(outcome, err)
+}
+
+// end ends the run without a word to the platform. Nothing is said to be
+// unchanged while a write is in doubt.
+func (r *Run) end(outcome Outcome, err error) {
+	if r.inDoubt {
+		outcome = OutcomeUnknown
+	}
+	r.report.outcome = outcome
+	r.report.err = err
+	r.step = StepDone
+}
+
+// finish sets the outcome and goes on to record it.
+func (r *Run) finish(now time.Time, outcome Outcome, err error) {
+	r.report.outcome = outcome
+	r.report.err = err
+	r.deadline = now.Add(auditWithin)
+	r.step = StepResult
+}
+
+func (r *Run) remark(format string, args ...any) {
+	r.report.remarks = append(r.report.remarks, fmt.Sprintf(format, args...))
+}
+
+func get(kind lentilplatform.Kind, name string) Action {
+	return Action{kind: ActionGet, object: lentilplatform.NewObject(kind, name, nil)}
+}
--- /dev/null
+++ b/pkg/lentilapply/write.go
@@ -0,0 +1,386 @@
+package lentilapply
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"lentilstair.example/lentilstair/pkg/lentilconfig"
+	"lentilstair.example/lentilstair/pkg/lentilnote"
+	"lentilstair.example/lentilstair/pkg/lentilplatform"
+)
+
+// handleLookup ends the run if the note was accepted longer ago than the head
+// remembers; carrying it out again could undo newer notes.
+func (r *Run) handleLookup(now time.Time, answer Answer) {
+	r.auditObject = answer.Object
+	if errors.Is(answer.Err, lentilplatform.ErrNotFound) {
+		r.auditObject = lentilplatform.NewObject(lentilplatform.KindAudit, r.Note.ID(), nil)
+		r.auditDoc = AuditDoc{}
+		r.previous(now)
+		return
+	}
+	if answer.Err != nil {
+		r.fail(answer.Err)
+		return
+	}
+	doc, err := ParseAudit(answer.Object.Body())
+	if err != nil {
+		r.end(OutcomeRefused, fmt.Errorf("%w: %w", ErrDamaged, err))
+		return
+	}
+	r.auditDoc = doc
+	same := doc.Digest == r.Note.Digest()
+	switch {
+	case !same && (doc.Result == ResultAccepted || doc.Result == ResultPending):
+		r.end(OutcomeRefused, fmt.Errorf("%w: %s by %s", ErrReused, doc.Result, doc.Author))
+	case same && doc.Result == ResultAccepted && r.remembers(doc.Version):
+		r.report.version = doc.Version
+		r.report.outcome = OutcomeAlready
+		r.confirmed = true
+		r.spread(now)
+	default:
+		r.previous(now)
+	}
+}
+
+// remembers reports whether the head leaves open that a record is right that says
+// a note made the version. The head doesn't name the note, so that the version must
+// be older than all it names.
+func (r *Run) remembers(version uint64) bool {
+	recent := r.headDoc.Recent
+	return len(recent) > 0 && version < recent[0].Version
+}
+
+// previous looks after the record of the note before, so that a writer that ended
+// too early leaves none open: each note closes the one before.
+func (r *Run) previous(now time.Time) {
+	if r.headDoc.NoteID == "" || len(r.headDoc.Recent) == 0 {
+		r.plan(now)
+		return
+	}
+	r.step = StepPrevious
+}
+
+func (r *Run) handlePrevious(now time.Time, answer Answer) {
+	mark := r.headDoc.Recent[len(r.headDoc.Recent)-1]
+	r.previousObject = answer.Object
+	r.previousDoc = markAudit(mark)
+	if errors.Is(answer.Err, lentilplatform.ErrNotFound) {
+		r.previousObject = lentilplatform.NewObject(lentilplatform.KindAudit, mark.NoteID, nil)
+		r.step = StepSettle
+		return
+	}
+	doc, err := ParseAudit(answer.Object.Body())
+	if answer.Err != nil || err != nil || doc.Result == ResultAccepted || doc.Digest != mark.Digest {
+		r.plan(now)
+		return
+	}
+	r.previousDoc = doc
+	r.previousDoc.Result = ResultAccepted
+	r.previousDoc.Version = mark.Version
+	r.previousDoc.Error = ""
+	r.step = StepSettle
+}
+
+// plan works out the next configuration, the first time on what was read, later
+// only if what came between leaves the note's objects alone.
+func (r *Run) plan(now time.Time) {
+	var plan lentilnote.Plan
+	var err error
+	if r.base == nil {
+		plan, err = r.Note.Plan(r.current)
+	} else {
+		plan, err = r.Note.Replan(*r.base, r.current)
+	}
+	var conflict *lentilnote.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		r.finish(now, OutcomeConflict, err)
+		return
+	case err != nil && r.opened:
+		r.finish(now, OutcomeRefused, err)
+		return
+	case err != nil:
+		r.end(OutcomeRefused, err)
+		return
+	case plan.Empty():
+		r.report.plan = plan
+		r.report.version = r.current.Version
+		r.finishQuietly(now)
+		return
+	}
+	r.report.plan = plan
+	base := r.current
+	r.base = &base
+	r.target, r.shards = r.split(plan.Next(), r.named)
+	if !r.opened {
+		r.intent(now)
+		return
+	}
+	r.writeNext(now)
+}
+
+// finishQuietly ends a run that has nothing to change. Nothing is recorded unless
+// the note's record was opened.
+func (r *Run) finishQuietly(now time.Time) {
+	if r.opened {
+		r.finish(now, OutcomeNothing, nil)
+		return
+	}
+	r.report.outcome = OutcomeNothing
+	r.spread(now)
+}
+
+// named reports whether the platform's head names the shard.
+func (r *Run) named(name lentilconfig.Digest) bool { return slices.Contains(r.headDoc.Shards, name) }
+
+// split returns the head and those shards that aren't held.
+func (r *Run) split(document lentilconfig.Document, held func(lentilconfig.Digest) bool) (head lentilconfig.HeadDoc, shards []lentilconfig.Shard) {
+	head, all, err := lentilconfig.Split(document)
+	if err != nil {
+		// A checked document can be written.
+		r.end(OutcomeRefused, err)
+		return head, nil
+	}
+	wanted := make(map[lentilconfig.Digest]bool)
+	r.whole = make(map[lentilconfig.Digest]lentilconfig.Shard)
+	for _, shard := range all {
+		if !wanted[shard.Name()] && !held(shard.Name()) {
+			shards = append(shards, shard)
+		}
+		wanted[shard.Name()] = true
+		r.whole[shard.Name()] = shard
+	}
+	return head, shards
+}
+
+// intent opens the note's record before anything is changed.
+func (r *Run) intent(now time.Time) {
+	if r.auditDoc.Result == ResultPending && r.auditDoc.Digest == r.Note.Digest() {
+		r.opened = true
+		r.writeNext(now)
+		return
+	}
+	r.auditDoc = AuditDoc{
+		NoteID: r.Note.ID(), Digest: r.Note.Digest(), Author: r.Note.Author(), Reason: r.Note.Reason(),
+		Result: ResultPending, Started: r.started.UTC(),
+	}
+	r.auditDoc.describe(r.report.plan)
+	r.step = StepIntent
+}
+
+func (r *Run) handleIntent(now time.Time, answer Answer) {
+	if answer.Err == nil {
+		r.auditObject = answer.Object
+		r.opened = true
+		r.writeNext(now)
+		return
+	}
+	// Someone else wrote the record, or this write's answer was lost: look again.
+	r.restart(now, answer.Err)
+}
+
+// writeNext goes on to the next shard, or to the head after the last one.
+func (r *Run) writeNext(now time.Time) {
+	switch {
+	case r.step == StepDone:
+	case len(r.shards) > 0:
+		r.stamp()
+		r.step = StepWrite
+	case r.verifying:
+		r.step = StepVerify
+	default:
+		r.step = StepMove
+	}
+	if r.step != StepDone && now.After(r.deadline) {
+		r.giveUp(now, lentilplatform.ErrUnavailable)
+	}
+}
+
+// stamp draws the mark that tells this writer's touch of a shard from all others.
+func (r *Run) stamp() {
+	r.mark = fmt.Sprintf("%s/%d/%08x", r.Note.ID(), r.restarts, uint32(r.random()*(1<<32-1)))
+}
+
+func (r *Run) createShard() Action {
+	shard := r.shards[0]
+	body, err := shard.ObjectBody(r.mark)
+	if err != nil {
+		// The shard was written by this process and can be read.
+		return Action{kind: ActionDone}
+	}
+	return Action{kind: ActionCreate, object: lentilplatform.NewObject(lentilplatform.KindShard, string(shard.Name()), body)}
+}
+
+func (r *Run) handleWrite(now time.Time, answer Answer) {
+	switch {
+	case answer.Err == nil:
+		r.shardWritten(now)
+	case errors.Is(answer.Err, lentilplatform.ErrExists):
+		r.step = StepTouch
+	case errors.Is(answer.Err, lentilplatform.ErrOutcomeUnknown):
+		// Writing it again does no harm.
+		r.repeat(now, answer.Err)
+	default:
+		r.fail(answer.Err)
+	}
+}
+
+// repeat makes the step's action again after a pause.
+func (r *Run) repeat(now time.Time, err error) {
+	if now.After(r.deadline) {
+		r.giveUp(now, err)
+		return
+	}
+	r.pause(err)
+}
+
+func (r *Run) handleTouch(now time.Time, answer Answer) {
+	switch {
+	case answer.Err == nil:
+		r.touching = answer.Object
+		r.stamp()
+		r.step = StepTouched
+	case errors.Is(answer.Err, lentilplatform.ErrNotFound):
+		r.step = StepWrite
+		r.repeat(now, answer.Err)
+	default:
+		r.fail(answer.Err)
+	}
+}
+
+func (r *Run) touchShard() Action {
+	body, err := r.shards[0].ObjectBody(r.mark)
+	if err != nil {
+		return Action{kind: ActionDone}
+	}
+	return Action{kind: ActionUpdate, object: r.touching.WithBody(body)}
+}
+
+func (r *Run) handleTouched(now time.Time, answer Answer) {
+	if answer.Err == nil {
+		r.shardWritten(now)
+		return
+	}
+	// Another writer touched it, a removal took it, or the answer is lost.
+	r.step = StepWrite
+	r.repeat(now, answer.Err)
+}
+
+func (r *Run) shardWritten(now time.Time) {
+	r.known[r.shards[0].Name()] = r.shards[0].Body()
+	r.shards = r.shards[1:]
+	r.writeNext(now)
+}
+
+// moveHead replaces the head that was read. Whoever read an older one fails.
+func (r *Run) moveHead() Action {
+	body, err := json.Marshal(lentilconfig.HeadObjectDoc{HeadDoc: r.target, Cleaned: r.headDoc.Cleaned})
+	if err != nil {
+		return Action{kind: ActionDone}
+	}
+	return write(r.headObject.WithBody(body))
+}
+
+func (r *Run) handleMove(now time.Time, answer Answer) {
+	switch err := answer.Err; {
+	case err == nil && r.repairing:
+		r.repairing = false
+		r.forked = false
+		r.restart(now, ErrOlderPlatform)
+	case err == nil:
+		r.inDoubt = false
+		r.report.version = r.target.Version
+		r.report.outcome = OutcomeAccepted
+		r.verifying = true
+		r.deadline = now.Add(auditWithin)
+		r.step = StepVerify
+	case errors.Is(err, lentilplatform.ErrConflict), errors.Is(err, lentilplatform.ErrExists), errors.Is(err, lentilplatform.ErrNotFound):
+		if r.repairing {
+			r.repairing = false
+			r.forked = false
+			r.checked = false
+		}
+		r.restart(now, err)
+	case errors.Is(err, lentilplatform.ErrOutcomeUnknown):
+		r.doubt()
+		r.restart(now, err)
+	default:
+		r.fail(err)
+	}
+}
+
+// handleVerify stores the shards anew that have gone, with the nodes' help if this
+// run hasn't them.
+func (r *Run) handleVerify(now time.Time, answer Answer) {
+	if answer.Err != nil {
+		r.repeat(now, answer.Err)
+		return
+	}
+	there := make(map[lentilconfig.Digest]bool, len(answer.Objects))
+	for _, object := range answer.Objects {
+		there[lentilconfig.Digest(object.Name())] = true
+	}
+	lacking := 0
+	r.shards = nil
+	for _, name := range r.target.Shards {
+		if there[name] {
+			continue
+		}
+		there[name] = true
+		if shard, held := r.whole[name]; held {
+			r.shards = append(r.shards, shard)
+		} else {
+			lacking++
+		}
+	}
+	switch {
+	case lacking > 0 && r.AskNodes:
+		r.verifying = false
+		r.forked = true
+		r.step = StepDocument
+	case lacking > 0:
+		r.remark("the platform lacks %d shards of version %d; the next note with a node to ask puts them back", lacking, r.target.Version)
+		r.finish(now, r.report.outcome, nil)
+	case len(r.shards) == 0:
+		r.finish(now, r.report.outcome, nil)
+	default:
+		r.verifying = true
+		r.writeNext(now)
+	}
+}
+
+// doubt remembers a write of the head that may still take effect. A repair that
+// may takes nothing back and need not be remembered.
+func (r *Run) doubt() {
+	if r.repairing {
+		r.repairing = false
+		r.forked = false
+		r.checked = false
+		return
+	}
+	if !r.inDoubt {
+		r.inDoubt = true
+		r.doubtAt = r.headObject.Version()
+		r.doubtAfter = r.headDoc.Version
+	}
+}
+
+func put(object lentilplatform.Object, doc AuditDoc) Action {
+	body, err := json.Marshal(doc)
+	if err != nil {
+		return Action{kind: ActionDone}
+	}
+	return write(object.WithBody(body))
+}
+
+// write creates an object that hasn't been stored yet, or replaces it.
+func write(object lentilplatform.Object) Action {
+	if object.Version() == "" {
+		return Action{kind: ActionCreate, object: object}
+	}
+	return Action{kind: ActionUpdate, object: object}
+}
--- a/pkg/lentilplatform/object.go
+++ b/pkg/lentilplatform/object.go
@@ -192,3 +192,8 @@
 	}
 	return object
 }
+
+// StoredObject returns an object as a platform holds it, for stand-ins and tests.
+func StoredObject(kind Kind, name, version string, body json.RawMessage) Object {
+	return Object{kind: kind, name: name, version: version, body: body}
+}
