--- a/pkg/lentilroute/router.go
+++ b/pkg/lentilroute/router.go
@@ -188,6 +188,16 @@
 	return nil
 }
 
+// Stale returns the services whose tables are stale.
+func (r *Router) Stale(now time.Time) (services []lentilid.Service) {
+	for service, e := range r.services {
+		if e.table.Stale(now) {
+			services = append(services, service)
+		}
+	}
+	return services
+}
+
 // Builder makes a Router from an earlier one. The zero Builder starts from the
 // zero Router.
 type Builder struct {
--- a/pkg/lentilroute/table.go
+++ b/pkg/lentilroute/table.go
@@ -74,6 +74,12 @@
 // Settled reports whether the members have not changed for the window of the last Change.
 func (t *Table) Settled(now time.Time) bool { return !now.Before(t.settles) }
 
+// Stale reports whether the table holds former owners whose time is over, which
+// Next would forget.
+func (t *Table) Stale(now time.Time) bool {
+	return t.past != nil && len(t.past.bySize) > 0 && t.Settled(now)
+}
+
 // normalize returns the members with a weight, by place.
 func normalize(members []Member) (sorted []Member) {
 	for _, m := range members {
--- a/pkg/lentilview/view.go
+++ b/pkg/lentilview/view.go
@@ -51,8 +51,15 @@
 	dirty         map[lentilid.Service]bool
 	ended         map[lentilid.Service]map[lentilid.Place]time.Time
 	router        *lentilroute.Router
+	// sealer is the one that router has.
+	sealer *lentilid.Sealer
+	// pruned is when former owners were last looked through.
+	pruned time.Time
 }
 
+// pruneEvery is how often former owners whose time is over are forgotten.
+const pruneEvery = time.Minute
+
 // Configure takes an accepted configuration. One that is not newer than the
 // present one changes nothing.
 func (v *View) Configure(configuration lentilconfig.Configuration) {
@@ -107,9 +114,11 @@
 // Router returns the router for what the view believes now. It rebuilds the
 // services that have changed since the last call and shares all others.
 func (v *View) Router() *lentilroute.Router {
-	if v.router != nil && len(v.dirty) == 0 && v.router.Sealer() == v.Sealer {
+	v.prune()
+	if v.router != nil && len(v.dirty) == 0 && v.sealer == v.Sealer {
 		return v.router
 	}
+	v.sealer = v.Sealer
 	builder := lentilroute.From(v.router)
 	builder.SetSealer(v.Sealer)
 	for domain := range 1 << 8 {
@@ -124,6 +133,18 @@
 	return v.router
 }
 
+// prune marks the services that hold former owners whose time is over.
+func (v *View) prune() {
+	now := v.now()
+	if v.router == nil || now.Sub(v.pruned) < pruneEvery {
+		return
+	}
+	v.pruned = now
+	for _, service := range v.router.Stale(now) {
+		v.dirty[service] = true
+	}
+}
+
 // Version returns the version of the configuration in force at this node.
 func (v *View) Version() uint64 { return v.configuration.Version() }
 
