Watch a failure domain that is out for a second after its 3 s

Cause: the demo's check of packets into the failure domain looked at no time at all in its short form, so that it could not fail. Change: counts are read 3.5 s after the command began (counts show up to 0.5 s late) and again at least 1 s later, before the domain is brought back.

--- a/internal/lentildemo/change.go
+++ b/internal/lentildemo/change.go
@@ -19,6 +19,16 @@
 	leaveTime = 3 * time.Second
 )
 
+const (
+	// quietTime is how long after the acceptance packets may still reach a failure
+	// domain that was taken out.
+	quietTime = 3 * time.Second
+	// countLag is how late agents show their counts, at most.
+	countLag = 500 * time.Millisecond
+	// leastWatch is for how long the failure domain is watched after the quiet time.
+	leastWatch = time.Second
+)
+
 // timed carries out a change and notes how long it took until it was in force.
 func (d *demo) timed(name string, do func() error) (err error) {
 	at := time.Since(d.began)
@@ -95,21 +105,26 @@
 	return nil
 }
 
-// takeOut takes a failure domain out and counts the packets that reach it after
-// the quiet time.
+// takeOut takes a failure domain out and counts the packets that have reached it
+// by the end of the quiet time.
 func (d *demo) takeOut(ctx context.Context) (err error) {
+	began := time.Now()
 	if err = d.timed(outDomain+" taken out", func() error { return d.site.ApplyDirectly(ctx, outNote(true)) }); err != nil {
 		return err
 	}
-	if err = lentillab.Pause(ctx, d.times.quiet); err != nil {
+	if err = lentillab.Pause(ctx, time.Until(began.Add(quietTime+countLag))); err != nil {
 		return err
 	}
 	d.late, err = d.site.PacketsInto(ctx, outDomain)
+	d.lateFrom = time.Now()
 	return err
 }
 
 // bringBack brings the failure domain back.
 func (d *demo) bringBack(ctx context.Context) (err error) {
+	if err = lentillab.Pause(ctx, time.Until(d.lateFrom.Add(leastWatch))); err != nil {
+		return err
+	}
 	after, err := d.site.PacketsInto(ctx, outDomain)
 	if err != nil {
 		return err
--- a/internal/lentildemo/demo.go
+++ b/internal/lentildemo/demo.go
@@ -32,20 +32,18 @@
 	replaced int
 	stop     time.Duration
 	out      time.Duration
-	// quiet is how long after the acceptance packets may still reach the domain.
-	quiet time.Duration
-	back  time.Duration
-	end   time.Duration
+	back     time.Duration
+	end      time.Duration
 }
 
 var (
 	fullTimes = timetable{
-		replace: 2 * time.Second, replaced: 2, stop: 7 * time.Second, out: 10 * time.Second, quiet: 3 * time.Second,
+		replace: 2 * time.Second, replaced: 2, stop: 7 * time.Second, out: 10 * time.Second,
 		back: 15 * time.Second, end: 20 * time.Second,
 	}
 	shortTimes = timetable{
-		replace: 500 * time.Millisecond, replaced: 1, stop: time.Second, out: 1500 * time.Millisecond, quiet: 3 * time.Second,
-		back: 6 * time.Second, end: 8 * time.Second,
+		replace: 500 * time.Millisecond, replaced: 1, stop: time.Second, out: 1500 * time.Millisecond,
+		back: 6 * time.Second, end: 8500 * time.Millisecond,
 	}
 )
 
@@ -97,7 +95,8 @@
 	mu      sync.Mutex
 	leaving []*leaver
 	// late is how many packets reached the domain that was out, after the quiet time.
-	late uint64
+	late     uint64
+	lateFrom time.Time
 }
 
 // leaver is a withdrawn copy and the work that it had done some time afterwards.
