A stop that ends by an error counts as a failure of its process

Cause: a balancer that panicked after SIGTERM left 'processes that ended by an error' at 0, since it had been asked to end. Change: only killing on purpose excuses an error. Conclusion: a graceful stop has to end well.

--- a/internal/lentillab/lab_test.go
+++ b/internal/lentillab/lab_test.go
@@ -14,7 +14,7 @@
 func programs(t *testing.T) (directory string) {
 	t.Helper()
 	directory = t.TempDir()
-	script := "#!/bin/sh\ncase $1 in\nprint) echo out; echo err >&2;;\nfail) echo why >&2; exit 3;;\nhang) trap '' TERM; while :; do sleep 0.05; done;;\nesac\n"
+	script := "#!/bin/sh\ncase $1 in\nprint) echo out; echo err >&2;;\nfail) echo why >&2; exit 3;;\nbadstop) trap 'exit 4' TERM; echo up >&2; while :; do sleep 0.05; done;;\nhang) trap '' TERM; while :; do sleep 0.05; done;;\nesac\n"
 	for _, name := range []string{"lentilstair", "lentilstand"} {
 		if err := os.WriteFile(directory+"/"+name, []byte(script), 0o700); err != nil {
 			t.Fatal(err)
@@ -56,6 +56,25 @@
 	}
 }
 
+// TestFailedStop stops a process that ends by an error then.
+func TestFailedStop(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	lab := newLab(t)
+	stops, err := lab.Stand("stops", "badstop")
+	if err != nil {
+		t.Fatal(err)
+	}
+	err = Poll(ctx, func() (bool, error) { return stops.Log() == "up\n", nil })
+	if err != nil {
+		t.Fatal(err)
+	}
+	stops.Stop()
+	if err = stops.Wait(ctx); err != nil || len(lab.Failed()) != 1 {
+		t.Errorf("%v, failed: %q", err, lab.Failed())
+	}
+}
+
 // TestCloseLeavesNothing closes a lab whose process ignores SIGTERM.
 func TestCloseLeavesNothing(t *testing.T) {
 	lab := newLab(t)
--- a/internal/lentillab/process.go
+++ b/internal/lentillab/process.go
@@ -29,7 +29,7 @@
 	ended   chan struct{}
 
 	mu      sync.Mutex
-	asked   bool
+	killed  bool
 	outcome error
 }
 
@@ -63,7 +63,7 @@
 // Signal sends a signal to the process if it still runs.
 func (p *Process) Signal(signal os.Signal) {
 	p.mu.Lock()
-	p.asked = true
+	p.killed = p.killed || signal == syscall.SIGKILL
 	p.mu.Unlock()
 	select {
 	case <-p.ended:
@@ -106,8 +106,8 @@
 	return p.out.Bytes(), nil
 }
 
-// Failure returns the error by which the process ended though nobody asked it to
-// end, or nil.
+// Failure returns the error by which the process ended, or nil if it runs, has
+// ended well, or was killed on purpose. A stop that was asked for has to end well.
 func (p *Process) Failure() error {
 	select {
 	case <-p.ended:
@@ -116,7 +116,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.asked {
+	if p.killed {
 		return nil
 	}
 	return p.outcome
