Measure imbalance and overload on whole sites of real processes

Cause: imbalance, overload and cold copies were measured in one process only; nothing showed what a whole site does. Change: the experiment site runs both users' sites at 70, 95 and 130 % of what the copies bear, with one slow copy and one that turns cold, beside the same site with the new setting handOff off. Before and after: nothing to compare with.

--- a/internal/lentilagent/agent.go
+++ b/internal/lentilagent/agent.go
@@ -53,6 +53,8 @@
 	Ring lentilkey.Ring
 	// DrainLimit is how long a planned stop waits for open streams.
 	DrainLimit time.Duration
+	// KeepPlaced turns hand-off to peers with more room off.
+	KeepPlaced bool
 	// Warm is the least time from cold to all slots; zero is lentillimit's default.
 	Warm  time.Duration
 	Clock lentilclock.Clock
--- a/internal/lentilagent/decider.go
+++ b/internal/lentilagent/decider.go
@@ -36,7 +36,9 @@
 
 	exchanges map[uint64]*exchange
 	waiting   map[uint64]*exchange
-	shown     *atomic.Pointer[figures]
+	// keepPlaced is true if requests aren't relayed to peers with more room.
+	keepPlaced bool
+	shown      *atomic.Pointer[figures]
 }
 
 // newDecider returns the decider of an agent.
@@ -47,6 +49,8 @@
 		exchanges: make(map[uint64]*exchange),
 		waiting:   make(map[uint64]*exchange),
 		shown:     shown,
+
+		keepPlaced: o.KeepPlaced,
 	}
 	d.chooser = lentilhandoff.Chooser{Clock: o.Clock, Random: o.Random, Self: lentilrecord.Owner{Copy: o.Copy, Incarnation: o.Incarnation}}
 	d.admitter = newAdmitter(o.Clock, o.Random)
@@ -304,7 +308,7 @@
 
 // peerFor chooses a peer for a request that has not begun.
 func (d *decider) peerFor(arrival lentiladmit.Arrival) (peer lentilrecord.Record, ok bool) {
-	if arrival.Relayed || arrival.Bound {
+	if arrival.Relayed || arrival.Bound || d.keepPlaced && !d.admitter.Draining() {
 		return lentilrecord.Record{}, false
 	}
 	return d.chooser.ForRequest(d.load())
--- a/internal/lentilagent/keeper.go
+++ b/internal/lentilagent/keeper.go
@@ -80,6 +80,9 @@
 // handOff chooses a peer for a new flow. The caller holds the lock.
 func (f *flowKeeper) handOff(hops int) (peer lentilid.Place, ok bool) {
 	shown := f.agent.shown.Load()
+	if f.agent.options.KeepPlaced && !shown.draining {
+		return lentilid.Place{}, false
+	}
 	own := lentilhandoff.Load{Busy: shown.load, Now: shown.pressing, Bears: shown.bears}
 	if shown.draining {
 		own.Bears = 0
--- a/internal/lentilcommand/lentilagentcommand/role.go
+++ b/internal/lentilcommand/lentilagentcommand/role.go
@@ -140,6 +140,7 @@
 		KeyFile:         r.settings.KeyFile(),
 		Ring:            r.common.Ring,
 		DrainLimit:      r.settings.DrainLimit(),
+		KeepPlaced:      !r.settings.HandOff(),
 		Announce:        r.control.Announce,
 		OnCertificate:   r.certificate,
 	})
--- a/internal/lentillab/site.go
+++ b/internal/lentillab/site.go
@@ -20,6 +20,8 @@
 	DrainLimit time.Duration
 	// LogLevel is what balancers and agents log.
 	LogLevel string
+	// HandOff is the agents' setting of that name; empty is its default.
+	HandOff string
 }
 
 // Service describes a service and its copies.
@@ -182,6 +184,7 @@
 		Keys:           r.keys(),
 		TLS:            lentilsetting.TLSDoc{CertificateFile: certificateFile, KeyFile: keyFile},
 		DrainLimit:     r.site.DrainLimit.String(),
+		HandOff:        r.site.HandOff,
 		Log:            lentilsetting.LogDoc{Level: r.site.LogLevel},
 	}
 	for _, b := range r.balancers {
--- a/internal/lentilmeasure/table.go
+++ b/internal/lentilmeasure/table.go
@@ -4,10 +4,12 @@
 	"lentilstair.example/lentilstair/internal/lentilfigure"
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentildomainmeasure"
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilrestartmeasure"
+	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilsitemeasure"
 )
 
 // experiments is the table of all experiments.
 var experiments = []lentilfigure.Experiment{
 	lentildomainmeasure.Experiment,
 	lentilrestartmeasure.Experiment,
+	lentilsitemeasure.Experiment,
 }
--- a/internal/lentilsetting/check.go
+++ b/internal/lentilsetting/check.go
@@ -113,6 +113,19 @@
 	}
 }
 
+// The values of handOff.
+const (
+	handOffOn  = "on"
+	handOffOff = "off"
+)
+
+func checkHandOff(c *collector, path string, value any) {
+	s, ok := text(c, path, value)
+	if ok && s != handOffOn && s != handOffOff {
+		c.add(NotAllowed, path, "%q is not one of on and off", s)
+	}
+}
+
 func checkLevel(c *collector, path string, value any) {
 	s, ok := text(c, path, value)
 	if !ok {
--- a/internal/lentilsetting/load.go
+++ b/internal/lentilsetting/load.go
@@ -71,6 +71,7 @@
 		balancers:  addresses(doc.Balancers),
 		tls:        files,
 		drainLimit: duration(doc.DrainLimit, defaultDrainLimit),
+		handOff:    doc.HandOff != handOffOff,
 	}, nil
 }
 
--- a/internal/lentilsetting/setting.go
+++ b/internal/lentilsetting/setting.go
@@ -46,6 +46,7 @@
 	Keys           []KeyDoc `json:"keys"`
 	TLS            TLSDoc   `json:"tls"`
 	DrainLimit     string   `json:"drainLimit,omitempty"`
+	HandOff        string   `json:"handOff,omitempty"`
 	Log            LogDoc   `json:"log,omitzero"`
 }
 
@@ -159,6 +160,7 @@
 	balancers  []netip.AddrPort
 	tls        TLSDoc
 	drainLimit time.Duration
+	handOff    bool
 }
 
 // Copy returns the name of the copy beside the agent.
@@ -181,3 +183,7 @@
 
 // DrainLimit returns how long a graceful stop waits for what is open.
 func (a Agent) DrainLimit() time.Duration { return a.drainLimit }
+
+// HandOff reports whether the agent passes new flows, and requests that have not
+// begun, to peers with more room.
+func (a Agent) HandOff() bool { return a.handOff }
--- a/internal/lentilsetting/setting_test.go
+++ b/internal/lentilsetting/setting_test.go
@@ -63,8 +63,8 @@
 		return fmt.Sprintf("name %s\nlisten %s\nplatform %s token %q\npeers %s\nstop grace %s\n%s",
 			s.Name(), s.ListenAddress(), s.Platform().URL(), s.Platform().Token(), s.Peers(), s.StopGrace(), describeCommon(s.common))
 	case Agent:
-		return fmt.Sprintf("copy %s of %s\nupstream %s\nbalancers %s\ncertificate %s key %s\ndrain limit %s\n%s",
-			s.Copy(), s.Service(), s.Upstream(), s.Balancers(), s.CertificateFile(), s.KeyFile(), s.DrainLimit(), describeCommon(s.common))
+		return fmt.Sprintf("copy %s of %s\nupstream %s\nbalancers %s\ncertificate %s key %s\ndrain limit %s hand-off %t\n%s",
+			s.Copy(), s.Service(), s.Upstream(), s.Balancers(), s.CertificateFile(), s.KeyFile(), s.DrainLimit(), s.HandOff(), describeCommon(s.common))
 	}
 	return "no settings\n"
 }
--- a/internal/lentilsetting/table.go
+++ b/internal/lentilsetting/table.go
@@ -72,5 +72,7 @@
 	{name: "tls", text: "Certificate towards callers.", example: `{"certificateFile": "cert.pem", "keyFile": "key.pem"}`, required: true, members: tlsFields},
 	{name: "drainLimit", text: "How long a graceful stop waits for open flows and requests. What is still open then is cut.", example: `"10m"`,
 		fallback: `"10m"`, check: checkDuration},
+	{name: "handOff", text: "Whether new flows, and requests that have not begun, go to a peer with more room: \"on\" or \"off\".", example: `"on"`,
+		fallback: `"on"`, check: checkHandOff},
 	logField,
 }
