Measure packets a second a core and the time that the path adds

Cause: nothing said what a balancer costs. Change: the experiment packets: a real balancer process forwards packets that carry a place to a sink; processor time from /proc; a plain UDP forwarder in the same run as the baseline; the median time of an answer through caller, fabric, balancer, agent and copy against a plain request to the copy.

--- /dev/null
+++ b/internal/lentilmeasure/lentilpacketmeasure/packet.go
@@ -0,0 +1,148 @@
+// Package lentilpacketmeasure measures with a real balancer process how many packets
+// a core forwards, against a plain UDP forwarder, and what the path adds to an answer's time.
+package lentilpacketmeasure
+
+import (
+	"context"
+	"encoding/base64"
+	"net"
+	"net/netip"
+	"os"
+	"time"
+
+	"lentilstair.example/lentilstair/internal/lentilfigure"
+	"lentilstair.example/lentilstair/internal/lentilkey"
+	"lentilstair.example/lentilstair/internal/lentillab"
+	"lentilstair.example/lentilstair/pkg/lentilid"
+)
+
+// Experiment is the entry in the table of experiments.
+var Experiment = lentilfigure.Experiment{
+	Name: "packets",
+	Text: "packets a second a core through a balancer process, against a plain UDP forwarder, and the time that the path adds",
+	Run:  run,
+}
+
+const (
+	// startTimeout bounds the start of the site.
+	startTimeout = 30 * time.Second
+	// sendTime is how long packets are sent.
+	sendTime = 3 * time.Second
+	// shortTime is the same for a trial.
+	shortTime = time.Second
+	// packetBytes is the length of the packets of callers.
+	packetBytes = 1200
+	// senders is how many goroutines send.
+	senders = 2
+	// settle is how long metrics take to show the last packets.
+	settle = time.Second
+)
+
+func run(ctx context.Context, setup lentilfigure.Setup) (figures []lentilfigure.Figure, err error) {
+	lab, err := lentillab.New(setup.Binaries)
+	if err != nil {
+		return nil, err
+	}
+	defer lab.Close()
+	wanted := lentillab.Consorzio()
+	wanted.Balancers = 1
+	wanted.Services = wanted.Services[:1]
+	wanted.Services[0].Copies, wanted.Services[0].Work = 1, time.Millisecond
+	started, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	site, err := lab.Start(started, wanted)
+	if err != nil {
+		return nil, err
+	}
+	duration := sendTime
+	if setup.Short {
+		duration = shortTime
+	}
+	setup.Note("packets: the time that the path adds")
+	added, err := measureAdded(ctx, site, duration)
+	if err != nil {
+		return nil, err
+	}
+	setup.Note("packets: a balancer, then a plain forwarder")
+	balancer, err := measureBalancer(ctx, lab, site, duration)
+	if err != nil {
+		return nil, err
+	}
+	plain, err := measurePlain(duration)
+	if err != nil {
+		return nil, err
+	}
+	return append(added, lentilfigure.New("packets.perCore", balancer, "packets/s/core").Against("plain UDP forwarder", plain)), nil
+}
+
+// measureBalancer sends packets that carry a place through the balancer to a sink
+// and returns how many it forwards in a second of processor time.
+func measureBalancer(ctx context.Context, lab *lentillab.Lab, site *lentillab.Running, duration time.Duration) (rate float64, err error) {
+	sink, err := newSink()
+	if err != nil {
+		return 0, err
+	}
+	defer sink.close()
+	packet, err := sealedPacket(lab, sink.address())
+	if err != nil {
+		return 0, err
+	}
+	balancer := site.Balancers()[0]
+	to := netip.AddrPortFrom(balancer.IP(), site.Site().Services[0].Port)
+	before, err := processorTime(balancer.Process().ID())
+	if err != nil {
+		return 0, err
+	}
+	if err = send(ctx, packet, to, duration); err != nil {
+		return 0, err
+	}
+	after, err := processorTime(balancer.Process().ID())
+	if err != nil {
+		return 0, err
+	}
+	return float64(sink.count()) / (after - before).Seconds(), nil
+}
+
+// sealedPacket returns a packet of an established flow whose place is the sink.
+func sealedPacket(lab *lentillab.Lab, sink netip.AddrPort) (packet []byte, err error) {
+	text, err := os.ReadFile(lab.Path("key-1"))
+	if err != nil {
+		return nil, err
+	}
+	secret, err := base64.StdEncoding.DecodeString(string(text[:len(text)-1]))
+	if err != nil {
+		return nil, err
+	}
+	ring, err := lentilkey.New([]lentilkey.KeyDoc{{ID: 1, Secret: secret}})
+	if err != nil {
+		return nil, err
+	}
+	sealer, err := ring.Sealer()
+	if err != nil {
+		return nil, err
+	}
+	const fixedBit = 0x40
+	packet = sealer.AppendID([]byte{fixedBit}, lentilid.NewPlace(sink, 1, 1, 1), 1)
+	return append(packet, make([]byte, packetBytes-len(packet))...), nil
+}
+
+// measurePlain returns the same for a forwarder that only copies datagrams.
+func measurePlain(duration time.Duration) (rate float64, err error) {
+	sink, err := newSink()
+	if err != nil {
+		return 0, err
+	}
+	defer sink.close()
+	in, err := listen()
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = in.Close() }()
+	spent := make(chan time.Duration, 1)
+	go func() { spent <- forwardPlainly(in, sink.address()) }()
+	if err = send(context.Background(), make([]byte, packetBytes), in.LocalAddr().(*net.UDPAddr).AddrPort(), duration); err != nil {
+		return 0, err
+	}
+	_ = in.Close()
+	return float64(sink.count()) / (<-spent).Seconds(), nil
+}
--- /dev/null
+++ b/internal/lentilmeasure/lentilpacketmeasure/socket.go
@@ -0,0 +1,138 @@
+package lentilpacketmeasure
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+const (
+	// bufferBytes is the size of the sockets' buffers.
+	bufferBytes = 4 << 20
+	// ticksPerSecond is the unit of processor times in /proc.
+	ticksPerSecond = 100
+	// fieldUser is the place of the user time in /proc/PID/stat, after the name.
+	fieldUser = 11
+	// threadUsage asks for the usage of the calling thread (RUSAGE_THREAD).
+	threadUsage = 1
+)
+
+// sink counts the datagrams that it gets.
+type sink struct {
+	conn *net.UDPConn
+	got  atomic.Uint64
+	end  sync.WaitGroup
+}
+
+func listen() (conn *net.UDPConn, err error) {
+	conn, err = net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return nil, err
+	}
+	return conn, conn.SetReadBuffer(bufferBytes)
+}
+
+func newSink() (s *sink, err error) {
+	s = &sink{}
+	if s.conn, err = listen(); err != nil {
+		return nil, err
+	}
+	s.end.Go(func() {
+		buffer := make([]byte, 1<<16)
+		for {
+			if _, _, err := s.conn.ReadFromUDPAddrPort(buffer); err != nil {
+				return
+			}
+			s.got.Add(1)
+		}
+	})
+	return s, nil
+}
+
+func (s *sink) address() netip.AddrPort { return s.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+func (s *sink) count() uint64 { return s.got.Load() }
+
+func (s *sink) close() {
+	_ = s.conn.Close()
+	s.end.Wait()
+}
+
+// send sends the packet again and again, from a few sockets.
+func send(ctx context.Context, packet []byte, to netip.AddrPort, duration time.Duration) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, duration)
+	defer cancel()
+	var all sync.WaitGroup
+	for range senders {
+		conn, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(to))
+		if err != nil {
+			return err
+		}
+		all.Go(func() {
+			defer func() { _ = conn.Close() }()
+			for ctx.Err() == nil {
+				_, _ = conn.Write(packet)
+			}
+		})
+	}
+	all.Wait()
+	time.Sleep(settle)
+	return nil
+}
+
+// forwardPlainly copies datagrams until the socket is closed and returns the
+// processor time that it took.
+func forwardPlainly(in *net.UDPConn, to netip.AddrPort) (spent time.Duration) {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	buffer := make([]byte, 1<<16)
+	began := threadTime()
+	for {
+		length, _, err := in.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return threadTime() - began
+		}
+		_, _ = in.WriteToUDPAddrPort(buffer[:length], to)
+	}
+}
+
+// threadTime returns the processor time of the calling thread.
+func threadTime() (spent time.Duration) {
+	var usage syscall.Rusage
+	if syscall.Getrusage(threadUsage, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// processorTime returns the processor time that a process has taken.
+func processorTime(id int) (spent time.Duration, err error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", id))
+	if err != nil {
+		return 0, err
+	}
+	_, rest, found := strings.Cut(string(data), ") ")
+	fields := strings.Fields(rest)
+	if !found || len(fields) <= fieldUser+1 {
+		return 0, errorx.IllegalFormat.New("/proc/%d/stat", id)
+	}
+	for _, field := range fields[fieldUser : fieldUser+2] {
+		ticks, err := strconv.ParseInt(field, 10, 64)
+		if err != nil {
+			return 0, err
+		}
+		spent += time.Duration(ticks) * time.Second / ticksPerSecond
+	}
+	return spent, nil
+}
--- a/internal/lentilmeasure/table.go
+++ b/internal/lentilmeasure/table.go
@@ -3,6 +3,7 @@
 import (
 	"lentilstair.example/lentilstair/internal/lentilfigure"
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentildomainmeasure"
+	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilpacketmeasure"
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilrestartmeasure"
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilsitemeasure"
 )
@@ -10,6 +11,7 @@
 // experiments is the table of all experiments.
 var experiments = []lentilfigure.Experiment{
 	lentildomainmeasure.Experiment,
+	lentilpacketmeasure.Experiment,
 	lentilrestartmeasure.Experiment,
 	lentilsitemeasure.Experiment,
 }
