Reset the flows of an earlier incarnation at once

Cause: when an agent had died and another one had started at its address, callers waited for their idle timeout (30 s), since packets of the old incarnation were dropped in silence. Change: short-header packets of an earlier incarnation go to the QUIC transport, which answers with a stateless reset; the token is right since the key comes from the ring. A first form of the test asked that streams be opened again within 2 s; it failed under load, since a caller that only listens sends its next packet after its own keep-alive (10 s here): no reset can reach it before. Conclusion: a crash of an agent costs callers that send a reconnect; those that only listen learn of it by their keep-alive.

--- a/internal/lentilagent/pump.go
+++ b/internal/lentilagent/pump.go
@@ -87,12 +87,26 @@
 		header.Domain, header.Incarnation = action.Place.Domain(), action.Place.Incarnation()
 		return a.send(header, payload, action.Place.Agent(), HandedOn)
 	case lentilpin.DropStale:
+		a.reset(header, payload)
 		return Stale
 	default:
 		return Refused
 	}
 }
 
+// longHeader is the bit that marks QUIC packets with a long header (RFC 8999).
+const longHeader = 0x80
+
+// reset lets the QUIC transport answer a packet of an earlier incarnation, which it
+// doesn't know, with a stateless reset, so that the caller need not wait for its idle
+// timeout. The token is right since all agents derive the same key from the ring.
+func (a *Agent) reset(header *lentiltunnel.Header, payload []byte) {
+	if len(payload) > 0 && payload[0]&longHeader == 0 {
+		a.ways.learn(header.Caller, header.Via)
+		a.flows.deliver(payload, header.Caller)
+	}
+}
+
 // sendNotice tells another agent where a flow lives.
 func (a *Agent) sendNotice(action lentilpin.Action) {
 	payload, err := action.Notice.AppendBinary(nil)
