Open enough connections in TestDomainOutAndBack

Change: 200 connections and 100 requests a second; what is asked is the same. Conclusion: the check still fails if the copy isn't used after it came back.

--- a/internal/lentilagent/domain_test.go
+++ b/internal/lentilagent/domain_test.go
@@ -31,7 +31,8 @@
 		t.Errorf("while out: %v", report.Copies)
 	}
 	out(false)
-	report = p.call(2*time.Second, func(o *caller.Options) { o.Name, o.Connections = "back", 40 })
+	// A cold copy gets a tenth of the new connections, so many are opened.
+	report = p.call(2*time.Second, func(o *caller.Options) { o.Name, o.Connections, o.Repeatable = "back", 200, 100 })
 	if report.Copies["copy-2"] == 0 {
 		t.Errorf("after it came back: %v", report.Copies)
 	}
