Add the operators' commands: plan, apply, status, drain, restore, audit

Cause: operators had no way to carry out a note or to see what is in force.

Change: lentiloperator drives a run with the platform's client and the survey of balancers; six commands over it. Settings for operators (check-settings knows them). Balancers tell the id of the note in force, and an operator can fetch the whole configuration from one, which puts back what a platform has lost.

--- a/internal/lentilcommand/command.go
+++ b/internal/lentilcommand/command.go
@@ -11,9 +11,15 @@
 	"github.com/urfave/cli/v3"
 
 	"lentilstair.example/lentilstair/internal/lentilcommand/lentilagentcommand"
+	"lentilstair.example/lentilstair/internal/lentilcommand/lentilapplycommand"
+	"lentilstair.example/lentilstair/internal/lentilcommand/lentilauditcommand"
 	"lentilstair.example/lentilstair/internal/lentilcommand/lentilbalancercommand"
 	"lentilstair.example/lentilstair/internal/lentilcommand/lentilcheckcommand"
+	"lentilstair.example/lentilstair/internal/lentilcommand/lentildraincommand"
 	"lentilstair.example/lentilstair/internal/lentilcommand/lentilexplaincommand"
+	"lentilstair.example/lentilstair/internal/lentilcommand/lentilplancommand"
+	"lentilstair.example/lentilstair/internal/lentilcommand/lentilrestorecommand"
+	"lentilstair.example/lentilstair/internal/lentilcommand/lentilstatuscommand"
 	"lentilstair.example/lentilstair/internal/lentilcommand/lentilversioncommand"
 	"lentilstair.example/lentilstair/internal/lentilexit"
 )
@@ -22,6 +28,12 @@
 var commands = []func() *cli.Command{
 	lentilbalancercommand.New,
 	lentilagentcommand.New,
+	lentilplancommand.New,
+	lentilapplycommand.New,
+	lentilstatuscommand.New,
+	lentildraincommand.New,
+	lentilrestorecommand.New,
+	lentilauditcommand.New,
 	lentilcheckcommand.New,
 	lentilexplaincommand.New,
 	lentilversioncommand.New,
--- /dev/null
+++ b/internal/lentilcommand/lentilauditcommand/audit.go
@@ -0,0 +1,160 @@
+// Package lentilauditcommand is the command `audit`.
+package lentilauditcommand
+
+import (
+	"context"
+	_ "embed"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/urfave/cli/v3"
+
+	"lentilstair.example/lentilstair/internal/lentilexit"
+	"lentilstair.example/lentilstair/internal/lentiloperator"
+	"lentilstair.example/lentilstair/pkg/lentilapply"
+	"lentilstair.example/lentilstair/pkg/lentilconfig"
+	"lentilstair.example/lentilstair/pkg/lentilplatform"
+)
+
+//go:embed description.txt
+var description string
+
+// limitDefault is how many records are shown unless the flag says otherwise.
+const limitDefault = 20
+
+// New returns the command.
+func New() *cli.Command {
+	return &cli.Command{
+		Name:        "audit",
+		Usage:       "show who changed what, when and with what result",
+		ArgsUsage:   "[NOTE-ID]",
+		Description: description,
+		Flags: []cli.Flag{
+			lentiloperator.SettingsFlag(),
+			lentiloperator.JSONFlag(),
+			&cli.IntFlag{Name: "limit", Value: limitDefault, Usage: "show the latest `COUNT` records"},
+		},
+		Action: run,
+	}
+}
+
+func run(ctx context.Context, c *cli.Command) (err error) {
+	if c.Args().Len() > 1 || c.Int("limit") < 1 || c.Int("limit") > lentilapply.AuditMax {
+		return lentilexit.With(lentilexit.Usage, errorx.IllegalArgument.New("use: audit [--limit COUNT] [NOTE-ID]"))
+	}
+	session, err := lentiloperator.Open(c)
+	if err != nil {
+		return err
+	}
+	defer session.Close()
+	records, err := read(ctx, session.Client, c.Args().First(), c.Int("limit"))
+	if err != nil {
+		return lentiloperator.Fail(err)
+	}
+	if c.Bool("json") {
+		return lentiloperator.WriteJSON(c.Root().Writer, records)
+	}
+	return write(c.Root().Writer, records)
+}
+
+// read returns the records asked for, the latest last.
+func read(ctx context.Context, client *lentilplatform.Client, id string, limit int) (records []lentilapply.AuditDoc, err error) {
+	names := []string{id}
+	if id == "" {
+		if names, err = latest(ctx, client, limit); err != nil {
+			return nil, err
+		}
+	}
+	accepted, err := recent(ctx, client)
+	if err != nil {
+		return nil, err
+	}
+	records = []lentilapply.AuditDoc{}
+	for _, name := range names {
+		object, err := client.Get(ctx, lentilplatform.KindAudit, name)
+		if errors.Is(err, lentilplatform.ErrNotFound) && id == "" {
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		record, err := lentilapply.ParseAudit(object.Body())
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, settle(record, accepted))
+	}
+	return records, nil
+}
+
+// latest returns the names of the records stored last, in that order.
+func latest(ctx context.Context, client *lentilplatform.Client, limit int) (names []string, err error) {
+	objects, _, err := client.ListNames(ctx, lentilplatform.KindAudit)
+	if err != nil {
+		return nil, err
+	}
+	slices.SortStableFunc(objects, func(a, b lentilplatform.Object) int { return a.Created().Compare(b.Created()) })
+	for _, object := range objects[max(0, len(objects)-limit):] {
+		names = append(names, object.Name())
+	}
+	return names, nil
+}
+
+// recent returns the versions of the notes that the head names.
+func recent(ctx context.Context, client *lentilplatform.Client) (versions map[string]uint64, err error) {
+	object, err := client.Get(ctx, lentilplatform.KindHead, lentilconfig.HeadName)
+	if errors.Is(err, lentilplatform.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	head, err := lentilconfig.ParseHeadObject(object.Body())
+	if err != nil {
+		return nil, err
+	}
+	versions = make(map[string]uint64, len(head.Recent))
+	for _, mark := range head.Recent {
+		versions[mark.NoteID] = mark.Version
+	}
+	return versions, nil
+}
+
+// settle completes a record whose writer ended before it could.
+func settle(record lentilapply.AuditDoc, accepted map[string]uint64) lentilapply.AuditDoc {
+	version, found := accepted[record.NoteID]
+	if record.Result == lentilapply.ResultPending && found {
+		record.Result = lentilapply.ResultAccepted
+		record.Version = version
+	}
+	return record
+}
+
+func write(w io.Writer, records []lentilapply.AuditDoc) error {
+	rows := [][]string{{"STARTED", "NOTE", "AUTHOR", "RESULT", "VERSION", "CHANGES"}}
+	for _, record := range records {
+		rows = append(rows, []string{
+			record.Started.Format(time.RFC3339), record.NoteID, record.Author, record.Result,
+			fmt.Sprint(record.Version), summary(record),
+		})
+	}
+	return lentiloperator.WriteTable(w, rows)
+}
+
+// summary names the first changes of a record, or why it has none.
+func summary(record lentilapply.AuditDoc) string {
+	const shown = 3
+	parts := slices.Clone(record.Changes[:min(shown, len(record.Changes))])
+	if more := record.ChangeCount - len(parts); more > 0 {
+		parts = append(parts, fmt.Sprintf("and %d more", more))
+	}
+	if record.Error != "" {
+		parts = append(parts, record.Error)
+	}
+	return strings.Join(parts, "; ")
+}
--- a/internal/lentilcommand/lentilcheckcommand/check.go
+++ b/internal/lentilcommand/lentilcheckcommand/check.go
@@ -28,8 +28,8 @@
 func New() *cli.Command {
 	return &cli.Command{
 		Name:        "check-settings",
-		Usage:       "check the settings of a balancer or agent",
-		ArgsUsage:   "balancer|agent FILE",
+		Usage:       "check the settings of a balancer, agent or operator",
+		ArgsUsage:   "balancer|agent|operator FILE",
 		Description: description,
 		Flags:       []cli.Flag{&cli.BoolFlag{Name: "json", Usage: "write JSON"}},
 		Action:      run,
@@ -39,15 +39,17 @@
 func run(_ context.Context, c *cli.Command) (err error) {
 	role, file := c.Args().Get(0), c.Args().Get(1)
 	if file == "" || c.Args().Len() != 2 {
-		return lentilexit.With(lentilexit.Usage, errorx.IllegalArgument.New("use: check-settings balancer|agent FILE"))
+		return lentilexit.With(lentilexit.Usage, errorx.IllegalArgument.New("use: check-settings balancer|agent|operator FILE"))
 	}
 	switch role {
 	case "balancer":
 		_, err = lentilsetting.Loader{}.Balancer(file)
 	case "agent":
 		_, err = lentilsetting.Loader{}.Agent(file)
+	case "operator":
+		_, err = lentilsetting.Loader{}.Operator(file)
 	default:
-		return lentilexit.With(lentilexit.Usage, errorx.IllegalArgument.New("%q is not balancer or agent", role))
+		return lentilexit.With(lentilexit.Usage, errorx.IllegalArgument.New("%q is not balancer, agent or operator", role))
 	}
 	return report(c, file, err)
 }
--- a/internal/lentilcontrol/status.go
+++ b/internal/lentilcontrol/status.go
@@ -9,6 +9,7 @@
 	response = &lentilcontrolpb.StatusResponse{
 		Self:                 toMember(n.table.Self()),
 		ConfigurationVersion: n.configuration.Version(),
+		ConfigurationNote:    n.configuration.Configuration().NoteID(),
 		Ready:                n.Ready(),
 		LiveRecords:          uint32(len(n.Live())),
 		Reader:               n.Reader(),
--- a/internal/lentilcontrol/survey.go
+++ b/internal/lentilcontrol/survey.go
@@ -39,6 +39,7 @@
 type BalancerStatus struct {
 	member  lentilmember.Doc
 	version uint64
+	note    string
 	age     time.Duration
 	ready   bool
 	reader  bool
@@ -52,6 +53,9 @@
 // Version returns the version of the configuration in force there.
 func (s BalancerStatus) Version() uint64 { return s.version }
 
+// NoteID returns the id of the release note that made that version.
+func (s BalancerStatus) NoteID() string { return s.note }
+
 // Age returns for how long that version has been in force there.
 func (s BalancerStatus) Age() time.Duration { return s.age }
 
@@ -161,6 +165,7 @@
 	return response, BalancerStatus{
 		member:  fromMember(response.GetSelf()),
 		version: response.GetConfigurationVersion(),
+		note:    response.GetConfigurationNote(),
 		age:     time.Duration(response.GetConfigurationAgeMilliseconds()) * time.Millisecond,
 		ready:   response.GetReady(),
 		reader:  response.GetReader(),
--- /dev/null
+++ b/internal/lentiloperator/carry.go
@@ -0,0 +1,88 @@
+package lentiloperator
+
+import (
+	"context"
+	"fmt"
+
+	"lentilstair.example/lentilstair/pkg/lentilapply"
+)
+
+// Carry drives the run of a note to its end, shows progress, and cleans up now and
+// then. If the context ends first, the report says how far the run has come.
+func (s *Session) Carry(ctx context.Context, run *lentilapply.Run) (report lentilapply.Report) {
+	run.Random = s.Random
+	run.AskNodes = s.Survey != nil
+	run.Start(s.Clock.Now())
+	shown := ""
+	for {
+		action := run.Action()
+		if action.Kind() == lentilapply.ActionDone {
+			break
+		}
+		if ctx.Err() != nil {
+			run.Interrupt(ctx.Err())
+			break
+		}
+		answer := s.perform(ctx, action)
+		run.Handle(s.Clock.Now(), answer)
+		if line := progress(run); line != shown {
+			shown = line
+			_, _ = fmt.Fprintln(s.Progress, line)
+		}
+	}
+	report = run.Report()
+	if report.Outcome() == lentilapply.OutcomeAccepted && report.Version()%lentilapply.CleanupEvery == 0 {
+		s.Clean(ctx)
+	}
+	return report
+}
+
+// Clean removes what no configuration needs. A failure is of no consequence, since
+// the next cleanup removes the same.
+func (s *Session) Clean(ctx context.Context) {
+	var cleanup lentilapply.Cleanup
+	for ctx.Err() == nil && cleanup.Action().Kind() != lentilapply.ActionDone {
+		cleanup.Handle(s.perform(ctx, cleanup.Action()))
+	}
+}
+
+// perform carries out one action.
+func (s *Session) perform(ctx context.Context, action lentilapply.Action) (answer lentilapply.Answer) {
+	object := action.Object()
+	switch action.Kind() {
+	case lentilapply.ActionGet:
+		answer.Object, answer.Err = s.Client.Get(ctx, object.Kind(), object.Name())
+	case lentilapply.ActionList:
+		answer.Objects, _, answer.Err = s.Client.ListNames(ctx, object.Kind())
+	case lentilapply.ActionCreate:
+		answer.Object, answer.Err = s.Client.Create(ctx, object)
+	case lentilapply.ActionUpdate:
+		answer.Object, answer.Err = s.Client.Update(ctx, object)
+	case lentilapply.ActionDelete:
+		answer.Err = s.Client.Delete(ctx, object)
+	case lentilapply.ActionNodes:
+		answer.Nodes, answer.Err = s.nodes(ctx)
+	case lentilapply.ActionDocument:
+		answer.Document, answer.Err = s.Document(ctx)
+	case lentilapply.ActionWait:
+		sleep(ctx, action.Wait())
+	}
+	return answer
+}
+
+// progress says how far a run has come.
+func progress(run *lentilapply.Run) string {
+	report := run.Report()
+	switch step := run.Step(); {
+	case step == lentilapply.StepSpread || step == lentilapply.StepDone:
+		if len(report.Nodes()) == 0 {
+			return fmt.Sprintf("version %d: waiting for the nodes", report.Version())
+		}
+		done := len(report.Nodes()) - len(report.Behind())
+		return fmt.Sprintf("version %d: in force at %d of %d nodes", report.Version(), done, len(report.Nodes()))
+	case step >= lentilapply.StepIntent:
+		return "writing"
+	default:
+		return "reading"
+	}
+}
--- /dev/null
+++ b/internal/lentiloperator/note.go
@@ -0,0 +1,130 @@
+package lentiloperator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/urfave/cli/v3"
+
+	"lentilstair.example/lentilstair/internal/lentilexit"
+	"lentilstair.example/lentilstair/pkg/lentilapply"
+	"lentilstair.example/lentilstair/pkg/lentilnote"
+)
+
+// ReadNote reads the release note that the first argument names, "-" being the
+// standard input. Faults have the exit code lentilexit.Note.
+func ReadNote(c *cli.Command) (note lentilnote.Note, err error) {
+	name := c.Args().First()
+	if name == "" || c.Args().Len() != 1 {
+		return note, lentilexit.With(lentilexit.Usage, errorx.IllegalArgument.New("use: %s NOTE", c.FullName()))
+	}
+	body, err := readBounded(c, name)
+	if err != nil {
+		return note, err
+	}
+	if note, err = lentilnote.Parse(body); err != nil {
+		return note, lentilexit.With(lentilexit.Note, err)
+	}
+	return note, nil
+}
+
+func readBounded(c *cli.Command, name string) (body []byte, err error) {
+	reader := c.Root().Reader
+	if name != "-" {
+		file, err := os.Open(name) // #nosec G304 -- the operator names the file
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = file.Close() }()
+		reader = file
+	}
+	return io.ReadAll(io.LimitReader(reader, lentilnote.SizeMax+1))
+}
+
+// ApplyFlags are the flags of every command that carries out a note.
+func ApplyFlags() []cli.Flag {
+	return []cli.Flag{
+		SettingsFlag(),
+		JSONFlag(),
+		&cli.DurationFlag{Name: "accept-within", Value: lentilapply.DefaultAccept, Usage: "give up if the note isn't accepted within `TIME`"},
+		&cli.DurationFlag{Name: "wait", Value: lentilapply.DefaultSpread, Usage: "wait up to `TIME` until it is in force everywhere"},
+	}
+}
+
+// Apply carries out a note and shows what came of it.
+func Apply(ctx context.Context, c *cli.Command, session *Session, note lentilnote.Note) error {
+	run := &lentilapply.Run{Note: note, Accept: c.Duration("accept-within"), Spread: c.Duration("wait")}
+	report := session.Carry(ctx, run)
+	return WriteReport(c.Root().Writer, c.Bool("json"), note, report)
+}
+
+// nameShown is how much of an object's name the id of a made note shows.
+const nameShown = 24
+
+// MadeID returns the id of a note that a command makes itself, such as
+// "drain-palermo-20260504t101500-1a2b3c4d".
+func (s *Session) MadeID(verb, name string) string {
+	if len(name) > nameShown {
+		name = name[:nameShown]
+	}
+	stamp := s.Clock.Now().UTC().Format("20060102t150405")
+	return fmt.Sprintf("%s-%s-%s-%08x", verb, name, stamp, uint32(s.Random()*(1<<32-1)))
+}
+
+// switchMax is how many objects one command switches.
+const switchMax = 100
+
+// Switch makes the note that drains or restores failure domains or copies, and
+// carries it out. The arguments are "domain" or "copy" and names.
+func Switch(ctx context.Context, c *cli.Command, verb string, drain bool) (err error) {
+	names := c.Args().Tail()
+	kind := c.Args().First()
+	if len(names) == 0 || len(names) > switchMax || kind != "domain" && kind != "copy" {
+		return lentilexit.With(lentilexit.Usage, errorx.IllegalArgument.New("use: %s domain|copy NAME...", c.FullName()))
+	}
+	session, err := Open(c)
+	if err != nil {
+		return err
+	}
+	defer session.Close()
+	doc := lentilnote.Doc{ID: session.MadeID(verb, names[0]), Author: session.Author, Reason: c.String("reason")}
+	if c.String("author") != "" {
+		doc.Author = c.String("author")
+	}
+	switch {
+	case kind == "domain" && drain:
+		doc.Domains.Out = names
+	case kind == "domain":
+		doc.Domains.Back = names
+	default:
+		for _, name := range names {
+			doc.Copies.Changed = append(doc.Copies.Changed, lentilnote.ChangedCopyDoc{Name: name, Draining: &drain})
+		}
+	}
+	note, err := lentilnote.New(doc)
+	if err != nil {
+		return lentilexit.With(lentilexit.Usage, err)
+	}
+	return Apply(ctx, c, session, note)
+}
+
+// SwitchFlags are the flags of drain and restore.
+func SwitchFlags() []cli.Flag {
+	return append(ApplyFlags(),
+		&cli.StringFlag{Name: "author", Usage: "`NAME` of who answers for it; the settings' author unless given"},
+		&cli.StringFlag{Name: "reason", Usage: "`TEXT` for the audit trail"},
+	)
+}
+
+// Age writes a duration for people, to the second above ten seconds.
+func Age(d time.Duration) string {
+	const fine = 10 * time.Second
+	if d < fine {
+		return d.Round(100 * time.Millisecond).String()
+	}
+	return d.Round(time.Second).String()
+}
--- /dev/null
+++ b/internal/lentiloperator/show.go
@@ -0,0 +1,198 @@
+package lentiloperator
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"lentilstair.example/lentilstair/internal/lentilexit"
+	"lentilstair.example/lentilstair/pkg/lentilapply"
+	"lentilstair.example/lentilstair/pkg/lentilnote"
+	"lentilstair.example/lentilstair/pkg/lentilplatform"
+)
+
+// ChangeDoc is the written form of a line of a plan.
+type ChangeDoc struct {
+	Action string `json:"action"`
+	Kind   string `json:"kind"`
+	Name   string `json:"name"`
+	Detail string `json:"detail,omitempty"`
+}
+
+// ReportDoc is the written form of what came of a note.
+type ReportDoc struct {
+	NoteID  string      `json:"noteId"`
+	Author  string      `json:"author"`
+	Outcome string      `json:"outcome"`
+	Version uint64      `json:"version,omitempty"`
+	InForce bool        `json:"inForce"`
+	Nodes   int         `json:"nodes"`
+	Behind  []NodeDoc   `json:"behind,omitempty"`
+	Changes []ChangeDoc `json:"changes,omitempty"`
+	Remarks []string    `json:"remarks,omitempty"`
+	Error   string      `json:"error,omitempty"`
+}
+
+// NodeDoc is the written form of a node that doesn't have the version in force.
+type NodeDoc struct {
+	Name    string `json:"name"`
+	Version uint64 `json:"version"`
+	Silent  bool   `json:"silent,omitempty"`
+}
+
+// kindNames are the written forms of kinds of objects.
+var kindNames = map[lentilnote.ObjectKind]string{
+	lentilnote.ObjectService: "service",
+	lentilnote.ObjectCopy:    "copy",
+	lentilnote.ObjectDomain:  "domain",
+}
+
+// outcomeNames are the written forms of outcomes.
+var outcomeNames = map[lentilapply.Outcome]string{
+	lentilapply.OutcomeOpen:        "open",
+	lentilapply.OutcomeAccepted:    "accepted",
+	lentilapply.OutcomeAlready:     "already accepted",
+	lentilapply.OutcomeNothing:     "nothing to change",
+	lentilapply.OutcomeConflict:    "conflict",
+	lentilapply.OutcomeRefused:     "refused",
+	lentilapply.OutcomeUnavailable: "unavailable",
+	lentilapply.OutcomeUnknown:     "unknown",
+}
+
+// Changes returns the written form of a plan.
+func Changes(plan lentilnote.Plan) (docs []ChangeDoc) {
+	docs = []ChangeDoc{}
+	for _, change := range plan.Changes() {
+		docs = append(docs, ChangeDoc{
+			Action: change.Action().Word(),
+			Kind:   kindNames[change.Object().Kind],
+			Name:   change.Object().Name,
+			Detail: change.Detail(),
+		})
+	}
+	return docs
+}
+
+// WriteChanges writes a plan as a table.
+func WriteChanges(w io.Writer, docs []ChangeDoc) error {
+	rows := [][]string{{"ACTION", "KIND", "NAME", "DETAIL"}}
+	for _, doc := range docs {
+		rows = append(rows, []string{doc.Action, doc.Kind, doc.Name, doc.Detail})
+	}
+	return WriteTable(w, rows)
+}
+
+// WriteTable writes rows in aligned columns.
+func WriteTable(w io.Writer, rows [][]string) (err error) {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		if _, err = fmt.Fprintln(table, strings.Join(row, "\t")); err != nil {
+			return err
+		}
+	}
+	return table.Flush()
+}
+
+// WriteJSON writes a document as indented JSON.
+func WriteJSON(w io.Writer, doc any) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(doc)
+}
+
+// WriteReport writes what came of a note, and returns an error with the exit code
+// that says the same.
+func WriteReport(w io.Writer, asJSON bool, note lentilnote.Note, report lentilapply.Report) (err error) {
+	doc := reportDoc(note, report)
+	if asJSON {
+		err = WriteJSON(w, doc)
+	} else {
+		err = writeReport(w, doc)
+	}
+	if err != nil {
+		return err
+	}
+	return verdict(report)
+}
+
+func reportDoc(note lentilnote.Note, report lentilapply.Report) (doc ReportDoc) {
+	doc = ReportDoc{
+		NoteID:  note.ID(),
+		Author:  note.Author(),
+		Outcome: outcomeNames[report.Outcome()],
+		Version: report.Version(),
+		InForce: report.InForce(),
+		Nodes:   len(report.Nodes()),
+		Changes: Changes(report.Plan()),
+		Remarks: report.Remarks(),
+	}
+	for _, node := range report.Behind() {
+		doc.Behind = append(doc.Behind, NodeDoc{Name: node.Name, Version: node.Version, Silent: node.Silent})
+	}
+	if report.Err() != nil {
+		doc.Error = report.Err().Error()
+	}
+	return doc
+}
+
+func writeReport(w io.Writer, doc ReportDoc) (err error) {
+	if len(doc.Changes) > 0 {
+		if err = WriteChanges(w, doc.Changes); err != nil {
+			return err
+		}
+	}
+	line := fmt.Sprintf("note %s: %s", doc.NoteID, doc.Outcome)
+	if doc.Version > 0 {
+		line += fmt.Sprintf(", version %d", doc.Version)
+	}
+	if doc.Nodes > 0 {
+		line += fmt.Sprintf(", in force at %d of %d nodes", doc.Nodes-len(doc.Behind), doc.Nodes)
+	}
+	lines := append([]string{line}, doc.Remarks...)
+	for _, node := range doc.Behind {
+		state := fmt.Sprintf("has version %d", node.Version)
+		if node.Silent {
+			state = "doesn't answer"
+		}
+		lines = append(lines, fmt.Sprintf("not in force: %s %s", node.Name, state))
+	}
+	_, err = fmt.Fprintln(w, strings.Join(lines, "\n"))
+	return err
+}
+
+// errPending says that a change is accepted but isn't known to be in force everywhere.
+var errPending = errors.New("accepted, and not known to be in force everywhere")
+
+// verdict returns the error that ends a command, or nil if all is done.
+func verdict(report lentilapply.Report) error {
+	switch report.Outcome() {
+	case lentilapply.OutcomeAccepted, lentilapply.OutcomeAlready, lentilapply.OutcomeNothing:
+		if !report.InForce() {
+			return lentilexit.With(lentilexit.Pending, errPending)
+		}
+		return nil
+	case lentilapply.OutcomeConflict:
+		return lentilexit.With(lentilexit.Conflict, report.Err())
+	case lentilapply.OutcomeRefused:
+		return lentilexit.With(lentilexit.Note, report.Err())
+	case lentilapply.OutcomeUnavailable:
+		return lentilexit.With(lentilexit.Unavailable, report.Err())
+	default:
+		return lentilexit.With(lentilexit.Unknown, report.Err())
+	}
+}
+
+// Fail gives an error of a query the exit code that fits.
+func Fail(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, lentilplatform.ErrUnavailable), errors.Is(err, lentilplatform.ErrLimited):
+		return lentilexit.With(lentilexit.Unavailable, err)
+	default:
+		return err
+	}
+}
--- a/internal/lentilsetting/load.go
+++ b/internal/lentilsetting/load.go
@@ -75,6 +75,26 @@
 	}, nil
 }
 
+// Operator reads an operator's settings. The error is *Faults if they have any.
+func (l Loader) Operator(file string) (settings Operator, err error) {
+	r := l.reading(file)
+	var doc OperatorDoc
+	if !r.decode(operatorFields, &doc) {
+		return Operator{}, r.err()
+	}
+	keys := r.keys(doc.Keys)
+	token := r.token("platform.tokenFile", doc.Platform.TokenFile)
+	if err = r.err(); err != nil {
+		return Operator{}, err
+	}
+	return Operator{
+		author:    doc.Author,
+		platform:  Platform{url: strings.TrimSuffix(doc.Platform.URL, "/"), token: token},
+		balancers: addresses(doc.Balancers),
+		keys:      keys,
+	}, nil
+}
+
 // reading is one reading of a settings file.
 type reading struct {
 	collector
--- a/internal/lentilsetting/reference.go
+++ b/internal/lentilsetting/reference.go
@@ -11,7 +11,7 @@
 	for _, role := range []struct {
 		title  string
 		fields []field
-	}{{"Balancer", balancerFields}, {"Agent", agentFields}} {
+	}{{"Balancer", balancerFields}, {"Agent", agentFields}, {"Operator", operatorFields}} {
 		if _, err = fmt.Fprintf(w, "## %s\n\n| field | meaning | default | example |\n| --- | --- | --- | --- |\n", role.title); err != nil {
 			return err
 		}
--- a/internal/lentilsetting/setting.go
+++ b/internal/lentilsetting/setting.go
@@ -50,6 +50,14 @@
 	Log            LogDoc   `json:"log,omitzero"`
 }
 
+// OperatorDoc is the written form of an operator's settings.
+type OperatorDoc struct {
+	Author    string      `json:"author,omitempty"`
+	Platform  PlatformDoc `json:"platform"`
+	Balancers []string    `json:"balancers"`
+	Keys      []KeyDoc    `json:"keys"`
+}
+
 // PlatformDoc is the written form of how the platform is reached.
 type PlatformDoc struct {
 	URL       string `json:"url"`
@@ -187,3 +195,23 @@
 // HandOff reports whether the agent passes new flows, and requests that have not
 // begun, to peers with more room.
 func (a Agent) HandOff() bool { return a.handOff }
+
+// Operator is the checked settings of an operator's commands.
+type Operator struct {
+	author    string
+	platform  Platform
+	balancers []netip.AddrPort
+	keys      []Key
+}
+
+// Author returns who answers for the notes that commands make themselves, or "".
+func (o Operator) Author() string { return o.author }
+
+// Platform returns how the platform is reached.
+func (o Operator) Platform() Platform { return o.platform }
+
+// Balancers returns the control addresses of some balancers.
+func (o Operator) Balancers() []netip.AddrPort { return o.balancers }
+
+// Keys returns the shared secrets, the signing one first.
+func (o Operator) Keys() []Key { return o.keys }
--- a/internal/lentilsetting/table.go
+++ b/internal/lentilsetting/table.go
@@ -76,3 +76,12 @@
 		fallback: `"on"`, check: checkHandOff},
 	logField,
 }
+
+var operatorFields = []field{
+	{name: "author", text: "Who answers for the notes that `drain` and `restore` make.", example: `"rosalia"`,
+		fallback: "the flag --author is needed", check: checkName},
+	{name: "platform", text: "The platform's object API.", example: `{"url": "http://10.0.0.9:8080"}`, required: true, members: platformFields},
+	{name: "balancers", text: "Control addresses of some balancers. The rest are learned from them.", example: `["10.0.0.1:9001", "10.0.0.2:9001"]`,
+		required: true, isList: true, check: checkPeerAddress},
+	keysField,
+}
--- a/pkg/lentilapply/audit.go
+++ b/pkg/lentilapply/audit.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 
 	"lentilstair.example/lentilstair/pkg/lentilconfig"
@@ -71,7 +72,7 @@
 		}
 		d.ChangeCount++
 		if len(d.Changes) < auditChanges {
-			d.Changes = append(d.Changes, bounded(fmt.Sprintf("%s %s %s", change.Action(), change.Object(), change.Detail())))
+			d.Changes = append(d.Changes, bounded(strings.TrimSpace(fmt.Sprintf("%s %s %s", change.Action().Word(), change.Object(), change.Detail()))))
 		}
 	}
 }
--- a/pkg/lentilapply/run.go
+++ b/pkg/lentilapply/run.go
@@ -325,3 +325,12 @@
 func get(kind lentilplatform.Kind, name string) Action {
 	return Action{kind: ActionGet, object: lentilplatform.NewObject(kind, name, nil)}
 }
+
+// Interrupt ends the run early, as when an operator stops the command.
+func (r *Run) Interrupt(err error) {
+	if r.report.outcome != OutcomeOpen {
+		r.step = StepDone
+		return
+	}
+	r.end(OutcomeUnavailable, err)
+}
--- a/pkg/lentilnote/plan.go
+++ b/pkg/lentilnote/plan.go
@@ -58,6 +58,19 @@
 	ActionBack
 )
 
+// actionWords are the written forms of the actions.
+var actionWords = map[Action]string{
+	ActionNone:     "none",
+	ActionAdd:      "add",
+	ActionChange:   "change",
+	ActionWithdraw: "withdraw",
+	ActionOut:      "out",
+	ActionBack:     "back",
+}
+
+// Word returns the written form of the action.
+func (a Action) Word() string { return actionWords[a] }
+
 // Change is one line of a plan.
 type Change struct {
 	action Action
