Measure flows and choices; ask the next-likeliest owner only while unsettled

Cause: figures were only in tests; and an agent asked who would own a bucket without it for every new flow, also long after the last change. Conclusion: what keeping flows whole costs is paid only after a change.

--- a/internal/lentilmatrix/flow_agent.go
+++ b/internal/lentilmatrix/flow_agent.go
@@ -137,7 +137,7 @@
 	if a.dead || a.router.Out(a.domain) {
 		return
 	}
-	w.figures.Packets++
+	w.figures.of(d.service).Packets++
 	if w.naive {
 		w.local(a, d.packet)
 		return
@@ -167,7 +167,7 @@
 		w.figures.Hops[d.hop.Count()]++
 		w.local(a, d.packet)
 	case lentilpin.Forward:
-		w.figures.Forwarded++
+		w.figures.of(d.service).Forwarded++
 		w.tunnel(action.Place, &datagram{service: a.service, hop: action.Hop, from: action.From, packet: d.packet})
 	default:
 		w.figures.Dropped[action.Verdict]++
--- a/internal/lentilmatrix/flow_caller.go
+++ b/internal/lentilmatrix/flow_caller.go
@@ -72,7 +72,7 @@
 		started: w.now, lastAnswer: w.now, endsAt: w.now + life,
 	}
 	w.flows = append(w.flows, f)
-	w.figures.Flows++
+	w.figures.of(service).Flows++
 	w.speak(f)
 }
 
@@ -83,7 +83,7 @@
 	}
 	if w.givenUp(f) {
 		f.ended = true
-		w.figures.GivenUp++
+		w.figures.of(f.service).GivenUp++
 		return
 	}
 	w.checkCut(f)
@@ -146,7 +146,7 @@
 	c = &connection{}
 	a.flows[f] = c
 	f.opened++
-	w.figures.Opened++
+	w.figures.of(f.service).Opened++
 	w.tracef("%s opens flow %d", a.owner.Copy, f.number)
 	w.checkLeaving(a, f)
 	if f.protocol == lentilroute.Datagram && f.home != nil && f.home != a && !w.givenUp(f) {
--- a/internal/lentilmatrix/flow_check.go
+++ b/internal/lentilmatrix/flow_check.go
@@ -16,7 +16,7 @@
 		return
 	}
 	f.broken = true
-	w.figures.Broken++
+	w.figures.of(f.service).Broken++
 	w.outcome.Violatef(w.now, "flow %d of service %d broke: "+format, append([]any{f.number, f.service}, args...)...)
 }
 
--- a/internal/lentilmatrix/flow_node.go
+++ b/internal/lentilmatrix/flow_node.go
@@ -38,7 +38,7 @@
 
 // newNode returns a node that knows nothing.
 func (w *flowWorld) newNode() (n node) {
-	view := &lentilview.View{Clock: &w.clock, Sealer: w.sealer, Protocol: func(s *lentilconfig.Service) lentilroute.Protocol {
+	view := &lentilview.View{Clock: &w.clock, Sealer: w.sealer, Window: w.window, Protocol: func(s *lentilconfig.Service) lentilroute.Protocol {
 		return protocolOf(s.Number())
 	}}
 	return node{
--- a/internal/lentilmatrix/flow_run.go
+++ b/internal/lentilmatrix/flow_run.go
@@ -11,6 +11,9 @@
 	// Naive runs the baseline in place of the real decisions: the 5-tuple's hash
 	// modulo the copies that a balancer knows, and agents that keep no pins.
 	Naive bool
+	// Window replaces how long services count as unsettled after a change and former
+	// owners are remembered, if it isn't zero.
+	Window time.Duration
 	// Trace keeps a trace of the run in its outcome.
 	Trace bool
 }
--- a/internal/lentilmatrix/flow_test.go
+++ b/internal/lentilmatrix/flow_test.go
@@ -57,11 +57,9 @@
 			t.Parallel()
 			_, ours := FlowRun{Seed: 1, Step: step}.Run()
 			_, naive := FlowRun{Seed: 1, Step: step, Naive: true}.Run()
-			if ours.Broken != 0 || naive.Broken == 0 {
-				t.Errorf("broken flows: %d of %d, baseline %d of %d", ours.Broken, ours.Flows, naive.Broken, naive.Flows)
+			if ours.QUIC.Broken+ours.Datagram.Broken > 0 || naive.QUIC.Broken == 0 || naive.Datagram.Broken == 0 {
+				t.Errorf("ours %+v\nbaseline %+v", ours, naive)
 			}
-			t.Logf("broken flows: %d of %d, baseline %d of %d; forwarded %d of %d packets, hops %v",
-				ours.Broken, ours.Flows, naive.Broken, naive.Flows, ours.Forwarded, ours.Packets, ours.Hops)
 		})
 	}
 }
--- a/internal/lentilmatrix/flow_world.go
+++ b/internal/lentilmatrix/flow_world.go
@@ -9,7 +9,6 @@
 
 	"lentilstair.example/lentilstair/pkg/lentilconfig"
 	"lentilstair.example/lentilstair/pkg/lentilid"
-	"lentilstair.example/lentilstair/pkg/lentilpin"
 	"lentilstair.example/lentilstair/pkg/lentilrecord"
 	"lentilstair.example/lentilstair/pkg/lentilroute"
 )
@@ -44,26 +43,6 @@
 	return lentilroute.QUIC
 }
 
-// FlowFigures is what a run counts.
-type FlowFigures struct {
-	// Flows is how many flows callers began, Opened how often an agent opened one.
-	Flows, Opened int
-	// Broken counts flows that broke, GivenUp those that no promise covers: their agent
-	// died or their failure domain went out.
-	Broken, GivenUp int
-	// WrongService, AfterOut and AfterLeaving count what must never happen.
-	WrongService, AfterOut, AfterLeaving int
-	// Packets is how many tunnel packets reached agents, Forwarded those that came
-	// from another agent.
-	Packets, Forwarded int
-	// Hops counts packets that reached their flow, by hops between agents.
-	Hops [lentilpin.MaxHops + 1]int
-	// Dropped counts packets that agents dropped, by verdict.
-	Dropped [lentilpin.DropNoRoom + 1]int
-	// Unrouted counts packets that balancers dropped.
-	Unrouted int
-}
-
 // flowWorld is a handful of balancers, agents and callers in one process.
 type flowWorld struct {
 	flowWire
@@ -74,6 +53,7 @@
 	// tracing turns the trace on, which costs more than all else.
 	tracing       bool
 	skew          time.Duration
+	window        time.Duration
 	document      lentilconfig.Document
 	configuration lentilconfig.Configuration
 	sealer        *lentilid.Sealer
@@ -93,6 +73,7 @@
 		naive:     r.Naive,
 		tracing:   r.Trace,
 		skew:      skewUsual,
+		window:    r.Window,
 		processes: make(map[netip.AddrPort]*flowAgent),
 		records:   make(map[lentilrecord.Owner]lentilrecord.Record),
 		out:       make(map[lentilid.Domain]bool),
--- a/internal/lentilmeasure/table.go
+++ b/internal/lentilmeasure/table.go
@@ -3,13 +3,17 @@
 import (
 	"lentilstair.example/lentilstair/internal/lentilfigure"
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentildomainmeasure"
+	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilflowmeasure"
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilpacketmeasure"
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilrestartmeasure"
+	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilroutemeasure"
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilsitemeasure"
 )
 
 // experiments is the table of all experiments.
 var experiments = []lentilfigure.Experiment{
+	lentilflowmeasure.Experiment,
+	lentilroutemeasure.Experiment,
 	lentildomainmeasure.Experiment,
 	lentilpacketmeasure.Experiment,
 	lentilrestartmeasure.Experiment,
--- a/pkg/lentilroute/router.go
+++ b/pkg/lentilroute/router.go
@@ -142,8 +142,8 @@
 }
 
 // Owners appends to dst the places that are likely to hold a flow with the hash, the
-// likeliest first and each once: the bucket's owner, who would own it without this
-// node's own agent, and its former owners at the time now.
+// likeliest first and each once: the bucket's owner, its former owners at the time
+// now and, until the service is settled, who would own it without this node's own agent.
 func (r *Router) Owners(service lentilid.Service, hash uint64, now time.Time, dst []lentilid.Place) []lentilid.Place {
 	e := r.services[service]
 	if e == nil {
@@ -151,7 +151,7 @@
 	}
 	start := len(dst)
 	dst = e.table.Owners(hash, now, dst)
-	if e.without == nil {
+	if e.without == nil || e.table.Settled(now) {
 		return dst
 	}
 	if place, ok := e.without.Pick(hash); ok {
