Build tables with less work, and matrix cells too

Cause: half of the matrix's time went into bucket tables; container/heap allocated for every claim, and each node built its tables after each of many records.

--- a/internal/lentilmatrix/flow_agent.go
+++ b/internal/lentilmatrix/flow_agent.go
@@ -67,13 +67,13 @@
 		Protocol: protocolOf(service),
 		Clock:    &w.clock,
 		Owners: func(hash uint64, dst []lentilid.Place) []lentilid.Place {
-			return a.router.Owners(service, hash, w.clock.Now(), dst)
+			return a.view.Router().Owners(service, hash, w.clock.Now(), dst)
 		},
-		Others:  func() []lentilid.Place { return a.router.Others(service, w.clock.Now()) },
+		Others:  func() []lentilid.Place { return a.view.Router().Others(service, w.clock.Now()) },
 		HandOff: func(int) (lentilid.Place, bool) { return w.chooseHandOff(a) },
 		Refuse:  a.leaving,
-		Out:     func(domain lentilid.Domain) bool { return a.router.Out(domain) },
-		Gone:    func(place lentilid.Place) bool { return a.router.Gone(place) },
+		Out:     func(domain lentilid.Domain) bool { return a.view.Router().Out(domain) },
+		Gone:    func(place lentilid.Place) bool { return a.view.Router().Gone(place) },
 	}
 	w.agents = append(w.agents, a)
 	w.processes[address] = a
@@ -85,7 +85,7 @@
 
 // closeIfOut gives up all flows when the failure domain of the agent is out.
 func (a *flowAgent) closeIfOut() {
-	if a.router.Out(a.domain) {
+	if a.view.Router().Out(a.domain) {
 		clear(a.flows)
 		a.keeper.Clear()
 	}
@@ -134,7 +134,7 @@
 
 // take works on a tunnel packet.
 func (w *flowWorld) take(a *flowAgent, d *datagram) {
-	if a.dead || a.router.Out(a.domain) {
+	if a.dead || a.view.Router().Out(a.domain) {
 		return
 	}
 	w.figures.of(d.service).Packets++
@@ -155,7 +155,7 @@
 		Service: d.service,
 		Hop:     d.hop,
 		From:    d.from,
-		Flow:    lentilroute.Classify(a.router.Sealer(), a.keeper.Protocol, d.packet.bytes, d.packet.flow.client),
+		Flow:    lentilroute.Classify(a.view.Router().Sealer(), a.keeper.Protocol, d.packet.bytes, d.packet.flow.client),
 	})
 	w.tracef("%s: flow %d from %s, %v/%d: %v %v %v", a.owner.Copy, d.packet.flow.number,
 		w.nameOf(d.from.Agent()), d.hop.Purpose(), d.hop.Count(), action.Verdict, action.Hop.Purpose(), w.nameOf(action.Place.Agent()))
@@ -188,7 +188,7 @@
 	if w.random.Float64() >= handOffShare {
 		return lentilid.Place{}, false
 	}
-	table := a.router.Table(a.service)
+	table := a.view.Router().Table(a.service)
 	if table == nil {
 		return lentilid.Place{}, false
 	}
--- a/internal/lentilmatrix/flow_fault.go
+++ b/internal/lentilmatrix/flow_fault.go
@@ -183,5 +183,4 @@
 // rotate moves a node to a new key.
 func (n *node) rotate() {
 	n.view.Sealer = newSealer(2, 1)
-	n.router = n.view.Router()
 }
--- a/internal/lentilmatrix/flow_node.go
+++ b/internal/lentilmatrix/flow_node.go
@@ -21,7 +21,6 @@
 type node struct {
 	view          *lentilview.View
 	configuration lentilconfig.Configuration
-	router        *lentilroute.Router
 	heard         map[lentilrecord.Owner]time.Duration
 	versions      map[lentilrecord.Owner]uint64
 	// only is the service whose records an agent takes; zero takes all.
@@ -43,7 +42,6 @@
 	}}
 	return node{
 		view:     view,
-		router:   view.Router(),
 		heard:    make(map[lentilrecord.Owner]time.Duration),
 		versions: make(map[lentilrecord.Owner]uint64),
 	}
@@ -89,7 +87,6 @@
 		n.configuration = configuration
 	}
 	n.view.Configure(configuration)
-	n.router = n.view.Router()
 	if n.configured != nil {
 		n.configured()
 	}
@@ -104,11 +101,9 @@
 	n.versions[owner] = record.Version()
 	n.heard[owner] = w.now
 	n.view.Observe(record)
-	n.router = n.view.Router()
 	w.after(lease, func() {
 		if w.now-n.heard[owner] >= lease {
 			n.view.Forget(owner)
-			n.router = n.view.Router()
 		}
 	})
 }
@@ -144,7 +139,7 @@
 		}
 		return
 	}
-	decision := b.router.Route(service, p.bytes, p.flow.client)
+	decision := b.view.Router().Route(service, p.bytes, p.flow.client)
 	w.tracef("balancer: flow %d %v: %v %v", p.flow.number, p.kind, decision.Verdict, w.nameOf(decision.Place.Agent()))
 	switch decision.Verdict {
 	case lentilroute.ToPlace, lentilroute.ToBucket:
@@ -156,7 +151,7 @@
 
 // naiveChoice is the baseline: the caller's address modulo the copies in view.
 func naiveChoice(b *balancer, service lentilid.Service, client netip.AddrPort) (place lentilid.Place, ok bool) {
-	table := b.router.Table(service)
+	table := b.view.Router().Table(service)
 	if table == nil || len(table.Members()) == 0 {
 		return lentilid.Place{}, false
 	}
--- a/pkg/lentilroute/assign.go
+++ b/pkg/lentilroute/assign.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"math"
 	"slices"
 
@@ -54,21 +53,33 @@
 	index  int32
 }
 
-// claims is a heap whose first claim is the one that the member likes least.
+// claims is what a member holds. Once the member holds its quota it is a heap whose
+// first claim is the one that the member likes least.
 type claims []claim
 
-func (c claims) Len() int           { return len(c) }
-func (c claims) Less(i, j int) bool { return c[i].score > c[j].score }
-func (c claims) Swap(i, j int)      { c[i], c[j] = c[j], c[i] }
-
-// Push is part of heap.Interface.
-func (c *claims) Push(x any) { *c = append(*c, x.(claim)) }
+// order makes a heap of the claims.
+func (c claims) order() {
+	for i := len(c)/2 - 1; i >= 0; i-- {
+		c.sink(i)
+	}
+}
 
-// Pop is part of heap.Interface.
-func (c *claims) Pop() any {
-	last := (*c)[len(*c)-1]
-	*c = (*c)[:len(*c)-1]
-	return last
+// sink moves the claim at i down to its place in the heap.
+func (c claims) sink(i int) {
+	for {
+		child := 2*i + 1
+		if child >= len(c) {
+			return
+		}
+		if child+1 < len(c) && c[child+1].score > c[child].score {
+			child++
+		}
+		if c[i].score >= c[child].score {
+			return
+		}
+		c[i], c[child] = c[child], c[i]
+		i = child
+	}
 }
 
 // assign returns the member index of each bucket.
@@ -85,6 +96,9 @@
 		held:    make([]claims, len(members)),
 		owners:  make([]uint16, count),
 	}
+	for i, quota := range a.quotas {
+		a.held[i] = make(claims, 0, quota)
+	}
 	for bucket := range uint32(count) {
 		a.settle(claim{score: math.Inf(-1), bucket: bucket})
 	}
@@ -101,14 +115,18 @@
 func (a *assignment) settle(c claim) {
 	for {
 		c = a.best(c)
-		held := &a.held[c.index]
-		if held.Len() < a.quotas[c.index] {
-			heap.Push(held, c)
+		held, quota := a.held[c.index], a.quotas[c.index]
+		if len(held) < quota {
+			held = append(held, c)
+			a.held[c.index] = held
+			if len(held) == quota {
+				held.order()
+			}
 			return
 		}
-		if held.Len() > 0 && (*held)[0].score > c.score {
-			c, (*held)[0] = (*held)[0], c
-			heap.Fix(held, 0)
+		if quota > 0 && held[0].score > c.score {
+			c, held[0] = held[0], c
+			held.sink(0)
 		}
 	}
 }
