--- a/pkg/lentilconfig/size_test.go
+++ b/pkg/lentilconfig/size_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"runtime"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
@@ -102,3 +103,40 @@
 		}
 	}
 }
+
+// BenchmarkStoreHeap reports the memory that a store takes after 100 changes.
+func BenchmarkStoreHeap(b *testing.B) {
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		store := &Store{}
+		document := sample(plannedServices, plannedCopies)
+		for i := range 100 {
+			next := drained(document, i)
+			if i == 0 {
+				if err := store.Offer(next); err != nil {
+					b.Fatal(err)
+				}
+			} else if err := store.OfferDelta(deltaOf(document, next, store.digest, digestFor(b, store, next))); err != nil {
+				b.Fatal(err)
+			}
+			document = next
+		}
+		document = Document{}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "heap-bytes")
+		runtime.KeepAlive(store)
+	}
+}
+
+func digestFor(b *testing.B, store *Store, next Document) Digest {
+	b.Helper()
+	delta := deltaOf(store.configuration.document, next, "", "")
+	head, _, err := splitCanonical(next, delta.touched(), store.held(shardCount(next)))
+	if err != nil {
+		b.Fatal(err)
+	}
+	return head.Digest()
+}
