Distrust old questions, and believe an agent that asks

Change: who goes on asking also asks the agent that asked; an agent that has asked counts as alive for 5 s whatever its lease says; a question from a failure domain that is out is dropped, not denied. TestFlowStorms runs 30 storms by default, 600 by -matrix.all. Conclusion: a lease that lapses while its holder is paused breaks no flow that the holder or its peers still have.

--- a/internal/lentilmatrix/flow_test.go
+++ b/internal/lentilmatrix/flow_test.go
@@ -1,6 +1,8 @@
 package lentilmatrix
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -29,6 +31,19 @@
 	return name
 }
 
+// flowCell returns the cell of some faults at a step. A run with violations is run
+// again with a trace.
+func flowCell(prefix string, step Step, faults []Fault) cell {
+	return cell{prefix + nameOfSet(faults), step.String(), func(seed uint64) *Outcome {
+		run := FlowRun{Seed: seed, Step: step, Faults: faults}
+		outcome, _ := run.Run()
+		if run.Trace = outcome.Violated() > 0; run.Trace {
+			outcome, _ = run.Run()
+		}
+		return outcome
+	}}
+}
+
 func TestFlowMatrix(t *testing.T) {
 	var cells []cell
 	for pair, faults := range faultSets() {
@@ -36,14 +51,7 @@
 			if len(faults) > 1 && !runsByDefault(pair, int(step)) {
 				continue
 			}
-			cells = append(cells, cell{nameOfSet(faults), step.String(), func(seed uint64) *Outcome {
-				run := FlowRun{Seed: seed, Step: step, Faults: faults}
-				outcome, _ := run.Run()
-				if run.Trace = outcome.Violated() > 0; run.Trace {
-					outcome, _ = run.Run()
-				}
-				return outcome
-			}})
+			cells = append(cells, flowCell("", step, faults))
 		}
 	}
 	runCells(t, cells)
@@ -75,3 +83,28 @@
 		t.Errorf("two runs from one seed count differently:\n%s", diff)
 	}
 }
+
+// Sizes of the storms: runs with several random faults at a random step.
+const (
+	storms      = 30
+	stormsAll   = 600
+	stormFaults = 4
+)
+
+func TestFlowStorms(t *testing.T) {
+	count := storms
+	if *allFlag {
+		count = stormsAll
+	}
+	var cells []cell
+	for number := range uint64(count) {
+		random := rand.New(rand.NewPCG(number, 0))
+		step := Step(random.IntN(int(LastStep)))
+		var faults []Fault
+		for range stormFaults {
+			faults = append(faults, 1+Fault(random.IntN(int(LastFault)-1)))
+		}
+		cells = append(cells, flowCell(fmt.Sprintf("%d:", number), step, faults))
+	}
+	runCells(t, cells)
+}
--- a/pkg/lentilpin/ask.go
+++ b/pkg/lentilpin/ask.go
@@ -53,7 +53,8 @@
 }
 
 // candidates returns the places that may hold the flow, the likeliest first, but
-// for this agent, the one that asks, those that have denied it and those that are gone.
+// for this agent, those that have denied it and those that are gone. An agent that asks
+// is among them: its question may be old, and the flow may live there by now.
 func (k *Keeper) candidates(a *Arrival, denied []lentilid.Place) (places []lentilid.Place) {
 	places = k.likelyPlaces(a)
 	if k.Others != nil && k.Protocol == lentilroute.Datagram {
@@ -65,14 +66,16 @@
 		k.scratch = places
 	}
 	return slices.DeleteFunc(places, func(place lentilid.Place) bool {
-		return !k.mayHold(a, place) || slices.Contains(denied, place)
+		return !k.mayHold(place) || slices.Contains(denied, place)
 	})
 }
 
-// likely returns the likeliest of the places that are likely to hold the flow.
+// likely returns the likeliest of the places that are likely to hold the flow, but
+// for the one that asks.
 func (k *Keeper) likely(a *Arrival, denied []lentilid.Place) (next lentilid.Place, ok bool) {
 	for _, place := range k.likelyPlaces(a) {
-		if k.mayHold(a, place) && !slices.Contains(denied, place) {
+		asker := a.Hop.Purpose() == Ask && place.Agent() == a.From.Agent()
+		if !asker && k.mayHold(place) && !slices.Contains(denied, place) {
 			return place, true
 		}
 	}
@@ -88,8 +91,7 @@
 	return k.scratch
 }
 
-// mayHold reports whether a place is one to ask for the flow of a packet.
-func (k *Keeper) mayHold(a *Arrival, place lentilid.Place) bool {
-	asker := a.Hop.Purpose() == Ask && place.Agent() == a.From.Agent()
-	return place.Agent() != k.Self.Agent() && !asker && !k.gone(place)
+// mayHold reports whether a place is one to ask for a flow.
+func (k *Keeper) mayHold(place lentilid.Place) bool {
+	return place.Agent() != k.Self.Agent() && !k.gone(place)
 }
--- a/pkg/lentilpin/keeper.go
+++ b/pkg/lentilpin/keeper.go
@@ -35,6 +35,10 @@
 // remembers to whom for longer, but only while it believes that agent to be alive.
 const denialLife = time.Second
 
+// proofLife is how long an agent counts as alive after it has asked for a flow,
+// whatever its lease says: longer than control takes to tell that it is back.
+const proofLife = 5 * time.Second
+
 // Bounds on the agents that are asked for one flow. A QUIC flow needs few: what it
 // has to lose is a handshake that two agents have half of.
 const (
@@ -143,12 +147,16 @@
 // decideKey decides on a packet of which only the flow's key is known.
 func (k *Keeper) decideKey(a *Arrival) (action Action) {
 	p := k.pins.get(a.Flow.Key, k.now())
-	if p != nil && p.state == remote && k.gone(p.place) {
+	if p != nil && p.state == remote && k.lost(p) {
 		k.pins.remove(a.Flow.Key)
 		p = nil
 	}
 	purpose := a.Hop.Purpose()
 	switch {
+	case purpose == Ask && k.out(a.From):
+		// One of the two has not heard yet that the failure domain is out or back.
+		// Until it has, neither denies the flow to the other.
+		return Action{Verdict: DropDomainOut}
 	case p == nil && !a.Flow.Opens:
 		return Action{Verdict: DropUnknown}
 	case p == nil && purpose == Ask:
@@ -166,6 +174,12 @@
 	}
 }
 
+// lost reports whether a pinned flow can't be reached any more. An agent whose lease
+// is over may have been paused only: if it has asked since, it lives.
+func (k *Keeper) lost(p *pin) bool {
+	return k.out(p.place) || k.gone(p.place) && k.now().Sub(p.proven) > proofLife
+}
+
 // decideRemote decides on a packet of a flow that is pinned to another agent.
 func (k *Keeper) decideRemote(a *Arrival, p *pin) (action Action) {
 	back := p.place.Agent() == a.From.Agent()
@@ -200,9 +214,11 @@
 // an agent that has just joined may not know of it, and from there to the asker.
 func (k *Keeper) giveWay(a *Arrival, denied []lentilid.Place) (action Action) {
 	next, ok := k.likely(a, denied)
-	if k.pins.put(a.Flow.Key, remote, a.From, k.limit()) == nil {
+	p := k.pins.put(a.Flow.Key, remote, a.From, k.limit())
+	if p == nil {
 		return Action{Verdict: DropFull}
 	}
+	p.proven = k.now()
 	if ok {
 		return k.forward(a, next, Ask)
 	}
--- a/pkg/lentilpin/keeper_test.go
+++ b/pkg/lentilpin/keeper_test.go
@@ -116,6 +116,8 @@
 		{"asked by two", nil, asked(lower), first(Ask, 4, higher), ask(4, lower)},
 		{"asking, asked by a lower one", []lentilid.Place{lower}, deliver, first(Ask, 7, lower), want{Verdict: Forward, Purpose: Return, Token: 7, Place: lower}},
 		{"asking, asked by a higher one", []lentilid.Place{lower}, deliver, first(Ask, 7, higher), ask(1, lower)},
+		{"asking, asked by a higher one that may hold it", []lentilid.Place{higher}, deliver, first(Ask, 7, higher), ask(1, higher)},
+		{"asked from a domain that is out", nil, nil, first(Ask, 7, at(byte(away))), want{Verdict: DropDomainOut}},
 		{"denied before, now a caller's packet", nil, asked(lower), first(Deliver, 0, lentilid.Place{}), want{Verdict: Forward, Purpose: Owned, Place: lower}},
 		{"each believes the other", nil, asked(lower), first(Owned, 0, lower), want{Verdict: Local}},
 		{"told where it lives", []lentilid.Place{lower}, notified(higher), first(Deliver, 0, lentilid.Place{}), want{Verdict: Forward, Purpose: Owned, Place: higher}},
@@ -177,6 +179,15 @@
 			k.Decide(first(Return, 1, lower))
 			clock.Advance(1100 * time.Millisecond)
 		}, first(Return, 2, higher), want{Verdict: Forward, Purpose: Ask, Token: 5, Place: lower}},
+		{"pinned to one whose lease is over", lentilroute.Datagram, func(k *Keeper, _ *lentilclock.Fake) {
+			k.HandedOff(key, third)
+			k.Gone = func(place lentilid.Place) bool { return place == third }
+		}, first(Deliver, 0, lentilid.Place{}), want{Verdict: Forward, Purpose: Ask, Token: 1, Place: lower}},
+		{"pinned to one whose lease is over, but that has asked", lentilroute.Datagram, func(k *Keeper, clock *lentilclock.Fake) {
+			k.Gone = func(place lentilid.Place) bool { return place == third }
+			k.Decide(first(Ask, 3, third))
+			clock.Advance(4 * time.Second)
+		}, first(Deliver, 0, lentilid.Place{}), want{Verdict: Forward, Purpose: Owned, Place: third}},
 		{"idle for too long", lentilroute.Datagram, func(k *Keeper, clock *lentilclock.Fake) {
 			k.HandedOff(key, third)
 			clock.Advance(DefaultIdleDatagram)
--- a/pkg/lentilpin/pins.go
+++ b/pkg/lentilpin/pins.go
@@ -28,6 +28,8 @@
 	place lentilid.Place
 	// asked is when the asking began, since is from when on place is asked.
 	asked, since time.Time
+	// proven is when place last showed that it lives.
+	proven time.Time
 	// denied lists the agents that the flow doesn't live at.
 	denied []lentilid.Place
 	// used is when the last packet came. Pins are linked in this order.
@@ -71,7 +73,7 @@
 	} else {
 		s.unlink(p)
 	}
-	p.state, p.place, p.denied = state, place, nil
+	p.state, p.place, p.denied, p.proven = state, place, nil, time.Time{}
 	s.link(p, l.now)
 	return p
 }
