Refuse at once what can't finish, and measure imbalance, overload and cold copies

Cause: requests that waited were refused up to 1.9 s after they came (deadline 2 s): turns between callers let later ones overtake, so that the expected wait was wrong, worst for relayed ones, which all counted as one caller. Change: the queue is first in, first out; a caller that holds more than half of it may fill it half as far.

--- a/internal/lentilmatrix/request_matrix.go
+++ b/internal/lentilmatrix/request_matrix.go
@@ -9,7 +9,7 @@
 
 const (
 	// warmCalls and watchedCalls are how many calls are made before and while faults befall.
-	warmCalls    = 500
+	warmCalls    = 400
 	watchedCalls = 60
 	// burstCalls come at once, so that requests wait.
 	burstCalls = 15
--- a/internal/lentilmeasure/lentilarrival/tally.go
+++ b/internal/lentilmeasure/lentilarrival/tally.go
@@ -15,7 +15,8 @@
 	work     float64 // seconds answered in time
 	capacity float64 // slot-seconds borne, at a warm copy's speed
 	returns  map[int]int
-	seconds  []secondLoad // of copies that turn cold
+	refusals []time.Duration // times from arrival
+	seconds  []secondLoad    // of copies that turn cold
 }
 
 // window is the use of every copy over one window.
@@ -131,13 +132,17 @@
 		t.result.FalseNotRun++
 	}
 	now := w.schedule.Now()
-	t.result.SlowestRefusal = max(t.result.SlowestRefusal, now.Sub(x.arrived))
+	t.refusals = append(t.refusals, now.Sub(x.arrived))
 	t.returns[int(now.Add(retryAfter).Sub(w.begin).Seconds())]++
 }
 
 func (w *world) result() Result {
 	t := &w.tally
 	r := t.result
+	if n := len(t.refusals); n > 0 {
+		slices.Sort(t.refusals)
+		r.SlowestRefusal, r.MedianRefusal = t.refusals[n-1], t.refusals[n/2]
+	}
 	r.Goodput = t.work / t.capacity
 	var relative, raw, requests []float64
 	for _, n := range t.windows {
--- /dev/null
+++ b/internal/lentilmeasure/lentiloverloadmeasure/overload.go
@@ -0,0 +1,87 @@
+// Package lentiloverloadmeasure measures what becomes of requests below, near and over what
+// the copies bear, in process with the agents' real decisions.
+package lentiloverloadmeasure
+
+import (
+	"context"
+	"fmt"
+
+	"lentilstair.example/lentilstair/internal/lentilfigure"
+	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilarrival"
+)
+
+// Experiment is the entry in the table of experiments.
+var Experiment = lentilfigure.Experiment{
+	Name: "overload",
+	Text: "requests in time, refusals, their truth and speed at 70, 95 and 130 % of the slots, in process",
+	Run:  run,
+}
+
+const (
+	// seeds is how many seeds each figure is taken over, and shortSeeds in a short run.
+	seeds      = 3
+	shortSeeds = 1
+	// overload is the load at which goodput counts.
+	overload = 1.3
+	// goodputBound is the least goodput over capacity then.
+	goodputBound = 0.95
+	// refusalBound is the longest time until a refusal, in seconds.
+	refusalBound = 0.1
+)
+
+// level is a load with the least share of requests to finish in time.
+type level struct{ load, inTime float64 }
+
+var levels = []level{{0.7, 1}, {0.95, 0.99}, {overload, 0}}
+
+func run(ctx context.Context, setup lentilfigure.Setup) (figures []lentilfigure.Figure, err error) {
+	for _, u := range lentilarrival.Users() {
+		for _, l := range levels {
+			more, err := at(ctx, setup, u, l)
+			if err != nil {
+				return nil, err
+			}
+			figures = append(figures, more...)
+		}
+	}
+	return figures, nil
+}
+
+// at returns the figures of one user at one load.
+func at(ctx context.Context, setup lentilfigure.Setup, u lentilarrival.User, l level) (figures []lentilfigure.Figure, err error) {
+	count := seeds
+	if setup.Short {
+		count = shortSeeds
+	}
+	o := lentilarrival.Options{Copies: u.Copies, Slots: u.Slots, Load: l.load}
+	ours, err := lentilarrival.RunSeeds(ctx, lentilarrival.Both().Apply(o), setup.Seed+1, count)
+	if err != nil {
+		return nil, err
+	}
+	o.NoAdmission = true
+	bare, err := lentilarrival.RunSeeds(ctx, lentilarrival.Uniform().Apply(o), setup.Seed+1, count)
+	if err != nil {
+		return nil, err
+	}
+	name := fmt.Sprintf("overload.%s.%.0f", u.Name, 100*l.load)
+	const baseline = "uniform hash, no admission"
+	figure := func(what, unit string, value func(r lentilarrival.Result) float64) lentilfigure.Figure {
+		return lentilfigure.New(name+"."+what, lentilarrival.Mean(ours, value), unit).Against(baseline, lentilarrival.Mean(bare, value))
+	}
+	inTime := figure("in-time", "share", func(r lentilarrival.Result) float64 { return r.Share(r.InTime) })
+	goodput := figure("goodput", "share of capacity", func(r lentilarrival.Result) float64 { return r.Goodput })
+	if l.load == overload {
+		goodput = goodput.AtLeast(goodputBound)
+	} else {
+		inTime = inTime.AtLeast(l.inTime)
+	}
+	return []lentilfigure.Figure{
+		inTime, goodput,
+		figure("refused", "share", func(r lentilarrival.Result) float64 { return r.Share(r.Refused) }),
+		figure("late", "share", func(r lentilarrival.Result) float64 { return r.Share(r.Late) }),
+		figure("false-not-run", "requests", func(r lentilarrival.Result) float64 { return float64(r.FalseNotRun) }).AtMost(0),
+		figure("refusal.slowest", "seconds", func(r lentilarrival.Result) float64 { return r.SlowestRefusal.Seconds() }).AtMost(refusalBound),
+		figure("refusal.median", "seconds", func(r lentilarrival.Result) float64 { return r.MedianRefusal.Seconds() }),
+		figure("return.peak", "most over mean a second", func(r lentilarrival.Result) float64 { return r.RetryPeak }),
+	}, nil
+}
--- a/internal/lentilmeasure/table.go
+++ b/internal/lentilmeasure/table.go
@@ -2,8 +2,11 @@
 
 import (
 	"lentilstair.example/lentilstair/internal/lentilfigure"
+	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilcoldmeasure"
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentildomainmeasure"
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilflowmeasure"
+	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilimbalancemeasure"
+	"lentilstair.example/lentilstair/internal/lentilmeasure/lentiloverloadmeasure"
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilpacketmeasure"
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilrestartmeasure"
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilroutemeasure"
@@ -14,6 +17,9 @@
 var experiments = []lentilfigure.Experiment{
 	lentilflowmeasure.Experiment,
 	lentilroutemeasure.Experiment,
+	lentilimbalancemeasure.Experiment,
+	lentiloverloadmeasure.Experiment,
+	lentilcoldmeasure.Experiment,
 	lentildomainmeasure.Experiment,
 	lentilpacketmeasure.Experiment,
 	lentilrestartmeasure.Experiment,
--- a/pkg/lentiladmit/admit.go
+++ b/pkg/lentiladmit/admit.go
@@ -26,7 +26,7 @@
 	// waiting; the zero time is DefaultTimeout from now. Streams have none.
 	Deadline time.Time
 	// Caller tells callers apart, for instance by a hash of the connection, so that one
-	// of them can't fill the queue. Zero is a caller like any other.
+	// of them can't fill the queue. Zero is not known.
 	Caller uint64
 	// Relayed requests came from a peer and go to no other peer.
 	Relayed bool
--- a/pkg/lentiladmit/queue.go
+++ b/pkg/lentiladmit/queue.go
@@ -11,35 +11,26 @@
 // askEvery is how often a peer is looked for again for a request that waits.
 const askEvery = 20 * time.Millisecond
 
-// wait puts a request into the queue. Each caller's requests take turns one round apart,
-// so that a caller with many of them doesn't hold up the others. A request that comes back
-// from a peer takes its old turn.
+// wait puts a request into the queue, first in, first out, so that the wait that was expected
+// when it was let in does not grow by who comes later. A request that comes back from a peer
+// takes its old place.
 func (a *Admitter) wait(r *request) {
 	r.stage = waiting
 	r.taken = true
 	if r.turn == 0 {
-		r.turn = a.nextTurn(r)
+		a.turn++
+		r.turn = a.turn
 	}
-	at, _ := slices.BinarySearchFunc(a.queue, r.turn+1, func(q *request, turn int) int { return q.turn - turn })
+	at, _ := slices.BinarySearchFunc(a.queue, r.turn, func(q *request, turn int) int { return q.turn - turn })
 	a.queue = slices.Insert(a.queue, at, r)
 }
 
-// nextTurn returns the turn that the request would get.
-func (a *Admitter) nextTurn(r *request) int {
-	turn := a.turn
-	for _, q := range a.queue {
-		if q.arrival.Caller == r.arrival.Caller {
-			turn = q.turn
-		}
-	}
-	return turn + 1
-}
-
 func (a *Admitter) unqueue(r *request) {
 	a.queue = slices.DeleteFunc(a.queue, func(q *request) bool { return q == r })
 }
 
-// full reports whether the queue has no place for a request that could be served in time.
+// full reports whether the queue has no place for a request that could be served in time. A
+// caller that holds more than half of the queue may fill it half as far as others.
 func (a *Admitter) full(r *request) bool {
 	if r.turn > 0 {
 		return false
@@ -47,13 +38,22 @@
 	if len(a.queue) >= a.maxQueue() {
 		return true
 	}
-	turn, ahead := a.nextTurn(r), 0
+	margin := time.Duration(caution)
+	if a.crowds(r.arrival.Caller) {
+		margin *= 2
+	}
+	return a.late(r, margin*a.waitBehind(len(a.queue)))
+}
+
+// crowds reports whether more than half of what waits is of one caller.
+func (a *Admitter) crowds(caller uint64) bool {
+	own := 0
 	for _, q := range a.queue {
-		if q.turn <= turn {
-			ahead++
+		if caller != 0 && q.arrival.Caller == caller {
+			own++
 		}
 	}
-	return a.late(r, caution*a.waitBehind(ahead))
+	return 2*own > len(a.queue)
 }
 
 // waitBehind returns the expected wait of a request with so many others ahead of it in the
@@ -108,7 +108,6 @@
 	for len(a.queue) > 0 && a.Limiter.Free() {
 		r := a.queue[0]
 		a.queue = a.queue[1:]
-		a.turn = r.turn
 		if a.late(r, 0) {
 			a.refuse(r, ReasonDeadline)
 			continue
--- a/pkg/lentiladmit/state.go
+++ b/pkg/lentiladmit/state.go
@@ -24,7 +24,7 @@
 type request struct {
 	arrival  Arrival
 	stage    stage
-	turn     int       // order in the queue, lowest first
+	turn     int       // place in the queue, lowest first; zero if it never waited
 	askedAt  time.Time // when a peer was last looked for
 	attempts int       // dispatches and relays that may have run it, and the present one
 	relays   int
@@ -41,7 +41,7 @@
 	active   []*request // dispatched or relayed requests other than streams at the copy
 	inFlight int
 	streams  int
-	turn     int // of the request that last left the queue for the copy
+	turn     int // of the request that was queued last
 	draining bool
 	returnAt time.Time // when the caller refused last may come back
 	actions  []Action
