--- a/internal/lentilmatrix/flow_world.go
+++ b/internal/lentilmatrix/flow_world.go
@@ -22,6 +22,8 @@
 	fullWeight = 200
 	// handOffShare is the share of new QUIC flows that agents hand off.
 	handOffShare = 0.15
+	// startUp is when callers begin.
+	startUp = 2 * time.Second
 	// skewUsual is how long control takes to reach a node at most, usually.
 	skewUsual = 300 * time.Millisecond
 	// skewUneven is the same while views are uneven.
@@ -89,7 +91,10 @@
 	for _, doc := range w.document.Copies {
 		w.startCopy(doc, fullWeight)
 	}
-	w.run(2 * time.Second)
+	// Services settle from when a node first needs its router.
+	w.run(startUp / 2)
+	w.eachNode(func(n *node) { n.view.Router() })
+	w.run(startUp)
 	return w
 }
 
