Lab, demo and measurement use the operators' commands

Cause: the lab wrote configurations into the platform itself while the commands were not there yet. Change: notes go through lentilstair apply, drain and restore; the time until a change is in force is read from what every process shows, since the command hears of it with the agents' next heartbeats. Conclusion: an operator who waits for the command waits up to a heartbeat longer than the change takes.

--- a/internal/lentildemo/change.go
+++ b/internal/lentildemo/change.go
@@ -9,7 +9,6 @@
 	"github.com/joomcode/errorx"
 
 	"lentilstair.example/lentilstair/internal/lentillab"
-	"lentilstair.example/lentilstair/pkg/lentilnote"
 )
 
 const (
@@ -30,13 +29,12 @@
 )
 
 // timed carries out a change and notes how long it took until it was in force.
-func (d *demo) timed(name string, do func() error) (err error) {
+func (d *demo) timed(name string, do func() (time.Duration, error)) (err error) {
 	at := time.Since(d.began)
-	began := time.Now()
-	if err = do(); err != nil {
+	took, err := do()
+	if err != nil {
 		return errorx.Decorate(err, "%s", name)
 	}
-	took := time.Since(began)
 	d.report.Changes = append(d.report.Changes, ChangeDoc{Name: name, AtSeconds: at.Seconds(), TookMillis: took.Milliseconds()})
 	d.note("%5.1f s  %s: in force after %s", at.Seconds(), name, took.Round(time.Millisecond))
 	return nil
@@ -53,7 +51,7 @@
 			return err
 		}
 		note := lentillab.ReplaceNote("replace-"+strconv.Itoa(i+1), fresh, old)
-		err = d.timed(old.Name()+" replaced by "+name, func() error { return d.site.ApplyDirectly(ctx, note) })
+		err = d.timed(old.Name()+" replaced by "+name, func() (time.Duration, error) { return d.site.Apply(ctx, note) })
 		if err != nil {
 			return err
 		}
@@ -109,7 +107,7 @@
 // by the end of the quiet time.
 func (d *demo) takeOut(ctx context.Context) (err error) {
 	began := time.Now()
-	if err = d.timed(outDomain+" taken out", func() error { return d.site.ApplyDirectly(ctx, outNote(true)) }); err != nil {
+	if err = d.timed(outDomain+" taken out", func() (time.Duration, error) { return d.site.Change(ctx, "drain", "domain", outDomain) }); err != nil {
 		return err
 	}
 	if err = lentillab.Pause(ctx, time.Until(began.Add(quietTime+countLag))); err != nil {
@@ -130,16 +128,5 @@
 		return err
 	}
 	d.late = after - d.late
-	return d.timed(outDomain+" brought back", func() error { return d.site.ApplyDirectly(ctx, outNote(false)) })
-}
-
-func outNote(out bool) (note lentilnote.Doc) {
-	note = lentilnote.Doc{ID: "out", Author: "demo"}
-	if out {
-		note.Domains.Out = []string{outDomain}
-		return note
-	}
-	note.ID = "back"
-	note.Domains.Back = []string{outDomain}
-	return note
+	return d.timed(outDomain+" brought back", func() (time.Duration, error) { return d.site.Change(ctx, "restore", "domain", outDomain) })
 }
--- a/internal/lentillab/note.go
+++ b/internal/lentillab/note.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"lentilstair.example/lentilstair/pkg/lentilconfig"
 	"lentilstair.example/lentilstair/pkg/lentilnote"
@@ -47,24 +48,23 @@
 	return note
 }
 
-// Apply carries out a release note by `lentilstair apply` and returns when it is
-// in force.
-func (r *Running) Apply(ctx context.Context, note lentilnote.Doc) (err error) {
+// Apply carries out a release note by `lentilstair apply`, and returns how long it
+// took until it was in force everywhere.
+func (r *Running) Apply(ctx context.Context, note lentilnote.Doc) (inForce time.Duration, err error) {
 	file, err := r.writeJSON("note-"+note.ID+".json", note)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	return r.Operate(ctx, "apply", file)
+	return r.Change(ctx, "apply", file)
 }
 
-// Operate runs a command of operators to its end.
-func (r *Running) Operate(ctx context.Context, command string, args ...string) (err error) {
-	r.operations++
-	name := fmt.Sprintf("%s-%d", command, r.operations)
-	process, err := r.lab.Stair(name, append([]string{command, "--platform", r.PlatformURL()}, args...)...)
+// StartOperation starts a command of operators.
+func (r *Running) StartOperation(command string, args ...string) (process *Process, err error) {
+	settings, err := r.writeJSON("operator.json", r.operatorDoc())
 	if err != nil {
-		return err
+		return nil, err
 	}
-	_, err = process.Output(ctx)
-	return err
+	r.operations++
+	name := fmt.Sprintf("%s-%d", command, r.operations)
+	return r.lab.Stair(name, append([]string{command, "--settings", settings}, args...)...)
 }
--- a/internal/lentillab/site.go
+++ b/internal/lentillab/site.go
@@ -193,6 +193,19 @@
 	return doc
 }
 
+// operatorDoc returns the settings of the operators' commands.
+func (r *Running) operatorDoc() lentilsetting.OperatorDoc {
+	doc := lentilsetting.OperatorDoc{
+		Author:   author,
+		Platform: lentilsetting.PlatformDoc{URL: r.PlatformURL()},
+		Keys:     r.keys(),
+	}
+	for _, b := range r.balancers {
+		doc.Balancers = append(doc.Balancers, b.Control().String())
+	}
+	return doc
+}
+
 func (r *Running) keys() []lentilsetting.KeyDoc {
 	return []lentilsetting.KeyDoc{{ID: 1, SecretFile: secretFile}}
 }
