--- /dev/null
+++ b/internal/lentilmeasure/lentilflowmeasure/flows_test.go
@@ -0,0 +1,19 @@
+package lentilflowmeasure
+
+import (
+	"testing"
+
+	"lentilstair.example/lentilstair/internal/lentilfigure"
+)
+
+func TestBoundsAreKept(t *testing.T) {
+	figures, err := Experiment.Run(t.Context(), lentilfigure.Setup{Seed: 7, Short: true})
+	if err != nil || len(figures) == 0 {
+		t.Fatalf("%d figures, error %v", len(figures), err)
+	}
+	for _, figure := range figures {
+		if !figure.OK() {
+			t.Errorf("%+v", figure.Doc())
+		}
+	}
+}
