--- a/pkg/lentilticket/ledger_test.go
+++ b/pkg/lentilticket/ledger_test.go
@@ -12,7 +12,7 @@
 
 const (
 	testEntries = 4
-	testBytes   = 40
+	testBytes   = 18
 )
 
 // ledgerModel is what must hold of a ledger, kept without bounds.
