--- a/pkg/lentilconfig/size_test.go
+++ b/pkg/lentilconfig/size_test.go
@@ -123,7 +123,6 @@
 			}
 			document = next
 		}
-		document = Document{}
 		runtime.GC()
 		runtime.ReadMemStats(&after)
 		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "heap-bytes")
