Measure control: spread against baselines, one node at fleet size, real processes

Change: experiment control. On the way: a node shows records of failure domains that it does not reach, since a newcomer that reached nothing yet compared the same 2,000 rows again and again and never had them all; a newcomer exchanges with the peers that its probes found; it does not pass on what it takes in by the bulk; digests are folded from kept sums.

--- a/internal/lentilcontrol/balancer.go
+++ b/internal/lentilcontrol/balancer.go
@@ -112,9 +112,10 @@
 	b.dialer = &Dialer{TLS: b.ClientTLS}
 	b.glance.Store(&glance{})
 	node := &Node{
-		Clock: b.Clock,
-		Self:  lentilmember.Doc{Run: b.RunID, Control: b.Advertise, Region: b.Region, Domain: b.Domain},
-		Seeds: b.Seeds,
+		Clock:  b.Clock,
+		Self:   lentilmember.Doc{Run: b.RunID, Control: b.Advertise, Region: b.Region, Domain: b.Domain},
+		Seeds:  b.Seeds,
+		Direct: DefaultDirect,
 	}
 	node.Start()
 	b.mailbox = newMailbox(&nodeActor{
--- a/internal/lentilcontrol/exchange.go
+++ b/internal/lentilcontrol/exchange.go
@@ -19,7 +19,7 @@
 		if !p.neighbour && now.Sub(p.heard) > peerSilence {
 			silent = append(silent, run)
 		}
-		if p.neighbour && !p.inFlight && !now.Before(n.dueAt(p, now)) {
+		if n.called(p) && !p.inFlight && !now.Before(n.dueAt(p, now)) {
 			calls = append(calls, n.exchange(p, now))
 		}
 	}
@@ -29,6 +29,9 @@
 	return calls
 }
 
+// called reports whether this node calls a peer, rather than only answers it.
+func (n *Node) called(p *peer) bool { return p.neighbour || (p.sponsor && n.synced.IsZero()) }
+
 // dueAt returns when the next exchange with a peer shall begin: at its period, or
 // soon after a change while the budget lasts.
 func (n *Node) dueAt(p *peer, now time.Time) time.Time {
--- a/internal/lentilcontrol/live.go
+++ b/internal/lentilcontrol/live.go
@@ -37,8 +37,7 @@
 	}
 	for _, owner := range n.live.dirty.take(len(n.live.dirty)) {
 		told, known := n.live.told[owner]
-		r, ok := n.records.Get(owner)
-		ok = ok && r.Phase() != lentilrecord.Gone
+		r, ok := n.records.GetLive(owner)
 		switch {
 		case ok && (!known || told != r):
 			n.live.told[owner] = r
@@ -53,3 +52,6 @@
 
 // Reached returns the failure domains with which this node is in contact.
 func (n *Node) Reached() []string { return n.table.Reached() }
+
+// RecordVersion returns the version known of an owner's record, or 0.
+func (n *Node) RecordVersion(owner lentilid.Incarnation) uint64 { return n.records.Rank(owner) }
--- a/internal/lentilcontrol/node.go
+++ b/internal/lentilcontrol/node.go
@@ -28,6 +28,8 @@
 	DefaultPeriod = time.Second
 	// DefaultCompare is the time between comparisons of whole maps with a neighbour.
 	DefaultCompare = 5 * time.Second
+	// DefaultDirect is up to how many changes a Balancer sends whole.
+	DefaultDirect = 4
 	// gap is the least time between two exchanges with a neighbour that
 	// changes prompt; it gathers changes that come close together.
 	gap = 50 * time.Millisecond
@@ -38,6 +40,8 @@
 	awayTime = 10 * time.Second
 	// formerMax bounds the former members by which a node joins again.
 	formerMax = 16
+	// bulkRecords is how many records at once a newcomer does not pass on.
+	bulkRecords = 64
 	// chorePeriod is the time between tasks that go over all members.
 	chorePeriod = 500 * time.Millisecond
 	// peerSilence is how long a peer that is no neighbour is kept without contact.
@@ -186,8 +190,11 @@
 		return
 	}
 	n.live.mark(records)
+	// What a newcomer takes in by the bulk is known to its peers already; should it not
+	// be, the next comparison shows it.
+	bulk := n.synced.IsZero() && from != 0 && len(records) > bulkRecords
 	for run, p := range n.peers {
-		if run != from {
+		if run != from && !bulk {
 			p.members.notify(members)
 			p.records.notify(records)
 		}
@@ -221,10 +228,12 @@
 
 // vouch passes on whose leases a member holds, if the member counts.
 func (n *Node) vouch(run lentilid.Incarnation, doc lentilmember.Doc) {
-	if !doc.Counts() || !slices.Contains(n.table.Reached(), doc.Domain) {
-		doc.Held = nil
+	var voucher lentilrecord.Voucher
+	if doc.Counts() {
+		voucher.Owners = doc.Held
+		voucher.Near = slices.Contains(n.table.Reached(), doc.Domain)
 	}
-	n.records.Vouch(run, doc.Held)
+	n.records.Vouch(run, voucher)
 }
 
 // revouch judges all vouchers anew after the failure domains in contact changed.
--- a/internal/lentilcontrol/peer.go
+++ b/internal/lentilcontrol/peer.go
@@ -49,7 +49,10 @@
 	region    string
 	domain    string
 	neighbour bool
-	inFlight  bool
+	// sponsor is true for a peer found by a probe; until this node has compared
+	// itself with another one, it exchanges with its sponsors too.
+	sponsor  bool
+	inFlight bool
 	// called is when the latest exchange began, due when the next shall.
 	called  time.Time
 	due     time.Time
--- a/internal/lentilcontrol/probe.go
+++ b/internal/lentilcontrol/probe.go
@@ -104,5 +104,7 @@
 	if !ok || !doc.Counts() || sender == n.Self.Run {
 		return
 	}
-	n.learn(n.peer(doc), response)
+	sponsor := n.peer(doc)
+	sponsor.sponsor = true
+	n.learn(sponsor, response)
 }
--- /dev/null
+++ b/internal/lentilmeasure/lentilcontrolmeasure/baseline.go
@@ -0,0 +1,128 @@
+package lentilcontrolmeasure
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"lentilstair.example/lentilstair/internal/lentilcontrol/lentilcontrolpb"
+	"lentilstair.example/lentilstair/pkg/lentilclock"
+	"lentilstair.example/lentilstair/pkg/lentilid"
+	"lentilstair.example/lentilstair/pkg/lentilrecord"
+)
+
+// baseline spreads records by sending all that a node holds, each second, to some
+// random peers: to all of them (full-state push) or to one (plain gossip, where
+// the peer answers with all that it holds). It keeps records in the product's store
+// and counts the same encoding.
+type baseline struct {
+	clock    lentilclock.Fake
+	random   *rand.Rand
+	fanOut   int
+	stores   []*lentilrecord.Store
+	due      []time.Time
+	versions []uint64
+	sent     int
+}
+
+func newBaseline(seed uint64, nodes, fanOut int) *baseline {
+	b := &baseline{
+		random:   rand.New(rand.NewPCG(seed, uint64(nodes))),
+		fanOut:   min(fanOut, nodes-1),
+		versions: make([]uint64, nodes*agentsPerNode),
+	}
+	owners := make([]lentilid.Incarnation, len(b.versions))
+	for agent := range b.versions {
+		owners[agent] = lentilid.Incarnation(lentilcontrolHash(agent))
+	}
+	for range nodes {
+		store := &lentilrecord.Store{Clock: &b.clock}
+		// Every record counts as vouched for, so that the store shows it.
+		store.Vouch(1, lentilrecord.Voucher{Owners: owners, Near: true})
+		b.stores = append(b.stores, store)
+		b.due = append(b.due, b.clock.Now().Add(time.Duration(b.random.Int64N(int64(time.Second)))))
+	}
+	for agent := range b.versions {
+		b.change(agent)
+	}
+	return b
+}
+
+func (b *baseline) change(agent int) {
+	b.versions[agent]++
+	for _, holder := range []int{agent % len(b.stores), (agent + 1) % len(b.stores)} {
+		b.stores[holder].Apply(plain(record(agent, b.versions[agent])))
+	}
+}
+
+// plain returns the record of a message.
+func plain(message *lentilcontrolpb.Record) lentilrecord.Record {
+	address := func(e *lentilcontrolpb.Endpoint) netip.AddrPort {
+		a := e.GetAddress()
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{byte(a >> 24), byte(a >> 16), byte(a >> 8), byte(a)}), uint16(e.GetPort()))
+	}
+	return lentilrecord.New(lentilrecord.Doc{
+		Owner:   lentilrecord.Owner{Copy: message.GetCopy(), Incarnation: lentilid.Incarnation(message.GetIncarnation())},
+		Version: message.GetVersion(),
+		Service: lentilid.Service(message.GetService()),
+		Domain:  lentilid.Domain(message.GetDomain()),
+		Tunnel:  address(message.GetTunnel()),
+		Control: address(message.GetControl()),
+		Phase:   lentilrecord.Phase(message.GetPhase()),
+		Weight:  uint16(message.GetWeight()),
+	})
+}
+
+func (b *baseline) run(d time.Duration) {
+	const step = 25 * time.Millisecond
+	for passed := time.Duration(0); passed < d; passed += step {
+		b.clock.Advance(step)
+		for i := range b.stores {
+			if !b.clock.Now().Before(b.due[i]) {
+				b.due[i] = b.due[i].Add(time.Second)
+				b.round(i)
+			}
+		}
+	}
+}
+
+// round sends all that a node holds to its peers of this round.
+func (b *baseline) round(from int) {
+	records, size := b.all(from)
+	for _, to := range b.random.Perm(len(b.stores) - 1)[:b.fanOut] {
+		peer := (from + 1 + to) % len(b.stores)
+		b.sent += size
+		b.stores[peer].Apply(records...)
+		if b.fanOut == 1 {
+			answer, size := b.all(peer)
+			b.sent += size
+			b.stores[from].Apply(answer...)
+		}
+	}
+}
+
+// all returns all that a node holds, and the size of its message.
+func (b *baseline) all(node int) (records []lentilrecord.Record, size int) {
+	message := &lentilcontrolpb.ExchangeRequest{Sender: uint64(node)}
+	for agent := range b.versions {
+		r, ok := b.stores[node].Get(lentilid.Incarnation(lentilcontrolHash(agent)))
+		if ok {
+			records = append(records, r)
+			message.Records = append(message.Records, record(agent, r.Version()))
+		}
+	}
+	return records, proto.Size(message)
+}
+
+func (b *baseline) known(agent int) bool {
+	for _, store := range b.stores {
+		if store.Rank(lentilid.Incarnation(lentilcontrolHash(agent))) < b.versions[agent] {
+			return false
+		}
+	}
+	return true
+}
+
+func (b *baseline) bytes() int { return b.sent }
--- a/internal/lentilmeasure/table.go
+++ b/internal/lentilmeasure/table.go
@@ -3,6 +3,7 @@
 import (
 	"lentilstair.example/lentilstair/internal/lentilfigure"
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilcoldmeasure"
+	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilcontrolmeasure"
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentildomainmeasure"
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilflowmeasure"
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilimbalancemeasure"
@@ -20,6 +21,7 @@
 	lentilimbalancemeasure.Experiment,
 	lentiloverloadmeasure.Experiment,
 	lentilcoldmeasure.Experiment,
+	lentilcontrolmeasure.Experiment,
 	lentildomainmeasure.Experiment,
 	lentilpacketmeasure.Experiment,
 	lentilrestartmeasure.Experiment,
--- a/pkg/lentilrecord/query.go
+++ b/pkg/lentilrecord/query.go
@@ -51,11 +51,11 @@
 	return Record{doc: doc}
 }
 
-// Live returns the records for which a living balancer vouches and whose copies
+// Live returns the records for which a balancer in contact vouches and whose copies
 // have not ended, in order of their owners.
 func (s *Store) Live() (records []Record) {
 	for _, e := range s.entries {
-		if e.known && e.vouches > 0 && e.record.Phase() != Gone {
+		if e.live() {
 			records = append(records, e.current())
 		}
 	}
@@ -82,7 +82,18 @@
 	return 1
 }
 
-// Get returns a live record by its owner's incarnation, Gone ones included.
+func (e *entry) live() bool { return e.known && e.near > 0 && e.record.Phase() != Gone }
+
+// GetLive returns a live record by its owner's incarnation.
+func (s *Store) GetLive(owner lentilid.Incarnation) (r Record, ok bool) {
+	e := s.entries[owner]
+	if e == nil || !e.live() {
+		return Record{}, false
+	}
+	return e.record, true
+}
+
+// Get returns a record that is shown to peers, by its owner's incarnation.
 func (s *Store) Get(owner lentilid.Incarnation) (r Record, ok bool) {
 	e := s.entries[owner]
 	if e == nil || !e.known || e.vouches == 0 {
@@ -100,7 +111,7 @@
 	return e.record.Version()
 }
 
-// Versions returns the owner-version map of the live records. The caller must
+// Versions returns the owner-version map of the records shown to peers. The caller must
 // not change it.
 func (s *Store) Versions() *Versions { return &s.versions }
 
@@ -108,8 +119,8 @@
 // another owner's incarnation.
 func (s *Store) Refused() uint64 { return s.refused }
 
-// TakeChanged returns the owners whose live records changed since the last
-// call, and forgets them.
+// TakeChanged returns the owners whose records changed, or began or ceased to be
+// shown or live, since the last call, and forgets them.
 func (s *Store) TakeChanged() (owners []lentilid.Incarnation) {
 	owners = s.changed
 	s.changed = nil
--- a/pkg/lentilrecord/store.go
+++ b/pkg/lentilrecord/store.go
@@ -21,10 +21,11 @@
 	MaxStrays = 32 << 10
 )
 
-// Store keeps the records that one balancer knows. A record is live while a
-// living balancer vouches for it, which means: holds a lease of the record's
-// owner. Only live records are shown to peers, so a record whose owner has fallen silent
-// cannot come back from a node that was away.
+// Store keeps the records that one balancer knows. A balancer that holds a lease of
+// a record's owner vouches for the record. A record is shown to peers while any
+// balancer that is not known to be dead vouches for it, and live while one that is also in contact
+// does. So a record whose owner has fallen silent cannot come back from a node that
+// was away: the lists of the balancers that vouch are newer than what it holds.
 //
 // The zero Store is ready to use. It is not safe for use by several goroutines.
 type Store struct {
@@ -40,7 +41,7 @@
 	entries  map[lentilid.Incarnation]*entry
 	leases   map[lentilid.Incarnation]*entry
 	strays   map[lentilid.Incarnation]*entry
-	vouchers map[lentilid.Incarnation][]lentilid.Incarnation
+	vouchers map[lentilid.Incarnation]Voucher
 	versions Versions
 	held     []lentilid.Incarnation
 	reheld   bool
@@ -53,8 +54,10 @@
 type entry struct {
 	record Record
 	// known is false while only vouches have come, and no record.
-	known   bool
+	known bool
+	// vouches counts the balancers that vouch, near those of them that are in contact.
 	vouches int
+	near    int
 	// stray is since when nobody vouches.
 	stray time.Time
 	// lease is when the lease held here ends without a heartbeat.
@@ -120,48 +123,64 @@
 	s.entries = map[lentilid.Incarnation]*entry{}
 	s.leases = map[lentilid.Incarnation]*entry{}
 	s.strays = map[lentilid.Incarnation]*entry{}
-	s.vouchers = map[lentilid.Incarnation][]lentilid.Incarnation{}
+	s.vouchers = map[lentilid.Incarnation]Voucher{}
 }
 
-// Vouch sets the owners whose leases a living balancer holds. An empty list
-// withdraws all; a balancer that dies vouches for nobody.
-func (s *Store) Vouch(holder lentilid.Incarnation, owners []lentilid.Incarnation) {
+// Voucher is what a balancer that is not known to be dead vouches for.
+type Voucher struct {
+	// Owners are those whose leases the balancer holds, in order.
+	Owners []lentilid.Incarnation
+	// Near is true if the balancer is in contact.
+	Near bool
+}
+
+// Vouch sets what a balancer vouches for. The zero Voucher withdraws all; a
+// balancer that dies vouches for nobody.
+func (s *Store) Vouch(holder lentilid.Incarnation, voucher Voucher) {
 	former := s.vouchers[holder]
-	if slices.Equal(former, owners) {
+	if former.Near == voucher.Near && slices.Equal(former.Owners, voucher.Owners) {
 		return
 	}
 	s.prepare()
-	for _, owner := range owners {
-		s.vouchFor(owner, 1)
+	for _, owner := range voucher.Owners {
+		s.vouchFor(owner, 1, voucher.Near)
 	}
-	for _, owner := range former {
-		s.vouchFor(owner, -1)
+	for _, owner := range former.Owners {
+		s.vouchFor(owner, -1, former.Near)
 	}
-	s.vouchers[holder] = slices.Clone(owners)
-	if len(owners) == 0 {
+	voucher.Owners = slices.Clone(voucher.Owners)
+	s.vouchers[holder] = voucher
+	if len(voucher.Owners) == 0 {
 		delete(s.vouchers, holder)
 	}
 }
 
-func (s *Store) vouchFor(owner lentilid.Incarnation, change int) {
+func (s *Store) vouchFor(owner lentilid.Incarnation, change int, near bool) {
 	e := s.entry(owner)
+	wasLive := e.near > 0
 	e.vouches += change
+	if near {
+		e.near += change
+	}
 	delete(s.strays, owner)
 	if e.vouches == 0 {
 		e.stray = s.now()
 		s.strays[owner] = e
 	}
 	s.settle(owner, e)
+	if wasLive != (e.near > 0) {
+		s.changed = append(s.changed, owner)
+	}
 }
 
 // settle keeps the owner-version map in step with an entry.
 func (s *Store) settle(owner lentilid.Incarnation, e *entry) {
-	rank, shown := s.versions.Rank(uint64(owner))
-	live := e.known && e.vouches > 0
+	rank, wasShown := s.versions.Rank(uint64(owner))
+	shown := e.known && e.vouches > 0
 	switch {
-	case live && (!shown || rank != e.record.Version()):
+	case shown && (!wasShown || rank != e.record.Version()):
 		s.versions.Set(uint64(owner), e.record.Version())
-	case !live && shown:
+	case !shown && wasShown:
 		s.versions.Delete(uint64(owner))
 	default:
 		return
@@ -237,7 +256,7 @@
 	clear(s.leases)
 	s.reheld = true
 	for holder := range s.vouchers {
-		s.Vouch(holder, nil)
+		s.Vouch(holder, Voucher{})
 	}
 	for owner := range s.entries {
 		s.forget(owner)
--- a/pkg/lentilrecord/versions.go
+++ b/pkg/lentilrecord/versions.go
@@ -19,6 +19,8 @@
 type Versions struct {
 	ranks map[uint64]uint64
 	root  uint64
+	// sums holds a hash for each of maxBuckets buckets; smaller digests fold it.
+	sums []uint32
 }
 
 // Set notes the rank of an owner's entry.
@@ -28,7 +30,17 @@
 		v.ranks = map[uint64]uint64{}
 	}
 	v.ranks[owner] = rank
-	v.root ^= hashLine(owner, rank)
+	v.flip(owner, rank)
+}
+
+// flip puts a row into the hashes or takes it out of them.
+func (v *Versions) flip(owner, rank uint64) {
+	if v.sums == nil {
+		v.sums = make([]uint32, maxBuckets)
+	}
+	hash := hashLine(owner, rank)
+	v.root ^= hash
+	v.sums[bucketOf(owner, maxBuckets)] ^= uint32(hash)
 }
 
 // Delete forgets an owner.
@@ -37,7 +49,7 @@
 	if !ok {
 		return
 	}
-	v.root ^= hashLine(owner, rank)
+	v.flip(owner, rank)
 	delete(v.ranks, owner)
 }
 
@@ -73,8 +85,8 @@
 // Digest returns a hash for each of a number of buckets, which Buckets gives.
 func (v *Versions) Digest(buckets int) []uint32 {
 	digest := make([]uint32, buckets)
-	for owner, rank := range v.ranks {
-		digest[bucketOf(owner, buckets)] ^= uint32(hashLine(owner, rank))
+	for i, sum := range v.sums {
+		digest[i%buckets] ^= sum
 	}
 	return digest
 }
