A first probe goes out in the tick that finds the address

Change: probes are due at the tick's time, and a node ticks once at its start. Conclusion: the test had found a real fault of control.

--- a/internal/lentilcontrol/balancer.go
+++ b/internal/lentilcontrol/balancer.go
@@ -174,6 +174,7 @@
 }
 
 func (b *Balancer) tick() {
+	b.mailbox.tell(tickMessage{})
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
 	for {
--- a/internal/lentilcontrol/probe.go
+++ b/internal/lentilcontrol/probe.go
@@ -33,7 +33,7 @@
 func (n *Node) probing(now time.Time) (calls []Call) {
 	if now.Sub(n.chores) >= chorePeriod {
 		n.chores = now
-		n.aim()
+		n.aim(now)
 	}
 	for _, address := range slices.SortedFunc(maps.Keys(n.probes), netip.AddrPort.Compare) {
 		p := n.probes[address]
@@ -53,7 +53,7 @@
 }
 
 // aim sets which addresses are worth a probe.
-func (n *Node) aim() {
+func (n *Node) aim(now time.Time) {
 	for _, p := range n.probes {
 		p.wanted = false
 	}
@@ -66,20 +66,20 @@
 	}
 	for _, address := range slices.Concat(n.Seeds, n.former) {
 		if !known[address] {
-			n.want(address, seedBase, seedMax)
+			n.want(address, now, seedBase, seedMax)
 		}
 	}
 	for _, doc := range n.table.Lost() {
 		if !known[doc.Control] {
-			n.want(doc.Control, lostBase, lostMax)
+			n.want(doc.Control, now, lostBase, lostMax)
 		}
 	}
 }
 
-func (n *Node) want(address netip.AddrPort, base, highest time.Duration) {
+func (n *Node) want(address netip.AddrPort, now time.Time, base, highest time.Duration) {
 	p := n.probes[address]
 	if p == nil {
-		p = &probe{due: n.now(), backoff: lentilbudget.Backoff{Base: base, Max: highest, Random: n.Random}}
+		p = &probe{due: now, backoff: lentilbudget.Backoff{Base: base, Max: highest, Random: n.Random}}
 		if base == lostBase {
 			p.due = p.due.Add(p.backoff.Next())
 		}
