--- a/internal/lentilcontrol/exchange.go
+++ b/internal/lentilcontrol/exchange.go
@@ -1,6 +1,7 @@
 package lentilcontrol
 
 import (
+	"math"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -52,6 +53,7 @@
 	p.called = now
 	p.due = now.Add(n.jitter(n.period()))
 	request, sent := n.request(&p.members, &p.records)
+	request.SilenceMilliseconds = n.silence(p)
 	return Call{To: p.control, Exchange: request, run: p.run, sent: sent}
 }
 
@@ -102,12 +104,20 @@
 // Exchange answers the request of another balancer.
 func (n *Node) Exchange(request *lentilcontrolpb.ExchangeRequest) (response *lentilcontrolpb.ExchangeResponse) {
 	sender := lentilid.Incarnation(request.GetSender())
+	var silence uint32
+	if p := n.peers[sender]; p != nil {
+		silence = n.silence(p)
+		if n.paused(p, request.GetSilenceMilliseconds()) {
+			n.discard()
+		}
+	}
 	n.apply(sender, request.GetMembers(), request.GetRecords())
 	response = &lentilcontrolpb.ExchangeResponse{
 		Sender:               uint64(n.Self.Run),
 		ConfigurationVersion: n.configuration.Version(),
 		KnownRank:            n.table.Rank(sender),
 		Settled:              n.settled(),
+		SilenceMilliseconds:  silence,
 	}
 	var members, records outbox
 	memberBox, recordBox := &members, &records
@@ -217,7 +227,12 @@
 // learn takes in the answer of a peer.
 func (n *Node) learn(p *peer, response *lentilcontrolpb.ExchangeResponse) {
 	now := n.now()
+	if n.paused(p, response.GetSilenceMilliseconds()) {
+		n.discard()
+		return
+	}
 	p.heard = now
+	p.answered = now
 	p.configuration = response.GetConfigurationVersion()
 	n.apply(p.run, response.GetMembers(), response.GetRecords())
 	if n.forgotten(p, response, now) {
@@ -238,6 +253,25 @@
 	n.compared(p)
 }
 
+// silence returns the milliseconds since a peer was heard.
+func (n *Node) silence(p *peer) uint32 {
+	return uint32(max(0, min(n.now().Sub(p.heard).Milliseconds(), math.MaxUint32)))
+}
+
+// paused reports whether a peer has heard nothing from this node for much longer than
+// this node remembers: then this process was held while its clock stood still.
+func (n *Node) paused(p *peer, silence uint32) (paused bool) {
+	now := n.now()
+	told := time.Duration(silence) * time.Millisecond
+	if told-now.Sub(p.answered) > awayTime {
+		return true
+	}
+	if at := now.Add(-told); at.After(p.answered) {
+		p.answered = at
+	}
+	return false
+}
+
 // long reports whether a comparison may not have shown all rows.
 func long(part *lentilcontrolpb.Part) bool {
 	return len(part.GetNotices().GetOwners()) >= maxLines
--- a/internal/lentilcontrol/fault_test.go
+++ b/internal/lentilcontrol/fault_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -175,17 +176,22 @@
 	f.agents = append(f.agents[:i], f.agents[i+1:]...)
 }
 
-// pause holds a balancer for an hour in which an agent ends and the configuration
-// changes.
+// pause holds a balancer for an hour in which an agent whose lease it holds dies, another
+// one ends, and the configuration changes.
 func (f *fleet) pause(i int, frozen bool) {
 	agents := f.layout.agents
-	ended := f.docs[3].Owner.Incarnation
+	dying := f.heldBy(i)
+	leaving := (dying + 5) % agents
+	ended := []lentilid.Incarnation{f.docs[dying].Owner.Incarnation, f.docs[leaving].Owner.Incarnation}
 	f.wire.Pause(nodeAddress(i))
 	if frozen {
 		f.clocks[i].freeze()
 	}
 	f.wire.Run(10 * time.Second)
-	f.end(3)
+	dead := f.agents[dying]
+	f.wire.Remove(agentAddress(dying))
+	f.end(leaving)
+	f.agents = slices.DeleteFunc(f.agents, func(a *lentilcontrol.Announcer) bool { return a == dead })
 	f.accept(0)
 	f.wire.Run(long())
 	if frozen {
@@ -194,17 +200,27 @@
 	f.wire.Resume(nodeAddress(i))
 	f.always(20*time.Second, "the ended agent came back at another node", func() bool {
 		for j, n := range f.nodes {
-			if j != i && knows(n, ended) {
+			if j != i && (knows(n, ended[0]) || knows(n, ended[1])) {
 				return false
 			}
 		}
 		return true
 	})
-	if !f.agree(agents - 1) {
+	if !f.agree(agents - 2) {
 		f.t.Errorf("no agreement 20 s after the pause: %s", f)
 	}
 }
 
+// heldBy returns an agent whose lease a balancer holds, if it holds any.
+func (f *fleet) heldBy(i int) int {
+	for agent, doc := range f.docs {
+		if slices.Contains(held(f.nodes[i]), doc.Owner.Incarnation) {
+			return agent
+		}
+	}
+	return 0
+}
+
 // split cuts a fleet in two for an hour, in which each side loses an agent.
 func (f *fleet) split(side func(netip.AddrPort) int) {
 	ended := []lentilid.Incarnation{f.docs[4].Owner.Incarnation, f.docs[3].Owner.Incarnation}
--- a/internal/lentilcontrol/node.go
+++ b/internal/lentilcontrol/node.go
@@ -259,7 +259,7 @@
 func (n *Node) peer(doc lentilmember.Doc) *peer {
 	p := n.peers[doc.Run]
 	if p == nil {
-		p = &peer{heard: n.now(), due: n.now()}
+		p = &peer{heard: n.now(), answered: n.now(), due: n.now()}
 		p.backoff.Random = n.Random
 		p.members.push = set{n.Self.Run: {}}
 		n.peers[doc.Run] = p
--- a/internal/lentilcontrol/peer.go
+++ b/internal/lentilcontrol/peer.go
@@ -54,13 +54,15 @@
 	sponsor  bool
 	inFlight bool
 	// called is when the latest exchange began, due when the next shall.
-	called  time.Time
-	due     time.Time
-	heard   time.Time
-	compare time.Time
-	backoff lentilbudget.Backoff
-	members outbox
-	records outbox
+	called time.Time
+	due    time.Time
+	heard  time.Time
+	// answered is when the peer heard from this node last, as far as is known.
+	answered time.Time
+	compare  time.Time
+	backoff  lentilbudget.Backoff
+	members  outbox
+	records  outbox
 	// configuration is the version in force there.
 	configuration uint64
 }
