One loop serves plain HTTP until it is stopped

Cause: the admin endpoint and the stand-ins for platform and upstream each had a copy of the same loop: serve, wait for the context, shut down, close what lasts longer. The fabric's stand-in took it from the metrics package. Change: lentilserver.Serve with the grace as an argument; the three copies go.

--- a/internal/lentilmetric/admin.go
+++ b/internal/lentilmetric/admin.go
@@ -2,21 +2,16 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"time"
 
-	"github.com/joomcode/errorx"
+	"lentilstair.example/lentilstair/internal/lentilserver"
 )
 
-const (
-	// headerTimeout bounds how long a client may take to send its request's header.
-	headerTimeout = 5 * time.Second
-	// stopTimeout bounds how long answers in progress may take at the end.
-	stopTimeout = time.Second
-)
+// stopTimeout bounds how long answers in progress may take at the end.
+const stopTimeout = time.Second
 
 // State answers whether a process takes new work.
 type State struct {
@@ -53,31 +48,7 @@
 
 // Serve answers on the listener until ctx ends.
 func (a Admin) Serve(ctx context.Context, listener net.Listener) (err error) {
-	return Serve(ctx, listener, a.Handler())
-}
-
-// Serve answers HTTP requests on the listener until ctx ends, then lets answers
-// in progress finish for a moment.
-func Serve(ctx context.Context, listener net.Listener, handler http.Handler) (err error) {
-	defer func() {
-		if err != nil {
-			err = errorx.Decorate(err, "serve on %s", listener.Addr())
-		}
-	}()
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-	ended := make(chan error, 1)
-	go func() { ended <- server.Serve(listener) }()
-	select {
-	case err = <-ended:
-		return err
-	case <-ctx.Done():
-	}
-	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
-	defer cancel()
-	if err = server.Shutdown(limited); errors.Is(err, context.DeadlineExceeded) {
-		return server.Close()
-	}
-	return err
+	return lentilserver.Serve(ctx, listener, a.Handler(), stopTimeout)
 }
 
 func (a Admin) state() State {
--- a/internal/lentilstand/fabric/command.go
+++ b/internal/lentilstand/fabric/command.go
@@ -9,13 +9,17 @@
 	"os/signal"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/joomcode/errorx"
 	"github.com/urfave/cli/v3"
 
-	"lentilstair.example/lentilstair/internal/lentilmetric"
+	"lentilstair.example/lentilstair/internal/lentilserver"
 )
 
+// stopTimeout bounds how long answers in progress may take at the end.
+const stopTimeout = time.Second
+
 // New returns the command `fabric`.
 func New() *cli.Command {
 	return &cli.Command{
@@ -69,7 +73,7 @@
 	if err != nil {
 		return err
 	}
-	return lentilmetric.Serve(ctx, listener, f.admin())
+	return lentilserver.Serve(ctx, listener, f.admin(), stopTimeout)
 }
 
 // parseBalancer reads IP=URL.
--- a/internal/lentilstand/platform/command.go
+++ b/internal/lentilstand/platform/command.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
-	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -13,13 +11,13 @@
 
 	"github.com/urfave/cli/v3"
 
+	"lentilstair.example/lentilstair/internal/lentilserver"
 	"lentilstair.example/lentilstair/pkg/lentilerror"
 )
 
-const (
-	headerTimeout = 5 * time.Second
-	stopTimeout   = 2 * time.Second
-)
+// stopTimeout bounds how long answers in progress may take at the end. Watches,
+// which don't end by themselves, are cut then.
+const stopTimeout = 2 * time.Second
 
 // New returns the command `platform`, which runs the stand-in.
 func New() *cli.Command {
@@ -55,24 +53,5 @@
 	if _, err = fmt.Fprintln(command.Root().Writer, "platform listens on", listener.Addr()); err != nil {
 		return err
 	}
-	return Serve(ctx, listener, server)
-}
-
-// Serve serves the handler on the listener until the context ends.
-func Serve(ctx context.Context, listener net.Listener, handler http.Handler) (err error) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(listener) }()
-	select {
-	case err = <-failed:
-		return err
-	case <-ctx.Done():
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
-	defer cancel()
-	if err = server.Shutdown(ctx); errors.Is(err, context.DeadlineExceeded) {
-		// Watches outlast the graceful part.
-		return server.Close()
-	}
-	return err
+	return lentilserver.Serve(ctx, listener, server, stopTimeout)
 }
--- a/internal/lentilstand/upstream/command.go
+++ b/internal/lentilstand/upstream/command.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"net"
 	"net/http"
 	"os"
@@ -14,6 +13,8 @@
 	"time"
 
 	"github.com/urfave/cli/v3"
+
+	"lentilstair.example/lentilstair/internal/lentilserver"
 )
 
 const (
@@ -21,8 +22,6 @@
 	maxFiller = 8 << 20
 	// stopTimeout is how long a stopping copy waits for its work and streams.
 	stopTimeout = 10 * time.Minute
-	// headerTimeout is how long a request's headers may take.
-	headerTimeout = 5 * time.Second
 )
 
 // New returns the command `upstream`.
@@ -74,25 +73,7 @@
 	if err != nil {
 		return err
 	}
-	return serve(ctx, listener, stand.Handler())
-}
-
-// serve serves until ctx ends, then finishes what is open.
-func serve(ctx context.Context, listener net.Listener, handler http.Handler) (err error) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-	ended := make(chan error, 1)
-	go func() { ended <- server.Serve(listener) }()
-	select {
-	case err = <-ended:
-		return err
-	case <-ctx.Done():
-	}
-	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
-	defer cancel()
-	if err = server.Shutdown(limited); errors.Is(err, context.DeadlineExceeded) {
-		return server.Close()
-	}
-	return err
+	return lentilserver.Serve(ctx, listener, stand.Handler(), stopTimeout)
 }
 
 func (c *Copy) serveHealth(w http.ResponseWriter, _ *http.Request) {
