Drain and restore are one command with two directions

Cause: the commands drain and restore were the same file but for name, usage and direction, and a bare bool at a call said which was which. Change: lentiloperator.Switch holds what they share, with the direction as a named field; each command gives its texts.

--- a/internal/lentilcommand/lentildraincommand/drain.go
+++ b/internal/lentilcommand/lentildraincommand/drain.go
@@ -2,7 +2,6 @@
 package lentildraincommand
 
 import (
-	"context"
 	_ "embed"
 
 	"github.com/urfave/cli/v3"
@@ -15,14 +14,10 @@
 
 // New returns the command.
 func New() *cli.Command {
-	return &cli.Command{
+	return lentiloperator.Switch{
 		Name:        "drain",
 		Usage:       "take failure domains or copies out",
-		ArgsUsage:   "domain|copy NAME...",
 		Description: description,
-		Flags:       lentiloperator.SwitchFlags(),
-		Action: func(ctx context.Context, c *cli.Command) error {
-			return lentiloperator.Switch(ctx, c, "drain", true)
-		},
-	}
+		Drain:       true,
+	}.Command()
 }
--- a/internal/lentilcommand/lentilrestorecommand/restore.go
+++ b/internal/lentilcommand/lentilrestorecommand/restore.go
@@ -2,7 +2,6 @@
 package lentilrestorecommand
 
 import (
-	"context"
 	_ "embed"
 
 	"github.com/urfave/cli/v3"
@@ -15,14 +14,9 @@
 
 // New returns the command.
 func New() *cli.Command {
-	return &cli.Command{
+	return lentiloperator.Switch{
 		Name:        "restore",
 		Usage:       "bring failure domains or copies back",
-		ArgsUsage:   "domain|copy NAME...",
 		Description: description,
-		Flags:       lentiloperator.SwitchFlags(),
-		Action: func(ctx context.Context, c *cli.Command) error {
-			return lentiloperator.Switch(ctx, c, "restore", false)
-		},
-	}
+	}.Command()
 }
--- a/internal/lentiloperator/note.go
+++ b/internal/lentiloperator/note.go
@@ -75,51 +75,6 @@
 	return fmt.Sprintf("%s-%s-%s-%08x", verb, name, stamp, uint32(s.Random()*(1<<32-1)))
 }
 
-// switchMax is how many objects one command switches.
-const switchMax = 100
-
-// Switch makes the note that drains or restores failure domains or copies, and
-// carries it out. The arguments are "domain" or "copy" and names.
-func Switch(ctx context.Context, c *cli.Command, verb string, drain bool) (err error) {
-	names := c.Args().Tail()
-	kind := c.Args().First()
-	if len(names) == 0 || len(names) > switchMax || kind != "domain" && kind != "copy" {
-		return lentilexit.With(lentilexit.Usage, errorx.IllegalArgument.New("use: %s domain|copy NAME...", c.FullName()))
-	}
-	session, err := Open(c)
-	if err != nil {
-		return err
-	}
-	defer session.Close()
-	doc := lentilnote.Doc{ID: session.MadeID(verb, names[0]), Author: session.Author, Reason: c.String("reason")}
-	if c.String("author") != "" {
-		doc.Author = c.String("author")
-	}
-	switch {
-	case kind == "domain" && drain:
-		doc.Domains.Out = names
-	case kind == "domain":
-		doc.Domains.Back = names
-	default:
-		for _, name := range names {
-			doc.Copies.Changed = append(doc.Copies.Changed, lentilnote.ChangedCopyDoc{Name: name, Draining: &drain})
-		}
-	}
-	note, err := lentilnote.New(doc)
-	if err != nil {
-		return lentilexit.With(lentilexit.Usage, err)
-	}
-	return Apply(ctx, c, session, note)
-}
-
-// SwitchFlags are the flags of drain and restore.
-func SwitchFlags() []cli.Flag {
-	return append(ApplyFlags(),
-		&cli.StringFlag{Name: "author", Usage: "`NAME` of who answers for it; the settings' author unless given"},
-		&cli.StringFlag{Name: "reason", Usage: "`TEXT` for the audit trail"},
-	)
-}
-
 // Age writes a duration for people, to the second above ten seconds.
 func Age(d time.Duration) string {
 	const fine = 10 * time.Second
