The fake wire of control runs its events by lentilschedule

Cause: lentilcontrolwire kept its own heap of timed events, line for line that of lentilschedule, since a Schedule owns its clock and the wire takes one. Change: lentilschedule.Queue is the heap with the loop that moves a clock; Schedule is a Queue with a clock of its own, and the wire keeps a Queue beside its clock. Conclusion: the order of events is the same, so the seeded tests of control pass as they are: `go test ./internal/lentilschedule ./internal/lentilcontrol`.

--- a/internal/lentilcontrol/lentilcontrolwire/wire.go
+++ b/internal/lentilcontrol/lentilcontrolwire/wire.go
@@ -4,7 +4,6 @@
 package lentilcontrolwire
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -13,6 +12,7 @@
 
 	"lentilstair.example/lentilstair/internal/lentilcontrol"
 	"lentilstair.example/lentilstair/internal/lentilcontrol/lentilcontrolpb"
+	"lentilstair.example/lentilstair/internal/lentilschedule"
 	"lentilstair.example/lentilstair/pkg/lentilclock"
 )
 
@@ -40,8 +40,7 @@
 	Sent func(from, to netip.AddrPort, bytes int)
 
 	stations map[netip.AddrPort]*station
-	events   events
-	count    int
+	queue    lentilschedule.Queue
 }
 
 // Passage is what becomes of a message.
@@ -106,19 +105,7 @@
 }
 
 // Run lets time pass.
-func (w *Wire) Run(d time.Duration) {
-	end := w.Clock.Now().Add(d)
-	for len(w.events) > 0 && !w.events[0].at.After(end) {
-		next := heap.Pop(&w.events).(event)
-		if wait := next.at.Sub(w.Clock.Now()); wait > 0 {
-			w.Clock.Advance(wait)
-		}
-		next.do()
-	}
-	if rest := end.Sub(w.Clock.Now()); rest > 0 {
-		w.Clock.Advance(rest)
-	}
-}
+func (w *Wire) Run(d time.Duration) { w.queue.Run(w.Clock, w.Clock.Now().Add(d)) }
 
 // Until lets time pass until a condition holds, at most for limit. It returns the
 // time that has passed, to the step, and whether the condition holds.
@@ -282,41 +269,4 @@
 	}
 }
 
-func (w *Wire) after(d time.Duration, do func()) {
-	w.count++
-	heap.Push(&w.events, event{at: w.Clock.Now().Add(d), order: w.count, do: do})
-}
-
-// event is something that happens at a time.
-type event struct {
-	at    time.Time
-	order int
-	do    func()
-}
-
-// events is a heap by time, then by the order in which the events were made.
-type events []event
-
-// Len returns the number of events.
-func (e events) Len() int { return len(e) }
-
-// Less orders two events.
-func (e events) Less(i, j int) bool {
-	if e[i].at.Equal(e[j].at) {
-		return e[i].order < e[j].order
-	}
-	return e[i].at.Before(e[j].at)
-}
-
-// Swap swaps two events.
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-// Push adds an event.
-func (e *events) Push(x any) { *e = append(*e, x.(event)) }
-
-// Pop removes the last event.
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
+func (w *Wire) after(d time.Duration, do func()) { w.queue.Add(w.Clock.Now().Add(d), do) }
--- /dev/null
+++ b/internal/lentilschedule/queue.go
@@ -0,0 +1,67 @@
+package lentilschedule
+
+import (
+	"container/heap"
+	"time"
+
+	"lentilstair.example/lentilstair/pkg/lentilclock"
+)
+
+// Queue holds events still to come, for those who bring their own clock. The zero Queue is
+// empty. It is not safe for concurrent use.
+type Queue struct {
+	events events
+	order  uint64
+}
+
+// Add plans an event. Events of one time run in the order in which they were added.
+func (q *Queue) Add(at time.Time, run func()) {
+	q.order++
+	heap.Push(&q.events, event{at: at, order: q.order, run: run})
+}
+
+// Run moves the clock to the end, and runs the events up to and including those at the end,
+// also those that other events add meanwhile.
+func (q *Queue) Run(clock *lentilclock.Fake, end time.Time) {
+	for len(q.events) > 0 && !q.events[0].at.After(end) {
+		e := heap.Pop(&q.events).(event)
+		if d := e.at.Sub(clock.Now()); d > 0 {
+			clock.Advance(d)
+		}
+		e.run()
+	}
+	if d := end.Sub(clock.Now()); d > 0 {
+		clock.Advance(d)
+	}
+}
+
+// event is something that happens at a time.
+type event struct {
+	at    time.Time
+	order uint64
+	run   func()
+}
+
+// events is a heap, the earliest first.
+type events []event
+
+func (e events) Len() int { return len(e) }
+
+func (e events) Less(i, j int) bool {
+	if e[i].at.Equal(e[j].at) {
+		return e[i].order < e[j].order
+	}
+	return e[i].at.Before(e[j].at)
+}
+
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push appends an event; it is called by container/heap.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+// Pop removes the last event; it is called by container/heap.
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
--- a/internal/lentilschedule/schedule.go
+++ b/internal/lentilschedule/schedule.go
@@ -3,18 +3,16 @@
 package lentilschedule
 
 import (
-	"container/heap"
 	"time"
 
 	"lentilstair.example/lentilstair/pkg/lentilclock"
 )
 
-// Schedule is a list of events still to come. The zero Schedule is empty and starts at the time
-// of the zero fake clock. It is not safe for concurrent use.
+// Schedule is a queue of events with a clock of its own. The zero Schedule is empty and starts
+// at the time of the zero fake clock. It is not safe for concurrent use.
 type Schedule struct {
-	clock  lentilclock.Fake
-	events events
-	order  uint64
+	clock lentilclock.Fake
+	queue Queue
 }
 
 // Clock returns the clock that the events move.
@@ -24,10 +22,7 @@
 func (s *Schedule) Now() time.Time { return s.clock.Now() }
 
 // At plans an event. Events of one time run in the order in which they were planned.
-func (s *Schedule) At(at time.Time, run func()) {
-	s.order++
-	heap.Push(&s.events, event{at: at, order: s.order, run: run})
-}
+func (s *Schedule) At(at time.Time, run func()) { s.queue.Add(at, run) }
 
 // After plans an event after a delay.
 func (s *Schedule) After(delay time.Duration, run func()) { s.At(s.Now().Add(delay), run) }
@@ -41,46 +36,4 @@
 }
 
 // Run runs the events up to and including those at the end.
-func (s *Schedule) Run(end time.Time) {
-	for len(s.events) > 0 && !s.events[0].at.After(end) {
-		e := heap.Pop(&s.events).(event)
-		if d := e.at.Sub(s.Now()); d > 0 {
-			s.clock.Advance(d)
-		}
-		e.run()
-	}
-	if d := end.Sub(s.Now()); d > 0 {
-		s.clock.Advance(d)
-	}
-}
-
-// event is something that happens at a time.
-type event struct {
-	at    time.Time
-	order uint64
-	run   func()
-}
-
-// events is a heap, the earliest first.
-type events []event
-
-func (e events) Len() int { return len(e) }
-
-func (e events) Less(i, j int) bool {
-	if e[i].at.Equal(e[j].at) {
-		return e[i].order < e[j].order
-	}
-	return e[i].at.Before(e[j].at)
-}
-
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-// Push appends an event; it is called by container/heap.
-func (e *events) Push(x any) { *e = append(*e, x.(event)) }
-
-// Pop removes the last event; it is called by container/heap.
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
+func (s *Schedule) Run(end time.Time) { s.queue.Run(&s.clock, end) }
