One loop reads datagrams until the socket is closed

Cause: balancer (twice), agent and the fabric's stand-in (twice) had the same loop around a UDP socket: end when it is closed, pass over other errors, take the rest. Change: lentilserver.ServeDatagrams; the five copies go. What is done with a datagram stays where it was. The call through a function value for each packet is not measured.

--- a/internal/lentilagent/pump.go
+++ b/internal/lentilagent/pump.go
@@ -1,11 +1,10 @@
 package lentilagent
 
 import (
-	"errors"
-	"net"
 	"net/netip"
 	"sync"
 
+	"lentilstair.example/lentilstair/internal/lentilserver"
 	"lentilstair.example/lentilstair/internal/lentiltunnel"
 	"lentilstair.example/lentilstair/pkg/lentilpin"
 )
@@ -23,16 +22,7 @@
 // receive takes packets from the tunnel until its socket is closed.
 func (a *Agent) receive() {
 	buffer := make([]byte, lentiltunnel.MaxPacketBytes+1)
-	for {
-		length, _, err := a.tunnel.ReadFromUDPAddrPort(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			continue
-		}
-		a.tally.add(a.take(buffer[:length]))
-	}
+	lentilserver.ServeDatagrams(a.tunnel, buffer, func(packet []byte, _ netip.AddrPort) { a.tally.add(a.take(packet)) })
 }
 
 // take delivers one tunnel packet to where it belongs.
--- a/internal/lentilbalancer/socket.go
+++ b/internal/lentilbalancer/socket.go
@@ -1,10 +1,10 @@
 package lentilbalancer
 
 import (
-	"errors"
 	"net"
 	"net/netip"
 
+	"lentilstair.example/lentilstair/internal/lentilserver"
 	"lentilstair.example/lentilstair/internal/lentiltunnel"
 	"lentilstair.example/lentilstair/pkg/lentilid"
 )
@@ -45,16 +45,9 @@
 	// One byte more than fits shows that a packet was cut.
 	buffer := make([]byte, lentiltunnel.MaxPacketBytes+1)
 	payload := buffer[lentiltunnel.HeaderBytes : lentiltunnel.HeaderBytes+lentiltunnel.MaxPayloadBytes+1]
-	for {
-		length, caller, err := f.socket.conn.ReadFromUDPAddrPort(payload)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			continue
-		}
-		f.tally.add(f.forward(buffer, length, plain(caller)))
-	}
+	lentilserver.ServeDatagrams(f.socket.conn, payload, func(packet []byte, caller netip.AddrPort) {
+		f.tally.add(f.forward(buffer, len(packet), plain(caller)))
+	})
 }
 
 // forward sends one packet, which stands at its place in buffer, to its agent.
@@ -96,16 +89,7 @@
 // run sends answers to callers until the socket is closed.
 func (a *answerer) run() {
 	buffer := make([]byte, lentiltunnel.MaxPacketBytes+1)
-	for {
-		length, _, err := a.balancer.tunnel.ReadFromUDPAddrPort(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			continue
-		}
-		a.tally.add(a.answer(buffer[:length]))
-	}
+	lentilserver.ServeDatagrams(a.balancer.tunnel, buffer, func(packet []byte, _ netip.AddrPort) { a.tally.add(a.answer(packet)) })
 }
 
 // answer sends the payload of one tunnel packet to its caller.
--- a/internal/lentilserver/server.go
+++ b/internal/lentilserver/server.go
@@ -1,5 +1,5 @@
-// Package lentilserver answers plain HTTP requests until it is told to stop. The
-// admin endpoints and the stand-ins share it, so that they all stop alike.
+// Package lentilserver has the loops of sockets that are served until they are
+// stopped: plain HTTP for the admin endpoints and the stand-ins, and datagrams.
 package lentilserver
 
 import (
--- a/internal/lentilstand/fabric/fabric.go
+++ b/internal/lentilstand/fabric/fabric.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -18,6 +17,8 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"lentilstair.example/lentilstair/internal/lentilserver"
 )
 
 const (
@@ -192,26 +193,18 @@
 
 // takeFromCallers hands datagrams of callers to balancers.
 func (f *Fabric) takeFromCallers(conn *net.UDPConn, service netip.AddrPort) {
-	buffer := make([]byte, maxDatagram)
-	for {
-		length, caller, err := conn.ReadFromUDPAddrPort(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			continue
-		}
+	lentilserver.ServeDatagrams(conn, make([]byte, maxDatagram), func(datagram []byte, caller netip.AddrPort) {
 		f.in.Add(1)
 		w, err := f.flowOf(conn, flowKey{service: service, caller: caller})
 		if err != nil {
-			continue
+			return
 		}
-		f.impair(buffer[:length], func(datagram []byte) {
+		f.impair(datagram, func(datagram []byte) {
 			if balancer, ok := f.choose(); ok {
 				_, _ = w.conn.WriteToUDPAddrPort(datagram, netip.AddrPortFrom(balancer, service.Port()))
 			}
 		})
-	}
+	})
 }
 
 // flowOf returns the flow of a caller, a new one if need be.
@@ -236,18 +229,10 @@
 
 // takeAnswers hands answers from any balancer to the caller.
 func (f *Fabric) takeAnswers(outer, conn *net.UDPConn, caller netip.AddrPort) {
-	buffer := make([]byte, maxDatagram)
-	for {
-		length, _, err := outer.ReadFromUDPAddrPort(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			continue
-		}
+	lentilserver.ServeDatagrams(outer, make([]byte, maxDatagram), func(datagram []byte, _ netip.AddrPort) {
 		f.out.Add(1)
-		f.impair(buffer[:length], func(datagram []byte) { _, _ = conn.WriteToUDPAddrPort(datagram, caller) })
-	}
+		f.impair(datagram, func(datagram []byte) { _, _ = conn.WriteToUDPAddrPort(datagram, caller) })
+	})
 }
 
 // choose returns any balancer that is ready.
