Names in the agent say what is done

Cause: "chill" and "lead away" are figures of speech; a newcomer has to open them to learn that one resets the limiter and the other sends GOAWAY. Change: countCold, sendGoAway; their comments and two more say "send", not "lead". Conclusion: the call reads without its definition.

--- a/internal/lentilagent/agent.go
+++ b/internal/lentilagent/agent.go
@@ -89,7 +89,7 @@
 	decider *actor.PID
 	shown   atomic.Pointer[figures]
 	service atomic.Pointer[lentilconfig.Service]
-	leaving atomic.Bool // whether callers are led elsewhere
+	leaving atomic.Bool // whether callers are sent elsewhere
 	domain  atomic.Bool // whether the own failure domain is out
 	ids     atomic.Uint64
 	open    atomic.Int64 // handlers and runs in progress
--- a/internal/lentilagent/decider.go
+++ b/internal/lentilagent/decider.go
@@ -98,7 +98,7 @@
 	case peered:
 		d.learn(m.records)
 	case cold:
-		d.chill()
+		d.countCold()
 	default:
 		return
 	}
@@ -359,8 +359,8 @@
 	}
 }
 
-// chill makes the copy count as cold.
-func (d *decider) chill() {
+// countCold makes the copy count as cold, as if it had just started.
+func (d *decider) countCold() {
 	old := &d.admitter.Limiter
 	d.admitter.Limiter = lentillimit.Limiter{Clock: old.Clock, Slots: old.Slots, Warm: old.Warm, Typical: old.Typical}
 }
--- a/internal/lentilagent/stop.go
+++ b/internal/lentilagent/stop.go
@@ -30,20 +30,20 @@
 	_ = a.listen()
 }
 
-// setDraining begins to lead callers elsewhere, or ends it. Streams go on.
+// setDraining begins to send callers elsewhere, or ends it. Streams go on.
 func (a *Agent) setDraining(draining bool) {
 	if a.leaving.Swap(draining) == draining {
 		return
 	}
 	a.tell(drain{begin: draining})
 	if draining {
-		a.leadAway()
+		a.sendGoAway()
 	}
 }
 
-// leadAway tells callers by GOAWAY to send new requests over new connections.
+// sendGoAway tells callers by GOAWAY to send new requests over new connections.
 // Those that come here nevertheless are refused or passed to a peer.
-func (a *Agent) leadAway() {
+func (a *Agent) sendGoAway() {
 	old := a.web.swap(a.newServer())
 	go func() { _ = old.Shutdown(context.Background()) }()
 }
