--- a/internal/lentildemo/demo.go
+++ b/internal/lentildemo/demo.go
@@ -1,7 +1,7 @@
-// Package lentildemo is the demo: a site at the Consorzio's size of today as
-// separate processes, callers at work, and while they are: copies replaced one
-// after another, a balancer stopped, a failure domain taken out and brought back.
-// At the end it says which promises held.
+// Package lentildemo is the demo: a whole site (lentillab.Consorzio) as separate
+// processes, callers at work, and while they are: copies replaced one after another,
+// a balancer stopped, a failure domain taken out and brought back. At the end it says
+// which promises held.
 package lentildemo
 
 import (
--- a/internal/lentillab/site.go
+++ b/internal/lentillab/site.go
@@ -55,7 +55,8 @@
 	upstreamVMs
 )
 
-// Consorzio returns the site of the Consorzio at its size of today.
+// Consorzio returns a site of the size at which the operators of Consorzio run today:
+// four failure domains, and two services of eleven copies in all.
 func Consorzio() Site {
 	return Site{
 		Region:  "sicilia",
@@ -71,7 +72,8 @@
 	}
 }
 
-// Sala returns the site of Dostępna Sala at its size of today.
+// Sala returns a site of the size at which the operators of Dostępna Sala run today:
+// three failure domains, and two services of ten copies in all.
 func Sala() Site {
 	return Site{
 		Region:  "pl-central",
--- a/internal/lentilprocess/process.go
+++ b/internal/lentilprocess/process.go
@@ -1,6 +1,5 @@
-// Package lentilprocess is what the long-running commands have in common: they
-// load settings, log, stop gracefully at the first signal and at once at the
-// second.
+// Package lentilprocess runs the long-running commands and ends them by signals:
+// gracefully at the first one, at once at the second.
 package lentilprocess
 
 import (
