Defaults and comparisons by the standard library; "bury" is expireTombstones

Cause: three packages had the same function orDefault, which cmp.Or is, and lentilmember had its own cmp.Compare. A method named "bury" did two things and said neither. Change: cmp.Or and cmp.Compare; the method is expireTombstones, with a comment. Before and after (figures): 3 copies of orDefault before, 0 after.

--- a/internal/lentilcontrol/announcer.go
+++ b/internal/lentilcontrol/announcer.go
@@ -1,6 +1,7 @@
 package lentilcontrol
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -358,7 +359,7 @@
 	return a.Clock.Now()
 }
 
-func (a *Announcer) heartbeat() time.Duration { return orDefault(a.Heartbeat, DefaultHeartbeat) }
+func (a *Announcer) heartbeat() time.Duration { return cmp.Or(a.Heartbeat, DefaultHeartbeat) }
 
 // jitter returns a time between three quarters and five quarters of a heartbeat.
 func (a *Announcer) jitter() time.Duration {
--- a/internal/lentilcontrol/node.go
+++ b/internal/lentilcontrol/node.go
@@ -8,6 +8,7 @@
 package lentilcontrol
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -317,8 +318,8 @@
 
 func (n *Node) now() time.Time { return n.clock().Now() }
 
-func (n *Node) period() time.Duration  { return orDefault(n.Period, DefaultPeriod) }
-func (n *Node) compare() time.Duration { return orDefault(n.Compare, DefaultCompare) }
+func (n *Node) period() time.Duration  { return cmp.Or(n.Period, DefaultPeriod) }
+func (n *Node) compare() time.Duration { return cmp.Or(n.Compare, DefaultCompare) }
 
 // jitter returns a time between three quarters and five quarters of d.
 func (n *Node) jitter(d time.Duration) time.Duration {
@@ -332,10 +333,3 @@
 	}
 	return n.Random.IntN(bound)
 }
-
-func orDefault(d, standard time.Duration) time.Duration {
-	if d == 0 {
-		return standard
-	}
-	return d
-}
--- a/pkg/lentilmember/query.go
+++ b/pkg/lentilmember/query.go
@@ -1,6 +1,7 @@
 package lentilmember
 
 import (
+	"cmp"
 	"encoding/binary"
 	"maps"
 	"slices"
@@ -54,7 +55,7 @@
 			t.alive = append(t.alive, m.doc)
 		}
 	}
-	slices.SortFunc(t.alive, func(a, b Doc) int { return compare(uint64(a.Run), uint64(b.Run)) })
+	slices.SortFunc(t.alive, func(a, b Doc) int { return cmp.Compare(a.Run, b.Run) })
 	t.stale = false
 	t.epoch++
 	return t.alive
@@ -187,7 +188,7 @@
 			lost = append(lost, m.doc)
 		}
 	}
-	slices.SortFunc(lost, func(a, b Doc) int { return compare(uint64(a.Run), uint64(b.Run)) })
+	slices.SortFunc(lost, func(a, b Doc) int { return cmp.Compare(a.Run, b.Run) })
 	return lost
 }
 
@@ -202,7 +203,7 @@
 	for place, doc := range from {
 		candidates = append(candidates, candidate{place: place, hash: hash(task, key, uint64(doc.Run))})
 	}
-	slices.SortFunc(candidates, func(a, b candidate) int { return compare(b.hash, a.hash) })
+	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.hash, a.hash) })
 	for _, c := range candidates[:min(n, len(candidates))] {
 		docs = append(docs, from[c.place])
 	}
@@ -213,16 +214,6 @@
 	return slices.ContainsFunc(docs, func(d Doc) bool { return d.Run == run })
 }
 
-func compare(a, b uint64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 func hash(task string, key, run uint64) uint64 {
 	row := make([]byte, 0, 16+maxName)
 	row = binary.LittleEndian.AppendUint64(row, key)
--- a/pkg/lentilmember/table.go
+++ b/pkg/lentilmember/table.go
@@ -1,6 +1,7 @@
 package lentilmember
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -221,7 +222,7 @@
 			t.put(doc)
 		}
 	}
-	t.bury(now)
+	t.expireTombstones(now)
 	t.reach(now)
 }
 
@@ -262,13 +263,15 @@
 	}
 }
 
-func (t *Table) bury(now time.Time) {
+// expireTombstones stops showing the tombstones that others know by now, and forgets
+// those that nobody can bring back any more.
+func (t *Table) expireTombstones(now time.Time) {
 	for run, m := range t.tombs {
 		age := now.Sub(m.since)
-		if age >= orDefault(t.Shown, DefaultShown) {
+		if age >= cmp.Or(t.Shown, DefaultShown) {
 			t.versions.Delete(uint64(run))
 		}
-		if age >= orDefault(t.Retention, DefaultRetention) {
+		if age >= cmp.Or(t.Retention, DefaultRetention) {
 			t.forget(run)
 		}
 	}
@@ -314,11 +317,4 @@
 	return t.Clock.Now()
 }
 
-func (t *Table) suspicion() time.Duration { return orDefault(t.Suspicion, DefaultSuspicion) }
-
-func orDefault(d, standard time.Duration) time.Duration {
-	if d == 0 {
-		return standard
-	}
-	return d
-}
+func (t *Table) suspicion() time.Duration { return cmp.Or(t.Suspicion, DefaultSuspicion) }
--- a/pkg/lentilrecord/store.go
+++ b/pkg/lentilrecord/store.go
@@ -1,6 +1,7 @@
 package lentilrecord
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -294,15 +295,8 @@
 	return s.Clock.Now()
 }
 
-func (s *Store) lease() time.Duration { return orDefault(s.Lease, DefaultLease) }
+func (s *Store) lease() time.Duration { return cmp.Or(s.Lease, DefaultLease) }
 func (s *Store) goneRetention() time.Duration {
-	return orDefault(s.GoneRetention, DefaultGoneRetention)
-}
-func (s *Store) stray() time.Duration { return orDefault(s.Stray, DefaultStray) }
-
-func orDefault(d, standard time.Duration) time.Duration {
-	if d == 0 {
-		return standard
-	}
-	return d
+	return cmp.Or(s.GoneRetention, DefaultGoneRetention)
 }
+func (s *Store) stray() time.Duration { return cmp.Or(s.Stray, DefaultStray) }
