The fault matrix of flows runs its events by lentilschedule too

Cause: the flow half of the matrix had a third heap of timed events, while the request half used lentilschedule; both worked out the time since the start by hand. sortedKeys was a copy of slices.Sorted(maps.Keys(m)).

--- a/internal/lentilmatrix/flow_agent.go
+++ b/internal/lentilmatrix/flow_agent.go
@@ -65,11 +65,11 @@
 	a.keeper = lentilpin.Keeper{
 		Self:     a.place,
 		Protocol: protocolOf(service),
-		Clock:    &w.clock,
+		Clock:    w.schedule.Clock(),
 		Owners: func(hash uint64, dst []lentilid.Place) []lentilid.Place {
-			return a.view.Router().Owners(service, hash, w.clock.Now(), dst)
+			return a.view.Router().Owners(service, hash, w.schedule.Now(), dst)
 		},
-		Others:  func() []lentilid.Place { return a.view.Router().Others(service, w.clock.Now()) },
+		Others:  func() []lentilid.Place { return a.view.Router().Others(service, w.schedule.Now()) },
 		HandOff: func(int) (lentilid.Place, bool) { return w.chooseHandOff(a) },
 		Refuse:  a.leaving,
 		Out:     func(domain lentilid.Domain) bool { return a.view.Router().Out(domain) },
--- a/internal/lentilmatrix/flow_caller.go
+++ b/internal/lentilmatrix/flow_caller.go
@@ -69,7 +69,7 @@
 		number: number, service: service, protocol: protocolOf(service),
 		client:  netip.AddrPortFrom(address, uint16(1024+w.random.IntN(60000))),
 		id:      binary.BigEndian.AppendUint64(nil, w.random.Uint64()),
-		started: w.now, lastAnswer: w.now, endsAt: w.now + life,
+		started: w.now(), lastAnswer: w.now(), endsAt: w.now() + life,
 	}
 	w.flows = append(w.flows, f)
 	w.figures.of(service).Flows++
@@ -88,7 +88,7 @@
 	}
 	w.checkCut(f)
 	switch {
-	case w.now >= f.endsAt && f.answered:
+	case w.now() >= f.endsAt && f.answered:
 		f.ended = true
 		w.spray(f.packet(closing, 0))
 		return
@@ -170,7 +170,7 @@
 		if f.ended {
 			return
 		}
-		f.lastAnswer = w.now
+		f.lastAnswer = w.now()
 		if !f.answered && f.protocol == lentilroute.QUIC {
 			f.id, f.home = id, a
 		}
--- a/internal/lentilmatrix/flow_check.go
+++ b/internal/lentilmatrix/flow_check.go
@@ -17,7 +17,7 @@
 	}
 	f.broken = true
 	w.figures.of(f.service).Broken++
-	w.outcome.Violatef(w.now, "flow %d of service %d broke: "+format, append([]any{f.number, f.service}, args...)...)
+	w.outcome.Violatef(w.now(), "flow %d of service %d broke: "+format, append([]any{f.number, f.service}, args...)...)
 }
 
 // givenUp reports whether a flow lived at an agent that died, or in a failure
@@ -49,8 +49,8 @@
 			patience += f.home.silent
 		}
 	}
-	if w.now-f.lastAnswer > patience {
-		w.breakFlow(f, "no answer for %v", w.now-f.lastAnswer)
+	if w.now()-f.lastAnswer > patience {
+		w.breakFlow(f, "no answer for %v", w.now()-f.lastAnswer)
 	}
 }
 
@@ -58,22 +58,22 @@
 func (w *flowWorld) checkService(a *flowAgent, f *flow) {
 	if f.service != a.service {
 		w.figures.WrongService++
-		w.outcome.Violatef(w.now, "flow %d of service %d reached %s of service %d", f.number, f.service, a.owner.Copy, a.service)
+		w.outcome.Violatef(w.now(), "flow %d of service %d reached %s of service %d", f.number, f.service, a.owner.Copy, a.service)
 	}
 }
 
 // checkOut notes a packet to a failure domain that has been out for a while.
 func (w *flowWorld) checkOut(a *flowAgent) {
-	if w.out[a.domain] && w.now-w.lastOut[a.domain] > settled {
+	if w.out[a.domain] && w.now()-w.lastOut[a.domain] > settled {
 		w.figures.AfterOut++
-		w.outcome.Violatef(w.now, "%s got a packet %v after its failure domain went out", a.owner.Copy, w.now-w.lastOut[a.domain])
+		w.outcome.Violatef(w.now(), "%s got a packet %v after its failure domain went out", a.owner.Copy, w.now()-w.lastOut[a.domain])
 	}
 }
 
 // checkLeaving notes new work at a copy that has been leaving for a while.
 func (w *flowWorld) checkLeaving(a *flowAgent, f *flow) {
-	if a.leavesAt > 0 && w.now-a.leavesAt > settled {
+	if a.leavesAt > 0 && w.now()-a.leavesAt > settled {
 		w.figures.AfterLeaving++
-		w.outcome.Violatef(w.now, "%s opened flow %d %v after it began to leave", a.owner.Copy, f.number, w.now-a.leavesAt)
+		w.outcome.Violatef(w.now(), "%s opened flow %d %v after it began to leave", a.owner.Copy, f.number, w.now()-a.leavesAt)
 	}
 }
--- a/internal/lentilmatrix/flow_fault.go
+++ b/internal/lentilmatrix/flow_fault.go
@@ -116,7 +116,7 @@
 
 // drain tells a copy to leave.
 func (w *flowWorld) drain(a *flowAgent) {
-	a.leavesAt = w.now
+	a.leavesAt = w.now()
 	w.change(func(d *lentilconfig.Document) {
 		for i := range d.Copies {
 			d.Copies[i].Draining = d.Copies[i].Draining || d.Copies[i].Name == a.owner.Copy
@@ -126,7 +126,7 @@
 
 // withdraw removes a copy. Its agent ends when no flow is left.
 func (w *flowWorld) withdraw(a *flowAgent) {
-	a.leavesAt = max(a.leavesAt, w.now)
+	a.leavesAt = max(a.leavesAt, w.now())
 	w.change(func(d *lentilconfig.Document) {
 		kept := []lentilconfig.CopyDoc{}
 		for _, doc := range d.Copies {
@@ -160,7 +160,7 @@
 	domain := lentilid.Domain(number)
 	w.out[domain] = out
 	if out {
-		w.lastOut[domain] = w.now
+		w.lastOut[domain] = w.now()
 	}
 	w.change(func(d *lentilconfig.Document) { d.Domains[number-1].Out = out })
 }
--- a/internal/lentilmatrix/flow_node.go
+++ b/internal/lentilmatrix/flow_node.go
@@ -37,7 +37,7 @@
 
 // newNode returns a node that knows nothing.
 func (w *flowWorld) newNode() (n node) {
-	view := &lentilview.View{Clock: &w.clock, Sealer: w.sealer, Window: w.window, Protocol: func(s *lentilconfig.Service) lentilroute.Protocol {
+	view := &lentilview.View{Clock: w.schedule.Clock(), Sealer: w.sealer, Window: w.window, Protocol: func(s *lentilconfig.Service) lentilroute.Protocol {
 		return protocolOf(s.Number())
 	}}
 	return node{
@@ -66,7 +66,7 @@
 	n.only = only
 	n.configure(w.configuration)
 	for _, a := range w.agents {
-		if record, ok := w.records[a.owner]; ok && w.now-w.announced(a) < lease {
+		if record, ok := w.records[a.owner]; ok && w.now()-w.announced(a) < lease {
 			n.observe(w, record)
 		}
 	}
@@ -76,7 +76,7 @@
 // balancer knows.
 func (w *flowWorld) announced(a *flowAgent) (at time.Duration) {
 	if len(w.balancers) == 0 {
-		return w.now
+		return w.now()
 	}
 	return w.balancers[0].heard[a.owner]
 }
@@ -99,10 +99,10 @@
 		return
 	}
 	n.versions[owner] = record.Version()
-	n.heard[owner] = w.now
+	n.heard[owner] = w.now()
 	n.view.Observe(record)
 	w.after(lease, func() {
-		if w.now-n.heard[owner] >= lease {
+		if w.now()-n.heard[owner] >= lease {
 			n.view.Forget(owner)
 		}
 	})
--- a/internal/lentilmatrix/flow_run.go
+++ b/internal/lentilmatrix/flow_run.go
@@ -37,7 +37,7 @@
 
 // openFlows makes callers open flows of random length.
 func (w *flowWorld) openFlows() {
-	if w.now >= opensUntil {
+	if w.now() >= opensUntil {
 		return
 	}
 	w.openFlow(quicService, w.between(2*time.Second, 10*time.Second))
--- a/internal/lentilmatrix/flow_step.go
+++ b/internal/lentilmatrix/flow_step.go
@@ -100,7 +100,7 @@
 }
 
 // at schedules do for a time since the start.
-func (w *flowWorld) at(time time.Duration, do func()) { w.after(time-w.now, do) }
+func (w *flowWorld) at(time time.Duration, do func()) { w.after(time-w.now(), do) }
 
 // burst opens many flows at once, which end together.
 func (w *flowWorld) burst(at, life time.Duration) {
--- a/internal/lentilmatrix/flow_world.go
+++ b/internal/lentilmatrix/flow_world.go
@@ -183,7 +183,7 @@
 // tracef notes what happens.
 func (w *flowWorld) tracef(format string, args ...any) {
 	if w.tracing {
-		w.outcome.Tracef(w.now, format, args...)
+		w.outcome.Tracef(w.now(), format, args...)
 	}
 }
 
--- a/internal/lentilmatrix/request_agent.go
+++ b/internal/lentilmatrix/request_agent.go
@@ -1,7 +1,9 @@
 package lentilmatrix
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"lentilstair.example/lentilstair/pkg/lentiladmit"
@@ -94,7 +96,7 @@
 // die ends the incarnation; another starts a while later, on the same address.
 func (a *requestAgent) die() {
 	a.alive = false
-	for _, k := range sortedKeys(a.works) {
+	for _, k := range slices.Sorted(maps.Keys(a.works)) {
 		if r := a.works[k].run; r != nil {
 			a.upstream.cancel(r)
 		}
--- a/internal/lentilmatrix/request_call.go
+++ b/internal/lentilmatrix/request_call.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"lentilstair.example/lentilstair/pkg/lentilconfig"
@@ -160,7 +162,7 @@
 
 // closed takes in that the call of an attempt was closed, by the caller or by a peer.
 func (a *requestAgent) closed(t *attempt, from *requestAgent) {
-	for _, id := range sortedKeys(a.works) {
+	for _, id := range slices.Sorted(maps.Keys(a.works)) {
 		if x := a.works[id]; x != nil && x.attempt == t && x.from == from {
 			a.withdraw(x)
 		}
--- a/internal/lentilmatrix/request_matrix.go
+++ b/internal/lentilmatrix/request_matrix.go
@@ -1,7 +1,9 @@
 package lentilmatrix
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"lentilstair.example/lentilstair/pkg/lentilconfig"
@@ -98,7 +100,7 @@
 		case len(a.works) > 0:
 			w.fail("agent %s has forgotten %d callers", a.name, len(a.works))
 		}
-		for _, id := range sortedKeys(a.works) {
+		for _, id := range slices.Sorted(maps.Keys(a.works)) {
 			x := a.works[id]
 			w.note("held at %s: call %d attempt %d, run %t, begun %t", a.name, x.attempt.call.id, x.attempt.number, x.run != nil, x.begun)
 		}
--- a/internal/lentilmatrix/request_perform.go
+++ b/internal/lentilmatrix/request_perform.go
@@ -1,8 +1,6 @@
 package lentilmatrix
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"lentilstair.example/lentilstair/pkg/lentiladmit"
@@ -32,14 +30,6 @@
 	return b
 }
 
-func sortedKeys[K cmp.Ordered, V any](m map[K]V) (keys []K) {
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
-
 // admit hands a request to the admitter.
 func (a *requestAgent) admit(x *work) {
 	a.works[x.id] = x
--- a/internal/lentilmatrix/request_world.go
+++ b/internal/lentilmatrix/request_world.go
@@ -145,7 +145,7 @@
 	w.outcome.Violatef(w.sinceStart(), format, values...)
 }
 
-func (w *requestWorld) sinceStart() time.Duration { return w.schedule.Now().Sub(time.Unix(0, 0)) }
+func (w *requestWorld) sinceStart() time.Duration { return w.schedule.Elapsed() }
 
 // find returns the agent that listens on a control address, or nil.
 func (w *requestWorld) find(control netip.AddrPort) *requestAgent {
--- a/internal/lentilschedule/schedule.go
+++ b/internal/lentilschedule/schedule.go
@@ -21,6 +21,12 @@
 // Now returns the time of the present event.
 func (s *Schedule) Now() time.Time { return s.clock.Now() }
 
+// Elapsed returns the time since the start of the schedule.
+func (s *Schedule) Elapsed() time.Duration {
+	var zero lentilclock.Fake
+	return s.Now().Sub(zero.Now())
+}
+
 // At plans an event. Events of one time run in the order in which they were planned.
 func (s *Schedule) At(at time.Time, run func()) { s.queue.Add(at, run) }
 
