Control says what made calls due: Changed, makeAllDue

Cause: "stirred", "stir" and "hurry" have to be looked up; the comment of "hurry" also said "all heartbeats" where holders that have failed are left out. Change: Node.Changed, stepIfChanged, tickIfChanged, makeAllDue, and the comment. Before and after (figures): none; no behaviour changes. Conclusion: the tests of lentilcontrol pass as they are.

--- a/internal/lentilcontrol/actor.go
+++ b/internal/lentilcontrol/actor.go
@@ -82,11 +82,11 @@
 	switch message := ctx.Message().(type) {
 	case *lentilcontrolpb.ExchangeRequest:
 		ctx.Respond(a.node.Exchange(message))
-		a.stir()
+		a.stepIfChanged()
 	case *lentilcontrolpb.AnnounceRequest:
 		response, err := a.node.Announce(message)
 		ctx.Respond(announceAnswer{response: response, err: err})
-		a.stir()
+		a.stepIfChanged()
 	case *lentilcontrolpb.FetchConfigurationRequest:
 		response, err := a.node.FetchConfiguration(message)
 		ctx.Respond(fetchAnswer{response: response, err: err})
@@ -109,9 +109,9 @@
 	}
 }
 
-// stir carries out at once what a change has made due.
-func (a *nodeActor) stir() {
-	if a.node.Stirred() {
+// stepIfChanged carries out at once what a change has made due.
+func (a *nodeActor) stepIfChanged() {
+	if a.node.Changed() {
 		a.step()
 	}
 }
--- a/internal/lentilcontrol/announcer.go
+++ b/internal/lentilcontrol/announcer.go
@@ -93,7 +93,7 @@
 	if a.significant(doc) {
 		doc.Version++
 		a.announced = a.now()
-		a.hurry()
+		a.makeAllDue()
 	}
 	former := a.doc
 	a.doc = doc
@@ -120,8 +120,8 @@
 	return large || (change > 0 && a.now().Sub(a.announced) >= weightPause)
 }
 
-// hurry makes all heartbeats due at once.
-func (a *Announcer) hurry() {
+// makeAllDue makes the heartbeats due at once to all holders that have not failed.
+func (a *Announcer) makeAllDue() {
 	for _, h := range a.holders {
 		if h.backoff.Failures() == 0 {
 			h.due = a.now()
--- a/internal/lentilcontrol/lentilcontrolwire/wire.go
+++ b/internal/lentilcontrol/lentilcontrolwire/wire.go
@@ -134,9 +134,9 @@
 	w.after(tickPeriod, func() { w.tick(s) })
 }
 
-// stir carries out at once what a change has made due.
-func (w *Wire) stir(s *station) {
-	if s.node.Stirred() {
+// tickIfChanged carries out at once what a change has made due.
+func (w *Wire) tickIfChanged(s *station) {
+	if s.node.Changed() {
 		w.carryOut(s, s.node.Tick())
 	}
 }
@@ -161,7 +161,7 @@
 			if err != nil {
 				return
 			}
-			w.stir(holder)
+			w.tickIfChanged(holder)
 			w.send(beat.To, s.address, answer, func(body []byte) {
 				response := &lentilcontrolpb.AnnounceResponse{}
 				if proto.Unmarshal(body, response) == nil {
@@ -210,7 +210,7 @@
 					s.do(func() { finish(response, nil) })
 				}
 			})
-			w.stir(peer)
+			w.tickIfChanged(peer)
 		})
 	})
 }
--- a/internal/lentilcontrol/node.go
+++ b/internal/lentilcontrol/node.go
@@ -107,7 +107,7 @@
 	pull     pull
 	live     liveSet
 	leaving  bool
-	stirred  bool
+	changed  bool
 }
 
 // Start makes the node a member that knows nobody yet.
@@ -141,7 +141,7 @@
 	now := n.now()
 	away := !n.ticked.IsZero() && (now.Sub(n.ticked) > awayTime || now.Before(n.ticked))
 	n.ticked = now
-	n.stirred = false
+	n.changed = false
 	n.table.Expire()
 	n.records.Expire()
 	if away || n.table.Condemned() {
@@ -157,9 +157,9 @@
 	return append(calls, n.pulling(now)...)
 }
 
-// Stirred reports whether something has changed since the latest Tick, so that
+// Changed reports whether something has changed since the latest Tick, so that
 // the next one should not wait.
-func (n *Node) Stirred() bool { return n.stirred }
+func (n *Node) Changed() bool { return n.changed }
 
 // discard forgets what was learned from others and the leases, after this process
 // was away or others have counted it as dead: what it holds may be out of date.
@@ -196,7 +196,7 @@
 	if len(members)+len(records) == 0 {
 		return
 	}
-	n.stirred = true
+	n.changed = true
 	n.live.mark(records)
 	// What a newcomer takes in by the bulk is known to its peers already; should it not
 	// be, the next comparison shows it.
