The platform's stand-in checks a stated version in one place

Cause: update and delete each looked the object up and refused a missing one and one that has moved on, in the same ten lines. Change: findAt does both for them. Conclusion: behaviour is unchanged; the contract test passes as it is.

--- a/internal/lentilstand/platform/server.go
+++ b/internal/lentilstand/platform/server.go
@@ -285,17 +285,27 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	held, ok := s.findAt(w, on, doc.Metadata.ResourceVersion)
+	if !ok {
+		return
+	}
+	doc.Metadata.CreationTimestamp = held.Metadata.CreationTimestamp
+	answer(w, http.StatusOK, s.state.put(on, doc, modified))
+}
+
+// findAt returns the object to be written, or refuses if it isn't there or has moved on
+// from the stated version; "" states none. The caller holds the lock.
+func (s *Server) findAt(w http.ResponseWriter, on target, stated string) (held lentilplatform.ObjectDoc, ok bool) {
 	held, found := s.state.get(on)
 	if !found {
 		refuse(w, http.StatusNotFound, "NotFound", on.kind.Plural()+" "+on.name+" not found")
-		return
+		return held, false
 	}
-	if doc.Metadata.ResourceVersion != "" && doc.Metadata.ResourceVersion != held.Metadata.ResourceVersion {
+	if stated != "" && stated != held.Metadata.ResourceVersion {
 		refuse(w, http.StatusConflict, "Conflict", "the object has been modified")
-		return
+		return held, false
 	}
-	doc.Metadata.CreationTimestamp = held.Metadata.CreationTimestamp
-	answer(w, http.StatusOK, s.state.put(on, doc, modified))
+	return held, true
 }
 
 func (s *Server) serveDelete(w http.ResponseWriter, r *http.Request, on target) {
@@ -314,14 +324,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	held, found := s.state.get(on)
-	if !found {
-		refuse(w, http.StatusNotFound, "NotFound", on.kind.Plural()+" "+on.name+" not found")
-		return
-	}
-	stated := options.Preconditions.ResourceVersion
-	if stated != "" && stated != held.Metadata.ResourceVersion {
-		refuse(w, http.StatusConflict, "Conflict", "the object has been modified")
+	if _, ok := s.findAt(w, on, options.Preconditions.ResourceVersion); !ok {
 		return
 	}
 	s.state.remove(on)
