The roles share how they are run, and how keys in settings become a ring

Change: lentilnode.Role.Run; lentilkey.FromSettings and lentilkey.ControlProtocol. lentilnode exports no constructor any more, so a Common can't be left open.

--- a/internal/lentilcommand/lentilagentcommand/agent.go
+++ b/internal/lentilcommand/lentilagentcommand/agent.go
@@ -7,10 +7,8 @@
 
 	"github.com/urfave/cli/v3"
 
-	"lentilstair.example/lentilstair/internal/lentilevent"
 	"lentilstair.example/lentilstair/internal/lentilexit"
 	"lentilstair.example/lentilstair/internal/lentilnode"
-	"lentilstair.example/lentilstair/internal/lentilprocess"
 	"lentilstair.example/lentilstair/internal/lentilsetting"
 )
 
@@ -33,14 +31,11 @@
 	if err != nil {
 		return lentilexit.With(lentilexit.Settings, err)
 	}
-	logger := lentilevent.New(c.Root().ErrWriter, settings.LogLevel()).
-		With(lentilevent.Str("role", "agent"), lentilevent.Str("name", settings.Copy()))
-	return lentilprocess.Run(ctx, logger, func(graceful, forced context.Context) (err error) {
-		common, err := lentilnode.New("agent", settings.AdminAddress(), settings.Keys(), logger)
-		if err != nil {
-			return err
-		}
-		defer common.Close()
+	role := lentilnode.Role{
+		Name: "agent", Instance: settings.Copy(),
+		LogLevel: settings.LogLevel(), Admin: settings.AdminAddress(), Keys: settings.Keys(),
+	}
+	return role.Run(ctx, c.Root().ErrWriter, func(graceful, forced context.Context, common *lentilnode.Common) (err error) {
 		return newRole(settings, common).run(graceful, forced)
 	})
 }
--- a/internal/lentilkey/ring.go
+++ b/internal/lentilkey/ring.go
@@ -13,6 +13,8 @@
 	"fmt"
 
 	"github.com/joomcode/errorx"
+
+	"lentilstair.example/lentilstair/internal/lentilsetting"
 )
 
 // MinSecretBytes is the least length of a secret.
@@ -70,6 +72,18 @@
 	docs []KeyDoc
 }
 
+// ControlProtocol is what TLS connections for control negotiate (ALPN).
+const ControlProtocol = "h2"
+
+// FromSettings returns the ring with the secrets of a process's settings.
+func FromSettings(keys []lentilsetting.Key) (ring Ring, err error) {
+	docs := make([]KeyDoc, 0, len(keys))
+	for _, key := range keys {
+		docs = append(docs, KeyDoc{ID: key.ID(), Secret: key.Secret()})
+	}
+	return New(docs)
+}
+
 // New returns the ring with the given secrets; the first one signs.
 func New(docs []KeyDoc) (ring Ring, err error) {
 	defer func() {
--- a/internal/lentilnode/node.go
+++ b/internal/lentilnode/node.go
@@ -6,7 +6,6 @@
 	"context"
 	"crypto/tls"
 	"net"
-	"net/netip"
 	"strings"
 	"sync"
 	"time"
@@ -17,16 +16,12 @@
 	"lentilstair.example/lentilstair/internal/lentilevent"
 	"lentilstair.example/lentilstair/internal/lentilkey"
 	"lentilstair.example/lentilstair/internal/lentilmetric"
-	"lentilstair.example/lentilstair/internal/lentilsetting"
 )
 
-// controlProtocol is spoken over control connections.
-const controlProtocol = "h2"
-
 // watchPeriod is how often the state of a role is looked at.
 const watchPeriod = 100 * time.Millisecond
 
-// Common is the frame in which a role runs. Make one with New, and Close it.
+// Common is the frame in which a role runs.
 type Common struct {
 	// Logger takes the role's events.
 	Logger lentilevent.Logger
@@ -45,33 +40,30 @@
 	workers sync.WaitGroup
 }
 
-// New opens the admin endpoint of a role. Serve answers on it.
-func New(role string, admin netip.AddrPort, keys []lentilsetting.Key, logger lentilevent.Logger) (common *Common, err error) {
+// open authenticates the process by its keys and opens its admin endpoint, on which
+// Serve answers.
+func (r Role) open(logger lentilevent.Logger) (common *Common, err error) {
 	defer func() {
 		if err != nil {
 			err = errorx.Decorate(err, "prepare the process")
 		}
 	}()
-	c := &Common{Logger: logger, Registry: lentilmetric.New(role)}
-	docs := make([]lentilkey.KeyDoc, 0, len(keys))
-	for _, key := range keys {
-		docs = append(docs, lentilkey.KeyDoc{ID: key.ID(), Secret: key.Secret()})
-	}
-	if c.Ring, err = lentilkey.New(docs); err != nil {
+	c := &Common{Logger: logger, Registry: lentilmetric.New(r.Name)}
+	if c.Ring, err = lentilkey.FromSettings(r.Keys); err != nil {
 		return nil, err
 	}
-	if c.ServerTLS, err = c.Ring.ServerTLS(controlProtocol); err != nil {
+	if c.ServerTLS, err = c.Ring.ServerTLS(lentilkey.ControlProtocol); err != nil {
 		return nil, err
 	}
-	if c.ClientTLS, err = c.Ring.ClientTLS(controlProtocol); err != nil {
+	if c.ClientTLS, err = c.Ring.ClientTLS(lentilkey.ControlProtocol); err != nil {
 		return nil, err
 	}
-	c.admin, err = (&net.ListenConfig{}).Listen(context.Background(), "tcp", admin.String())
+	c.admin, err = (&net.ListenConfig{}).Listen(context.Background(), "tcp", r.Admin.String())
 	return c, err
 }
 
 // Serve begins to answer on the admin endpoint, to copy counts and to log changes
-// of the state, until Close. It calls the watchers again and again.
+// of the state, until the role has ended. It calls the watchers again and again.
 func (c *Common) Serve(ready func() lentilmetric.State, watchers ...func()) {
 	ctx, stop := context.WithCancel(context.Background())
 	c.stop = stop
@@ -120,8 +112,8 @@
 	}
 }
 
-// Close ends the admin endpoint.
-func (c *Common) Close() {
+// close ends the admin endpoint.
+func (c *Common) close() {
 	if c.stop == nil {
 		_ = c.admin.Close()
 		return
--- a/internal/lentiloperator/session.go
+++ b/internal/lentiloperator/session.go
@@ -29,8 +29,6 @@
 	// callsPerSecond and callsBurst bound what one command asks of the platform.
 	callsPerSecond = 100
 	callsBurst     = 50
-	// controlProtocol is spoken over control connections.
-	controlProtocol = "h2"
 	// readAttempts bounds how often a configuration may move on while it is read.
 	readAttempts = 5
 )
@@ -69,15 +67,11 @@
 	if err != nil {
 		return nil, lentilexit.With(lentilexit.Settings, err)
 	}
-	docs := make([]lentilkey.KeyDoc, 0, len(settings.Keys()))
-	for _, key := range settings.Keys() {
-		docs = append(docs, lentilkey.KeyDoc{ID: key.ID(), Secret: key.Secret()})
-	}
-	ring, err := lentilkey.New(docs)
+	ring, err := lentilkey.FromSettings(settings.Keys())
 	if err != nil {
 		return nil, err
 	}
-	tls, err := ring.ClientTLS(controlProtocol)
+	tls, err := ring.ClientTLS(lentilkey.ControlProtocol)
 	if err != nil {
 		return nil, err
 	}
