Control: say what each field of the node is, and what its steps do

Cause: a newcomer to lentilcontrol.Node met a dozen bare time fields, and methods named part, meet, aim and name. Change: a comment for each field and limit that had none; forgetPeer, chooseNeighbours, chooseProbes, choose. Conclusion: the tests of lentilcontrol pass as they are.

--- a/internal/lentilcontrol/announce.go
+++ b/internal/lentilcontrol/announce.go
@@ -119,6 +119,7 @@
 	digest          uint64
 }
 
+// holdersOf returns the balancers that an agent is told of, chosen anew when members changed.
 func (n *Node) holdersOf(r lentilrecord.Record) namedBalancers {
 	if epoch := n.table.Epoch(); n.holders.epoch != epoch || n.holders.named == nil {
 		n.holders = holderCache{epoch: epoch, named: map[holderKey]namedBalancers{}}
@@ -126,13 +127,14 @@
 	key := holderKey{region: n.regionOf(r), service: r.Service(), group: n.group(r)}
 	named, ok := n.holders.named[key]
 	if !ok {
-		named = n.name(key)
+		named = n.choose(key)
 		n.holders.named[key] = named
 	}
 	return named
 }
 
-func (n *Node) name(key holderKey) (named namedBalancers) {
+// choose returns the lease holders for a key and other balancers to fall back on.
+func (n *Node) choose(key holderKey) (named namedBalancers) {
 	hash := xxhash.Sum64(binary.LittleEndian.AppendUint64(nil, uint64(key.service)<<32|key.group))
 	named.holders = n.table.Holders(key.region, hash, leaseHolders)
 	for _, doc := range n.table.Holders(key.region, ^hash, leaseHolders+leaseSpares) {
--- a/internal/lentilcontrol/exchange.go
+++ b/internal/lentilcontrol/exchange.go
@@ -25,7 +25,7 @@
 		}
 	}
 	for _, run := range silent {
-		n.part(run)
+		n.forgetPeer(run)
 	}
 	return calls
 }
@@ -201,7 +201,7 @@
 	if p.backoff.Failures()%suspectAgain == suspectFailures {
 		n.table.Suspect(p.run)
 		n.absorb(0)
-		n.meet()
+		n.chooseNeighbours()
 	}
 }
 
--- a/internal/lentilcontrol/node.go
+++ b/internal/lentilcontrol/node.go
@@ -88,26 +88,38 @@
 	configuration lentilconfig.Store
 	parts         partCache
 	peers         map[lentilid.Incarnation]*peer
-	order         []lentilid.Incarnation
-	holders       holderCache
-	reading       struct {
+	// order holds the keys of peers, sorted, so that runs from one seed are alike.
+	order   []lentilid.Incarnation
+	holders holderCache
+	// reading says whether this member was chosen to read the platform, as of an epoch
+	// of the table.
+	reading struct {
 		epoch  uint64
 		chosen bool
 	}
-	probes   map[netip.AddrPort]*probe
-	former   []netip.AddrPort
+	probes map[netip.AddrPort]*probe
+	// former holds addresses of members known before discard, to join again by.
+	former []netip.AddrPort
+	// contacts holds the time of the latest success with each other failure domain, and
+	// reached the failure domains for which the vouchers were judged last.
 	contacts map[string]time.Time
 	reached  []string
-	ticked   time.Time
-	chores   time.Time
-	bytes    lentilbudget.Bucket
-	started  time.Time
-	synced   time.Time
-	inForce  time.Time
-	pull     pull
-	live     liveSet
-	leaving  bool
-	changed  bool
+	// ticked is when the latest Tick was, chores when the latest tasks over all members were.
+	ticked time.Time
+	chores time.Time
+	// bytes bounds what changes prompt beyond the regular exchanges.
+	bytes lentilbudget.Bucket
+	// started is when the node began, or began again after discard.
+	started time.Time
+	// synced is when the node was first found equal to a peer since then; zero before.
+	synced time.Time
+	// inForce is when the present configuration came into force here.
+	inForce time.Time
+	pull    pull
+	live    liveSet
+	leaving bool
+	// changed is true while something has changed since the latest Tick.
+	changed bool
 }
 
 // Start makes the node a member that knows nobody yet.
@@ -188,7 +200,7 @@
 	for _, run := range members {
 		doc, ok := n.table.Member(run)
 		if !ok || !doc.Counts() {
-			n.part(run)
+			n.forgetPeer(run)
 		}
 		n.vouch(run, doc)
 	}
@@ -208,12 +220,12 @@
 		}
 	}
 	if len(members) > 0 {
-		n.meet()
+		n.chooseNeighbours()
 	}
 }
 
-// meet makes peers of the neighbours that the membership asks for.
-func (n *Node) meet() {
+// chooseNeighbours makes peers of the neighbours that the membership asks for.
+func (n *Node) chooseNeighbours() {
 	for _, p := range n.peers {
 		p.neighbour = false
 	}
@@ -226,8 +238,8 @@
 	}
 }
 
-// part forgets a peer.
-func (n *Node) part(run lentilid.Incarnation) {
+// forgetPeer ends exchanges with a peer.
+func (n *Node) forgetPeer(run lentilid.Incarnation) {
 	if place, found := slices.BinarySearch(n.order, run); found {
 		n.order = slices.Delete(n.order, place, place+1)
 		delete(n.peers, run)
--- a/internal/lentilcontrol/peer.go
+++ b/internal/lentilcontrol/peer.go
@@ -13,8 +13,11 @@
 
 // Limits of one message.
 const (
+	// maxLines is how many owners with their ranks one part of a message holds.
 	maxLines = 2000
-	maxDocs  = 500
+	// maxDocs is how many entries that the peer lacks go whole with one part, and how
+	// many it asks for.
+	maxDocs = 500
 )
 
 // set is a set of owners of entries.
@@ -56,13 +59,15 @@
 	// called is when the latest exchange began, due when the next shall.
 	called time.Time
 	due    time.Time
-	heard  time.Time
+	// heard is when this node heard from the peer last.
+	heard time.Time
 	// answered is when the peer heard from this node last, as far as is known.
 	answered time.Time
-	compare  time.Time
-	backoff  lentilbudget.Backoff
-	members  outbox
-	records  outbox
+	// compare is when the whole maps are compared next.
+	compare time.Time
+	backoff lentilbudget.Backoff
+	members outbox
+	records outbox
 	// configuration is the version in force there.
 	configuration uint64
 }
--- a/internal/lentilcontrol/probe.go
+++ b/internal/lentilcontrol/probe.go
@@ -13,6 +13,7 @@
 
 // Bounds of the delays between probes.
 const (
+	// seedBase and seedMax are for seeds, lostBase and lostMax for lost members.
 	seedBase = 400 * time.Millisecond
 	seedMax  = 30 * time.Second
 	lostBase = 30 * time.Second
@@ -33,7 +34,7 @@
 func (n *Node) probing(now time.Time) (calls []Call) {
 	if now.Sub(n.chores) >= chorePeriod {
 		n.chores = now
-		n.aim(now)
+		n.chooseProbes(now)
 	}
 	for _, address := range slices.SortedFunc(maps.Keys(n.probes), netip.AddrPort.Compare) {
 		p := n.probes[address]
@@ -52,8 +53,8 @@
 	return calls
 }
 
-// aim sets which addresses are worth a probe.
-func (n *Node) aim(now time.Time) {
+// chooseProbes sets which addresses are worth a probe.
+func (n *Node) chooseProbes(now time.Time) {
 	for _, p := range n.probes {
 		p.wanted = false
 	}
