Turn the copy cold while it works, and count busy slots, in the experiment site

Cause: site.sala.cold70 counted falls and requests over what the cold copy bore 'after 1 s', but the copy was turned cold before the callers of the phase had begun, so that its agent had seen nothing of it in that second. Change: callers call for 3 s before a copy turns cold; counting begins a second after. The share of busy slots is a figure too. Conclusion: the check is as strict, its second begins where the target says.

--- a/internal/lentilmeasure/lentilsitemeasure/judge.go
+++ b/internal/lentilmeasure/lentilsitemeasure/judge.go
@@ -35,6 +35,7 @@
 		finished = finished.AtLeast(bound)
 	}
 	figures = append(figures, spread, finished,
+		figure("busy", own.busy, base.busy, "share of all slots in use"),
 		figure("slowestRefusal", own.slowest.Seconds(), base.slowest.Seconds(), "s"),
 		figure("unknown", float64(own.totals.Unknown), float64(base.totals.Unknown), "requests"),
 		figure("wrong", float64(own.totals.Wrong), float64(base.totals.Wrong), "answers").AtMost(0),
--- a/internal/lentilmeasure/lentilsitemeasure/phase.go
+++ b/internal/lentilmeasure/lentilsitemeasure/phase.go
@@ -17,6 +17,8 @@
 	window = 10 * time.Second
 	// coldTime is how long a copy is cold after its start, and after it turned cold.
 	coldTime = 5 * time.Second
+	// leadTime is how long callers call before a copy turns cold or anything is counted.
+	leadTime = 3 * time.Second
 	// coldNotice is how long agents may take to see that a copy has turned cold.
 	coldNotice = time.Second
 	// stepTimeout bounds each step beside the calls themselves.
@@ -70,6 +72,8 @@
 	totals   lentillab.Totals
 	answered int
 	slowest  time.Duration
+	// busy is the share of all slots that was in use in the windows.
+	busy float64
 	// hottest is the use of the most used copy over the mean, the worst of all windows.
 	hottest float64
 	// capacity is how many requests the copies bear in the phase.
@@ -95,11 +99,11 @@
 }
 
 func (t *trial) run(ctx context.Context, p phase) (result phaseResult, err error) {
-	length := time.Duration(p.windows) * window
+	length := leadTime + coldNotice + time.Duration(p.windows)*window
 	t.setup.Note("site: %s: %s for %s", t.name, p.name, length)
 	limited, cancel := context.WithTimeout(ctx, length+stepTimeout)
 	defer cancel()
-	if err = t.setFaults(limited, p); err != nil {
+	if err = t.slowDown(limited); err != nil {
 		return result, err
 	}
 	rate := t.capacity() * p.load
@@ -122,17 +126,26 @@
 	return result, t.count(limited, report, &result)
 }
 
-// setFaults makes one copy slow, and one cold if the phase wants it.
-func (t *trial) setFaults(ctx context.Context, p phase) (err error) {
-	slow := t.site.Copies()[slowCopy].URL() + "/faults"
-	if err = t.site.Put(ctx, slow, upstream.FaultsDoc{Slow: slowFactor}); err != nil || !p.cold {
-		return err
-	}
+// slowDown makes one copy slow.
+func (t *trial) slowDown(ctx context.Context) (err error) {
+	return t.site.Put(ctx, t.site.Copies()[slowCopy].URL()+"/faults", upstream.FaultsDoc{Slow: slowFactor})
+}
+
+// turnCold makes one copy cold that was warm and at work.
+func (t *trial) turnCold(ctx context.Context) (err error) {
 	return t.site.Put(ctx, t.site.Copies()[coldCopy].URL()+"/faults", upstream.FaultsDoc{Cold: true})
 }
 
 // watch follows the copies through the windows of a phase.
 func (t *trial) watch(ctx context.Context, result *phaseResult) (err error) {
+	if err = lentillab.Pause(ctx, leadTime); err != nil {
+		return err
+	}
+	if result.phase.cold {
+		if err = t.turnCold(ctx); err != nil {
+			return err
+		}
+	}
 	if err = lentillab.Pause(ctx, coldNotice); err != nil {
 		return err
 	}
@@ -141,12 +154,10 @@
 		return err
 	}
 	before := first
-	rest := window - coldNotice
 	for range result.phase.windows {
-		if err = lentillab.Pause(ctx, rest); err != nil {
+		if err = lentillab.Pause(ctx, window); err != nil {
 			return err
 		}
-		rest = window
 		after, err := t.states(ctx)
 		if err != nil {
 			return err
@@ -154,9 +165,13 @@
 		result.hottest = max(result.hottest, hottest(before, after, result.phase.cold))
 		before = after
 	}
+	busy := int64(0)
 	for i := range before {
 		result.falls += before[i].Falls - first[i].Falls
+		busy += before[i].BusyMillis - first[i].BusyMillis
 	}
+	slots := t.site.Site().Services[0].Slots * len(before)
+	result.busy = float64(busy) / float64(slots*result.phase.windows) / float64(window.Milliseconds())
 	result.overBorne = before[coldCopy].OverBorne - first[coldCopy].OverBorne
 	return nil
 }
