A copy that fails quickly draws no work by being quick

A copy that has fallen over answers 500 within a millisecond; the limiter took every whole answer but 503 and 429 for a normal completion, so that the copy looked quick and idle, kept all its slots, and peers with full copies handed it more. Ruled out: the detection of slowness (it answers within 0.2 s in the limiter's tests) and the moment at which the copy is turned cold. Change: answers that say that the copy failed count as evidence against it, as much as one that is much too slow; several in a row take it for cold, one in twenty doesn't. Before and after: TestQuickErrors fails without the change ('two of three: 0 falls', 'all: 0 falls').

--- a/internal/lentilagent/upstream.go
+++ b/internal/lentilagent/upstream.go
@@ -76,10 +76,14 @@
 
 // outcomeOfStatus returns what a whole answer says of the copy.
 func outcomeOfStatus(status int) (outcome lentillimit.Outcome) {
-	if sheds(status) {
+	switch {
+	case sheds(status):
 		return lentillimit.OutcomeShed
+	case status >= http.StatusInternalServerError && status != http.StatusNotImplemented:
+		return lentillimit.OutcomeError
+	default:
+		return lentillimit.OutcomeDone
 	}
-	return lentillimit.OutcomeDone
 }
 
 // callContext returns the context of a call to the copy: it ends at the deadline,
--- a/pkg/lentillimit/limit.go
+++ b/pkg/lentillimit/limit.go
@@ -20,7 +20,7 @@
 
 // The outcomes. The zero Outcome is none of them and is treated as OutcomeFailed.
 const (
-	// OutcomeDone is a whole answer, whatever its status, unless the copy shed.
+	// OutcomeDone is a whole answer that says nothing against the copy.
 	OutcomeDone Outcome = iota + 1
 	// OutcomeShed is a refusal by the copy itself because of load (503 or 429).
 	OutcomeShed
@@ -28,6 +28,10 @@
 	OutcomeFailed
 	// OutcomeTimedOut is a request that the agent gave up when its deadline passed.
 	OutcomeTimedOut
+	// OutcomeError is a whole answer that says that the copy itself failed (500 and
+	// the like). Now and then one is normal; many say that the copy is not, however
+	// quick they are.
+	OutcomeError
 	// OutcomeCancelled is a request that the caller gave up; it says nothing of the copy.
 	OutcomeCancelled
 )
--- a/pkg/lentillimit/limit_test.go
+++ b/pkg/lentillimit/limit_test.go
@@ -120,6 +120,32 @@
 	}
 }
 
+// A copy that fails quickly must not draw work by being quick, and one that fails now
+// and then is not cold.
+func TestQuickErrors(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		share float64
+		falls bool
+	}{{"one in twenty", 0.05, false}, {"two of three", 0.67, true}, {"all", 1, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(1, 2))
+			r := newRig(Limiter{Warm: 5 * time.Second})
+			r.run(20*time.Second, true)
+			r.takes = func() (time.Duration, Outcome) {
+				if random.Float64() < c.share {
+					return time.Millisecond, OutcomeError
+				}
+				return testTime, OutcomeDone
+			}
+			r.run(time.Second, true)
+			if got := r.limiter.Falls() > 0; got != c.falls {
+				t.Errorf("%d falls", r.limiter.Falls())
+			}
+		})
+	}
+}
+
 // A copy that is slow for good is learned anew and gets all its slots again.
 func TestSlowForGood(t *testing.T) {
 	r := newRig(Limiter{Warm: 5 * time.Second})
--- a/pkg/lentillimit/machine.go
+++ b/pkg/lentillimit/machine.go
@@ -96,6 +96,8 @@
 		l.completed(now, now.Sub(start))
 	case OutcomeTimedOut:
 		l.timedOut(now, start)
+	case OutcomeError:
+		l.suspect(mostDeviation - slack)
 	default:
 		l.fall()
 	}
--- a/pkg/lentillimit/outcome_string.go
+++ b/pkg/lentillimit/outcome_string.go
@@ -12,12 +12,13 @@
 	_ = x[OutcomeShed-2]
 	_ = x[OutcomeFailed-3]
 	_ = x[OutcomeTimedOut-4]
-	_ = x[OutcomeCancelled-5]
+	_ = x[OutcomeError-5]
+	_ = x[OutcomeCancelled-6]
 }
 
-const _Outcome_name = "DoneShedFailedTimedOutCancelled"
+const _Outcome_name = "DoneShedFailedTimedOutErrorCancelled"
 
-var _Outcome_index = [...]uint8{0, 4, 8, 14, 22, 31}
+var _Outcome_index = [...]uint8{0, 4, 8, 14, 22, 27, 36}
 
 func (i Outcome) String() string {
 	idx := int(i) - 1
