Agent, records and the model of a copy: say what the fields are

Cause: lentilagent.Agent had a bool named domain, its options didn't say what their zero values mean, half of the fields of lentilrecord.Store had no comment, and the model of a copy "felt" its load. Change: domainOut, heldChanged, expired, Advance and smoothed; comments for the rest. The comment of Options.Random says what the code does: nil draws 0 each time. Conclusion: the tests of lentilagent and lentilrecord pass as they are.

--- a/internal/lentilagent/agent.go
+++ b/internal/lentilagent/agent.go
@@ -36,7 +36,8 @@
 
 // Options say where and how an agent works.
 type Options struct {
-	// Copy is the copy's name in configuration.
+	// Copy is the copy's name in configuration, Service and Domain are the numbers of its
+	// service and failure domain there.
 	Copy    string
 	Service lentilid.Service
 	Domain  lentilid.Domain
@@ -51,14 +52,16 @@
 	CertificateFile, KeyFile string
 	// Ring authenticates tunnel packets, peers, tickets and places.
 	Ring lentilkey.Ring
-	// DrainLimit is how long a planned stop waits for open streams.
+	// DrainLimit is how long a planned stop waits for open streams; zero is
+	// DefaultDrainLimit.
 	DrainLimit time.Duration
 	// KeepPlaced turns hand-off to peers with more room off.
 	KeepPlaced bool
 	// Warm is the least time from cold to all slots; zero is lentillimit's default.
-	Warm  time.Duration
+	Warm time.Duration
+	// Clock tells the time; nil means the machine's.
 	Clock lentilclock.Clock
-	// Random returns evenly spread numbers in [0, 1).
+	// Random returns evenly spread numbers in [0, 1); nil draws 0 each time.
 	Random func() float64
 	// Announce spreads what the agent says of its copy; nil spreads nothing.
 	Announce func(lentilrecord.Doc)
@@ -76,8 +79,10 @@
 	tickets  lentilticket.Ring
 	callers  certificate
 
-	tunnel    *net.UDPConn
-	codec     *lentiltunnel.Codec
+	tunnel *net.UDPConn
+	codec  *lentiltunnel.Codec
+	// flows hands packets to QUIC and takes its answers; flowsHere decides which packets
+	// are local.
 	flows     *flowConn
 	flowsHere *flowKeeper
 	ways      ways
@@ -90,11 +95,14 @@
 	shown   atomic.Pointer[figures]
 	service atomic.Pointer[lentilconfig.Service]
 	leaving atomic.Bool // whether callers are sent elsewhere
-	domain  atomic.Bool // whether the own failure domain is out
-	ids     atomic.Uint64
-	open    atomic.Int64 // handlers and runs in progress
-	tally   tally
+	// domainOut is whether operators have taken the own failure domain out.
+	domainOut atomic.Bool
+	ids       atomic.Uint64 // the number of the latest exchange
+	open      atomic.Int64  // handlers and runs in progress
+	tally     tally
 
+	// pool calls the copy for what may be repeated, single for what may not, and
+	// peers calls other agents.
 	pool, single, peers *http.Transport
 
 	announcer announcer
--- a/internal/lentilagent/pump.go
+++ b/internal/lentilagent/pump.go
@@ -41,7 +41,7 @@
 	if header.Kind == lentiltunnel.Answer || header.Service != a.options.Service {
 		return Misdirected
 	}
-	if a.domain.Load() {
+	if a.domainOut.Load() {
 		return DomainOut
 	}
 	if header.Hop == uint16(lentilpin.NoticeHop) {
--- a/internal/lentilagent/stop.go
+++ b/internal/lentilagent/stop.go
@@ -18,7 +18,7 @@
 // setOut closes every flow when operators take the own failure domain out, and
 // counts the copy as cold when they bring it back.
 func (a *Agent) setOut(out bool) {
-	if a.domain.Swap(out) == out {
+	if a.domainOut.Swap(out) == out {
 		return
 	}
 	if out {
--- a/internal/lentilmatrix/request_copy.go
+++ b/internal/lentilmatrix/request_copy.go
@@ -167,7 +167,7 @@
 // it first showed that it is cold.
 func (c *requestCopy) watch() {
 	now := c.world.schedule.Now()
-	c.model.Feel(now)
+	c.model.Advance(now)
 	_, cold := c.model.ColdFor(now)
 	if !cold || c.symptomAt.IsZero() || now.Sub(c.symptomAt) < time.Second || c.hangs {
 		c.sum, c.borne, c.steps = 0, 0, 0
--- a/internal/lentilmeasure/lentilarrival/world.go
+++ b/internal/lentilmeasure/lentilarrival/world.go
@@ -145,7 +145,7 @@
 
 func (w *world) step() {
 	for _, a := range w.agents {
-		a.upstream.Feel(w.schedule.Now())
+		a.upstream.Advance(w.schedule.Now())
 		w.perform(a, a.admitter.Tick())
 	}
 	w.tally.step(w)
--- a/internal/lentilmodel/copy.go
+++ b/internal/lentilmodel/copy.go
@@ -15,7 +15,7 @@
 	Warming = 20 * time.Second
 	// shedTime is how long a copy takes to shed.
 	shedTime = time.Millisecond
-	// overloadWindow is the time over which a copy feels its load, in seconds.
+	// overloadWindow is the time over which the load is smoothed, in seconds.
 	overloadWindow = 1.0
 	// shedAt is the load over what a copy bears at which it sheds.
 	shedAt = 2.0
@@ -30,7 +30,7 @@
 	Factor   float64
 	coldFrom time.Time
 	inFlight int
-	felt     float64 // load over the last second, smoothed
+	smoothed float64 // load over about the last second
 	at       time.Time
 }
 
@@ -64,10 +64,10 @@
 
 // Begin takes a request of the given work and returns how long it lasts, or that it is shed.
 func (c *Copy) Begin(now time.Time, work time.Duration) (lasts time.Duration, shed bool) {
-	c.Feel(now)
+	c.Advance(now)
 	c.inFlight++
 	bears := c.Bears(now)
-	over := max(float64(c.inFlight)/math.Ceil(bears), c.felt/bears)
+	over := max(float64(c.inFlight)/math.Ceil(bears), c.smoothed/bears)
 	if over > shedAt {
 		return shedTime, true
 	}
@@ -77,16 +77,16 @@
 
 // End tells that a request has ended.
 func (c *Copy) End(now time.Time) {
-	c.Feel(now)
+	c.Advance(now)
 	c.inFlight--
 }
 
-// Feel lets time pass.
-func (c *Copy) Feel(now time.Time) {
+// Advance lets time pass.
+func (c *Copy) Advance(now time.Time) {
 	seconds := now.Sub(c.at).Seconds()
 	if seconds <= 0 {
 		return
 	}
-	c.felt += (float64(c.inFlight) - c.felt) * (1 - math.Exp(-seconds/overloadWindow))
+	c.smoothed += (float64(c.inFlight) - c.smoothed) * (1 - math.Exp(-seconds/overloadWindow))
 	c.at = now
 }
--- a/pkg/lentilrecord/query.go
+++ b/pkg/lentilrecord/query.go
@@ -27,9 +27,9 @@
 // Held returns the owners whose leases this balancer holds, in order. The caller
 // must not change it.
 func (s *Store) Held() []lentilid.Incarnation {
-	if s.reheld {
+	if s.heldChanged {
 		s.held = slices.Sorted(maps.Keys(s.leases))
-		s.reheld = false
+		s.heldChanged = false
 	}
 	return s.held
 }
--- a/pkg/lentilrecord/store.go
+++ b/pkg/lentilrecord/store.go
@@ -44,11 +44,15 @@
 	strays   map[lentilid.Incarnation]*entry
 	vouchers map[lentilid.Incarnation]Voucher
 	versions Versions
-	held     []lentilid.Incarnation
-	reheld   bool
-	refused  uint64
-	changed  []lentilid.Incarnation
-	seen     time.Time
+	// held is the list of owners with a lease here, out of date while heldChanged.
+	held        []lentilid.Incarnation
+	heldChanged bool
+	// refused counts records that no agent could have made or that contradict a known one.
+	refused uint64
+	// changed holds owners for the next TakeChanged.
+	changed []lentilid.Incarnation
+	// expired is when Expire last ran.
+	expired time.Time
 }
 
 // entry is a record with what this balancer knows about its leases.
@@ -62,11 +66,14 @@
 	// stray is since when nobody vouches.
 	stray time.Time
 	// lease is when the lease held here ends without a heartbeat.
-	lease    time.Time
+	lease time.Time
+	// beat is the number of the latest heartbeat here, heard when it came, and reported
+	// the version of the configuration in force at the agent then.
 	beat     uint64
 	heard    time.Time
-	load     uint16
 	reported uint64
+	// load is the latest load, from a heartbeat or a newer record.
+	load uint16
 	// superseded is true once another owner took a lease at the same address.
 	superseded bool
 }
@@ -208,7 +215,7 @@
 	}
 	if s.leases[owner] == nil {
 		s.leases[owner] = e
-		s.reheld = true
+		s.heldChanged = true
 	}
 	e.beat = beat
 	e.heard = now
@@ -232,8 +239,8 @@
 // know what it missed.
 func (s *Store) Expire() {
 	now := s.now()
-	jumped := !s.seen.IsZero() && (now.Sub(s.seen) > s.lease() || now.Before(s.seen))
-	s.seen = now
+	jumped := !s.expired.IsZero() && (now.Sub(s.expired) > s.lease() || now.Before(s.expired))
+	s.expired = now
 	for owner, e := range s.leases {
 		if jumped || !now.Before(e.lease) {
 			s.endLease(owner)
@@ -248,14 +255,14 @@
 
 func (s *Store) endLease(owner lentilid.Incarnation) {
 	delete(s.leases, owner)
-	s.reheld = true
+	s.heldChanged = true
 }
 
 // Discard forgets everything. Leases must be renewed by heartbeats: a process that
 // was away cannot know whether those it held have ended.
 func (s *Store) Discard() {
 	clear(s.leases)
-	s.reheld = true
+	s.heldChanged = true
 	for holder := range s.vouchers {
 		s.Vouch(holder, Voucher{})
 	}
