A later attempt finds a request that was handed over, also by way of a third agent

Cause: an attempt that a third agent passed on to the agent that gave the ticket had used up its one step, and was told 'outcome unknown' although the peer held the answer. Change: the incarnation that a ticket names may pass such an attempt on to the peer that it handed the request to. Conclusion: no circle is possible, since the peer never hands a relayed request on.

--- a/internal/lentilagent/handler.go
+++ b/internal/lentilagent/handler.go
@@ -127,7 +127,7 @@
 	x := a.newExchange(in, lentilconfig.KindOnce, relayed)
 	fingerprint := lentilticket.NewFingerprint(in.request.Method, in.target, in.body)
 	a.tell(presented{exchange: x, ticket: ticket, fingerprint: fingerprint})
-	a.awaitOnce(w, in, x, relayed)
+	a.awaitOnce(w, in, x)
 }
 
 // refuseBody answers a request whose body can't be kept.
@@ -167,7 +167,7 @@
 }
 
 // awaitOnce waits for the end of a run under a ticket, whoever began it.
-func (a *Agent) awaitOnce(w http.ResponseWriter, in *input, x *exchange, relayed bool) {
+func (a *Agent) awaitOnce(w http.ResponseWriter, in *input, x *exchange) {
 	ctx, cancel := a.callerContext(in)
 	defer cancel()
 	for {
@@ -187,7 +187,9 @@
 			case orderAsk:
 				a.tell(a.askTicket(ctx, in, x, r.peer))
 			case orderElsewhere:
-				a.serveElsewhere(w, in, r.ticket, relayed)
+				// This incarnation has handed the request over and knows to whom, so that
+				// one more step can't go round in a circle.
+				a.serveElsewhere(w, in, r.ticket, false)
 				return
 			case orderMisused:
 				refuseFor(w, http.StatusBadRequest, reasonTicketMisused)
--- a/internal/lentilagent/request_test.go
+++ b/internal/lentilagent/request_test.go
@@ -139,6 +139,38 @@
 
 // TestAnswersOnce looks at what becomes of a request that may not be repeated when its
 // copy misbehaves. Each is sent twice under the same ticket.
+// TestHandOver has an agent that leaves hand a request over that it gave a ticket for.
+func TestHandOver(t *testing.T) {
+	p, stub := newPair(t)
+	home, other := p.agents[0], p.agents[1]
+	location := ticketed(t, home, "/enrol?id=1")
+	home.tell(drain{begin: true})
+	direct := func() (w *httptest.ResponseRecorder) { return ask(home, http.MethodPost, location, "booking", nil) }
+	third := func() (w *httptest.ResponseRecorder) {
+		w = httptest.NewRecorder()
+		home.serve(w, httptest.NewRequest(http.MethodPost, location, strings.NewReader("booking")), true)
+		return w
+	}
+	for range 100 {
+		if direct().Code != http.StatusServiceUnavailable {
+			break
+		}
+		time.Sleep(20 * time.Millisecond) // The peer's record comes a little after its start.
+	}
+	for _, attempt := range []func() *httptest.ResponseRecorder{direct, direct, third} {
+		if w := attempt(); w.Code != http.StatusOK || w.Body.String() != "run" || w.Header().Get(HeaderCopy) != "copy-2" {
+			t.Errorf("answer %d %q %v", w.Code, w.Body, w.Header())
+		}
+	}
+	other.Close()
+	if w := direct(); outcomeIn(t, w).Outcome != OutcomeUnknown {
+		t.Errorf("answer %d %q after the peer has gone", w.Code, w.Body)
+	}
+	if n := stub.runs.Load(); n != 1 {
+		t.Errorf("%d runs under one ticket", n)
+	}
+}
+
 func TestAnswersOnce(t *testing.T) {
 	tests := []struct {
 		name    string
