A changed configuration is checked, indexed and split only where it changed

Cause: each change checked, indexed and compared the whole document (7,000 services, 26,000 copies): a profile shows New with most of OfferDelta, then partition, merge and deltaOf. Change: Configuration.next shares what is unchanged and checks only the change; any doubt goes to New. Offer compares with what is held and goes the same way; Assemble takes held shards from the document. change copies runs.

--- a/pkg/lentilconfig/check.go
+++ b/pkg/lentilconfig/check.go
@@ -142,9 +142,7 @@
 		entry := entryChecker{checker: c, list: "services", i: i}
 		entry.service(doc)
 		entry.fault(!names[doc.Name], "name", "is the name of an earlier service", `"catalogo"`)
-		entry.fault(doc.Number > 0 && doc.Number <= ServiceNumberMax, "number", "is not within 1 to 65534", "1")
-		entry.fault(!numbers[doc.Number], "number", "is the number of an earlier service", "2")
-		entry.fault(d.NextService == 0 || doc.Number < d.NextService, "number", "is not below nextService", "1")
+		entry.number(doc.Number, d.NextService, numbers[doc.Number])
 		// Balancers tell services apart by the port on which they listen.
 		if other, taken := ports[doc.Address.Port()]; taken {
 			entry.fault(false, "address", "has the port of service "+other, `"192.0.2.10:8444"`)
@@ -156,6 +154,13 @@
 	return names
 }
 
+// number checks the number of a service, which lies below next if that is set.
+func (e entryChecker) number(number, next lentilid.Service, taken bool) {
+	e.fault(number > 0 && number <= ServiceNumberMax, "number", "is not within 1 to 65534", "1")
+	e.fault(!taken, "number", "is the number of an earlier service", "2")
+	e.fault(next == 0 || number < next, "number", "is not below nextService", "1")
+}
+
 func (e entryChecker) service(doc ServiceDoc) {
 	e.name("name", doc.Name, `"iscrizioni"`)
 	e.fault(validAddress(doc.Address), "address", "is not an IP number with a port", `"192.0.2.10:8443"`)
--- a/pkg/lentilconfig/delta.go
+++ b/pkg/lentilconfig/delta.go
@@ -58,17 +58,23 @@
 		NextService: to.NextService,
 		NextDomain:  to.NextDomain,
 	}
-	for _, mark := range to.Recent {
-		if mark.Version > from.Version {
-			delta.Recent = append(delta.Recent, mark)
-		}
-	}
+	delta.Recent = marksAfter(to.Recent, from.Version)
 	delta.PutServices, delta.DropServices = compare(from.Services, to.Services, ServiceDoc.key, ServiceDoc.Equal)
 	delta.PutCopies, delta.DropCopies = compare(from.Copies, to.Copies, CopyDoc.key, equal[CopyDoc])
 	delta.PutDomains, delta.DropDomains = compare(from.Domains, to.Domains, DomainDoc.key, equal[DomainDoc])
 	return delta
 }
 
+// marksAfter returns the marks of the versions after the given one.
+func marksAfter(marks []MarkDoc, version uint64) (later []MarkDoc) {
+	for _, mark := range marks {
+		if mark.Version > version {
+			later = append(later, mark)
+		}
+	}
+	return later
+}
+
 // Apply returns the document that the delta leads to. It fails with ErrGap if the
 // delta starts elsewhere and with ErrDigest if it doesn't lead where it says.
 func (d Document) Apply(delta DeltaDoc) (document Document, err error) {
@@ -172,26 +178,33 @@
 	return put, drop
 }
 
-// change returns the sorted entries without those dropped and with those put.
+// change returns the sorted entries without those dropped and with those put. It
+// copies what lies between the changes in one piece each.
 func change[T any](entries, put []T, drop []string, key func(T) string) (changed []T) {
-	leaving := make(map[string]bool, len(put)+len(drop))
-	for _, name := range drop {
-		leaving[name] = true
-	}
-	for _, entry := range put {
-		leaving[key(entry)] = true
-	}
-	if len(leaving) == 0 {
+	if len(put) == 0 && len(drop) == 0 {
 		return entries
 	}
-	for _, entry := range entries {
-		if !leaving[key(entry)] {
-			changed = append(changed, entry)
+	put = slices.Clone(put)
+	slices.SortStableFunc(put, func(a, b T) int { return strings.Compare(key(a), key(b)) })
+	leaving := slices.Clone(drop)
+	for _, entry := range put {
+		leaving = append(leaving, key(entry))
+	}
+	slices.Sort(leaving)
+	changed = make([]T, 0, len(entries)+len(put))
+	for _, name := range slices.Compact(leaving) {
+		at, _ := slices.BinarySearchFunc(entries, name, func(entry T, name string) int { return strings.Compare(key(entry), name) })
+		changed = append(changed, entries[:at]...)
+		entries = entries[at:]
+		for len(entries) > 0 && key(entries[0]) == name {
+			entries = entries[1:]
+		}
+		for len(put) > 0 && key(put[0]) == name {
+			changed = append(changed, put[0])
+			put = put[1:]
 		}
 	}
-	changed = append(changed, put...)
-	slices.SortFunc(changed, func(a, b T) int { return strings.Compare(key(a), key(b)) })
-	return changed
+	return append(changed, entries...)
 }
 
 func equal[T comparable](a, b T) bool { return a == b }
--- /dev/null
+++ b/pkg/lentilconfig/next_test.go
@@ -0,0 +1,195 @@
+package lentilconfig
+
+import (
+	"fmt"
+	"net/netip"
+	"reflect"
+	"slices"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"lentilstair.example/lentilstair/pkg/lentilid"
+)
+
+// TestNextTellsWhatNewTells compares the check and the index of a change with those
+// of the whole document, over random changes with and without faults.
+func TestNextTellsWhatNewTells(t *testing.T) {
+	taken, faulty, short := 0, 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		configuration, err := New(sample(6, 18))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range rapid.IntRange(1, 4).Draw(t, "versions") {
+			document, change, usual := changed(t, configuration)
+			whole, err := New(document)
+			next, ok := configuration.next(document, change)
+			switch {
+			case ok && err != nil:
+				t.Fatalf("taken in spite of its faults: %v", err)
+			case !ok && err == nil && usual:
+				t.Fatal("not taken, though it is free of faults and nothing unusual")
+			case err != nil:
+				faulty++
+				return
+			case !ok:
+				short++
+				next = whole
+			default:
+				taken++
+			}
+			if !reflect.DeepEqual(whole, next) {
+				t.Fatalf("differs from the whole:\n%+v\n%+v", whole, next)
+			}
+			if want := deltaOf(configuration.document, document, change.From, change.To); !reflect.DeepEqual(want, change) {
+				t.Fatal(cmp.Diff(want, change, cmp.Comparer(sameAddress)))
+			}
+			configuration = next
+		}
+	})
+	t.Logf("%d changes were taken by themselves, %d had faults, %d were left to the whole check", taken, faulty, short)
+	if taken == 0 || faulty == 0 || short == 0 {
+		t.Error("a kind of change doesn't occur")
+	}
+}
+
+// TestStoreHoldsWhatTheWholeSays compares the head, the shards and the assembly of
+// a store that took deltas and documents with what splitting the whole gives.
+func TestStoreHoldsWhatTheWholeSays(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var store Store
+		if err := store.Offer(sample(6, 600)); err != nil {
+			t.Fatal(err)
+		}
+		for range rapid.IntRange(1, 4).Draw(t, "versions") {
+			document, change, _ := changed(t, store.configuration)
+			asDocument := rapid.Bool().Draw(t, "whole")
+			if asDocument {
+				document = document.Canonical() // as Offer does, which raises the marks
+			}
+			before, digest := store.Version(), store.Digest()
+			head, shards, err := Split(document)
+			if err != nil {
+				t.Fatal(err)
+			}
+			change.From, change.To = digest, head.Digest()
+			_, faults := New(document)
+			fork := store.descends(document.Recent, document.Services)
+			if asDocument {
+				err = store.Offer(document)
+			} else {
+				err = store.OfferDelta(change)
+			}
+			if (err == nil) != (faults == nil && fork == nil) {
+				t.Fatalf("offered: %v; whole: %v, %v", err, faults, fork)
+			}
+			if err != nil {
+				if store.Version() != before || store.Digest() != digest {
+					t.Fatal("a refused change moved the store")
+				}
+				continue
+			}
+			if diff := cmp.Diff(head, store.Head()); diff != "" || store.Digest() != head.Digest() {
+				t.Fatal(diff)
+			}
+			for _, shard := range shards {
+				if body, found := store.Shard(shard.Name()); !found || string(body) != string(shard.Body()) {
+					t.Fatalf("shard %s is not as the whole says", shard.Name())
+				}
+			}
+			assembly, err := store.Assemble(head)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got, err := assembly.Document(); err != nil || !cmp.Equal(document, got, cmp.Comparer(sameAddress)) {
+				t.Fatalf("assembled otherwise: %v", err)
+			}
+		}
+	})
+}
+
+// changed returns a random successor of the configuration and what leads to it, by
+// a comparison or as a delta with entries that change nothing or are doubled.
+// Usual changes leave the numbers and the failure domains' names alone.
+func changed(t *rapid.T, c Configuration) (document Document, change DeltaDoc, usual bool) {
+	document = c.document.Canonical().Marked(MarkDoc{NoteID: "edit", Digest: "0"})
+	usual = true
+	for range rapid.IntRange(1, 3).Draw(t, "edits") {
+		usual = edit(t, &document) && usual
+	}
+	mark := document.NextService
+	document = document.Canonical()
+	if rapid.IntRange(0, 9).Draw(t, "lower mark") == 0 {
+		document.NextService, usual = mark-1, false
+	}
+	change = deltaOf(c.document, document, "", "")
+	if rapid.Bool().Draw(t, "as a delta") {
+		delta := change
+		delta.PutCopies = append(some(t, document.Copies), delta.PutCopies...)
+		delta.PutServices = append(some(t, document.Services), delta.PutServices...)
+		delta.DropCopies = append([]string{"service-00001-1", "no-such"}, delta.DropCopies...)
+		document = c.document.merge(delta)
+		change = c.effective(document, delta)
+	}
+	return document, change, usual
+}
+
+// some returns an entry or none.
+func some[T any](t *rapid.T, entries []T) []T {
+	if len(entries) == 0 || rapid.Bool().Draw(t, "none") {
+		return nil
+	}
+	return []T{rapid.SampledFrom(entries).Draw(t, "entry")}
+}
+
+func edit(t *rapid.T, d *Document) (usual bool) {
+	number := rapid.IntRange(0, 9).Draw(t, "number")
+	service := fmt.Sprintf("service-%05d", number)
+	domain := fmt.Sprintf("domain-%02d", rapid.IntRange(0, 15).Draw(t, "domain"))
+	copied := fmt.Sprintf("%s-%d", service, rapid.IntRange(1, 4).Draw(t, "copy"))
+	usual = true
+	switch rapid.IntRange(0, 12).Draw(t, "edit") {
+	case 0:
+		d.Copies = append(d.Copies, CopyDoc{Name: copied, Service: service, Domain: domain})
+	case 1:
+		d.Copies = slices.DeleteFunc(d.Copies, func(doc CopyDoc) bool { return doc.Name == copied })
+	case 2:
+		d.Copies = slices.DeleteFunc(d.Copies, func(doc CopyDoc) bool { return doc.Name == copied })
+		d.Copies = append(d.Copies, CopyDoc{Name: copied, Service: "service-00002", Domain: domain, Draining: true})
+	case 3:
+		d.Services = slices.DeleteFunc(d.Services, func(doc ServiceDoc) bool { return doc.Name == service })
+	case 4:
+		d.Services = slices.DeleteFunc(d.Services, func(doc ServiceDoc) bool { return doc.Name == service })
+		d.Copies = slices.DeleteFunc(d.Copies, func(doc CopyDoc) bool { return doc.Service == service })
+	case 5, 6:
+		doc := ServiceDoc{
+			Name: service, Number: lentilid.Service(number + 1), Slots: rapid.IntRange(0, 3).Draw(t, "slots"), Connections: 2,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 1}), uint16(8000+rapid.IntRange(0, 9).Draw(t, "port"))),
+			Rules:   []RuleDoc{{Prefix: "/a", Kind: rapid.SampledFrom([]string{"once", "twice"}).Draw(t, "kind")}},
+		}
+		d.Services = append(slices.DeleteFunc(d.Services, func(doc ServiceDoc) bool { return doc.Name == service }), doc)
+	case 7:
+		d.Services = append(d.Services, ServiceDoc{
+			Name: fmt.Sprintf("new-%d", number), Number: lentilid.Service(rapid.IntRange(0, 30).Draw(t, "any number")), Slots: 1, Connections: 1,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 2}), uint16(9000+number)),
+		})
+	case 8:
+		if len(d.Services) > 0 {
+			d.Services[number%len(d.Services)].Number = lentilid.Service(rapid.IntRange(1, 30).Draw(t, "new number"))
+			usual = false
+		}
+	case 9:
+		d.Domains[number%len(d.Domains)].Out = true
+	case 10:
+		d.Domains = append(d.Domains, DomainDoc{Name: domain, Number: lentilid.Domain(rapid.IntRange(0, 20).Draw(t, "domain's number")), Region: "r"})
+	case 11:
+		d.Domains = slices.DeleteFunc(d.Domains, func(doc DomainDoc) bool { return doc.Name == domain })
+		usual = false
+	case 12:
+		d.Domains[number%len(d.Domains)].Number = lentilid.Domain(rapid.IntRange(1, 20).Draw(t, "domain's new number"))
+		usual = false
+	}
+	return usual
+}
--- a/pkg/lentilconfig/store.go
+++ b/pkg/lentilconfig/store.go
@@ -92,13 +92,18 @@
 // in place, so that only the changed ones have to be fetched.
 func (s *Store) Assemble(head HeadDoc) (assembly *Assembly, err error) {
 	assembly = NewAssembly(head)
+	wanted := make(map[Digest]bool)
 	for _, name := range assembly.Missing() {
-		body, held := s.shards[name]
-		if !held {
-			continue
-		}
-		if err = assembly.Add(name, body); err != nil {
-			return nil, err
+		_, wanted[name] = s.shards[name]
+	}
+	kept := make([]bool, len(s.head.Shards))
+	for i, name := range s.head.Shards {
+		kept[i] = wanted[name]
+	}
+	// The entries held are what the shards say, so nothing has to be read again.
+	for i, part := range partition(s.configuration.document, kept) {
+		if kept[i] {
+			assembly.parts[s.head.Shards[i]] = part
 		}
 	}
 	return assembly, nil
@@ -113,11 +118,13 @@
 		return fmt.Errorf("%w: version %d is offered, %d is held", ErrOlder, document.Version, s.Version())
 	}
 	document = document.Canonical()
-	head, shards, err := Split(document)
+	change := deltaOf(s.configuration.document, document, s.digest, "")
+	head, shards, err := splitCanonical(document, change.touched(), s.held(shardCount(document)))
 	if err != nil {
 		return err
 	}
-	return s.move(document, head, shards)
+	change.To = head.Digest()
+	return s.move(document, head, shards, change)
 }
 
 // OfferDelta puts the outcome of a delta into force. Besides the errors of Offer
@@ -145,7 +152,7 @@
 	if digest := head.Digest(); digest != delta.To {
 		return fmt.Errorf("%w: the delta leads to %s, not to %s", ErrDigest, digest, delta.To)
 	}
-	return s.move(document, head, shards)
+	return s.move(document, head, shards, s.configuration.effective(document, delta))
 }
 
 func (s *Store) same(digest Digest) error {
@@ -169,23 +176,26 @@
 }
 
 // move puts a canonical document of the version held or a newer one into force.
-func (s *Store) move(document Document, head HeadDoc, shards []Shard) (err error) {
-	digest := head.Digest()
+// The change is what turns the document held into it.
+func (s *Store) move(document Document, head HeadDoc, shards []Shard, change DeltaDoc) (err error) {
 	if document.Version == s.Version() {
-		return s.same(digest)
+		return s.same(change.To)
 	}
-	if err = s.descends(document); err != nil {
+	if err = s.descends(document.Recent, change.PutServices); err != nil {
 		return err
 	}
-	configuration, err := New(document)
+	configuration, ok := s.configuration.next(document, change)
+	if !ok {
+		configuration, err = New(document)
+	}
 	if err != nil {
 		lentilerror.Annotate(&err, "check version %d", document.Version)
 		return err
 	}
-	s.remember(configuration, digest)
+	s.remember(change)
 	s.configuration = configuration
 	s.head = head
-	s.digest = digest
+	s.digest = change.To
 	s.shards = make(map[Digest][]byte, len(shards))
 	for _, shard := range shards {
 		s.shards[shard.name] = shard.body
@@ -194,17 +204,18 @@
 	return nil
 }
 
-// descends reports ErrFork if the document doesn't come from what is held. Its
-// recent marks tell, as far as they reach back; beyond them the version decides.
-// A service number that moved to another name is a fork however old.
-func (s *Store) descends(document Document) error {
+// descends reports ErrFork if a document with the marks and the changed services
+// doesn't come from what is held. Its recent marks tell, as far as they reach
+// back; beyond them the version decides. A service number that moved to another
+// name is a fork however old.
+func (s *Store) descends(recent []MarkDoc, changed []ServiceDoc) error {
 	held := s.mark()
-	for _, mark := range document.Recent {
+	for _, mark := range recent {
 		if mark.Version == held.Version && mark != held && held.NoteID != "" {
 			return fmt.Errorf("%w: version %d was made by note %q here, by %q there", ErrFork, held.Version, held.NoteID, mark.NoteID)
 		}
 	}
-	for _, doc := range document.Services {
+	for _, doc := range changed {
 		old := s.configuration.services[doc.Number]
 		if old != nil && old.Name() != doc.Name {
 			return fmt.Errorf("%w: number %d is of service %q here, of %q there", ErrFork, doc.Number, old.Name(), doc.Name)
@@ -223,11 +234,10 @@
 }
 
 // remember keeps the step to the new configuration for peers that lag.
-func (s *Store) remember(next Configuration, digest Digest) {
+func (s *Store) remember(step DeltaDoc) {
 	if s.digest == "" {
 		return
 	}
-	step := deltaOf(s.configuration.document, next.document, s.digest, digest)
 	s.history = append(s.history, step)
 	entries := 0
 	for i := len(s.history) - 1; i >= 0; i-- {
