Give agents a source of chance

The process never set Options.Random of the agent and nothing filled it in: the chooser took the first two peers of the list each time, passed a request on whenever its share of requests to pass on was above nothing, and refused callers got no jitter. In-process measurements and tests pass a seeded source. Before and after: TestDefaults fails without the change ('no random source or clock').

--- a/internal/lentilagent/agent.go
+++ b/internal/lentilagent/agent.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -140,6 +141,9 @@
 		o.DrainLimit = DefaultDrainLimit
 	}
 	o.Clock = lentilclock.OrSystem(o.Clock)
+	if o.Random == nil {
+		o.Random = rand.Float64
+	}
 	if o.Announce == nil {
 		o.Announce = func(lentilrecord.Doc) {}
 	}
