--- a/internal/lentilagent/agent.go
+++ b/internal/lentilagent/agent.go
@@ -62,7 +62,7 @@
 	Warm time.Duration
 	// Clock tells the time; nil means the machine's.
 	Clock lentilclock.Clock
-	// Random returns evenly spread numbers in [0, 1); nil draws 0 each time.
+	// Random returns evenly spread numbers in [0, 1); nil means the shared source.
 	Random func() float64
 	// Announce spreads what the agent says of its copy; nil spreads nothing.
 	Announce func(lentilrecord.Doc)
--- a/internal/lentilagent/decider_test.go
+++ b/internal/lentilagent/decider_test.go
@@ -99,3 +99,18 @@
 		})
 	}
 }
+
+// TestDefaults checks that an agent whose options name no source of chance has one: without
+// it all agents choose the same peers, and callers come back together.
+func TestDefaults(t *testing.T) {
+	o := Options{}.withDefaults()
+	if o.Random == nil || o.Clock == nil {
+		t.Fatal("no random source or clock")
+	}
+	for range 100 {
+		if o.Random() != o.Random() {
+			return
+		}
+	}
+	t.Error("the random source always gives the same")
+}
