--- /dev/null
+++ b/internal/lentilcontrol/server_test.go
@@ -0,0 +1,52 @@
+package lentilcontrol
+
+import (
+	"bytes"
+	"encoding/binary"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"lentilstair.example/lentilstair/internal/lentilcontrol/lentilcontrolpb/lentilcontrolpbconnect"
+)
+
+// TestBadCalls sends what no process of the system sends. Nothing of it may reach the
+// state: the service here has none, and would panic.
+func TestBadCalls(t *testing.T) {
+	const proto = "application/proto"
+	// A right message but for its size: an unknown field that fills it.
+	oversized := binary.AppendUvarint([]byte{0xfa, 0x07}, messageMax)
+	oversized = append(oversized, make([]byte, messageMax)...)
+	tests := []struct {
+		name, method, kind string
+		body               []byte
+		calls              int
+	}{
+		{name: "oversized", method: http.MethodPost, kind: proto, body: oversized, calls: 1},
+		{name: "truncated", method: http.MethodPost, kind: proto, body: []byte{0x0a, 0x7f, 0x01}, calls: 1},
+		{name: "no message", method: http.MethodPost, kind: proto, body: []byte("\xff\xff\xff\xff"), calls: 1},
+		{name: "unknown encoding", method: http.MethodPost, kind: "application/octet-stream", calls: 1},
+		{name: "unknown method", method: http.MethodDelete, kind: proto, calls: 1},
+		{name: "too many", method: http.MethodPost, kind: proto, body: []byte{0x0a, 0x7f}, calls: callsBurst + 5},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := &service{}
+			handler := s.handler()
+			status := 0
+			for range tt.calls {
+				w := httptest.NewRecorder()
+				r := httptest.NewRequest(tt.method, lentilcontrolpbconnect.ControlServiceAnnounceProcedure, bytes.NewReader(tt.body))
+				r.Header.Set("Content-Type", tt.kind)
+				handler.ServeHTTP(w, r)
+				status = w.Code
+			}
+			if status < http.StatusBadRequest || s.refused.Load() != uint64(tt.calls) {
+				t.Errorf("status %d, %d of %d calls refused", status, s.refused.Load(), tt.calls)
+			}
+			if tt.calls > 1 && status != http.StatusTooManyRequests {
+				t.Errorf("status %d for one call too many", status)
+			}
+		})
+	}
+}
