--- a/internal/lentilagent/domain_test.go
+++ b/internal/lentilagent/domain_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"time"
 
@@ -38,3 +39,27 @@
 	}
 	p.checkPromises(report)
 }
+
+// TestDomainOutDuringHandshakes takes a failure domain out again and again while callers
+// open connections. A connection in its handshake can't be told why it ends (RFC 9000,
+// section 10.2.3), but its refusal says that nothing on it ran, so nothing fails.
+func TestDomainOutDuringHandshakes(t *testing.T) {
+	const rounds, every = 8, 150 * time.Millisecond
+	p := newPath(t, 1, 2, nil)
+	var report caller.ReportDoc
+	var calls sync.WaitGroup
+	calls.Go(func() {
+		report = p.call(2*rounds*every, func(o *caller.Options) {
+			o.Connections, o.Streams, o.Repeatable, o.Once, o.Reconnect = 24, 0, 0, 200, time.Millisecond
+		})
+	})
+	for round := range 2 * rounds {
+		time.Sleep(every)
+		p.configure(func(d *lentilconfig.Document) { d.Domains[1].Out = round%2 == 0 })
+	}
+	calls.Wait()
+	if report.Once.Failed > report.Once.GivenUp || report.Once.Answered == 0 {
+		t.Errorf("%d failed, %d of them with the reason: %v", report.Once.Failed, report.Once.GivenUp, report.Faults)
+	}
+	p.checkPromises(report)
+}
--- a/internal/lentilstand/caller/caller.go
+++ b/internal/lentilstand/caller/caller.go
@@ -11,6 +11,7 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -208,6 +209,9 @@
 		if seen.result != resultUnknown && seen.result != resultFailed {
 			break
 		}
+		if seen.unheard {
+			continue // Nothing on the connection ran, so that the same request may be sent again.
+		}
 		if once && seen.ticketed == "" {
 			break // Without its ticket a new attempt would be another request.
 		}
@@ -229,6 +233,17 @@
 	detail   string
 	// ticketed is the URL with the ticket, if one was given.
 	ticketed string
+	// unheard says that the server refused the connection during the handshake, when no
+	// request on it can have been read.
+	unheard bool
+}
+
+// isRefused reports whether a server refused the connection during its handshake
+// (CONNECTION_REFUSED, RFC 9000, section 20.1). A caller may have finished its side of
+// the handshake and sent a request by then; the server hasn't read it.
+func isRefused(err error) (refused bool) {
+	var fault *quic.TransportError
+	return errors.As(err, &fault) && fault.Remote && fault.ErrorCode == quic.ConnectionRefused
 }
 
 // attempt sends a request once.
@@ -246,7 +261,7 @@
 	request.Header.Set(headerTimeout, strconv.FormatInt(c.options.Timeout.Milliseconds(), 10))
 	response, err := one.get(&c.options).Do(request)
 	if err != nil {
-		return seen{result: resultFailed, detail: err.Error()}
+		return seen{result: resultFailed, detail: err.Error(), unheard: isRefused(err)}
 	}
 	defer func() { _ = response.Body.Close() }()
 	s.ticketed = response.Request.URL.String()
