--- a/internal/lentilmeasure/table.go
+++ b/internal/lentilmeasure/table.go
@@ -7,6 +7,7 @@
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentildomainmeasure"
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilflowmeasure"
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilimbalancemeasure"
+	"lentilstair.example/lentilstair/internal/lentilmeasure/lentillibrarymeasure"
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentiloverloadmeasure"
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilpacketmeasure"
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilplacementmeasure"
@@ -20,6 +21,7 @@
 	lentilflowmeasure.Experiment,
 	lentilroutemeasure.Experiment,
 	lentilimbalancemeasure.Experiment,
+	lentillibrarymeasure.Experiment,
 	lentiloverloadmeasure.Experiment,
 	lentilcoldmeasure.Experiment,
 	lentilcontrolmeasure.Experiment,
