--- a/internal/lentilevent/catalogue.go
+++ b/internal/lentilevent/catalogue.go
@@ -64,7 +64,7 @@
 	FlowOpen:   {Info, "flow open", "An agent told a balancer that the flow is open at its upstream.", []string{"flow", "balancer", "flows", "busy"}},
 	FlowRefused: {Info, "flow refused", "An agent gave the first packet of a flow back; the balancer sends it to another agent, or resets the flow if none is left.",
 		[]string{"flow", "balancer", "refusal", "flows"}},
-	FlowDenied: {Info, "flow denied", "An agent told a balancer that the flow is not at its upstream.", []string{"flow", "balancer"}},
+	FlowDenied: {Info, "flow denied", "An agent told a balancer that the flow is not at its upstream, or that only a packet of it can tell (unsure).", []string{"flow", "balancer", "unsure"}},
 	FlowReset: {Info, "flow reset", "The client was told that the flow has ended. The cause says why; a flow that was not open yet has not run anything.",
 		[]string{"flow", "cause", "refusal"}},
 	FlowDropped:   {Info, "packet dropped", "A packet had nowhere to go, and its client was told nothing, since that may change at any moment.", []string{"flow", "cause"}},
--- a/internal/lentilevent/logger.go
+++ b/internal/lentilevent/logger.go
@@ -52,7 +52,7 @@
 	entry.Msg(doc.title)
 }
 
-// Field is a named value of an event. Make one with Str, Int, Duration, Addr or Err.
+// Field is a named value of an event. Make one with Str, Int, Uint, Bool, Duration, Addr or Err.
 type Field struct {
 	add func(*log.Entry) *log.Entry
 }
@@ -72,6 +72,11 @@
 	return Field{add: func(e *log.Entry) *log.Entry { return e.Uint64(name, value) }}
 }
 
+// Bool returns a field with a truth value.
+func Bool(name string, value bool) Field {
+	return Field{add: func(e *log.Entry) *log.Entry { return e.Bool(name, value) }}
+}
+
 // Duration returns a field with a duration in milliseconds; write the unit into the name.
 func Duration(name string, value time.Duration) Field {
 	return Field{add: func(e *log.Entry) *log.Entry { return e.Int64(name, value.Milliseconds()) }}
--- a/internal/lentilframe/frame.go
+++ b/internal/lentilframe/frame.go
@@ -55,6 +55,7 @@
 	flagCold = 1 << iota
 	flagOut
 	flagStopping
+	flagEnded
 )
 
 // AppendCarry appends a frame with a client's packet.
@@ -118,26 +119,26 @@
 
 // AppendDenied appends a frame.
 func AppendDenied(dst []byte, m lentilflow.Denied) []byte {
-	return append(appendKey(append(dst, magic, byte(Denied)), m.Key), flag(m.Unsure, 1))
+	return appendKeys(append(dst, magic, byte(Denied), flag(m.Unsure, 1)), m.Keys)
 }
 
 // ParseDenied reads a frame.
 func ParseDenied(data []byte) (m lentilflow.Denied, err error) {
 	r := reader{data: data, kind: Denied}
-	m.Key = r.head().key()
-	m.Unsure = r.byte() != 0
+	m.Unsure = r.head().byte() != 0
+	m.Keys = r.keys()
 	return m, r.end()
 }
 
 // AppendAsk appends a frame.
 func AppendAsk(dst []byte, m lentilflow.Ask) []byte {
-	return appendKey(append(dst, magic, byte(Ask)), m.Key)
+	return appendKeys(append(dst, magic, byte(Ask)), m.Keys)
 }
 
 // ParseAsk reads a frame.
 func ParseAsk(data []byte) (m lentilflow.Ask, err error) {
 	r := reader{data: data, kind: Ask}
-	m.Key = r.head().key()
+	m.Keys = r.head().keys()
 	return m, r.end()
 }
 
@@ -149,7 +150,7 @@
 	dst = appendText(dst, m.Domain)
 	dst = binary.BigEndian.AppendUint64(dst, m.Run)
 	dst = binary.BigEndian.AppendUint64(dst, m.Number)
-	dst = append(dst, byte(m.Phase), flag(m.Cold, flagCold)|flag(m.Out, flagOut)|flag(m.Stopping, flagStopping))
+	dst = append(dst, byte(m.Phase), flag(m.Cold, flagCold)|flag(m.Out, flagOut)|flag(m.Stopping, flagStopping)|flag(m.Ended, flagEnded))
 	dst = binary.BigEndian.AppendUint32(dst, uint32(m.Interval.Milliseconds()))
 	dst = binary.BigEndian.AppendUint16(dst, m.Balancers)
 	dst = appendKnowledge(dst, m.Knowledge)
@@ -166,7 +167,7 @@
 	m.Number = r.uint64()
 	m.Phase = lentilflow.Phase(r.byte())
 	flags := r.byte()
-	m.Cold, m.Out, m.Stopping = flags&flagCold != 0, flags&flagOut != 0, flags&flagStopping != 0
+	m.Cold, m.Out, m.Stopping, m.Ended = flags&flagCold != 0, flags&flagOut != 0, flags&flagStopping != 0, flags&flagEnded != 0
 	m.Interval = time.Duration(r.uint32()) * time.Millisecond
 	m.Balancers = r.uint16()
 	m.Knowledge = r.knowledge()
--- a/internal/lentilframe/frame_test.go
+++ b/internal/lentilframe/frame_test.go
@@ -18,6 +18,7 @@
 	drawKey = rapid.Custom(func(t *rapid.T) lentilflow.Key {
 		return lentilflow.NewKey(drawEnd.Draw(t, "client"), drawEnd.Draw(t, "service"))
 	})
+	drawKeys = rapid.SliceOfN(drawKey, 1, lentilflow.MaxKeys)
 	drawLoad = rapid.Custom(func(t *rapid.T) lentilflow.Load {
 		return lentilflow.Load{Flows: rapid.Uint32().Draw(t, "flows"), Busy: rapid.Uint16().Draw(t, "busy"), Slots: rapid.Uint16().Draw(t, "slots")}
 	})
@@ -67,15 +68,15 @@
 			roundTrip(t, m, AppendRefused, ParseRefused, true)
 		},
 		"denied": func(t *rapid.T) {
-			roundTrip(t, lentilflow.Denied{Key: drawKey.Draw(t, "key"), Unsure: rapid.Bool().Draw(t, "unsure")}, AppendDenied, ParseDenied, false)
+			roundTrip(t, lentilflow.Denied{Keys: drawKeys.Draw(t, "keys"), Unsure: rapid.Bool().Draw(t, "unsure")}, AppendDenied, ParseDenied, false)
 		},
 		"ask": func(t *rapid.T) {
-			roundTrip(t, lentilflow.Ask{Key: drawKey.Draw(t, "key")}, AppendAsk, ParseAsk, false)
+			roundTrip(t, lentilflow.Ask{Keys: drawKeys.Draw(t, "keys")}, AppendAsk, ParseAsk, false)
 		},
 		"status": func(t *rapid.T) {
 			m := lentilflow.Status{Name: drawName.Draw(t, "name"), Service: drawName.Draw(t, "service"), Domain: drawName.Draw(t, "domain"),
 				Run: rapid.Uint64().Draw(t, "run"), Number: rapid.Uint64().Draw(t, "number"), Phase: lentilflow.Phase(rapid.IntRange(0, 3).Draw(t, "phase")),
-				Cold: rapid.Bool().Draw(t, "cold"), Out: rapid.Bool().Draw(t, "out"), Stopping: rapid.Bool().Draw(t, "stopping"), Load: drawLoad.Draw(t, "load"),
+				Cold: rapid.Bool().Draw(t, "cold"), Out: rapid.Bool().Draw(t, "out"), Stopping: rapid.Bool().Draw(t, "stopping"), Ended: rapid.Bool().Draw(t, "ended"), Load: drawLoad.Draw(t, "load"),
 				Interval: time.Duration(rapid.Uint32().Draw(t, "interval")) * time.Millisecond, Balancers: rapid.Uint16().Draw(t, "balancers"), Knowledge: drawKnowledge.Draw(t, "knowledge")}
 			roundTrip(t, m, AppendStatus, ParseStatus, false)
 		},
--- a/internal/lentilframe/part.go
+++ b/internal/lentilframe/part.go
@@ -22,6 +22,15 @@
 	return appendEnd(appendEnd(dst, key.Client()), key.Service())
 }
 
+func appendKeys(dst []byte, keys []lentilflow.Key) []byte {
+	keys = keys[:min(len(keys), lentilflow.MaxKeys)]
+	dst = append(dst, byte(len(keys)))
+	for _, k := range keys {
+		dst = appendKey(dst, k)
+	}
+	return dst
+}
+
 func appendLoad(dst []byte, load lentilflow.Load) []byte {
 	dst = binary.BigEndian.AppendUint32(dst, load.Flows)
 	dst = binary.BigEndian.AppendUint16(dst, load.Busy)
@@ -120,6 +129,20 @@
 	return lentilflow.NewKey(client, r.endpoint())
 }
 
+// keys reads at least one key.
+func (r *reader) keys() (keys []lentilflow.Key) {
+	n := int(r.byte())
+	if n == 0 || n > lentilflow.MaxKeys {
+		r.fail("number of flows")
+		return nil
+	}
+	keys = make([]lentilflow.Key, 0, n)
+	for range n {
+		keys = append(keys, r.key())
+	}
+	return keys
+}
+
 func (r *reader) load() lentilflow.Load {
 	flows := r.uint32()
 	busy := r.uint16()
--- a/internal/lentilpacket/agent.go
+++ b/internal/lentilpacket/agent.go
@@ -95,26 +95,31 @@
 	return nil
 }
 
-// stop tells the balancers and goes on for a moment. An agent whose upstream has ended is not
-// needed again under its name; it goes on resetting the flows that its clients still hold for open.
+// stop tells the balancers and goes on for a moment. Balancers that start while it is away learn from its
+// entry that it was asked to end. An agent whose upstream has ended is not needed again under its name; it
+// goes on resetting the flows that its clients still hold for open.
 func (a *Agent) stop(forced context.Context, self Peer) {
 	a.do(a.custodian.Stop)
-	pause := handoverPause
-	a.mu.Lock()
-	gone := a.custodian.Phase() == lentilflow.Gone
-	a.mu.Unlock()
+	if a.phase() == lentilflow.Unheard {
+		// An upstream that went on leaving while its agent was away has told this run nothing.
+		a.check()
+	}
+	gone := a.phase() == lentilflow.Gone
+	pause, what := handoverPause, "mark"
+	tell := func(ctx context.Context) error {
+		self.Stopping = true
+		return a.Store.Agents.Publish(ctx, self)
+	}
 	if gone {
-		pause = min(lingerLimit, a.Settings.StopGrace())
-		limited, cancel := context.WithTimeout(forced, pause)
-		defer cancel()
-		if err := a.Store.Agents.Withdraw(limited, self.Node.Name); err != nil {
-			a.Logger.Write(lentilevent.StoreLost, lentilevent.Str("what", "withdraw"), lentilevent.Err(err))
-		}
+		pause, what = min(lingerLimit, a.Settings.StopGrace()), "withdraw"
+		tell = func(ctx context.Context) error { return a.Store.Agents.Withdraw(ctx, self.Node.Name) }
 	}
-	select {
-	case <-time.After(pause):
-	case <-forced.Done():
+	limited, cancel := context.WithTimeout(forced, pause)
+	defer cancel()
+	if err := tell(limited); err != nil {
+		a.Logger.Write(lentilevent.StoreLost, lentilevent.Str("what", what), lentilevent.Err(err))
 	}
+	<-limited.Done()
 }
 
 func (a *Agent) open() (err error) {
@@ -159,6 +164,12 @@
 	return lentilmetric.State{Ready: true}
 }
 
+func (a *Agent) phase() lentilflow.Phase {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.custodian.Phase()
+}
+
 // Register takes an upstream's registration. What it says is in force when Register returns.
 func (a *Agent) Register(r lentilcustody.Registration) {
 	a.do(func(actions []lentilcustody.Action) []lentilcustody.Action { return a.custodian.Register(r, actions) })
@@ -341,7 +352,7 @@
 			a.Counts.Refused.Add(1)
 			a.send(lentilframe.AppendRefused(a.frame[:0], lentilflow.Refused{Reason: action.Refusal, Load: a.custodian.Load(), Packet: action.Packet}), action.To)
 		case lentilcustody.SendDenied:
-			a.send(lentilframe.AppendDenied(a.frame[:0], lentilflow.Denied{Key: action.Key, Unsure: action.Unsure}), action.To)
+			a.send(lentilframe.AppendDenied(a.frame[:0], lentilflow.Denied{Keys: action.Keys, Unsure: action.Unsure}), action.To)
 		case lentilcustody.SendStatus:
 			a.send(lentilframe.AppendStatus(a.frame[:0], a.status()), action.To)
 		case lentilcustody.Check:
--- a/internal/lentilpacket/balancer.go
+++ b/internal/lentilpacket/balancer.go
@@ -56,10 +56,7 @@
 	// stopping is set once a stop was asked for, leaving at its end.
 	stopping bool
 	leaving  bool
-	// sought and soughtHow are the search that was logged last.
-	sought    lentilflow.Key
-	soughtHow lentilplacement.Cause
-	budget    lineBudget
+	budget   lineBudget
 }
 
 // Run serves until some time after graceful ends, or until forced ends.
@@ -207,7 +204,7 @@
 		case lentilplacement.SendCarry:
 			b.send(lentilframe.AppendCarry(b.frame[:0], a.Carry), a.To)
 		case lentilplacement.SendAsk:
-			b.send(lentilframe.AppendAsk(b.frame[:0], lentilflow.Ask{Key: a.Key}), a.To)
+			b.send(lentilframe.AppendAsk(b.frame[:0], lentilflow.Ask{Keys: a.Keys}), a.To)
 		case lentilplacement.ResetClient:
 			b.Counts.Resets.Add(1)
 			b.frame = b.Codec.AppendReset(b.frame[:0], a.Key, a.Sequence)
@@ -219,7 +216,7 @@
 			b.send(lentilframe.AppendHello(b.frame[:0], b.hello(b.told)), a.To)
 		case lentilplacement.NotePlaced:
 			b.Counts.placed(a.Waited)
-		case lentilplacement.NoteAgent:
+		case lentilplacement.NoteSought, lentilplacement.NoteAgent:
 		}
 		b.log(a)
 	}
@@ -246,7 +243,7 @@
 	defer b.mu.Unlock()
 	actions := b.actions[:0]
 	for _, p := range peers {
-		actions = b.placer.Meet(p.Node, p.Service, actions)
+		actions = b.placer.Meet(p.Node, p.Service, p.Stopping, actions)
 	}
 	b.perform(actions)
 	b.placer.SetWhole()
--- a/internal/lentilpacket/log.go
+++ b/internal/lentilpacket/log.go
@@ -54,13 +54,9 @@
 			lentilevent.Uint("version", a.Carry.Version), lentilevent.Int("agentFlows", int(a.Load.Flows)),
 			lentilevent.Int("agentBusy", int(a.Load.Busy)), lentilevent.Int("ageMillis", int(a.Age)),
 			lentilevent.Str("refusal", a.Refusal.String()))
-	case a.Verb == lentilplacement.SendCarry && a.Cause == lentilplacement.Sought, a.Verb == lentilplacement.SendAsk:
-		// A line for each search, not for each agent that is asked.
-		if a.Key != b.sought || a.Cause != b.soughtHow {
-			b.sought, b.soughtHow = a.Key, a.Cause
-			known, heard := b.placer.Agents()
-			b.budget.write(b.Logger, lentilevent.FlowSought, flow, cause, lentilevent.Int("agents", known), lentilevent.Int("heard", heard))
-		}
+	case a.Verb == lentilplacement.NoteSought:
+		known, heard := b.placer.Agents()
+		b.budget.write(b.Logger, lentilevent.FlowSought, flow, cause, lentilevent.Int("agents", known), lentilevent.Int("heard", heard))
 	case a.Verb == lentilplacement.ResetClient:
 		b.budget.write(b.Logger, lentilevent.FlowReset, flow, cause, lentilevent.Str("refusal", a.Refusal.String()))
 	case a.Verb == lentilplacement.Drop:
@@ -86,7 +82,10 @@
 		a.budget.write(a.Logger, lentilevent.FlowRefused, flow, lentilevent.Addr("balancer", action.To.AddrPort()),
 			lentilevent.Str("refusal", action.Refusal.String()), lentilevent.Int("flows", a.custodian.Flows()))
 	case lentilcustody.SendDenied:
-		a.budget.write(a.Logger, lentilevent.FlowDenied, flow, lentilevent.Addr("balancer", action.To.AddrPort()))
+		for _, k := range action.Keys {
+			a.budget.write(a.Logger, lentilevent.FlowDenied, lentilevent.Str("flow", k.String()),
+				lentilevent.Addr("balancer", action.To.AddrPort()), lentilevent.Bool("unsure", action.Unsure))
+		}
 	case lentilcustody.ResetClient:
 		a.budget.write(a.Logger, lentilevent.FlowReset, flow, cause)
 	case lentilcustody.Note:
--- a/internal/lentilpacket/store.go
+++ b/internal/lentilpacket/store.go
@@ -21,6 +21,8 @@
 	Node lentilflow.Node
 	// Service is the service of an agent's upstream; empty for balancers.
 	Service string
+	// Stopping is set once the process was asked to end.
+	Stopping bool
 }
 
 // Store is what the processes need of the store.
--- a/internal/lentilpacketmodel/client.go
+++ b/internal/lentilpacketmodel/client.go
@@ -1,6 +1,7 @@
 package lentilpacketmodel
 
 import (
+	"cmp"
 	"time"
 
 	"lentilstair.example/lentilstair/pkg/lentilflow"
@@ -14,7 +15,7 @@
 	// resendAfter is the first pause before a request is sent again; it doubles up to resendMax.
 	resendAfter = 200 * time.Millisecond
 	resendMax   = 1600 * time.Millisecond
-	// requestLimit is a client's deadline.
+	// requestLimit is a client's deadline unless Setup.Deadline says otherwise.
 	requestLimit = time.Second
 )
 
@@ -102,7 +103,7 @@
 		if c.attempt != attempt || c.made != made || c.state != asking {
 			return
 		}
-		if c.world.Clock.Now().Sub(c.askedAt) >= requestLimit {
+		if c.world.Clock.Now().Sub(c.askedAt) >= cmp.Or(c.world.Setup.Deadline, requestLimit) {
 			c.expire()
 			return
 		}
--- a/internal/lentilpacketmodel/fault.go
+++ b/internal/lentilpacketmodel/fault.go
@@ -36,19 +36,26 @@
 	const grace, away = 4 * time.Second, 500 * time.Millisecond
 	b.stopped = true
 	b.soon(grace, func() {
-		b.up = false
-		w.After(away, b.begin)
+		b.up, b.planned = false, true
+		w.After(away, func() {
+			b.planned = false
+			b.begin()
+		})
 	})
 }
 
-// StopAgent asks an agent to end while its upstream goes on, as for an upgrade.
+// StopAgent asks an agent to end while its upstream goes on, as for an upgrade of its VM.
 func (w *World) StopAgent(number int) {
 	a := w.agents[number%len(w.agents)]
-	const handover, away = 100 * time.Millisecond, 300 * time.Millisecond
+	const handover, away = 100 * time.Millisecond, 5500 * time.Millisecond
 	a.perform(a.custodian.Stop(nil))
+	a.soon(storeDelay/10, func() { a.stopping = true })
 	a.soon(handover, func() {
-		a.up = false
-		w.After(away, func() { a.begin(false) })
+		a.up, a.planned = false, true
+		w.After(away, func() {
+			a.planned = false
+			a.begin(false)
+		})
 	})
 }
 
--- a/internal/lentilpacketmodel/fault_test.go
+++ b/internal/lentilpacketmodel/fault_test.go
@@ -122,6 +122,33 @@
 	}
 }
 
+// TestPatientClients lets agents be away, as asked, while every balancer is new and has never heard them.
+// The flows there live on, and clients go on trying for them.
+func TestPatientClients(t *testing.T) {
+	for seed := range uint64(moreSeeds) {
+		setup := small(seed)
+		setup.Deadline = 5 * time.Second
+		w := New(setup)
+		at(w, 6*time.Second, func() {
+			for i := range 6 {
+				w.StopBalancer(i)
+			}
+		})
+		at(w, 10*time.Second, func() {
+			for i := range 3 {
+				w.StopAgent(3 * i)
+			}
+		})
+		w.Run(22 * time.Second)
+		report(t, w, fmt.Sprintf("seed %d", seed))
+		// A third of the requests wait, of which those of the first 2.1 s of 22 s are lost: the agents are away
+		// for half a second longer than clients wait, and clients send every 1.6 s.
+		if served := w.Tally.Served(); served < 0.97 {
+			t.Errorf("seed %d: %.4f of the requests were answered: %d expired, %d cut", seed, served, w.Tally.Expired, w.Tally.Cut)
+		}
+	}
+}
+
 func report(t *testing.T, w *World, what string) {
 	t.Helper()
 	const shown = 3
--- a/internal/lentilpacketmodel/process.go
+++ b/internal/lentilpacketmodel/process.go
@@ -36,7 +36,7 @@
 		var actions []lentilplacement.Action
 		for _, a := range w.agents {
 			if !a.removed {
-				actions = b.placer.Meet(lentilflow.Node{Name: a.name(), Domain: domainName(a.domain), Address: a.end}, ServiceName, actions)
+				actions = b.placer.Meet(lentilflow.Node{Name: a.name(), Domain: domainName(a.domain), Address: a.end}, ServiceName, a.stopping, actions)
 			}
 		}
 		b.perform(actions)
@@ -87,13 +87,13 @@
 			m.Packet = slices.Clone(m.Packet)
 			b.toAgent(a.To, func(g *agent) { g.carry(b.end, m) })
 		case lentilplacement.SendAsk:
-			key := a.Key
-			b.toAgent(a.To, func(g *agent) { g.perform(g.custodian.Ask(b.end, lentilflow.Ask{Key: key}, nil)) })
+			m := lentilflow.Ask{Keys: a.Keys}
+			b.toAgent(a.To, func(g *agent) { g.perform(g.custodian.Ask(b.end, m, nil)) })
 		case lentilplacement.SendHello:
 			b.toAgent(a.To, func(g *agent) { g.perform(g.custodian.Hello(b.end, lentilflow.Hello{}, nil)) })
 		case lentilplacement.ResetClient:
 			w.toClient(b.process, a.Key, codec().AppendReset(nil, a.Key, a.Sequence), a.Cause.String())
-		case lentilplacement.Drop, lentilplacement.NoteAgent, lentilplacement.NotePlaced:
+		case lentilplacement.Drop, lentilplacement.NoteAgent, lentilplacement.NotePlaced, lentilplacement.NoteSought:
 		}
 	}
 }
@@ -113,6 +113,8 @@
 	upstream  *upstream
 	// removed is set once the agent has withdrawn its entry, or it was removed.
 	removed bool
+	// stopping is what its entry says: that it was asked to end.
+	stopping bool
 }
 
 // saved is a ledger in the store.
@@ -132,7 +134,7 @@
 
 func (a *agent) begin(first bool) {
 	w := a.world
-	a.up, a.run, a.removed = true, a.run+1, false
+	a.up, a.run, a.removed, a.stopping = true, a.run+1, false, false
 	a.custodian = lentilcustody.Custodian{
 		Clock: w.Clock, Codec: codec(), Service: ServiceName, Name: a.name(), Domain: domainName(a.domain),
 		Run: uint64(a.run), Address: a.end, Whole: first, RenewInterval: renewal, ColdFactor: 1.5, ColdSlack: 5,
@@ -198,7 +200,7 @@
 				}
 			})
 		case lentilcustody.SendDenied:
-			m := lentilflow.Denied{Key: x.Key, Unsure: x.Unsure}
+			m := lentilflow.Denied{Keys: x.Keys, Unsure: x.Unsure}
 			a.toBalancer(x.To, func(b *balancer) { b.perform(b.placer.Denied(a.end, m, nil)) })
 		case lentilcustody.SendStatus:
 			m := a.custodian.Status()
--- a/internal/lentilpacketmodel/world.go
+++ b/internal/lentilpacketmodel/world.go
@@ -29,6 +29,8 @@
 	// Work is the mean time of a request, exponentially distributed if Spread is set.
 	Work   time.Duration
 	Spread bool
+	// Deadline is how long a client waits for an answer; zero is a second.
+	Deadline time.Duration
 	// Pause is the mean time between an answer and the client's next request.
 	Pause time.Duration
 	// Requests is how many requests a client makes in a flow before it opens another one; zero is no
@@ -187,9 +189,11 @@
 	domain int
 	end    lentilflow.End
 	up     bool
-	run    int
-	frozen bool
-	cut    bool
+	// planned is set while the process is away because it was asked to end, which excuses nothing.
+	planned bool
+	run     int
+	frozen  bool
+	cut     bool
 	// troubled is when it was last killed, frozen or cut, or came back.
 	troubled time.Time
 	// waiting is what arrived while it stood still.
@@ -200,7 +204,7 @@
 // platform's rules, within which a promise may be broken by what nobody could know.
 func (p *process) calm() bool {
 	const window = 4 * time.Second
-	return p.up && !p.frozen && !p.cut && p.world.Clock.Now().Sub(p.troubled) >= window
+	return (p.up || p.planned) && !p.frozen && !p.cut && p.world.Clock.Now().Sub(p.troubled) >= window
 }
 
 // soon lets the process do something later, unless it has ended by then.
--- a/pkg/lentilcustody/action.go
+++ b/pkg/lentilcustody/action.go
@@ -23,7 +23,7 @@
 	SendTaken
 	// SendRefused gives Packet back to the balancer To, for the reason Refusal.
 	SendRefused
-	// SendDenied tells the balancer To that the flow doesn't live here.
+	// SendDenied tells the balancer To that the flows Keys don't live here.
 	SendDenied
 	// SendStatus tells the balancer To the agent's status.
 	SendStatus
@@ -73,8 +73,9 @@
 	Cause   Cause
 	Refusal lentilflow.Refusal
 	Open    bool
-	// Unsure goes with SendDenied.
+	// Unsure and Keys go with SendDenied.
 	Unsure   bool
+	Keys     []lentilflow.Key
 	To       lentilflow.End
 	Key      lentilflow.Key
 	Sequence uint32
--- a/pkg/lentilcustody/balancers.go
+++ b/pkg/lentilcustody/balancers.go
@@ -63,7 +63,7 @@
 	c.number++
 	return lentilflow.Status{
 		Name: c.Name, Service: c.Service, Domain: c.Domain, Run: c.Run, Number: c.number,
-		Phase: c.upstream.phase, Cold: c.Cold(), Out: c.out, Stopping: c.stopping, Load: c.Load(), Interval: c.interval(),
+		Phase: c.upstream.phase, Cold: c.Cold(), Out: c.out, Stopping: c.stopping, Ended: c.upstream.ended, Load: c.Load(), Interval: c.interval(),
 		Balancers: uint16(len(c.balancers)),
 	}
 }
--- a/pkg/lentilcustody/custody.go
+++ b/pkg/lentilcustody/custody.go
@@ -230,12 +230,12 @@
 	}
 	if f.state == sought && m.Purpose == lentilflow.Seek && now.Sub(f.used) < deniedLife {
 		// One packet is with the upstream already; more of them would only go astray.
-		return append(actions, Action{Verb: SendDenied, To: from, Key: packet.Key, Unsure: true})
+		return append(actions, Action{Verb: SendDenied, To: from, Keys: []lentilflow.Key{packet.Key}, Unsure: true})
 	}
 	if f.state == halfOpen && packet.Marks.Has(lentilflow.Acknowledge) {
 		if !f.granted || packet.Acknowledged-f.opening > maxFirstAcknowledged {
 			// The client has taken the offer of another upstream.
-			return append(actions, Action{Verb: SendDenied, To: from, Key: packet.Key})
+			return append(actions, Action{Verb: SendDenied, To: from, Keys: []lentilflow.Key{packet.Key}})
 		}
 		c.setState(f, open)
 		actions = append(actions, Action{Verb: SendTaken, To: from, Key: packet.Key, Open: true})
@@ -270,14 +270,30 @@
 	}
 }
 
-// Ask takes a balancer's question for a flow.
+// Ask takes a balancer's question for some flows.
 func (c *Custodian) Ask(from lentilflow.End, m lentilflow.Ask, actions []Action) []Action {
 	now := c.now()
-	if f := c.flows[m.Key]; f != nil && f.state == open {
-		f.balancer = from
-		return append(actions, Action{Verb: SendTaken, To: from, Key: m.Key, Open: true})
+	denied, unsure := Action{Verb: SendDenied, To: from}, Action{Verb: SendDenied, To: from, Unsure: true}
+	for _, key := range m.Keys {
+		switch f := c.flows[key]; {
+		case f != nil && f.state == open:
+			f.balancer = from
+			actions = append(actions, Action{Verb: SendTaken, To: from, Key: key, Open: true})
+		case f != nil && f.state == halfOpen:
+			// The client's next packet may open it here.
+			unsure.Keys = append(unsure.Keys, key)
+		case c.lacks(now, key):
+			denied.Keys = append(denied.Keys, key)
+		default:
+			unsure.Keys = append(unsure.Keys, key)
+		}
+	}
+	for _, a := range []Action{denied, unsure} {
+		if len(a.Keys) > 0 {
+			actions = append(actions, a)
+		}
 	}
-	return append(actions, Action{Verb: SendDenied, To: from, Key: m.Key, Unsure: !c.lacks(now, m.Key)})
+	return actions
 }
 
 // lacks reports whether the upstream surely doesn't hold a flow that the agent doesn't know.
@@ -289,7 +305,7 @@
 // unknown decides about a packet of a flow that the agent doesn't know.
 func (c *Custodian) unknown(now time.Time, from lentilflow.End, m lentilflow.Carry, packet lentilflow.Packet, actions []Action) []Action {
 	if c.lacks(now, packet.Key) {
-		return append(actions, Action{Verb: SendDenied, To: from, Key: packet.Key})
+		return append(actions, Action{Verb: SendDenied, To: from, Keys: []lentilflow.Key{packet.Key}})
 	}
 	f := &flow{state: sought, balancer: from, used: now}
 	c.add(packet.Key, f)
@@ -373,5 +389,5 @@
 	if f.balancer == (lentilflow.End{}) {
 		return actions
 	}
-	return append(actions, Action{Verb: SendDenied, To: f.balancer, Key: key})
+	return append(actions, Action{Verb: SendDenied, To: f.balancer, Keys: []lentilflow.Key{key}})
 }
--- a/pkg/lentilcustody/custody_test.go
+++ b/pkg/lentilcustody/custody_test.go
@@ -199,11 +199,11 @@
 		{"an agent that knows every flow denies others", true, []step{
 			{register("u"), "Note UpstreamRegistered"},
 			{carry(lentilflow.Seek, data(k, 501)), "SendDenied unsure=false"},
-			{func(b *bench) string { return show(b.Ask(one, lentilflow.Ask{Key: k}, nil)) }, "SendDenied unsure=false"},
+			{func(b *bench) string { return show(b.Ask(one, lentilflow.Ask{Keys: []lentilflow.Key{k}}, nil)) }, "SendDenied unsure=false"},
 		}},
 		{"after a restart the upstream tells which flows it holds", false, []step{
 			{register("u", func(r *Registration) { r.Number = 9 }), "Note UpstreamRegistered"},
-			{func(b *bench) string { return show(b.Ask(one, lentilflow.Ask{Key: k}, nil)) }, "SendDenied unsure=true"},
+			{func(b *bench) string { return show(b.Ask(one, lentilflow.Ask{Keys: []lentilflow.Key{k}}, nil)) }, "SendDenied unsure=true"},
 			{carry(lentilflow.Seek, data(k, 501)), "ToUpstream"},
 			{up(data(k, 110)), "SendTaken open=true, ToClient"},
 			{carry(lentilflow.Owned, data(k, 511)), "ToUpstream"},
@@ -291,6 +291,11 @@
 			{func(b *bench) string { return show(b.Checked(Accepts, nil)) }, ""},
 			{tick(100 * time.Millisecond), ""},
 		}},
+		{"an upstream that went on leaving without its agent is gone when that stops", false, []step{
+			{func(b *bench) string { return show(b.Stop(nil)) }, "Note StopAsked"},
+			{func(b *bench) string { return show(b.Checked(Refuses, nil)) }, "Note UpstreamRefused"},
+			{func(b *bench) string { return fmt.Sprint(b.Phase(), b.Status().Ended) }, "Gone true"},
+		}},
 		{"a silent upstream is checked, and is gone", true, []step{
 			{register("u"), "Note UpstreamRegistered"},
 			{func(b *bench) string { b.opened(k); return "" }, ""},
--- a/pkg/lentilflow/message.go
+++ b/pkg/lentilflow/message.go
@@ -82,16 +82,20 @@
 	Packet []byte
 }
 
-// Denied tells a balancer that a flow doesn't live at the agent.
+// MaxKeys is how many flows one Ask or Denied names at most: as many as fit into a datagram
+// of 1,200 bytes.
+const MaxKeys = 96
+
+// Denied tells a balancer that some flows don't live at the agent.
 type Denied struct {
-	Key Key
-	// Unsure is set if the agent can't know without a packet of the flow, as after its restart.
+	Keys []Key
+	// Unsure is set if the agent can't know without a packet of each flow, as after its restart.
 	Unsure bool
 }
 
-// Ask asks an agent whether a flow lives there, without a packet of it.
+// Ask asks an agent which of some flows live there, without a packet of them.
 type Ask struct {
-	Key Key
+	Keys []Key
 }
 
 // Load is what an agent knows of the work of its upstream.
@@ -129,7 +133,9 @@
 	Out bool
 	// Stopping is set once the agent was asked to end.
 	Stopping bool
-	Load     Load
+	// Ended is set while the upstream has surely ended, and every flow with it.
+	Ended bool
+	Load  Load
 	// Interval is how long the next status may take without a change.
 	Interval time.Duration
 	// Balancers is how many balancers the agent knows.
--- a/pkg/lentilplacement/action.go
+++ b/pkg/lentilplacement/action.go
@@ -15,7 +15,7 @@
 const (
 	// SendCarry sends Carry to the agent To.
 	SendCarry Verb = iota
-	// SendAsk asks the agent To whether the flow Key lives there.
+	// SendAsk asks the agent To which of the flows Keys live there.
 	SendAsk
 	// ResetClient sends the client of Key a reset with Sequence, for the reason Cause.
 	ResetClient
@@ -25,6 +25,8 @@
 	SendHello
 	// NotePlaced tells that an agent has taken a flow, Waited after it was asked.
 	NotePlaced
+	// NoteSought tells that the flow Key is sought, for the reason Cause.
+	NoteSought
 	// NoteAgent tells that the balancer believes something new of the agent To.
 	NoteAgent
 )
@@ -56,8 +58,10 @@
 	AllRefused
 	// AllDenied means that no agent that might hold the flow does.
 	AllDenied
-	// NotWhole means that agents may exist of which the balancer doesn't know yet.
-	NotWhole
+	// AskedAlready means that the agents that were asked for the flow haven't all answered yet.
+	AskedAlready
+	// TooManyAsked means that more flows are sought than agents may be asked for.
+	TooManyAsked
 	// AgentHeard, AgentSilent and AgentChanged say what is new about an agent.
 	AgentHeard
 	AgentSilent
@@ -70,6 +74,7 @@
 	Cause    Cause
 	To       lentilflow.End
 	Key      lentilflow.Key
+	Keys     []lentilflow.Key
 	Sequence uint32
 	// Refusal is the last reason for which an agent refused the flow.
 	Refusal lentilflow.Refusal
--- a/pkg/lentilplacement/agent.go
+++ b/pkg/lentilplacement/agent.go
@@ -31,14 +31,18 @@
 	return now.Sub(a.heardAt) > silentIntervals*max(a.status.Interval, minInterval)
 }
 
-// Meet makes an agent known that may exist, so that it is asked for its status.
-func (p *Placer) Meet(node lentilflow.Node, service string, actions []Action) []Action {
+// left reports whether the agent ends, or has ended, after its upstream: nothing can live there.
+func (a *agent) left() bool { return a.status.Stopping && a.status.Ended }
+
+// Meet makes an agent known that may exist, so that it is asked for its status. One that is stopping was
+// asked to end when it was last heard of, and mostly comes back.
+func (p *Placer) Meet(node lentilflow.Node, service string, stopping bool, actions []Action) []Action {
 	if p.agents[node.Address] != nil {
 		return actions
 	}
 	now := p.now()
 	p.add(node.Address, &agent{
-		status: lentilflow.Status{Name: node.Name, Domain: node.Domain, Service: service},
+		status: lentilflow.Status{Name: node.Name, Domain: node.Domain, Service: service, Stopping: stopping},
 		metAt:  now, askedAt: now,
 	})
 	return append(actions, Action{Verb: SendHello, To: node.Address})
@@ -93,10 +97,10 @@
 	return actions
 }
 
-// gone reports whether an agent that is silent has ended with its upstream. If most other agents of
+// isGone reports whether an agent that is silent has ended with its upstream. If most other agents of
 // its failure domain are heard, no cut between failure domains hides it. An agent that was asked to
 // stop comes back, and its upstream may be there all the time.
-func (p *Placer) gone(now time.Time, a *agent) bool {
+func (p *Placer) isGone(now time.Time, a *agent) bool {
 	since := a.heardAt
 	if since.Before(a.metAt) {
 		since = a.metAt
@@ -122,7 +126,7 @@
 func (p *Placer) Forget() (names []string) {
 	now := p.now()
 	for end, a := range p.agents {
-		if now.Sub(a.heardAt) > forgetLimit && now.Sub(a.metAt) > forgetLimit && p.gone(now, a) {
+		if now.Sub(a.heardAt) > forgetLimit && now.Sub(a.metAt) > forgetLimit && p.isGone(now, a) {
 			names = append(names, a.status.Name)
 			delete(p.agents, end)
 			p.services = nil
--- a/pkg/lentilplacement/enum_string.go
+++ b/pkg/lentilplacement/enum_string.go
@@ -14,12 +14,13 @@
 	_ = x[Drop-3]
 	_ = x[SendHello-4]
 	_ = x[NotePlaced-5]
-	_ = x[NoteAgent-6]
+	_ = x[NoteSought-6]
+	_ = x[NoteAgent-7]
 }
 
-const _Verb_name = "SendCarrySendAskResetClientDropSendHelloNotePlacedNoteAgent"
+const _Verb_name = "SendCarrySendAskResetClientDropSendHelloNotePlacedNoteSoughtNoteAgent"
 
-var _Verb_index = [...]uint8{0, 9, 16, 27, 31, 40, 50, 59}
+var _Verb_index = [...]uint8{0, 9, 16, 27, 31, 40, 50, 60, 69}
 
 func (i Verb) String() string {
 	idx := int(i) - 0
@@ -43,15 +44,16 @@
 	_ = x[NoAgent-8]
 	_ = x[AllRefused-9]
 	_ = x[AllDenied-10]
-	_ = x[NotWhole-11]
-	_ = x[AgentHeard-12]
-	_ = x[AgentSilent-13]
-	_ = x[AgentChanged-14]
+	_ = x[AskedAlready-11]
+	_ = x[TooManyAsked-12]
+	_ = x[AgentHeard-13]
+	_ = x[AgentSilent-14]
+	_ = x[AgentChanged-15]
 }
 
-const _Cause_name = "NoCauseChosenChosenAgainSoughtSoughtWidelyFoundNoRouteNoConfigurationNoAgentAllRefusedAllDeniedNotWholeAgentHeardAgentSilentAgentChanged"
+const _Cause_name = "NoCauseChosenChosenAgainSoughtSoughtWidelyFoundNoRouteNoConfigurationNoAgentAllRefusedAllDeniedAskedAlreadyTooManyAskedAgentHeardAgentSilentAgentChanged"
 
-var _Cause_index = [...]uint8{0, 7, 13, 24, 30, 42, 47, 54, 69, 76, 86, 95, 103, 113, 124, 136}
+var _Cause_index = [...]uint8{0, 7, 13, 24, 30, 42, 47, 54, 69, 76, 86, 95, 107, 119, 129, 140, 152}
 
 func (i Cause) String() string {
 	idx := int(i) - 0
--- a/pkg/lentilplacement/placement.go
+++ b/pkg/lentilplacement/placement.go
@@ -38,19 +38,28 @@
 	// forgetLimit is after how long an agent that is gone is forgotten, and its entry removed: longer than
 	// VMs are usually cut off or without power.
 	forgetLimit = 15 * time.Second
-	// deniedLife is how long an agent's word counts that it doesn't hold a flow.
-	deniedLife = 2 * time.Second
+	// deniedLife is how long an agent's word counts that it doesn't hold a flow. It stays true, since a
+	// flow never moves; clients send for a flow for some seconds at most.
+	deniedLife = 8 * time.Second
+	// askAgain is after how long agents that haven't answered are asked again: they may be new, or a
+	// datagram may have been lost.
+	askAgain = 500 * time.Millisecond
 	// askAllLimit is up to how many agents all are asked for a flow that isn't found where it would have
 	// been placed. Among more, it is left without an answer.
 	askAllLimit = 256
-	// asksPerSecond bounds how many questions a second are asked: each takes some 10 us of a core that
-	// may be a twentieth of one, so that all together take a sixth of it.
+	// asksPerSecond bounds how many datagrams with questions are sent a second: each takes some 10 us of a
+	// core that may be a twentieth of one, so that all together take a sixth of it.
 	asksPerSecond = 1000
 	asksBurst     = 4000
+	// askGather is for how long questions are gathered after some were sent: a quarter of the time after
+	// which clients send a packet again.
+	askGather = 50 * time.Millisecond
+	// maxAsking bounds the flows for which agents have still to be asked: 12 KB.
+	maxAsking = 1024
 	// maxUnsure bounds how many agents get a packet because they can't tell without one.
 	maxUnsure = 8
-	// maxHeld bounds the packets that are held until their flow is found: 1.2 KB each.
-	maxHeld = 64
+	// maxHeld bounds the packets that are held until their flow is found: 300 KB in all.
+	maxHeld = 256
 	// maxTries bounds how many agents are asked to take one flow.
 	maxTries = 8
 	// helloInterval is how often an agent that doesn't answer is asked for its status.
@@ -83,10 +92,17 @@
 	// services has the agents of each service in a fixed order; nil if that has to be made anew.
 	services map[string][]lentilflow.End
 	asks     lentilbudget.Bucket
-	held     int
-	flows    lentilflow.Table[flow]
+	// asking has the flows for which all agents will be asked, askedAt when they were last asked for some.
+	asking  []lentilflow.Key
+	askedAt time.Time
+	held    int
+	flows   lentilflow.Table[flow]
 	// placing has the flows whose agent hasn't answered yet.
 	placing map[lentilflow.Key]*flow
+	// seeking has the flows that are sought, gone the number of agents that counted as gone when they were
+	// last looked through.
+	seeking map[lentilflow.Key]*flow
+	gone    int
 	whole   bool
 	ticked  time.Time
 }
@@ -103,13 +119,13 @@
 	offers  []lentilflow.End
 	refusal lentilflow.Refusal
 	// denied has the agents that don't hold the flow, as they said after deniedAt; unsure those that
-	// need a packet of it to know; widely is set once all agents were asked.
+	// need a packet of it to know.
 	denied   []lentilflow.End
 	unsure   []lentilflow.End
 	deniedAt time.Time
-	widely   bool
-	// soughtAt is when the flow was first sought.
+	// soughtAt is when the flow was first sought, widelyAt when all agents were last asked for it.
 	soughtAt time.Time
+	widelyAt time.Time
 	// held is the client's last packet, while all agents are asked.
 	held []byte
 	// acknowledged is what the client has last acknowledged.
@@ -183,7 +199,6 @@
 		return actions, err
 	}
 	now := p.now()
-	p.asks.PerSecond, p.asks.Burst = asksPerSecond, asksBurst
 	p.flows.Max = p.MaxFlows
 	p.flows.Idle = cmp.Or(p.configuration.Idle(), lentilflow.DefaultLife)
 	if packet.First() {
@@ -278,11 +293,11 @@
 	held := p.release(f)
 	switch {
 	case m.Open:
-		if held != nil && f.widely {
+		if held != nil && !f.widelyAt.IsZero() {
 			actions = append(actions, p.pass(from, m.Key, lentilflow.Owned, held))
 		}
-		f.widely = false
-		f.state, f.agent, f.first, f.tried, f.offers, f.denied = known, from, nil, nil, nil, nil
+		delete(p.seeking, m.Key)
+		*f = flow{state: known, agent: from}
 	case f.state == placing:
 		f.state, f.agent = placed, from
 		actions = append(actions, Action{Verb: NotePlaced, To: from, Key: m.Key, Waited: now.Sub(f.sentAt)})
@@ -318,5 +333,5 @@
 			actions = p.place(now, key, f, ChosenAgain, actions)
 		}
 	}
-	return p.tickAgents(now, actions)
+	return p.tickSeeking(now, p.tickAgents(now, p.ask(now, actions)))
 }
--- a/pkg/lentilplacement/placement_test.go
+++ b/pkg/lentilplacement/placement_test.go
@@ -58,7 +58,7 @@
 	b.Placer = &Placer{Clock: b.clock, Codec: codec(), Domain: "near"}
 	b.configure(1, "a")
 	for n := 1; n <= 4; n++ {
-		b.Meet(lentilflow.Node{Name: fmt.Sprint("agent-", n), Domain: "near", Address: agentEnd(n)}, "", nil)
+		b.Meet(lentilflow.Node{Name: fmt.Sprint("agent-", n), Domain: "near", Address: agentEnd(n)}, "", false, nil)
 		b.status(n)
 	}
 	b.SetWhole()
@@ -109,7 +109,7 @@
 }
 
 func (b *bench) denied(n int) string {
-	return show(b.Denied(agentEnd(n), lentilflow.Denied{Key: flowOf(theFlow)}, nil))
+	return show(b.Denied(agentEnd(n), lentilflow.Denied{Keys: []lentilflow.Key{flowOf(theFlow)}}, nil))
 }
 
 // alive lets the given agents tell their status, and then time go by.
@@ -143,7 +143,7 @@
 			out = append(out, "drop "+a.Cause.String())
 		case NoteAgent:
 			out = append(out, fmt.Sprintf("%s %d", a.Cause, to[3]))
-		case SendHello, NotePlaced:
+		case SendHello, NotePlaced, NoteSought:
 		}
 	}
 	return strings.Join(out, ", ")
@@ -348,11 +348,17 @@
 	}
 	likely := make(map[lentilflow.End]bool)
 	for _, a := range actions {
-		likely[a.To] = true
+		if a.Verb == SendCarry {
+			likely[a.To] = true
+		}
 	}
 	var asked []Action
 	for end := range likely {
-		asked = append(asked, b.Denied(end, lentilflow.Denied{Key: flowOf(7)}, nil)...)
+		for _, a := range b.Denied(end, lentilflow.Denied{Keys: []lentilflow.Key{flowOf(7)}}, nil) {
+			if a.Verb == SendAsk {
+				asked = append(asked, a)
+			}
+		}
 	}
 	if len(asked) != 80-len(likely) {
 		t.Fatalf("%d agents are asked after %d of 80 denied", len(asked), len(likely))
@@ -405,7 +411,7 @@
 	}
 	asked := 0
 	for _, end := range likely[1:] {
-		for _, a := range b.Denied(end, lentilflow.Denied{Key: flowOf(7)}, nil) {
+		for _, a := range b.Denied(end, lentilflow.Denied{Keys: []lentilflow.Key{flowOf(7)}}, nil) {
 			if a.Verb == SendAsk {
 				asked++
 			}
@@ -426,7 +432,10 @@
 			t.Fatal(err)
 		}
 		for _, a := range actions {
-			for _, x := range b.Denied(a.To, lentilflow.Denied{Key: flowOf(n)}, nil) {
+			if a.Verb != SendCarry {
+				continue
+			}
+			for _, x := range b.Denied(a.To, lentilflow.Denied{Keys: []lentilflow.Key{flowOf(n)}}, nil) {
 				if x.Verb == SendAsk {
 					questions++
 				}
