--- a/internal/lentilpacketmodel/process.go
+++ b/internal/lentilpacketmodel/process.go
@@ -90,7 +90,7 @@
 			m := lentilflow.Ask{Keys: a.Keys}
 			b.toAgent(a.To, func(g *agent) { g.perform(g.custodian.Ask(b.end, m, nil)) })
 		case lentilplacement.SendHello:
-			b.toAgent(a.To, func(g *agent) { g.perform(g.custodian.Hello(b.end, lentilflow.Hello{}, nil)) })
+			b.world.send(b.process, a.To, b.reach(func(g *agent) { g.perform(g.custodian.Hello(b.end, lentilflow.Hello{}, nil)) }))
 		case lentilplacement.ResetClient:
 			w.toClient(b.process, a.Key, codec().AppendReset(nil, a.Key, a.Sequence), a.Cause.String())
 		case lentilplacement.Drop, lentilplacement.NoteAgent, lentilplacement.NotePlaced, lentilplacement.NoteSought:
@@ -99,11 +99,15 @@
 }
 
 func (b *balancer) toAgent(to lentilflow.End, take func(g *agent)) {
-	b.world.send(b.process, to, func(p *process) {
+	b.world.sendAbout(b.process, to, b.reach(take))
+}
+
+func (b *balancer) reach(take func(g *agent)) func(p *process) {
+	return func(p *process) {
 		if i := slices.IndexFunc(b.world.agents, func(g *agent) bool { return g.process == p }); i >= 0 {
 			take(b.world.agents[i])
 		}
-	})
+	}
 }
 
 // agent is an agent's process and its machine, with the upstream beside it.
@@ -204,7 +208,7 @@
 			a.toBalancer(x.To, func(b *balancer) { b.perform(b.placer.Denied(a.end, m, nil)) })
 		case lentilcustody.SendStatus:
 			m := a.custodian.Status()
-			a.toBalancer(x.To, func(b *balancer) { b.perform(b.placer.Status(a.end, m, nil)) })
+			a.world.send(a.process, x.To, a.reach(func(b *balancer) { b.perform(b.placer.Status(a.end, m, nil)) }))
 		case lentilcustody.Check:
 			a.soon(nearDelay, a.check)
 		case lentilcustody.Rejoin, lentilcustody.Note:
@@ -213,11 +217,15 @@
 }
 
 func (a *agent) toBalancer(to lentilflow.End, take func(b *balancer)) {
-	a.world.send(a.process, to, func(p *process) {
+	a.world.sendAbout(a.process, to, a.reach(take))
+}
+
+func (a *agent) reach(take func(b *balancer)) func(p *process) {
+	return func(p *process) {
 		if i := slices.IndexFunc(a.world.balancers, func(b *balancer) bool { return b.process == p }); i >= 0 {
 			take(a.world.balancers[i])
 		}
-	})
+	}
 }
 
 // check is a connection to the upstream's address.
--- a/internal/lentilpacketmodel/world.go
+++ b/internal/lentilpacketmodel/world.go
@@ -41,6 +41,9 @@
 	// ColdFor is how long an upstream is cold after its start, and ColdRate how many new flows it bears then.
 	ColdFor  time.Duration
 	ColdRate float64
+	// Fate decides about each datagram about a flow once Explore was called, numbered from 0: how much later
+	// than usual it arrives, or that it is lost. Nil leaves them as they are.
+	Fate func(number int) (late time.Duration, lost bool)
 	// Choose replaces the choice of an agent, to compare it with others; nil is the product's.
 	Choose func(w *World, key lentilflow.Key) (agent int)
 }
@@ -91,6 +94,9 @@
 	cuts      map[[2]int]bool
 	born      int64
 	loss      float64
+	exploring bool
+	// fates is how many datagrams Fate has decided about.
+	fates int
 }
 
 // Tally counts what clients got.
@@ -224,6 +230,28 @@
 	}
 }
 
+// Explore lets Fate decide about the datagrams from now on.
+func (w *World) Explore() { w.exploring = true }
+
+// sendAbout sends a datagram about a flow.
+func (w *World) sendAbout(from *process, to lentilflow.End, take func(p *process)) {
+	if !w.exploring || w.Setup.Fate == nil {
+		w.send(from, to, take)
+		return
+	}
+	late, lost := w.Setup.Fate(w.fates)
+	w.fates++
+	if lost {
+		return
+	}
+	run := from.run
+	w.After(late, func() {
+		if from.run == run {
+			w.send(from, to, take)
+		}
+	})
+}
+
 // send carries a datagram from one process to another, unless the network loses it.
 func (w *World) send(from *process, to lentilflow.End, take func(p *process)) {
 	p := w.processes[to]
--- a/pkg/lentilcustody/custody_test.go
+++ b/pkg/lentilcustody/custody_test.go
@@ -291,6 +291,14 @@
 			{func(b *bench) string { return show(b.Checked(Accepts, nil)) }, ""},
 			{tick(100 * time.Millisecond), ""},
 		}},
+		{"a flow that is half open is never denied", true, []step{
+			{register("u"), "Note UpstreamRegistered"},
+			{carry(lentilflow.Place, open1(k)), "ToUpstream, SendTaken open=false"},
+			{func(b *bench) string {
+				return show(b.Ask(one, lentilflow.Ask{Keys: []lentilflow.Key{k, flowOf(2)}}, nil))
+			},
+				"SendDenied unsure=false, SendDenied unsure=true"},
+		}},
 		{"an upstream that went on leaving without its agent is gone when that stops", false, []step{
 			{func(b *bench) string { return show(b.Stop(nil)) }, "Note StopAsked"},
 			{func(b *bench) string { return show(b.Checked(Refuses, nil)) }, "Note UpstreamRefused"},
