--- a/internal/lentilpacket/agent.go
+++ b/internal/lentilpacket/agent.go
@@ -95,33 +95,6 @@
 	return nil
 }
 
-// stop tells the balancers and goes on for a moment. Balancers that start while it is away learn from its
-// entry that it was asked to end. An agent whose upstream has ended is not needed again under its name; it
-// goes on resetting the flows that its clients still hold for open.
-func (a *Agent) stop(forced context.Context, self Peer) {
-	a.do(a.custodian.Stop)
-	if a.phase() == lentilflow.Unheard {
-		// An upstream that went on leaving while its agent was away has told this run nothing.
-		a.check()
-	}
-	gone := a.phase() == lentilflow.Gone
-	pause, what := handoverPause, "mark"
-	tell := func(ctx context.Context) error {
-		self.Stopping = true
-		return a.Store.Agents.Publish(ctx, self)
-	}
-	if gone {
-		pause, what = min(lingerLimit, a.Settings.StopGrace()), "withdraw"
-		tell = func(ctx context.Context) error { return a.Store.Agents.Withdraw(ctx, self.Node.Name) }
-	}
-	limited, cancel := context.WithTimeout(forced, pause)
-	defer cancel()
-	if err := tell(limited); err != nil {
-		a.Logger.Write(lentilevent.StoreLost, lentilevent.Str("what", what), lentilevent.Err(err))
-	}
-	<-limited.Done()
-}
-
 func (a *Agent) open() (err error) {
 	a.custodian.Codec, a.custodian.Run = a.Codec, rand.Uint64()
 	a.custodian.Name, a.custodian.Domain, a.custodian.Service = a.Settings.Name(), a.Settings.Domain(), a.Settings.Service()
@@ -382,23 +355,3 @@
 		a.Counts.Unsent.Add(1)
 	}
 }
-
-// check looks whether something still listens at the upstream's address. It makes no request.
-func (a *Agent) check() {
-	select {
-	case <-time.After(checkPause):
-	case <-a.ctx.Done():
-		return
-	}
-	dialer := net.Dialer{Timeout: checkTimeout}
-	conn, err := dialer.DialContext(a.ctx, "tcp4", a.Settings.UpstreamAddress().String())
-	seen := lentilcustody.Silent
-	switch {
-	case err == nil:
-		seen = lentilcustody.Accepts
-		_ = conn.Close()
-	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
-		seen = lentilcustody.Refuses
-	}
-	a.do(func(actions []lentilcustody.Action) []lentilcustody.Action { return a.custodian.Checked(seen, actions) })
-}
