--- a/internal/lentilframe/frame.go
+++ b/internal/lentilframe/frame.go
@@ -37,8 +37,9 @@
 const magic = 0xE1
 
 // MaxBytes is the maximum size of a frame: that of a Carry with a packet of 1,300 bytes. The other terms are
-// the head, the purpose, the longest service name with its length, the version and the cold rate.
-const MaxBytes = 1300 + 2 + 1 + 256 + 8 + 4
+// the head, the purpose, the longest service name with its length, the version, the cold rate, the terms and the
+// age.
+const MaxBytes = 1300 + 2 + 1 + 256 + 8 + 4 + 6 + 2
 
 // ErrFrame is the type of errors about malformed or unexpected frames.
 var ErrFrame = errorx.NewNamespace("lentilframe").NewType("frame")
@@ -58,24 +59,61 @@
 	flagOut
 	flagStopping
 	flagEnded
+	flagUnderstandsTerms
+)
+
+// Bits of the purpose of a Carry frame. hasTerms means that the terms of the flow follow the cold rate. Releases
+// that don't know it reject such frames, so only agents that announce that they understand terms get them.
+const (
+	purposeMask = 0x7F
+	hasTerms    = 0x80
+)
+
+// Flags of the terms of a Carry frame.
+const (
+	flagRepeatable = 1 << iota
+	flagMayWait
+	flagLastResort
+)
+
+// Flags of a Hello frame. With flagHasDomainState, the state of the agent's failure domain follows.
+const (
+	flagBalancerStopping = 1 << iota
+	flagHasDomainState
+	flagDomainOut
 )
 
 // AppendCarry appends a Carry frame, which ends with the client's packet.
 func AppendCarry(dst []byte, m lentilflow.Carry) []byte {
-	dst = append(dst, magic, byte(Carry), byte(m.Purpose))
+	withTerms := m.MayWait || m.LastResort || m.Age > 0 || m.Terms != lentilflow.Terms{}
+	dst = append(dst, magic, byte(Carry), byte(m.Purpose)|flagIf(withTerms, hasTerms))
 	dst = appendText(dst, m.Service)
 	dst = binary.BigEndian.AppendUint64(dst, m.Version)
 	dst = binary.BigEndian.AppendUint32(dst, math.Float32bits(m.ColdRate))
+	if withTerms {
+		dst = binary.BigEndian.AppendUint32(dst, uint32(m.Terms.Target.Milliseconds()))
+		dst = append(dst, m.Terms.Priority,
+			flagIf(m.Terms.Repeatable, flagRepeatable)|flagIf(m.MayWait, flagMayWait)|flagIf(m.LastResort, flagLastResort))
+		dst = binary.BigEndian.AppendUint16(dst, uint16(min(m.Age.Milliseconds(), math.MaxUint16)))
+	}
 	return append(dst, m.Packet...)
 }
 
 // ParseCarry parses a Carry frame. The client's packet in the result shares the memory of data.
 func ParseCarry(data []byte) (m lentilflow.Carry, err error) {
 	r := reader{data: data, kind: Carry}
-	m.Purpose = lentilflow.Purpose(r.head().byte())
+	purpose := r.head().byte()
+	m.Purpose = lentilflow.Purpose(purpose & purposeMask)
 	m.Service = r.text()
 	m.Version = r.uint64()
 	m.ColdRate = math.Float32frombits(r.uint32())
+	if purpose&hasTerms != 0 {
+		m.Terms.Target = time.Duration(r.uint32()) * time.Millisecond
+		m.Terms.Priority = r.byte()
+		flags := r.byte()
+		m.Terms.Repeatable, m.MayWait, m.LastResort = flags&flagRepeatable != 0, flags&flagMayWait != 0, flags&flagLastResort != 0
+		m.Age = time.Duration(r.uint16()) * time.Millisecond
+	}
 	m.Packet = r.rest()
 	if m.Purpose > lentilflow.Lookup {
 		r.fail("purpose")
@@ -113,7 +151,7 @@
 	m.Reason = lentilflow.Refusal(r.head().byte())
 	m.Load = r.load()
 	m.Packet = r.rest()
-	if m.Reason == lentilflow.NotRefused || m.Reason > lentilflow.Stopping {
+	if m.Reason == lentilflow.NotRefused || m.Reason > lentilflow.UpstreamFailing {
 		r.fail("reason")
 	}
 	return m, r.err
@@ -152,7 +190,8 @@
 	dst = appendText(dst, m.Domain)
 	dst = binary.BigEndian.AppendUint64(dst, m.RunID)
 	dst = binary.BigEndian.AppendUint64(dst, m.Sequence)
-	dst = append(dst, byte(m.Phase), flagIf(m.Cold, flagCold)|flagIf(m.Out, flagOut)|flagIf(m.Stopping, flagStopping)|flagIf(m.UpstreamEnded, flagEnded))
+	dst = append(dst, byte(m.Phase), flagIf(m.Cold, flagCold)|flagIf(m.Out, flagOut)|flagIf(m.Stopping, flagStopping)|
+		flagIf(m.UpstreamEnded, flagEnded)|flagIf(m.UnderstandsTerms, flagUnderstandsTerms))
 	dst = binary.BigEndian.AppendUint32(dst, uint32(m.Interval.Milliseconds()))
 	dst = binary.BigEndian.AppendUint16(dst, m.BalancerCount)
 	dst = appendStoreState(dst, m.Store)
@@ -170,6 +209,7 @@
 	m.Phase = lentilflow.Phase(r.byte())
 	flags := r.byte()
 	m.Cold, m.Out, m.Stopping, m.UpstreamEnded = flags&flagCold != 0, flags&flagOut != 0, flags&flagStopping != 0, flags&flagEnded != 0
+	m.UnderstandsTerms = flags&flagUnderstandsTerms != 0
 	m.Interval = time.Duration(r.uint32()) * time.Millisecond
 	m.BalancerCount = r.uint16()
 	m.Store = r.storeState()
@@ -186,7 +226,13 @@
 	dst = appendText(dst, m.Name)
 	dst = appendText(dst, m.Domain)
 	dst = binary.BigEndian.AppendUint64(dst, m.RunID)
-	return appendStoreState(append(dst, flagIf(m.Stopping, 1)), m.Store)
+	withDomain := m.DomainState != lentilflow.DomainState{}
+	dst = append(dst, flagIf(m.Stopping, flagBalancerStopping)|flagIf(withDomain, flagHasDomainState)|flagIf(m.DomainState.Out, flagDomainOut))
+	dst = appendStoreState(dst, m.Store)
+	if withDomain {
+		dst = binary.BigEndian.AppendUint64(dst, m.DomainState.AsOf)
+	}
+	return dst
 }
 
 // ParseHello parses a Hello frame.
@@ -195,7 +241,11 @@
 	m.Name = r.head().text()
 	m.Domain = r.text()
 	m.RunID = r.uint64()
-	m.Stopping = r.byte() != 0
+	flags := r.byte()
+	m.Stopping = flags&flagBalancerStopping != 0
 	m.Store = r.storeState()
+	if flags&flagHasDomainState != 0 {
+		m.DomainState = lentilflow.DomainState{AsOf: r.uint64(), Out: flags&flagDomainOut != 0}
+	}
 	return m, r.finish()
 }
--- a/internal/lentilpacket/agent.go
+++ b/internal/lentilpacket/agent.go
@@ -18,7 +18,6 @@
 	"lentilstair.example/lentilstair/pkg/lentilconntrack"
 	"lentilstair.example/lentilstair/pkg/lentilerror"
 	"lentilstair.example/lentilstair/pkg/lentilflow"
-	"lentilstair.example/lentilstair/pkg/lentilfollow"
 )
 
 const (
@@ -46,7 +45,6 @@
 	Counts   *Counts
 
 	peerConn, outboundConn, upstreamConn *net.UDPConn
-	domains                              lentilfollow.Reader[struct{}]
 
 	mu          sync.Mutex
 	tracker     lentilconntrack.Tracker
@@ -83,12 +81,6 @@
 	})
 	a.workers.Go(func() { a.watchConnectionRefused() })
 	a.workers.Go(func() { a.tick(ctx) })
-	a.domains = lentilfollow.Reader[struct{}]{Source: a.Store.DomainsOut, Sink: domainSink(a.Logger, func(out map[string]bool) {
-		a.handleEvent(func(actions []lentilconntrack.Action) []lentilconntrack.Action {
-			return a.tracker.SetOut(out[a.Settings.Domain()], actions)
-		})
-	})}
-	a.workers.Go(func() { a.domains.Run(ctx) })
 	a.rediscover = func() { discoverPeers(ctx, a.Logger, a.Store.Agents, a.Store.Balancers, self, a.addPeers) }
 	a.workers.Go(a.rediscover)
 	a.workers.Go(func() { a.maintainLedger(ctx) })
@@ -214,13 +206,6 @@
 
 // handlePeerMessage processes a datagram from a balancer.
 func (a *Agent) handlePeerMessage(data []byte, from netip.AddrPort) {
-	var domainsRevision uint64
-	// The reader holds its own lock while its sink takes a.mu, so it is called after a.mu is released.
-	defer func() {
-		if domainsRevision > 0 {
-			a.domains.ObservePeerRevision(domainsRevision)
-		}
-	}()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	sender, actions := lentilflow.EndpointOf(from), a.actions[:0]
@@ -241,7 +226,6 @@
 		var m lentilflow.Hello
 		if m, err = lentilframe.ParseHello(data); err == nil {
 			a.updateStoreState(m.Store)
-			domainsRevision = m.Store.DomainsRevision
 			actions = a.tracker.HandleHello(sender, m, actions)
 		}
 	default:
--- a/internal/lentilpacket/balancer.go
+++ b/internal/lentilpacket/balancer.go
@@ -51,6 +51,8 @@
 	actions      []lentilplacement.Action
 	frameBuffer  []byte
 	pollSchedule lentilfollow.PollSchedule
+	// domainsAsOf is the revision of the store at which the failure domains that are out of service were read.
+	domainsAsOf uint64
 	// sentStoreState is the store state that was last sent to agents.
 	sentStoreState lentilflow.StoreState
 	// agentsListedAt is when the list of agents was read; zero before that.
@@ -217,7 +219,7 @@
 			b.Counts.Dropped.Add(1)
 		case lentilplacement.SendHello:
 			b.sentStoreState.CheckedAgo = b.pollSchedule.CheckedAgo()
-			b.send(lentilframe.AppendHello(b.frameBuffer[:0], b.hello(b.sentStoreState)), a.To)
+			b.send(lentilframe.AppendHello(b.frameBuffer[:0], b.hello(b.sentStoreState, a.To)), a.To)
 		case lentilplacement.ReportPlaced:
 			b.Counts.recordPlacing(a.Latency)
 		case lentilplacement.ReportLookup, lentilplacement.ReportAgent:
@@ -226,8 +228,13 @@
 	}
 }
 
-func (b *Balancer) hello(state lentilflow.StoreState) lentilflow.Hello {
-	return lentilflow.Hello{Name: b.Settings.Name(), Domain: b.Settings.Domain(), RunID: b.runID, Stopping: b.leaving, Store: state}
+// hello returns the Hello for an agent.
+func (b *Balancer) hello(state lentilflow.StoreState, agent lentilflow.Endpoint) (m lentilflow.Hello) {
+	m = lentilflow.Hello{Name: b.Settings.Name(), Domain: b.Settings.Domain(), RunID: b.runID, Stopping: b.leaving, Store: state}
+	if out, known := b.placer.DomainOutOf(agent); known && b.domainsAsOf > 0 {
+		m.DomainState = lentilflow.DomainState{AsOf: b.domainsAsOf, Out: out}
+	}
+	return m
 }
 
 func (b *Balancer) send(frame []byte, to lentilflow.Endpoint) {
--- a/internal/lentilpacket/log.go
+++ b/internal/lentilpacket/log.go
@@ -82,10 +82,9 @@
 		a.logLimiter.write(a.Logger, lentilevent.FlowRefused, flow, lentilevent.Addr("balancer", action.To.AddrPort()),
 			lentilevent.Str("refusal", action.Refusal.String()), lentilevent.Int("flows", a.tracker.OpenFlows()))
 	case lentilconntrack.SendDenied:
-		for _, k := range action.Keys {
-			a.logLimiter.write(a.Logger, lentilevent.FlowDenied, lentilevent.Str("flow", k.String()),
-				lentilevent.Addr("balancer", action.To.AddrPort()), lentilevent.Bool("unsure", action.Unsure))
-		}
+		// One line covers all flows of the message, as there may be thousands of denials in a second.
+		a.logLimiter.write(a.Logger, lentilevent.FlowDenied, lentilevent.Str("flow", action.Keys[0].String()), lentilevent.Int("flows", len(action.Keys)),
+			lentilevent.Addr("balancer", action.To.AddrPort()), lentilevent.Bool("unsure", action.Unsure))
 	case lentilconntrack.ResetClient:
 		a.logLimiter.write(a.Logger, lentilevent.FlowReset, flow, cause)
 	case lentilconntrack.ReportStateChange:
--- a/internal/lentilpacket/readers.go
+++ b/internal/lentilpacket/readers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"time"
 
 	"lentilstair.example/lentilstair/internal/lentilevent"
@@ -23,10 +24,43 @@
 	b.configurations = lentilfollow.Reader[lentilflow.Configuration]{Source: b.Store.Configuration,
 		Sink: withStoreLogging(b.Logger, "configuration", lentilfollow.Sink[lentilflow.Configuration]{Replace: apply, Apply: apply})}
 	b.domains = lentilfollow.Reader[struct{}]{Source: b.Store.DomainsOut, Sink: domainSink(b.Logger, func(out map[string]bool) {
+		// The reader holds its lock, and its follower already has the revision of the new state.
+		asOf := b.domains.Follower.Revision()
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		b.placer.SetOut(out)
+		b.domainsAsOf = asOf
 	})}
+	b.configurations.DeferWatch, b.domains.DeferWatch = b.deferWatch, b.deferWatch
+	b.configurations.Watched, b.domains.Watched = b.sendHelloToAll, b.sendHelloToAll
+}
+
+const (
+	// watcherCount is the mean number of balancers that watch the store. The others learn of changes through the
+	// agents. More than one keeps changes fast while a watcher is cut off from the store; polls find what all
+	// of them miss.
+	watcherCount = 4
+	// watchTerm is the time after which a balancer that doesn't watch decides again. It is about as long as a
+	// watch waits, so that the number of watchers stays the same.
+	watchTerm = 28 * time.Second
+	// countDelay is how long a balancer that has just started waits until agents have told it how many
+	// balancers there are.
+	countDelay = 2 * time.Second
+)
+
+// deferWatch decides whether this balancer watches the store. It returns zero if it does, or the time until the
+// next decision.
+func (b *Balancer) deferWatch() (wait time.Duration) {
+	b.mu.Lock()
+	balancers := b.pollSchedule.ProcessCount
+	b.mu.Unlock()
+	switch {
+	case balancers == 0:
+		return countDelay
+	case rand.Float64()*float64(balancers) < watcherCount:
+		return 0
+	}
+	return watchTerm
 }
 
 // configure puts a configuration in force.
@@ -89,7 +123,7 @@
 	defer b.mu.Unlock()
 	b.sentStoreState = state
 	for _, agent := range b.placer.AgentAddresses() {
-		b.send(lentilframe.AppendHello(b.frameBuffer[:0], b.hello(state)), agent)
+		b.send(lentilframe.AppendHello(b.frameBuffer[:0], b.hello(state, agent)), agent)
 	}
 }
 
--- a/internal/lentilpacketmodel/load_test.go
+++ b/internal/lentilpacketmodel/load_test.go
@@ -54,3 +54,101 @@
 		reportViolations(t, sim, "power loss")
 	}
 }
+
+// arrivalSetup returns a site whose requests have flows of their own, loaded with the given share of its copies'
+// capacity. Requests take 30 ms and should be answered within 250 ms; clients wait for 3 s.
+func arrivalSetup(seed uint64, slots, queueLimit int, load float64) Setup {
+	setup := Setup{
+		Seed: seed, Domains: 3, BalancersPerDomain: 2, UpstreamsPerDomain: 8, Slots: slots, QueueLimit: queueLimit,
+		ServiceTime: 30 * time.Millisecond, ExponentialServiceTime: true, Deadline: 3 * time.Second, Target: 250 * time.Millisecond, Retries: 2,
+	}
+	setup.ArrivalRate = load * float64(setup.Domains*setup.UpstreamsPerDomain*slots) / setup.ServiceTime.Seconds()
+	return setup
+}
+
+// TestArrivalsNearCapacity applies loads near and above the capacity of copies of one and two slots, and checks
+// what clients get. No copy may shed a request, since the queues at the agents hold what would be too much.
+func TestArrivalsNearCapacity(t *testing.T) {
+	for _, c := range []struct {
+		slots, queueLimit int
+		load              float64
+		// minInTarget is the least share of the answers that is in time, and minServed that of the requests
+		// that is answered at all.
+		minInTarget, minServed float64
+	}{
+		{1, 4, 0.56, 0.99, 0.999},
+		{2, 8, 0.82, 0.99, 0.999},
+		{1, 4, 0.88, 0.85, 0.99},
+		{2, 8, 1.05, 0.85, 0.85},
+		{1, 4, 1.1, 0.85, 0.85},
+	} {
+		duration := 12 * time.Second
+		if c.load > 1 {
+			// The queues take some seconds to tell a sustained overload from a short one.
+			duration = 20 * time.Second
+		}
+		for seed := range uint64(3) {
+			sim := New(arrivalSetup(seed, c.slots, c.queueLimit, c.load))
+			sim.Run(duration)
+			sim.StopArrivals()
+			sim.Run(duration + 4*time.Second)
+			s := sim.Stats
+			answered := s.InTarget + s.Late
+			if share := float64(s.InTarget) / float64(answered); share < c.minInTarget {
+				t.Errorf("%d slots, load %.2f, seed %d: %.4f of %d answers are in time, want %.2f", c.slots, c.load, seed, share, answered, c.minInTarget)
+			}
+			if share := float64(answered) / float64(s.Due); share < c.minServed {
+				t.Errorf("%d slots, load %.2f, seed %d: %.4f of %d requests are answered, want %.3f", c.slots, c.load, seed, share, s.Due, c.minServed)
+			}
+			if s.Shed > 0 {
+				t.Errorf("%d slots, load %.2f, seed %d: %d requests were shed by copies", c.slots, c.load, seed, s.Shed)
+			}
+		}
+	}
+}
+
+// TestArrivalsWhileCopiesFail lets an eighth of the copies reset every request for some seconds. Such copies are
+// idle all the time, so balancers that choose the least loaded one would send them most requests.
+func TestArrivalsWhileCopiesFail(t *testing.T) {
+	for seed := range uint64(3) {
+		sim := New(arrivalSetup(seed, 2, 8, 0.5))
+		schedule(sim, 4*time.Second, func() {
+			for i := range 3 {
+				sim.Fail(8*i, 5*time.Second)
+			}
+		})
+		sim.Run(12 * time.Second)
+		sim.StopArrivals()
+		sim.Run(16 * time.Second)
+		s := sim.Stats
+		if share := float64(s.InTarget+s.Late) / float64(s.Due); share < 0.99 {
+			t.Errorf("seed %d: %.4f of %d requests are answered, want 0.99", seed, share, s.Due)
+		}
+		if share := float64(s.InTarget) / float64(s.Due); share < 0.98 {
+			t.Errorf("seed %d: %.4f of %d requests are answered in time, want 0.98", seed, share, s.Due)
+		}
+	}
+}
+
+// TestArrivalsAfterPowerLoss checks that the requests that arrive from two seconds after all machines have restarted
+// are answered, 97 % of them in time, although clients that waited meanwhile come back at the same moment.
+func TestArrivalsAfterPowerLoss(t *testing.T) {
+	for seed := range uint64(3) {
+		setup := arrivalSetup(seed, 2, 8, 0.5)
+		setup.ColdFor = 2 * time.Second
+		sim := New(setup)
+		const lostAt, down = 8 * time.Second, 1200 * time.Millisecond
+		schedule(sim, lostAt, func() { sim.PowerOff(down) })
+		const recovery = 2 * time.Second
+		sim.Run(lostAt + down + recovery)
+		before := sim.Stats
+		sim.Run(lostAt + down + recovery + 6*time.Second)
+		due := sim.Stats.Due - before.Due
+		if share := float64(sim.Stats.InTarget-before.InTarget) / float64(due); share < 0.97 {
+			t.Errorf("seed %d: %.4f of %d requests are answered in time, want 0.97", seed, share, due)
+		}
+		if sim.Stats.Shed > 0 {
+			t.Errorf("seed %d: %d requests were shed by copies", seed, sim.Stats.Shed)
+		}
+	}
+}
--- a/internal/lentilpacketmodel/packet.go
+++ b/internal/lentilpacketmodel/packet.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"errors"
+	"time"
 
 	"lentilstair.example/lentilstair/pkg/lentilflow"
 )
@@ -47,12 +48,16 @@
 	if len(data) != packetSize {
 		return p, errPacket
 	}
-	return lentilflow.Packet{
+	p = lentilflow.Packet{
 		Key:      lentilflow.NewKey(parseEndpoint(data[offsetClient:]), parseEndpoint(data[offsetService:])),
 		Flags:    lentilflow.Flags(data[offsetFlags]),
 		Sequence: binary.BigEndian.Uint32(data[offsetSequence:]), Acknowledged: binary.BigEndian.Uint32(data[offsetAcknowledged:]),
 		Length: int(binary.BigEndian.Uint16(data[offsetLength:])),
-	}, nil
+	}
+	if p.OpensFlow() {
+		p.OpeningAge = time.Duration(p.Acknowledged) * time.Millisecond
+	}
+	return p, nil
 }
 
 // addressSize is the size of the IPv4 address of an endpoint, which its port follows.
--- a/internal/lentilpacketmodel/simulation.go
+++ b/internal/lentilpacketmodel/simulation.go
@@ -38,6 +38,12 @@
 	// RequestsPerFlow is how many requests a client makes in a flow before it opens another one; zero is
 	// unlimited. Every third client makes a tenth of that number.
 	RequestsPerFlow int
+	// ArrivalRate replaces the clients by requests that arrive at random at this mean rate per second. Each has
+	// a flow of its own and is repeated up to Retries times. Target is the latency objective that the route
+	// announces. Every sixth request may not be repeated once its flow is open.
+	ArrivalRate float64
+	Retries     int
+	Target      time.Duration
 	// Loss is the share of datagrams between processes that the network loses.
 	Loss float64
 	// ColdFor is how long an upstream is cold after its start. ColdRate is how many new flows a second a
@@ -95,6 +101,8 @@
 	balancers       []*balancer
 	agents          []*agent
 	clients         []*client
+	idleClients     []*client
+	arrivalsStopped bool
 	processes       map[lentilflow.Endpoint]*process
 	// ledgers has the ledgers in the store by agent name.
 	ledgers              map[string]savedLedger
@@ -104,6 +112,8 @@
 	// partitions has the pairs of failure domains that are cut off from each other.
 	partitions      map[[2]int]bool
 	lastIncarnation int64
+	// domainsRevision is the revision of the last change to outSince in the store.
+	domainsRevision uint64
 	loss            float64
 	// applyOutcomes is set once ApplyDeliveryOutcomes was called.
 	applyOutcomes bool
@@ -125,6 +135,9 @@
 	// because the queue was full.
 	Arrivals map[string]int
 	Shed     int
+	// Due, InTarget and Late count the arrivals of Setup.ArrivalRate, and those that were answered within and
+	// after the latency objective.
+	Due, InTarget, Late int
 }
 
 // event is a function that runs at a simulated time. Events of the same time run in the order of their numbers.
@@ -170,6 +183,9 @@
 			sim.addBalancer(domain)
 		}
 	}
+	if setup.ArrivalRate > 0 {
+		sim.After(time.Second+setup.ColdFor, sim.arrive)
+	}
 	for i := range setup.Clients {
 		c := &client{sim: sim, domain: i % setup.Domains, number: i, port: 1024, requestsPerFlow: setup.RequestsPerFlow}
 		if i%shortFlowClientEvery == 0 {
--- a/internal/lentilpacketmodel/upstream.go
+++ b/internal/lentilpacketmodel/upstream.go
@@ -21,6 +21,8 @@
 	ended              bool
 	unresponsive       bool
 	draining           bool
+	// failing upstreams reset every flow on which a request arrives.
+	failing bool
 	// drainAckedAt is when the agent acknowledged the drain; zero before that.
 	drainAckedAt time.Time
 	// flows has the flows that are open or that a client has asked to open.
@@ -96,6 +98,9 @@
 	case flow == nil || packet.Flags.Has(lentilflow.Acknowledge) && !flow.open && packet.Acknowledged != flow.sequence+1:
 		packet.Flags |= lentilflow.Returned
 		u.sendToAgent(packet)
+	case packet.Flags.Has(lentilflow.Close):
+		delete(u.flows, packet.Key)
+		u.sendToAgent(lentilflow.Packet{Key: packet.Key, Flags: lentilflow.Close | lentilflow.Acknowledge})
 	default:
 		flow.open, flow.lastPacketAt = true, u.sim.Clock.Now()
 		if packet.Length > 0 {
@@ -118,6 +123,11 @@
 func (u *upstream) handleRequest(packet lentilflow.Packet) {
 	sim := u.sim
 	sim.Stats.Arrivals[u.id]++
+	if u.failing {
+		u.sendToAgent(lentilflow.Packet{Key: packet.Key, Flags: lentilflow.Reset})
+		delete(u.flows, packet.Key)
+		return
+	}
 	work := func() {
 		u.inFlight++
 		u.sim.After(u.serviceTime(), func() {
@@ -125,9 +135,11 @@
 			if !u.alive() {
 				return
 			}
-			u.sendToAgent(lentilflow.Packet{
-				Key: packet.Key, Flags: lentilflow.Acknowledge, Sequence: u.flows[packet.Key].sequence + 1, Acknowledged: packet.Sequence, Length: 1,
-			})
+			if flow := u.flows[packet.Key]; flow != nil {
+				u.sendToAgent(lentilflow.Packet{
+					Key: packet.Key, Flags: lentilflow.Acknowledge, Sequence: flow.sequence + 1, Acknowledged: packet.Sequence, Length: 1,
+				})
+			}
 			if len(u.queued) > 0 && u.inFlight < sim.Setup.Slots {
 				next := u.queued[0]
 				u.queued = u.queued[1:]
@@ -142,6 +154,10 @@
 		u.queued = append(u.queued, work)
 	default:
 		sim.Stats.Shed++
+		if c := sim.clientOf(packet.Key); c != nil && c.arrival != nil {
+			u.sendToAgent(lentilflow.Packet{Key: packet.Key, Flags: lentilflow.Reset})
+			delete(u.flows, packet.Key)
+		}
 	}
 }
 
--- a/pkg/lentilconntrack/action.go
+++ b/pkg/lentilconntrack/action.go
@@ -64,6 +64,10 @@
 	DomainChanged
 	// StopAsked means that the agent was asked to stop.
 	StopAsked
+	// UpstreamFails means that the upstream ends requests without an answer, and gets no new flows for a while.
+	UpstreamFails
+	// UpstreamWorks means that an upstream that had failed answers requests again.
+	UpstreamWorks
 	// ColdChanged means that the upstream has warmed up, or has become cold.
 	ColdChanged
 )
--- a/pkg/lentilconntrack/balancers.go
+++ b/pkg/lentilconntrack/balancers.go
@@ -47,6 +47,10 @@
 		actions = append(actions, Action{Kind: Rediscover})
 	}
 	t.lastHelloAt = now
+	if m.DomainState.AsOf > t.domainAsOf {
+		t.domainAsOf = m.DomainState.AsOf
+		actions = t.SetOut(m.DomainState.Out, actions)
+	}
 	return append(actions, Action{Kind: SendStatus, To: from})
 }
 
@@ -66,7 +70,7 @@
 	return lentilflow.Status{
 		Name: t.Name, Service: t.Service, Domain: t.Domain, RunID: t.RunID, Sequence: t.statusSequence,
 		Phase: t.upstream.phase, Cold: t.Cold(), Out: t.out, Stopping: t.stopping, UpstreamEnded: t.upstream.ended, Load: t.Load(), Interval: t.statusInterval(),
-		BalancerCount: uint16(len(t.balancers)),
+		BalancerCount: uint16(len(t.balancers)), UnderstandsTerms: true,
 	}
 }
 
--- a/pkg/lentilconntrack/enum_string.go
+++ b/pkg/lentilconntrack/enum_string.go
@@ -46,12 +46,14 @@
 	_ = x[UpstreamLeaving-8]
 	_ = x[DomainChanged-9]
 	_ = x[StopAsked-10]
-	_ = x[ColdChanged-11]
+	_ = x[UpstreamFails-11]
+	_ = x[UpstreamWorks-12]
+	_ = x[ColdChanged-13]
 }
 
-const _Cause_name = "NoCauseFlowUnknownUpstreamReplacedUpstreamLeftUpstreamRefusedUpstreamSilentUpstreamOverdueUpstreamRegisteredUpstreamLeavingDomainChangedStopAskedColdChanged"
+const _Cause_name = "NoCauseFlowUnknownUpstreamReplacedUpstreamLeftUpstreamRefusedUpstreamSilentUpstreamOverdueUpstreamRegisteredUpstreamLeavingDomainChangedStopAskedUpstreamFailsUpstreamWorksColdChanged"
 
-var _Cause_index = [...]uint8{0, 7, 18, 34, 46, 61, 75, 90, 108, 123, 136, 145, 156}
+var _Cause_index = [...]uint8{0, 7, 18, 34, 46, 61, 75, 90, 108, 123, 136, 145, 158, 171, 182}
 
 func (i Cause) String() string {
 	idx := int(i) - 0
--- a/pkg/lentilconntrack/flow.go
+++ b/pkg/lentilconntrack/flow.go
@@ -11,6 +11,10 @@
 	state flowState
 	// balancer last sent a packet of the flow, or asked about the flow while it was open.
 	balancer lentilflow.Endpoint
+	// firstPacket is the client's packet that opens the flow, kept until the upstream has accepted it.
+	firstPacket []byte
+	// waiting is set while the upstream hasn't got the first packet, because it has no room.
+	waiting bool
 	// initialSequence is the upstream's first sequence number; it is valid if upstreamAccepted is set.
 	initialSequence uint32
 	// upstreamAccepted is set once the upstream has sent the packet that accepts the flow.
@@ -23,9 +27,10 @@
 	openedAt time.Time
 	// requestInFlight is set from a client's data packet until the upstream's next data packet.
 	requestInFlight bool
-	// requestAt is when the request in flight arrived.
-	requestAt time.Time
-	closedBy  closeSides
+	// requestAt is when the request in flight arrived, and requestLoad how many the upstream then had.
+	requestAt   time.Time
+	requestLoad int
+	closedBy    closeSides
 }
 
 // flowState is the state of a flow in the connection table.
@@ -70,6 +75,7 @@
 func (t *Tracker) removeFlow(key lentilflow.Key) {
 	if f := t.flows[key]; f != nil {
 		t.setState(f, closed)
+		t.queue.Remove(key)
 		delete(t.flows, key)
 	}
 }
--- a/pkg/lentilconntrack/ledger.go
+++ b/pkg/lentilconntrack/ledger.go
@@ -19,7 +19,7 @@
 	// minLedgerFlowAge is the age from which on a flow is listed in a ledger. Flows of a single request have
 	// ended by then, and most flows that last longer are used again.
 	minLedgerFlowAge = 2 * time.Second
-	// ledgerChurnDivisor gives the share of the open flows, 1/8, that must have opened or ended since the last
+	// ledgerChurnDivisor gives the share of the listed flows, 1/8, that must have come or gone since the last
 	// ledger before the next one is due. Below that share the stored ledger is accurate enough.
 	ledgerChurnDivisor = 8
 	// maxLedgerFlows bounds the flows in a ledger. A ledger of this many takes 700 KB in the store.
@@ -90,28 +90,47 @@
 }
 
 // DueLedger returns the ledger to store now and reports whether one is due. A ledger without flows, the run marker,
-// is due at once after a run of the upstream that has just started has registered. It shows a later run of the agent
-// that this one may have let flows open at that upstream. A run that isn't new shows it by its registration sequence.
+// is due with the first flow of a run of the upstream that has just started. It shows a later run of the agent that
+// this one may have let flows open at that upstream. A run that isn't new shows it by its registration sequence.
 func (t *Tracker) DueLedger() (ledger Ledger, due bool) {
 	now := t.now()
-	if t.runMarkerDue {
+	if t.runMarkerDue && t.openFlows+t.halfOpenFlows > 0 {
 		t.runMarkerDue = false
-		return Ledger{Service: t.Service, Address: t.Address, UpstreamID: t.upstream.id, UpstreamIncarnation: t.upstream.incarnation}, true
+		return t.newLedger(), true
 	}
 	interval := max(minLedgerInterval, minLedgerInterval*time.Duration(len(t.balancers))/ledgerBaseBalancers)
-	if t.upstream.id == "" || t.previousLedger != nil || now.Sub(t.ledgerWrittenAt) < interval || t.churn == 0 || t.churn*ledgerChurnDivisor < t.openFlows {
+	if t.upstream.id == "" || t.previousLedger != nil || now.Sub(t.ledgerWrittenAt) < interval || t.churn == 0 {
 		return ledger, false
 	}
-	t.ledgerWrittenAt, t.churn = now, 0
-	ledger = Ledger{Service: t.Service, Address: t.Address, UpstreamID: t.upstream.id, UpstreamIncarnation: t.upstream.incarnation}
+	ledger = t.newLedger()
+	listed := make(map[lentilflow.Key]bool)
+	changes := 0
 	for key, f := range t.flows {
 		if f.state == open && now.Sub(f.openedAt) >= minLedgerFlowAge && len(ledger.Flows) < maxLedgerFlows {
 			ledger.Flows = append(ledger.Flows, LedgerFlow{Key: key, Acknowledged: f.acknowledged})
+			listed[key] = true
+			if !t.ledgerFlows[key] {
+				changes++
+			}
 		}
 	}
+	for key := range t.ledgerFlows {
+		if !listed[key] {
+			changes++
+		}
+	}
+	if changes == 0 || changes*ledgerChurnDivisor < max(len(listed), len(t.ledgerFlows)) {
+		return Ledger{}, false
+	}
+	t.ledgerWrittenAt, t.churn, t.ledgerFlows = now, 0, listed
 	return ledger, true
 }
 
+// newLedger returns a ledger of the upstream's run without flows.
+func (t *Tracker) newLedger() Ledger {
+	return Ledger{Service: t.Service, Address: t.Address, UpstreamID: t.upstream.id, UpstreamIncarnation: t.upstream.incarnation}
+}
+
 // Restore takes the ledger that an earlier run of the agent has stored. Its flows are open if the same run of the
 // upstream registers, and are reset if another one does. A ledger of another service or address is ignored.
 func (t *Tracker) Restore(ledger Ledger, actions []Action) []Action {
--- a/pkg/lentilconntrack/ledger_test.go
+++ b/pkg/lentilconntrack/ledger_test.go
@@ -84,12 +84,16 @@
 	}
 }
 
-// TestDueLedger checks that the run marker is due once, that a ledger is due only after flows have changed, and that it
+// TestDueLedger checks that the run marker is due once, with the first flow, that a ledger is due only after flows have changed, and that it
 // lists only flows of the minimum age.
 func TestDueLedger(t *testing.T) {
 	h := newHarness(t)
 	h.Address = peer1
 	h.register("u")
+	if _, due := h.DueLedger(); due {
+		t.Error("the run marker is due without a flow")
+	}
+	h.fromBalancer(peer1, lentilflow.Place, firstPacket(flowKey(100)))
 	if ledger, due := h.DueLedger(); !due || ledger.UpstreamID != "u" || len(ledger.Flows) != 0 {
 		t.Errorf("due %t with %+v, want the run marker of the new upstream", due, ledger)
 	}
@@ -112,6 +116,21 @@
 	if _, due = h.DueLedger(); due {
 		t.Error("due though no flow has changed")
 	}
+	useShortFlows := func() {
+		for i := range 200 {
+			h.openFlow(flowKey(1000 + i))
+			h.fromUpstream(lentilflow.Packet{Key: flowKey(1000 + i), Flags: lentilflow.Reset})
+		}
+	}
+	useShortFlows()
+	if all, due := h.DueLedger(); !due || len(all.Flows) != 4 {
+		t.Errorf("due %t with %d flows, want the 4 that have reached the minimum age", due, len(all.Flows))
+	}
+	h.clock.Advance(minLedgerInterval)
+	useShortFlows()
+	if _, due = h.DueLedger(); due {
+		t.Error("due though only flows of a single request have come and gone")
+	}
 	flows, err := ParseFlows(ledger.AppendFlows(nil))
 	if diff := cmp.Diff(ledger.Flows, flows, cmp.AllowUnexported(lentilflow.Endpoint{}, lentilflow.Key{})); err != nil || diff != "" {
 		t.Errorf("%v, -written +read:\n%s", err, diff)
--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -16,10 +16,13 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
+	"lentilstair.example/lentilstair/pkg/lentilbreaker"
 	"lentilstair.example/lentilstair/pkg/lentilclock"
 	"lentilstair.example/lentilstair/pkg/lentilflow"
+	"lentilstair.example/lentilstair/pkg/lentilflowqueue"
 )
 
 const (
@@ -83,14 +86,19 @@
 	IdleTimeout time.Duration
 
 	upstream upstream
-	flows    map[lentilflow.Key]*flow
+	// breaker stops new flows to an upstream that fails, and queue holds them until the upstream has room.
+	breaker lentilbreaker.Breaker
+	queue   lentilflowqueue.Queue
+	flows   map[lentilflow.Key]*flow
 	// denied holds the time at which the upstream was found not to hold a flow.
 	denied           lentilflow.Table[time.Time]
 	requestsInFlight int
 	openFlows        int
 	halfOpenFlows    int
 	out              bool
-	stopping         bool
+	// domainAsOf is the revision of the store at which out was read by the balancer that reported it.
+	domainAsOf uint64
+	stopping   bool
 	// coldRate is the rate of new flows for cold upstreams, from the newest configuration version that a
 	// balancer has used in a Carry.
 	coldRate        float64
@@ -113,7 +121,10 @@
 	// previousLedger is the ledger of an earlier run of the agent until the upstream has registered, else nil.
 	previousLedger  *Ledger
 	ledgerWrittenAt time.Time
-	// runMarkerDue is set until DueLedger has returned the run marker of an upstream that has just started.
+	// ledgerFlows has the flows of the last ledger.
+	ledgerFlows map[lentilflow.Key]bool
+	// runMarkerDue is set until DueLedger has returned the run marker of an upstream that has just started, or
+	// until its registrations show that it hasn't just started.
 	runMarkerDue bool
 	// churn counts the flows that opened or ended since the last ledger.
 	churn     int
@@ -146,6 +157,7 @@
 	now = lentilclock.OrSystem(t.Clock).Now()
 	if t.startedAt.IsZero() {
 		t.startedAt = now
+		t.breaker.Clock, t.queue.Clock = t.Clock, t.Clock
 	}
 	return now
 }
@@ -171,32 +183,72 @@
 	f := t.flows[packet.Key]
 	if f != nil && (f.state == halfOpen || f.state == open) {
 		f.balancer, f.lastUsed = from, now
-		t.expectReply(now)
-		return append(actions,
-			Action{Kind: ToUpstream, Key: packet.Key, Packet: m.Packet},
-			Action{Kind: SendTaken, To: from, Key: packet.Key, Open: f.state == open})
+		if !f.waiting {
+			t.expectReply(now)
+			actions = append(actions, Action{Kind: ToUpstream, Key: packet.Key, Packet: m.Packet})
+		}
+		return append(actions, Action{Kind: SendTaken, To: from, Key: packet.Key, Open: f.state == open})
 	}
-	if refusal := t.refusal(now, m); refusal != lentilflow.NotRefused {
+	t.removeFlow(packet.Key)
+	refusal, wait := t.admission(now, m, packet)
+	if refusal != lentilflow.NotRefused {
 		return append(actions, Action{Kind: SendRefused, To: from, Key: packet.Key, Refusal: refusal, Packet: m.Packet})
 	}
+	f = &flow{balancer: from, lastUsed: now, firstPacket: slices.Clone(m.Packet), waiting: wait}
+	t.addFlow(packet.Key, f)
+	t.setState(f, halfOpen)
+	if !wait {
+		actions = t.openAtUpstream(now, packet.Key, f, actions)
+	}
+	return append(actions, Action{Kind: SendTaken, To: from, Key: packet.Key})
+}
+
+// openAtUpstream forwards the first packet of a flow to the upstream.
+func (t *Tracker) openAtUpstream(now time.Time, key lentilflow.Key, f *flow, actions []Action) []Action {
 	if t.upstream.cold(now) && t.coldRate > 0 {
 		t.coldAccepted = append(t.coldAccepted, now)
 	}
-	t.removeFlow(packet.Key)
-	f = &flow{balancer: from, lastUsed: now}
-	t.addFlow(packet.Key, f)
-	t.setState(f, halfOpen)
+	t.breaker.RecordAdmitted()
 	t.expectReply(now)
-	return append(actions,
-		Action{Kind: ToUpstream, Key: packet.Key, Packet: m.Packet},
-		Action{Kind: SendTaken, To: from, Key: packet.Key})
+	f.waiting, f.lastUsed = false, now
+	return append(actions, Action{Kind: ToUpstream, Key: key, Packet: f.firstPacket})
 }
 
-// refusal returns the reason why the upstream can't get a new flow now, or lentilflow.NotRefused.
-func (t *Tracker) refusal(now time.Time, m lentilflow.Carry) lentilflow.Refusal {
-	switch {
+// admission returns the reason why the upstream gets a new flow neither now nor later, or lentilflow.NotRefused
+// and whether the flow has to wait.
+func (t *Tracker) admission(now time.Time, m lentilflow.Carry, packet lentilflow.Packet) (refusal lentilflow.Refusal, wait bool) {
+	switch refusal = t.unavailable(); {
 	case m.Service != t.Service:
-		return lentilflow.OtherService
+		return lentilflow.OtherService, false
+	case refusal != lentilflow.NotRefused:
+		return refusal, false
+	case !m.LastResort && !t.breaker.Admits(m.Terms.Repeatable):
+		return lentilflow.UpstreamFailing, false
+	case len(t.flows) >= cmp.Or(t.MaxFlows, lentilflow.DefaultMaxFlows):
+		return lentilflow.UpstreamFull, false
+	}
+	blocked := t.upstream.cold(now) && t.coldLimitReached(now)
+	offer := lentilflowqueue.Offer{
+		Key: packet.Key, Age: max(packet.OpeningAge, m.Age), Terms: m.Terms,
+		// Balancers of earlier releases neither send terms nor allow flows to wait.
+		MayWait: m.MayWait || m.Terms == lentilflow.Terms{} && !blocked,
+	}
+	switch verdict := t.queue.Offer(offer, t.requestsInFlight, blocked); {
+	case verdict == lentilflowqueue.Admit:
+		return lentilflow.NotRefused, false
+	case verdict == lentilflowqueue.Wait:
+		return lentilflow.NotRefused, true
+	case blocked:
+		return lentilflow.UpstreamCold, false
+	case verdict == lentilflowqueue.Busy:
+		return lentilflow.UpstreamBusy, false
+	}
+	return lentilflow.UpstreamFull, false
+}
+
+// unavailable returns the reason why the upstream gets no new flows, or lentilflow.NotRefused.
+func (t *Tracker) unavailable() lentilflow.Refusal {
+	switch {
 	case t.stopping:
 		return lentilflow.Stopping
 	case t.out:
@@ -205,14 +257,53 @@
 		return lentilflow.UpstreamDraining
 	case t.upstream.phase == lentilflow.Gone:
 		return lentilflow.NoUpstream
-	case t.upstream.cold(now) && t.coldLimitReached(now):
-		return lentilflow.UpstreamCold
-	case len(t.flows) >= cmp.Or(t.MaxFlows, lentilflow.DefaultMaxFlows):
-		return lentilflow.UpstreamFull
 	}
 	return lentilflow.NotRefused
 }
 
+// admitWaiting opens waiting flows for which the upstream has room. It returns all of them to their balancers if
+// the upstream gets no more flows, and those that have waited in vain.
+func (t *Tracker) admitWaiting(now time.Time, actions []Action) []Action {
+	if t.queue.Waiting() == 0 {
+		return actions
+	}
+	refusal := t.unavailable()
+	if refusal == lentilflow.NotRefused && t.breaker.State() != lentilbreaker.Closed {
+		refusal = lentilflow.UpstreamFailing
+	}
+	if refusal != lentilflow.NotRefused {
+		for _, key := range t.queue.Flush() {
+			actions = t.returnFirstPacket(key, refusal, actions)
+		}
+		return actions
+	}
+	for _, key := range t.queue.Expire() {
+		// The balancer knows whether the flow has been opened elsewhere meanwhile.
+		actions = t.returnFirstPacket(key, lentilflow.UpstreamFull, actions)
+	}
+	for !t.upstream.cold(now) || !t.coldLimitReached(now) {
+		key, ok := t.queue.Next(t.requestsInFlight)
+		if !ok {
+			break
+		}
+		if f := t.flows[key]; f != nil && f.waiting {
+			actions = t.openAtUpstream(now, key, f, actions)
+		}
+	}
+	return actions
+}
+
+// returnFirstPacket forgets a flow that the upstream hasn't accepted, and returns its first packet to the
+// balancer, which may place the flow elsewhere.
+func (t *Tracker) returnFirstPacket(key lentilflow.Key, refusal lentilflow.Refusal, actions []Action) []Action {
+	f := t.flows[key]
+	if f == nil || f.firstPacket == nil {
+		return actions
+	}
+	t.removeFlow(key)
+	return append(actions, Action{Kind: SendRefused, To: f.balancer, Key: key, Refusal: refusal, Packet: f.firstPacket})
+}
+
 // coldLimitReached reports whether a cold upstream has got all the new flows that it has capacity for in a second.
 // With a rate of zero, no rate is configured, and there is no limit. The limit is one less than the bound, since a
 // copy of a first packet may still be in transit.
@@ -257,7 +348,7 @@
 	}
 	f.lastUsed, f.balancer = now, from
 	t.trackClientPacket(now, f, packet)
-	return append(actions, Action{Kind: ToUpstream, Key: packet.Key, Packet: m.Packet})
+	return t.admitWaiting(now, append(actions, Action{Kind: ToUpstream, Key: packet.Key, Packet: m.Packet}))
 }
 
 // maxFirstAckOffset is how far the first acknowledgement of a client may be beyond the initial sequence number of the
@@ -270,8 +361,9 @@
 		f.acknowledged = packet.Acknowledged
 	}
 	if packet.Length > 0 && !f.requestInFlight {
-		f.requestAt = now
+		f.requestAt, f.requestLoad = now, t.requestsInFlight
 		t.setRequestInFlight(f, true)
+		t.queue.Remove(packet.Key)
 	}
 	if packet.Length > 0 || packet.Flags.Has(lentilflow.Close) {
 		t.expectReply(now)
@@ -350,7 +442,7 @@
 	}
 	f.lastUsed = now
 	if packet.Flags.Has(lentilflow.Open) {
-		f.initialSequence, f.upstreamAccepted = packet.Sequence, true
+		f.initialSequence, f.upstreamAccepted, f.firstPacket = packet.Sequence, true, nil
 		if f.state == unverified {
 			// An earlier run of the agent forwarded the first packet.
 			t.setState(f, halfOpen)
@@ -363,9 +455,21 @@
 		}
 	}
 	responseTime := time.Duration(0)
-	if packet.Length > 0 && f.requestInFlight {
+	switch {
+	case !f.requestInFlight:
+	case packet.Length > 0:
 		responseTime = now.Sub(f.requestAt)
 		t.setRequestInFlight(f, false)
+		t.queue.RecordResponse(responseTime, f.requestLoad+1)
+		if t.breaker.RecordSuccess() {
+			actions = append(actions, Action{Kind: ReportStateChange, Cause: UpstreamWorks})
+		}
+	case packet.Flags.Has(lentilflow.Reset) && f.closedBy&closedByClient == 0:
+		// A Close doesn't count: it may overtake the answer before it.
+		t.setRequestInFlight(f, false)
+		if t.breaker.RecordFailure() {
+			actions = append(actions, Action{Kind: ReportStateChange, Cause: UpstreamFails})
+		}
 	}
 	switch {
 	case packet.Flags.Has(lentilflow.Reset):
@@ -373,7 +477,7 @@
 	case packet.Flags.Has(lentilflow.Close):
 		t.recordClose(f, closedByUpstream)
 	}
-	return append(actions, Action{Kind: ToClient, Key: packet.Key, Packet: data, ResponseTime: responseTime}), nil
+	return t.admitWaiting(now, append(actions, Action{Kind: ToClient, Key: packet.Key, Packet: data, ResponseTime: responseTime})), nil
 }
 
 // handleReturned handles a client's packet that the upstream returned, because it doesn't hold the flow or can't
--- a/pkg/lentilconntrack/tracker_test.go
+++ b/pkg/lentilconntrack/tracker_test.go
@@ -135,6 +135,32 @@
 	h.fromBalancer(peer1, lentilflow.Owned, dataPacket(key, 501))
 }
 
+// offer offers a new flow whose route has terms.
+func (h *harness) offer(n int, mayWait bool) string {
+	h.t.Helper()
+	actions, err := h.HandleCarry(peer1, lentilflow.Carry{
+		Service: "a", Version: 1, MayWait: mayWait, Terms: lentilflow.Terms{Target: 250 * time.Millisecond, Repeatable: true}, Packet: h.encode(firstPacket(flowKey(n))),
+	}, nil)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	return formatActions(actions)
+}
+
+// failFlows opens flows whose requests the upstream answers with a reset, and returns the actions of the last one.
+func (h *harness) failFlows(count int) (last string) {
+	for n := range count {
+		key := flowKey(100 + n)
+		h.openFlow(key)
+		last = h.fromUpstream(lentilflow.Packet{Key: key, Flags: lentilflow.Reset})
+	}
+	return last
+}
+
+func (h *harness) helloWith(asOf uint64, out bool) string {
+	return formatActions(h.HandleHello(peer1, lentilflow.Hello{DomainState: lentilflow.DomainState{AsOf: asOf, Out: out}}, nil))
+}
+
 // TestDecisions runs sequences of events. Each step is an event and the actions that it must lead to.
 func TestDecisions(t *testing.T) {
 	key := flowKey(1)
@@ -342,6 +368,77 @@
 			{carry(lentilflow.Place, firstPacket(flowKey(2))), "SendRefused Stopping"},
 			{carry(lentilflow.Owned, dataPacket(key, 501)), "ToUpstream"},
 		}},
+		{"a full upstream refuses a flow that may not wait, and others wait until it has room", true, []step{
+			{register("u"), "ReportStateChange UpstreamRegistered"},
+			{func(h *harness) string { h.openFlow(flowKey(1)); h.openFlow(flowKey(2)); return "" }, ""},
+			{func(h *harness) string { return h.offer(3, false) }, "SendRefused UpstreamBusy"},
+			{func(h *harness) string { return h.offer(3, true) }, "ToUpstream, SendTaken open=false"},
+			{func(h *harness) string { return h.offer(4, true) }, "ToUpstream, SendTaken open=false"},
+			{func(h *harness) string { return h.offer(5, true) }, "SendTaken open=false"},
+			{func(h *harness) string { return h.offer(5, true) }, "SendTaken open=false"},
+			{upstream(dataPacket(flowKey(1), 110)), "ToClient, ToUpstream"},
+		}},
+		{"a waiting flow goes elsewhere if the upstream drains", true, []step{
+			{register("u"), "ReportStateChange UpstreamRegistered"},
+			{func(h *harness) string {
+				for n := range 4 {
+					h.openFlow(flowKey(10 + n))
+				}
+				return h.offer(5, true)
+			}, "SendTaken open=false"},
+			{register("u", setDraining), "SendRefused UpstreamDraining, ReportStateChange UpstreamLeaving"},
+		}},
+		{"a flow that has waited in vain goes back to its balancer", true, []step{
+			{register("u"), "ReportStateChange UpstreamRegistered"},
+			{func(h *harness) string {
+				for n := range 4 {
+					h.openFlow(flowKey(10 + n))
+				}
+				h.Tick(nil)
+				return h.offer(5, true)
+			}, "SendTaken open=false"},
+			{func(h *harness) string { h.clock.Advance(1300 * time.Millisecond); return h.register("u") }, "SendRefused UpstreamFull"},
+		}},
+		{"first packets that the upstream hadn't accepted go elsewhere when it ends", true, []step{
+			{register("u"), "ReportStateChange UpstreamRegistered"},
+			{carry(lentilflow.Place, firstPacket(key)), "ToUpstream, SendTaken open=false"},
+			{func(h *harness) string { return formatActions(h.HandleProbeResult(ProbeRefused, nil)) }, "ReportStateChange UpstreamRefused, SendRefused NoUpstream"},
+		}},
+		{"flows that are only looked up are denied when the upstream ends", false, []step{
+			{register("u", func(r *Registration) { r.Sequence = 9 }), "ReportStateChange UpstreamRegistered"},
+			{carry(lentilflow.Lookup, dataPacket(key, 501)), "ToUpstream"},
+			{func(h *harness) string { return formatActions(h.HandleProbeResult(ProbeRefused, nil)) }, "ReportStateChange UpstreamRefused, SendDenied unsure=false"},
+			{carry(lentilflow.Lookup, dataPacket(key, 501)), "SendDenied unsure=false"},
+		}},
+		{"an upstream that resets its requests gets no new flows for a while", true, []step{
+			{register("u"), "ReportStateChange UpstreamRegistered"},
+			{func(h *harness) string { return h.failFlows(4) }, "ReportStateChange UpstreamFails, ToClient"},
+			{func(h *harness) string { return h.offer(9, true) }, "SendRefused UpstreamFailing"},
+			{func(h *harness) string { h.clock.Advance(600 * time.Millisecond); return h.offer(9, true) }, "ToUpstream, SendTaken open=false"},
+			{func(h *harness) string { return h.offer(10, true) }, "SendRefused UpstreamFailing"},
+		}},
+		{"another run of a failing upstream gets new flows", true, []step{
+			{register("u"), "ReportStateChange UpstreamRegistered"},
+			{func(h *harness) string { return h.failFlows(4) }, "ReportStateChange UpstreamFails, ToClient"},
+			{register("v", func(r *Registration) { r.Incarnation = 2 }), "ReportStateChange UpstreamRegistered"},
+			{func(h *harness) string { return h.offer(9, true) }, "ToUpstream, SendTaken open=false"},
+		}},
+		{"a failing upstream gets a flow that nobody else takes", true, []step{
+			{register("u"), "ReportStateChange UpstreamRegistered"},
+			{func(h *harness) string { return h.failFlows(4) }, "ReportStateChange UpstreamFails, ToClient"},
+			{func(h *harness) string {
+				actions, _ := h.HandleCarry(peer1, lentilflow.Carry{Service: "a", LastResort: true, Packet: h.encode(firstPacket(flowKey(9)))}, nil)
+				return formatActions(actions)
+			}, "ToUpstream, SendTaken open=false"},
+		}},
+		{"a balancer tells the state of the failure domain, and an older one changes nothing", true, []step{
+			{register("u"), "ReportStateChange UpstreamRegistered"},
+			{func(h *harness) string { return h.helloWith(7, true) }, "ReportStateChange DomainChanged, SendStatus, SendStatus"},
+			{func(h *harness) string { return h.helloWith(6, false) }, "SendStatus"},
+			{func(h *harness) string { return h.helloWith(0, false) }, "SendStatus"},
+			{carry(lentilflow.Place, firstPacket(key)), "SendRefused DomainOut"},
+			{func(h *harness) string { return h.helloWith(8, false) }, "ReportStateChange DomainChanged, SendStatus, SendStatus"},
+		}},
 		{"a new flow for another service is refused", true, []step{
 			{register("u"), "ReportStateChange UpstreamRegistered"},
 			{func(h *harness) string {
--- a/pkg/lentilconntrack/upstream.go
+++ b/pkg/lentilconntrack/upstream.go
@@ -74,10 +74,13 @@
 	if r.Draining {
 		u.phase = lentilflow.Draining
 	}
+	t.queue.SetSlots(r.Slots)
 	if !sameRun {
-		t.runMarkerDue = r.Sequence <= maxStartupSequence
+		t.breaker.Reset()
+		t.runMarkerDue = true
 	}
-	actions = t.applyPreviousLedger(actions)
+	t.runMarkerDue = t.runMarkerDue && r.Sequence <= maxStartupSequence
+	actions = t.admitWaiting(now, t.applyPreviousLedger(actions))
 	switch {
 	case u.phase != previousPhase && r.Draining:
 		return t.announceChange(UpstreamLeaving, actions)
@@ -124,6 +127,7 @@
 	t.upstream.phase = lentilflow.Gone
 	// The flows are reset once a probe shows that nothing listens at the upstream's address any more.
 	t.probing = true
+	actions = t.admitWaiting(t.now(), actions)
 	return append(t.announceChange(UpstreamLeft, actions), Action{Kind: ProbeUpstream})
 }
 
@@ -137,13 +141,13 @@
 	if !out {
 		t.upstream.coldStateKnown = false
 	}
-	return t.announceChange(DomainChanged, actions)
+	return t.announceChange(DomainChanged, t.admitWaiting(t.now(), actions))
 }
 
 // Stop records that the agent was asked to stop. From then on it refuses new flows.
 func (t *Tracker) Stop(actions []Action) []Action {
 	t.stopping = true
-	return t.announceChange(StopAsked, actions)
+	return t.announceChange(StopAsked, t.admitWaiting(t.now(), actions))
 }
 
 // ProbeResult is the result of a connection attempt to the upstream's address.
@@ -200,15 +204,21 @@
 }
 
 // resetFlows marks all flows as lost after their upstream has gone, and resets the clients of those that it held.
-// Whether it held the unverified ones is not known.
+// It returns the first packets of flows that the upstream hadn't accepted. It denies the unverified flows: whether
+// the upstream held one isn't known, and another agent may hold it.
 func (t *Tracker) resetFlows(cause Cause, actions []Action) []Action {
 	for key, f := range t.flows {
-		if f.state == closed || f.state == lost {
+		switch {
+		case f.state == closed || f.state == lost:
+			continue
+		case f.state == unverified:
+			actions = t.denyFlow(t.now(), key, f, actions)
+			continue
+		case f.firstPacket != nil:
+			actions = t.returnFirstPacket(key, lentilflow.NoUpstream, actions)
 			continue
 		}
-		if f.state != unverified {
-			actions = append(actions, Action{Kind: ResetClient, Cause: cause, Key: key, Sequence: f.acknowledged})
-		}
+		actions = append(actions, Action{Kind: ResetClient, Cause: cause, Key: key, Sequence: f.acknowledged})
 		t.setState(f, lost)
 		f.lastUsed = t.now()
 	}
@@ -253,7 +263,7 @@
 		t.lastSweep = now
 		t.sweep(now)
 	}
-	return t.sendDueStatuses(now, actions)
+	return t.sendDueStatuses(now, t.admitWaiting(now, actions))
 }
 
 // sweep removes flows that weren't used for longer than the timeout of their state.
--- a/pkg/lentilflow/configuration.go
+++ b/pkg/lentilflow/configuration.go
@@ -12,11 +12,22 @@
 	Weight  int
 }
 
+// Terms are what a route asks for its requests. The zero Terms ask for nothing.
+type Terms struct {
+	// Target is the latency objective of requests; zero means none.
+	Target time.Duration
+	// Priority orders requests that compete for an upstream; 0 comes first.
+	Priority uint8
+	// Repeatable is set if a request may be repeated after its flow has ended without an answer.
+	Repeatable bool
+}
+
 // Configuration maps addresses to the services that accept their flows. It is immutable.
 // The zero Configuration has no addresses.
 type Configuration struct {
 	version     uint64
 	routes      map[Endpoint][]Backend
+	terms       map[Endpoint]Terms
 	coldRate    map[string]float64
 	idleTimeout time.Duration
 }
@@ -29,6 +40,16 @@
 	return Configuration{version: version, routes: routes, coldRate: coldRate, idleTimeout: idleTimeout}
 }
 
+// WithTerms returns the configuration with the terms of its addresses. The caller must not modify terms
+// afterwards.
+func (c Configuration) WithTerms(terms map[Endpoint]Terms) Configuration {
+	c.terms = terms
+	return c
+}
+
+// Terms returns what the route of an address asks for.
+func (c Configuration) Terms(address Endpoint) Terms { return c.terms[address] }
+
 // Version returns the version. Later configurations have higher versions.
 func (c Configuration) Version() uint64 { return c.version }
 
--- a/pkg/lentilflow/enum_string.go
+++ b/pkg/lentilflow/enum_string.go
@@ -36,11 +36,13 @@
 	_ = x[UpstreamCold-5]
 	_ = x[UpstreamFull-6]
 	_ = x[Stopping-7]
+	_ = x[UpstreamBusy-8]
+	_ = x[UpstreamFailing-9]
 }
 
-const _Refusal_name = "NotRefusedOtherServiceDomainOutNoUpstreamUpstreamDrainingUpstreamColdUpstreamFullStopping"
+const _Refusal_name = "NotRefusedOtherServiceDomainOutNoUpstreamUpstreamDrainingUpstreamColdUpstreamFullStoppingUpstreamBusyUpstreamFailing"
 
-var _Refusal_index = [...]uint8{0, 10, 22, 31, 41, 57, 69, 81, 89}
+var _Refusal_index = [...]uint8{0, 10, 22, 31, 41, 57, 69, 81, 89, 101, 116}
 
 func (i Refusal) String() string {
 	idx := int(i) - 0
--- a/pkg/lentilflow/flow.go
+++ b/pkg/lentilflow/flow.go
@@ -7,6 +7,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -105,8 +106,17 @@
 	Sequence, Acknowledged uint32
 	// Length is the number of bytes of payload.
 	Length int
+	// OpeningAge is set in a client's request for a new flow: how long before it the client sent the first one
+	// for the same flow.
+	OpeningAge time.Duration
 }
 
+// OpeningTimeout is how long clients wait for a flow to open, from their first request for it.
+const OpeningTimeout = 1400 * time.Millisecond
+
+// OpeningPatience is how old a client's request for a new flow may be so that the flow can still open.
+const OpeningPatience = OpeningTimeout - 150*time.Millisecond
+
 // OpensFlow reports whether the packet is a client's request for a new flow.
 func (p Packet) OpensFlow() bool { return p.Flags.Has(Open) && !p.Flags.Has(Acknowledge) }
 
--- a/pkg/lentilflow/message.go
+++ b/pkg/lentilflow/message.go
@@ -38,6 +38,11 @@
 	UpstreamFull
 	// Stopping means that the agent is shutting down.
 	Stopping
+	// UpstreamBusy means that all slots of the upstream are occupied, and that the balancer hasn't allowed
+	// the flow to wait.
+	UpstreamBusy
+	// UpstreamFailing means that the upstream has ended many of its last requests without an answer.
+	UpstreamFailing
 )
 
 // Phase is the lifecycle phase of an agent's upstream.
@@ -66,7 +71,16 @@
 	// ColdRate is the number of new flows per second that a cold copy can accept according to that
 	// configuration.
 	ColdRate float32
-	Packet   []byte
+	// Terms are what the route of a new flow asks for. They are set if Purpose is Place.
+	Terms Terms
+	// Age is how long ago the client first asked for a new flow.
+	Age time.Duration
+	// MayWait allows the agent to hold a new flow until its upstream has room.
+	MayWait bool
+	// LastResort asks the agent to accept the flow although its upstream fails, since all other agents have
+	// refused it.
+	LastResort bool
+	Packet     []byte
 }
 
 // Taken informs a balancer that the agent owns a flow.
@@ -139,7 +153,9 @@
 	Stopping bool
 	// UpstreamEnded is set while the upstream is known to have ended, and all its flows with it.
 	UpstreamEnded bool
-	Load          Load
+	// UnderstandsTerms is set by agents that accept Carry.Terms and Hello.DomainState.
+	UnderstandsTerms bool
+	Load             Load
 	// Interval is the time until the next status if nothing changes.
 	Interval time.Duration
 	// BalancerCount is the number of balancers that the agent knows.
@@ -155,6 +171,15 @@
 	// Stopping is set when the balancer shuts down and no longer needs the status.
 	Stopping bool
 	Store    StoreState
+	// DomainState is the state of the agent's failure domain. It is zero for agents that read it themselves.
+	DomainState DomainState
+}
+
+// DomainState tells an agent whether its failure domain is out of service.
+type DomainState struct {
+	// AsOf is the revision of the store at which the state was read; zero means that the state isn't known.
+	AsOf uint64
+	Out  bool
 }
 
 // Node is a balancer or agent and the address at which other processes reach it.
--- a/pkg/lentilfollow/run.go
+++ b/pkg/lentilfollow/run.go
@@ -47,8 +47,16 @@
 	Follower Follower
 	Source   Source[T]
 	Sink     Sink[T]
+	// DeferWatch returns how long to wait before it is asked again whether to watch the source; with zero the
+	// reader watches. A reader that doesn't watch reads the source when Poll is called or when
+	// ObservePeerRevision shows that it has missed a change. Nil means that the reader always watches.
+	DeferWatch func() time.Duration
+	// Watched is called after a watch has brought changes. It may be nil.
+	Watched func()
 
 	mu sync.Mutex
+	// outageMu serializes the calls of Sink.Failed and Sink.Recovered.
+	outageMu sync.Mutex
 	// cancelStep ends the current step, such as a waiting watch.
 	cancelStep context.CancelFunc
 }
@@ -74,67 +82,88 @@
 // brings changes, Poll ends the watch. It reports whether the source has answered.
 func (r *Reader[T]) Poll(ctx context.Context) (answered bool) {
 	all, revision, err := r.Source.List(ctx)
-	if err != nil {
-		return false
-	}
+	r.trackOutage(func() error {
+		switch {
+		case ctx.Err() != nil:
+		case err != nil && r.DeferWatch != nil:
+			r.Follower.RecordFailure(false)
+		case err == nil && r.applyList(all, revision) && r.cancelStep != nil:
+			r.cancelStep()
+		}
+		return err
+	})
+	return err == nil
+}
+
+// trackOutage calls record with the lock held, and then reports the begin or the end of an outage to the sink.
+func (r *Reader[T]) trackOutage(record func() error) {
+	r.outageMu.Lock()
+	defer r.outageMu.Unlock()
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.applyList(all, revision) && r.cancelStep != nil {
-		r.cancelStep()
+	before := r.Follower.OutageDuration()
+	err := record()
+	after := r.Follower.OutageDuration()
+	r.mu.Unlock()
+	switch {
+	case before == 0 && after > 0:
+		r.Sink.Failed(err)
+	case before > 0 && after == 0:
+		r.Sink.Recovered(before)
 	}
-	return true
 }
 
 // Run reads the source until ctx is done.
 func (r *Reader[T]) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		r.mu.Lock()
-		step, outageBefore := r.Follower.Next(), r.Follower.OutageDuration()
+		step := r.Follower.Next()
 		stepCtx, cancel := context.WithCancel(ctx)
 		r.cancelStep = cancel
 		r.mu.Unlock()
-		var err error
 		if pause(stepCtx, step.Pause) {
-			err = r.perform(stepCtx, step)
+			r.perform(stepCtx, step)
 		}
-		canceled := stepCtx.Err() != nil
 		cancel()
-		if ctx.Err() != nil {
-			return
-		}
-		r.mu.Lock()
-		if err != nil && !canceled {
-			r.Follower.RecordFailure(errors.Is(err, lentilplatform.ErrGone))
-		}
-		outageAfter := r.Follower.OutageDuration()
-		r.mu.Unlock()
-		switch {
-		case outageBefore == 0 && outageAfter > 0:
-			r.Sink.Failed(err)
-		case outageBefore > 0 && outageAfter == 0:
-			r.Sink.Recovered(outageBefore)
-		}
 	}
 }
 
 // perform makes the call of a step and passes new objects or changes to the sink.
-func (r *Reader[T]) perform(ctx context.Context, step Step) (err error) {
+func (r *Reader[T]) perform(ctx context.Context, step Step) {
 	if step.Kind == List {
 		all, revision, err := r.Source.List(ctx)
-		if err != nil {
-			return err
+		r.recordStep(ctx, err, func() { r.applyList(all, revision) })
+		return
+	}
+	if r.DeferWatch != nil {
+		if wait := r.DeferWatch(); wait > 0 {
+			pause(ctx, wait)
+			return
 		}
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.applyList(all, revision)
-		return nil
 	}
 	changes, revision, err := r.Source.Watch(ctx, step.FromRevision)
-	if err != nil {
-		return err
+	changed := false
+	r.recordStep(ctx, err, func() { changed = r.applyChanges(changes, revision) })
+	if changed && r.Watched != nil {
+		r.Watched()
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
+}
+
+// recordStep records the result of a step's call, unless it was canceled, and applies it if the call succeeded.
+func (r *Reader[T]) recordStep(ctx context.Context, err error, apply func()) {
+	r.trackOutage(func() error {
+		switch {
+		case err == nil:
+			apply()
+		case ctx.Err() == nil:
+			r.Follower.RecordFailure(errors.Is(err, lentilplatform.ErrGone))
+		}
+		return err
+	})
+}
+
+// applyChanges records the changes of a watch and passes those that are new to the sink. It reports whether there
+// are any. The caller holds r.mu.
+func (r *Reader[T]) applyChanges(changes []Change[T], revision uint64) (changed bool) {
 	newChanges := changes[:0]
 	for _, c := range changes {
 		if r.Follower.RecordChange(c.Name, c.Revision, c.Removed) {
@@ -145,7 +174,7 @@
 	if len(newChanges) > 0 {
 		r.Sink.Apply(newChanges)
 	}
-	return nil
+	return len(newChanges) > 0
 }
 
 // applyList records a list and passes it to the sink if it differs from the objects known before. It reports
--- a/pkg/lentilplacement/action.go
+++ b/pkg/lentilplacement/action.go
@@ -58,6 +58,10 @@
 	AllRefused
 	// AllDenied means that every agent that could hold the flow has denied it.
 	AllDenied
+	// ClientGone means that the client has stopped waiting for its flow to open.
+	ClientGone
+	// HolderDenied means that the agent that held the flow has denied it.
+	HolderDenied
 	// AskedAlready means that some agents haven't yet answered whether they hold the flow.
 	AskedAlready
 	// TooManyAsked means that there are too many agents, or too many queued flows, to ask all agents.
--- a/pkg/lentilplacement/agent.go
+++ b/pkg/lentilplacement/agent.go
@@ -22,6 +22,8 @@
 	flowsSent int
 	// suspected is set when the agent misses placeTimeout, until it is seen again.
 	suspected bool
+	// failingAt is when the agent last refused a flow because its upstream fails.
+	failingAt time.Time
 	// unresponsiveLogged is set once AgentSilent was reported, until the agent's next status.
 	unresponsiveLogged bool
 }
@@ -91,6 +93,11 @@
 	if previous.Service != m.Service || previous.Domain != m.Domain {
 		p.agentsByService = nil
 	}
+	if wrong := m.UnderstandsTerms && m.Out != p.out[m.Domain]; (wrong || previous.RunID != m.RunID) && a.lastSeen.Sub(a.helloAt) >= helloRetryInterval {
+		// The agent doesn't know the state of its failure domain, which a Hello carries, or knows a newer one.
+		a.helloAt = a.lastSeen
+		actions = append(actions, Action{Kind: SendHello, To: from})
+	}
 	changed := previous.RunID != m.RunID || previous.Phase != m.Phase || previous.Out != m.Out || previous.Stopping != m.Stopping || previous.Cold != m.Cold
 	switch {
 	case appeared:
@@ -164,6 +171,8 @@
 		a.status.Phase = lentilflow.Gone
 	case lentilflow.Stopping:
 		a.status.Stopping = true
+	case lentilflow.UpstreamFailing:
+		a.failingAt = now
 	case lentilflow.OtherService:
 		// Its current service is unknown until its next status.
 		a.status.Phase = lentilflow.Gone
@@ -248,10 +257,17 @@
 	coldCost = 2
 	// unreportedCost ranks agents whose upstream hasn't reported to them yet behind those with a ready upstream.
 	unreportedCost = 1e3
+	// failingCost ranks agents whose upstream fails behind all that work, for failingFor after such a refusal.
+	// Then they are offered flows again, since only requests show that the upstream works.
+	failingCost = 1e4
 	// unresponsiveCost ranks agents that don't answer last.
 	unresponsiveCost = 1e6
 )
 
+// failingFor is how long an agent counts as failing after it refused a flow for this reason. It is the time after
+// which the agent first tries its upstream again.
+const failingFor = 500 * time.Millisecond
+
 // cost returns the expected load of an agent in flows and requests per slot, plus the additions above.
 func (p *Placer) cost(now time.Time, a *agent) (cost float64) {
 	load := a.status.Load
@@ -265,6 +281,9 @@
 	if a.status.Phase == lentilflow.Unheard {
 		cost += unreportedCost
 	}
+	if now.Sub(a.failingAt) < failingFor {
+		cost += failingCost
+	}
 	if a.suspected || a.unresponsive(now) {
 		cost += unresponsiveCost
 	}
@@ -315,11 +334,8 @@
 }
 
 const (
-	// lookUpAllLimit is the number of agents up to which every agent is a preferred one of a flow, so that
-	// a packet of an unknown flow is sent to all of them.
-	lookUpAllLimit = 24
 	// allCandidatesLimit is the number of agents of a service up to which every one is a candidate for a flow.
-	allCandidatesLimit = 12
+	allCandidatesLimit = 8
 	// sameDomainCandidates and otherDomainCandidates are the numbers of candidates that accept flows, in the
 	// balancer's own failure domain and in all others. They apply above allCandidatesLimit. The best of
 	// several agents is hardly worse than the best of all.
@@ -365,11 +381,8 @@
 }
 
 // preferredAgents returns the agents that are most likely to hold a flow: its candidates by the current
-// configuration and by earlier ones, or all agents if there are few.
+// configuration and by earlier ones.
 func (p *Placer) preferredAgents(key lentilflow.Key) (addresses []lentilflow.Endpoint) {
-	if len(p.agents) <= lookUpAllLimit {
-		return p.sortedAddresses()
-	}
 	address := key.Service()
 	for _, b := range p.configuration.Backends(address) {
 		addresses = append(addresses, p.candidates(key, b.Service)...)
--- a/pkg/lentilplacement/enum_string.go
+++ b/pkg/lentilplacement/enum_string.go
@@ -44,16 +44,18 @@
 	_ = x[NoAgent-8]
 	_ = x[AllRefused-9]
 	_ = x[AllDenied-10]
-	_ = x[AskedAlready-11]
-	_ = x[TooManyAsked-12]
-	_ = x[AgentHeard-13]
-	_ = x[AgentSilent-14]
-	_ = x[AgentChanged-15]
+	_ = x[ClientGone-11]
+	_ = x[HolderDenied-12]
+	_ = x[AskedAlready-13]
+	_ = x[TooManyAsked-14]
+	_ = x[AgentHeard-15]
+	_ = x[AgentSilent-16]
+	_ = x[AgentChanged-17]
 }
 
-const _Cause_name = "NoCauseChosenChosenAgainSoughtSoughtWidelyFoundNoRouteNoConfigurationNoAgentAllRefusedAllDeniedAskedAlreadyTooManyAskedAgentHeardAgentSilentAgentChanged"
+const _Cause_name = "NoCauseChosenChosenAgainSoughtSoughtWidelyFoundNoRouteNoConfigurationNoAgentAllRefusedAllDeniedClientGoneHolderDeniedAskedAlreadyTooManyAskedAgentHeardAgentSilentAgentChanged"
 
-var _Cause_index = [...]uint8{0, 7, 13, 24, 30, 42, 47, 54, 69, 76, 86, 95, 107, 119, 129, 140, 152}
+var _Cause_index = [...]uint8{0, 7, 13, 24, 30, 42, 47, 54, 69, 76, 86, 95, 105, 117, 129, 141, 151, 162, 174}
 
 func (i Cause) String() string {
 	idx := int(i) - 0
--- a/pkg/lentilplacement/lookup.go
+++ b/pkg/lentilplacement/lookup.go
@@ -100,10 +100,15 @@
 
 // resetFlow resets the client of a flow that no agent holds, and forgets the flow.
 func (p *Placer) resetFlow(key lentilflow.Key, f *flow, actions []Action) []Action {
+	return p.resetEndedFlow(key, f, AllDenied, actions)
+}
+
+// resetEndedFlow resets the client of a flow that has ended, and forgets the flow.
+func (p *Placer) resetEndedFlow(key lentilflow.Key, f *flow, cause Cause, actions []Action) []Action {
 	p.releaseHeldPacket(f)
 	p.flows.Delete(key)
 	delete(p.lookups, key)
-	return append(actions, Action{Kind: ResetClient, Cause: AllDenied, Key: key, Sequence: f.acknowledged})
+	return append(actions, Action{Kind: ResetClient, Cause: cause, Key: key, Sequence: f.acknowledged})
 }
 
 // tickLookups resets flows that all other agents have denied once the remaining ones are gone. It ends
@@ -188,6 +193,11 @@
 		if f == nil || (f.state == stateKnown && f.agent != from) {
 			continue
 		}
+		if f.state == stateKnown && !m.Unsure {
+			// A flow never moves, so it has ended if the agent that held it no longer does.
+			actions = p.resetEndedFlow(key, f, HolderDenied, actions)
+			continue
+		}
 		f.possibleHolders = slices.DeleteFunc(f.possibleHolders, func(holder lentilflow.Endpoint) bool { return holder == from })
 		if f.state == stateKnown || (f.state != stateLookup && len(f.possibleHolders) == 0) {
 			f.state = stateLookup
--- a/pkg/lentilplacement/placement.go
+++ b/pkg/lentilplacement/placement.go
@@ -64,6 +64,13 @@
 	maxHeldPackets = 256
 	// maxTries bounds how many agents are asked to take one flow.
 	maxTries = 8
+	// maxBusyTries is how many agents without a free slot may refuse a flow before it is sent to the least
+	// loaded of its candidates to wait there. The refusals bring the balancer up to date about their load.
+	// Each of them costs a round trip, and a third one hardly finds a better agent.
+	maxBusyTries = 2
+	// maxFullRefusals is how many agents may refuse a flow that would wait too long there. These are the least
+	// loaded candidates, so the other agents are hardly better.
+	maxFullRefusals = 3
 	// helloRetryInterval is the interval between Hellos to an unresponsive agent.
 	helloRetryInterval = 500 * time.Millisecond
 	// helloRetryPeriod is how long after it was last seen or added an unresponsive agent gets Hellos at
@@ -122,6 +129,8 @@
 	agent lentilflow.Endpoint
 	// firstPacket is the packet that opens the flow, kept until the flow is known to be open.
 	firstPacket []byte
+	// since is when the client first asked for the flow.
+	since time.Time
 	// sentAt is when firstPacket was sent to agent.
 	sentAt time.Time
 	// triedAgents has the agents to which the first packet was sent.
@@ -129,6 +138,13 @@
 	// possibleHolders has the agents to which the first packet was sent and that haven't refused or denied the flow.
 	possibleHolders []lentilflow.Endpoint
 	lastRefusal     lentilflow.Refusal
+	// busyAgents has the agents that refused the flow because they had no free slot, and fullRefusals counts
+	// those at which it would have waited too long.
+	busyAgents   []lentilflow.Endpoint
+	fullRefusals int
+	// failingSeen is set once an agent has refused the flow because its upstream fails, and lastResort once
+	// all agents have refused it and such an agent may be asked again.
+	failingSeen, lastResort bool
 	// deniedBy has the agents that have said since denialsSince that they don't hold the flow.
 	deniedBy []lentilflow.Endpoint
 	// unsureAgents has the agents that have said since denialsSince that they need a packet of the flow to decide.
@@ -190,6 +206,16 @@
 // SetOut sets the failure domains that operators have taken out of service.
 func (p *Placer) SetOut(out map[string]bool) { p.out = out }
 
+// DomainOutOf reports whether operators have taken an agent's failure domain out of service. known is false if the
+// agent's failure domain isn't known, or if the agent reads that state itself.
+func (p *Placer) DomainOutOf(addr lentilflow.Endpoint) (out, known bool) {
+	a := p.agents[addr]
+	if a == nil || !a.status.UnderstandsTerms {
+		return false, false
+	}
+	return p.out[a.status.Domain], true
+}
+
 // SetAgentsComplete records that every agent that existed a moment ago has been added with AddPeer.
 // Until then, no flow is reset on the ground that all known agents denied it or that there is no agent to try.
 func (p *Placer) SetAgentsComplete() { p.agentsComplete = true }
@@ -226,14 +252,14 @@
 	f := p.flows.Get(now, packet.Key)
 	switch {
 	case f == nil || f.state == stateLookup:
-		f = &flow{state: statePlacing, firstPacket: slices.Clone(data)}
+		f = &flow{state: statePlacing, firstPacket: slices.Clone(data), since: now.Add(-packet.OpeningAge)}
 		p.flows.Put(now, packet.Key, f)
 		return p.place(now, packet.Key, f, Chosen, actions)
 	case f.state == statePlacing && now.Sub(f.sentAt) >= placeTimeout:
 		return p.place(now, packet.Key, f, ChosenAgain, actions)
 	default:
 		// Retransmissions go to the same agent, since the client may already have its upstream's reply.
-		return append(actions, p.placeAction(f.agent, packet.Key, data, Chosen))
+		return append(actions, p.placeAction(now, f.agent, packet.Key, f, data, Chosen, true))
 	}
 }
 
@@ -242,12 +268,24 @@
 	if p.configuration.Version() == 0 {
 		return p.abandonPlacement(now, key, f, NoConfiguration, actions)
 	}
+	if now.Sub(f.since) > lentilflow.OpeningPatience {
+		return p.abandonPlacement(now, key, f, ClientGone, actions)
+	}
 	backends := p.configuration.Backends(key.Service())
 	if len(backends) == 0 {
 		return p.abandonPlacement(now, key, f, NoRoute, actions)
 	}
-	addr, a := p.chooseAgent(now, key, backends, f.triedAgents)
-	if a == nil || len(f.triedAgents) >= maxTries {
+	mayWait := len(f.busyAgents) >= maxBusyTries || f.fullRefusals > 0
+	excluded := f.triedAgents
+	if !mayWait {
+		excluded = slices.Concat(f.triedAgents, f.busyAgents)
+	}
+	addr, a := p.chooseAgent(now, key, backends, excluded)
+	if a == nil && !mayWait && len(f.busyAgents) > 0 {
+		mayWait = true
+		addr, a = p.chooseAgent(now, key, backends, f.triedAgents)
+	}
+	if a == nil || len(f.triedAgents) >= maxTries || f.fullRefusals >= maxFullRefusals {
 		return p.abandonPlacement(now, key, f, NoAgent, actions)
 	}
 	f.state, f.agent, f.sentAt = statePlacing, addr, now
@@ -257,7 +295,7 @@
 	}
 	p.pendingPlacements[key] = f
 	a.flowsSent++
-	action := p.placeAction(addr, key, f.firstPacket, cause)
+	action := p.placeAction(now, addr, key, f, f.firstPacket, cause, mayWait)
 	action.Load, action.AgeMillis, action.Refusal = a.status.Load, now.Sub(a.lastSeen).Milliseconds(), f.lastRefusal
 	return append(actions, action)
 }
@@ -269,26 +307,36 @@
 	delete(p.pendingPlacements, key)
 	if cause == NoAgent && len(f.triedAgents) > 0 {
 		cause = AllRefused
-		if f.lastRefusal == lentilflow.NotRefused {
-			// No agent has answered. Retransmissions of the first packet go to the last agent again.
-			f.state, f.sentAt, f.triedAgents = statePlacing, now, nil
+		if f.lastRefusal == lentilflow.NotRefused || len(f.possibleHolders) > 0 {
+			// An agent that hasn't answered may have taken the flow. A retransmission of the first packet is
+			// placed again.
+			f.state, f.sentAt, f.triedAgents, f.busyAgents, f.fullRefusals = statePlacing, now, nil, nil, 0
 			return append(actions, Action{Kind: Drop, Cause: NoAgent, Key: key})
 		}
+		if f.failingSeen && !f.lastResort {
+			// An upstream that fails some requests serves clients better than none.
+			f.lastResort, f.triedAgents, f.busyAgents, f.fullRefusals = true, nil, nil, 0
+			return p.place(now, key, f, ChosenAgain, actions)
+		}
 	}
 	p.flows.Delete(key)
 	kind := ResetClient
-	if cause == NoConfiguration || cause == NoAgent && !p.agentsComplete {
+	if cause == NoConfiguration || cause == ClientGone || cause == NoAgent && !p.agentsComplete {
 		kind = Drop
 	}
 	return append(actions, Action{Kind: kind, Cause: cause, Key: key, Refusal: f.lastRefusal})
 }
 
-// placeAction returns the action that offers a new flow to an agent.
-func (p *Placer) placeAction(to lentilflow.Endpoint, key lentilflow.Key, data []byte, cause Cause) Action {
+// placeAction returns the action that offers a new flow to an agent. mayWait allows the agent to hold the flow
+// until its upstream has room.
+func (p *Placer) placeAction(now time.Time, to lentilflow.Endpoint, key lentilflow.Key, f *flow, data []byte, cause Cause, mayWait bool) Action {
 	c := lentilflow.Carry{Purpose: lentilflow.Place, Version: p.configuration.Version(), Packet: data}
 	if a := p.agents[to]; a != nil {
 		c.Service = a.status.Service
 		c.ColdRate = float32(p.configuration.ColdRate(c.Service))
+		if a.status.UnderstandsTerms {
+			c.Terms, c.Age, c.MayWait, c.LastResort = p.configuration.Terms(key.Service()), now.Sub(f.since), mayWait, f.lastResort
+		}
 	}
 	return Action{Kind: SendCarry, Cause: cause, To: to, Key: key, Carry: c}
 }
@@ -335,6 +383,15 @@
 		return actions, nil
 	}
 	f.lastRefusal = m.Reason
+	switch m.Reason {
+	case lentilflow.UpstreamBusy:
+		f.triedAgents = slices.DeleteFunc(f.triedAgents, func(tried lentilflow.Endpoint) bool { return tried == from })
+		f.busyAgents = append(f.busyAgents, from)
+	case lentilflow.UpstreamFull:
+		f.fullRefusals++
+	case lentilflow.UpstreamFailing:
+		f.failingSeen = true
+	}
 	f.possibleHolders = slices.DeleteFunc(f.possibleHolders, func(holder lentilflow.Endpoint) bool { return holder == from })
 	return p.place(now, packet.Key, f, ChosenAgain, actions), nil
 }
