--- a/internal/lentilframe/frame.go
+++ b/internal/lentilframe/frame.go
@@ -151,7 +151,7 @@
 	m.Reason = lentilflow.Refusal(r.head().byte())
 	m.Load = r.load()
 	m.Packet = r.rest()
-	if m.Reason == lentilflow.NotRefused || m.Reason > lentilflow.UpstreamFailing {
+	if m.Reason == lentilflow.NotRefused || m.Reason > lentilflow.UpstreamOverloaded {
 		r.fail("reason")
 	}
 	return m, r.err
--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -242,6 +242,8 @@
 		return lentilflow.UpstreamCold, false
 	case verdict == lentilflowqueue.Busy:
 		return lentilflow.UpstreamBusy, false
+	case verdict == lentilflowqueue.Overloaded:
+		return lentilflow.UpstreamOverloaded, false
 	}
 	return lentilflow.UpstreamFull, false
 }
--- a/pkg/lentilflow/enum_string.go
+++ b/pkg/lentilflow/enum_string.go
@@ -38,11 +38,12 @@
 	_ = x[Stopping-7]
 	_ = x[UpstreamBusy-8]
 	_ = x[UpstreamFailing-9]
+	_ = x[UpstreamOverloaded-10]
 }
 
-const _Refusal_name = "NotRefusedOtherServiceDomainOutNoUpstreamUpstreamDrainingUpstreamColdUpstreamFullStoppingUpstreamBusyUpstreamFailing"
+const _Refusal_name = "NotRefusedOtherServiceDomainOutNoUpstreamUpstreamDrainingUpstreamColdUpstreamFullStoppingUpstreamBusyUpstreamFailingUpstreamOverloaded"
 
-var _Refusal_index = [...]uint8{0, 10, 22, 31, 41, 57, 69, 81, 89, 101, 116}
+var _Refusal_index = [...]uint8{0, 10, 22, 31, 41, 57, 69, 81, 89, 101, 116, 134}
 
 func (i Refusal) String() string {
 	idx := int(i) - 0
--- a/pkg/lentilflow/flow.go
+++ b/pkg/lentilflow/flow.go
@@ -114,6 +114,9 @@
 // OpeningTimeout is how long clients wait for a flow to open, from their first request for it.
 const OpeningTimeout = 1400 * time.Millisecond
 
+// LastOpeningAge is how long after the first request for a flow a client sends the last copy of it.
+const LastOpeningAge = 600 * time.Millisecond
+
 // OpeningPatience is how old a client's request for a new flow may be so that the flow can still open.
 const OpeningPatience = OpeningTimeout - 150*time.Millisecond
 
--- a/pkg/lentilflow/message.go
+++ b/pkg/lentilflow/message.go
@@ -34,7 +34,8 @@
 	UpstreamDraining
 	// UpstreamCold means that the upstream has just started and has reached its limit of new flows for now.
 	UpstreamCold
-	// UpstreamFull means that the upstream returned the packet, or that the agent tracks as many flows as it can.
+	// UpstreamFull means that the upstream returned the packet, that the agent tracks as many flows as it can, or
+	// that the client would give up before the upstream has room.
 	UpstreamFull
 	// Stopping means that the agent is shutting down.
 	Stopping
@@ -43,6 +44,9 @@
 	UpstreamBusy
 	// UpstreamFailing means that the upstream has ended many of its last requests without an answer.
 	UpstreamFailing
+	// UpstreamOverloaded means that the upstream has been overloaded for so long that flows which would miss
+	// their latency objective are refused.
+	UpstreamOverloaded
 )
 
 // Phase is the lifecycle phase of an agent's upstream.
--- a/pkg/lentilflowqueue/enum_string.go
+++ b/pkg/lentilflowqueue/enum_string.go
@@ -12,11 +12,12 @@
 	_ = x[Wait-1]
 	_ = x[Busy-2]
 	_ = x[Full-3]
+	_ = x[Overloaded-4]
 }
 
-const _Verdict_name = "AdmitWaitBusyFull"
+const _Verdict_name = "AdmitWaitBusyFullOverloaded"
 
-var _Verdict_index = [...]uint8{0, 5, 9, 13, 17}
+var _Verdict_index = [...]uint8{0, 5, 9, 13, 17, 27}
 
 func (i Verdict) String() string {
 	idx := int(i) - 0
--- a/pkg/lentilflowqueue/queue.go
+++ b/pkg/lentilflowqueue/queue.go
@@ -68,6 +68,8 @@
 	Busy
 	// Full refuses the flow, since its client would give up before its turn.
 	Full
+	// Overloaded refuses the flow in a sustained overload, since it would miss its latency objective.
+	Overloaded
 )
 
 // Offer is a new flow.
@@ -106,7 +108,7 @@
 	sinceOverdue int
 	serviceTime  time.Duration
 	// emptyAt is when no flow was waiting last. sustained is set in a sustained overload, and refusedAt is when
-	// a flow was last refused as Full.
+	// a flow was last refused because of it.
 	emptyAt   time.Time
 	sustained bool
 	refusedAt time.Time
@@ -148,12 +150,11 @@
 		return Admit
 	}
 	prompt := time.Duration(float64(cmp.Or(o.Terms.Target, defaultTarget)) * promptShare)
-	limit := patience
-	if q.updateSustained(now) {
-		limit = prompt
-	}
-	if len(q.waiting) >= maxWaiting || o.Age+q.expectedWait(load) > limit {
+	switch wait := o.Age + q.expectedWait(load); {
+	case q.updateSustained(now) && wait > prompt:
 		q.refusedAt = now
+		return Overloaded
+	case len(q.waiting) >= maxWaiting || wait > patience:
 		return Full
 	}
 	q.waiting = append(q.waiting, entry{key: o.Key, since: now.Add(-o.Age), prompt: prompt, priority: o.Terms.Priority})
--- a/pkg/lentilplacement/lookup.go
+++ b/pkg/lentilplacement/lookup.go
@@ -114,7 +114,7 @@
 // tickLookups resets flows that all other agents have denied once the remaining ones are gone. It ends
 // lookups that take longer than denialTTL, and releases their held packets.
 func (p *Placer) tickLookups(now time.Time, actions []Action) []Action {
-	if len(p.lookups) == 0 || len(p.agents) > askAllLimit {
+	if len(p.lookups) == 0 {
 		return actions
 	}
 	gone := 0
@@ -133,6 +133,9 @@
 			delete(p.lookups, key)
 		case moreGone && p.deniedByAll(now, f):
 			actions = p.resetFlow(key, f, actions)
+		case now.Sub(f.askedAllAt) >= askRetryInterval && now.Sub(f.lookupStartedAt) >= placeTimeout && now.Sub(f.lookupStartedAt) < askAgainFor:
+			// The client may send its next packet only after its deadline.
+			actions = p.queueAsk(now, key, f, actions)
 		}
 	}
 	return actions
--- a/pkg/lentilplacement/placement.go
+++ b/pkg/lentilplacement/placement.go
@@ -46,6 +46,8 @@
 	// askRetryInterval is the time after which agents that haven't answered are asked again, since they may
 	// be new, or a datagram may have been lost. It is the status interval, by which new agents are detected.
 	askRetryInterval = 500 * time.Millisecond
+	// askAgainFor is how long after a lookup has begun agents are asked again without another packet of the client.
+	askAgainFor = 2 * time.Second
 	// askAllLimit is the number of agents up to which all are asked for a flow that isn't found at its
 	// preferred agents. With more agents such a flow gets no answer.
 	askAllLimit = 256
@@ -142,6 +144,8 @@
 	// those at which it would have waited too long.
 	busyAgents   []lentilflow.Endpoint
 	fullRefusals int
+	// overloaded is set once one of these agents has been overloaded for long.
+	overloaded bool
 	// failingSeen is set once an agent has refused the flow because its upstream fails, and lastResort once
 	// all agents have refused it and such an agent may be asked again.
 	failingSeen, lastResort bool
@@ -310,9 +314,15 @@
 		if f.lastRefusal == lentilflow.NotRefused || len(f.possibleHolders) > 0 {
 			// An agent that hasn't answered may have taken the flow. A retransmission of the first packet is
 			// placed again.
-			f.state, f.sentAt, f.triedAgents, f.busyAgents, f.fullRefusals = statePlacing, now, nil, nil, 0
+			f.awaitCopy(now)
 			return append(actions, Action{Kind: Drop, Cause: NoAgent, Key: key})
 		}
+		if f.fullRefusals > 0 && !f.overloaded && now.Sub(f.since) < lentilflow.LastOpeningAge {
+			// Upstreams that are full for a moment, as after an outage, may have room when the client's next copy
+			// of the packet arrives. A reset would use up one of its few attempts within milliseconds.
+			f.awaitCopy(now)
+			return append(actions, Action{Kind: Drop, Cause: AllRefused, Key: key, Refusal: f.lastRefusal})
+		}
 		if f.failingSeen && !f.lastResort {
 			// An upstream that fails some requests serves clients better than none.
 			f.lastResort, f.triedAgents, f.busyAgents, f.fullRefusals = true, nil, nil, 0
@@ -327,6 +337,11 @@
 	return append(actions, Action{Kind: kind, Cause: cause, Key: key, Refusal: f.lastRefusal})
 }
 
+// awaitCopy prepares the flow for being placed again when the client's next copy of the first packet arrives.
+func (f *flow) awaitCopy(now time.Time) {
+	f.state, f.sentAt, f.triedAgents, f.busyAgents, f.fullRefusals = statePlacing, now, nil, nil, 0
+}
+
 // placeAction returns the action that offers a new flow to an agent. mayWait allows the agent to hold the flow
 // until its upstream has room.
 func (p *Placer) placeAction(now time.Time, to lentilflow.Endpoint, key lentilflow.Key, f *flow, data []byte, cause Cause, mayWait bool) Action {
@@ -387,8 +402,9 @@
 	case lentilflow.UpstreamBusy:
 		f.triedAgents = slices.DeleteFunc(f.triedAgents, func(tried lentilflow.Endpoint) bool { return tried == from })
 		f.busyAgents = append(f.busyAgents, from)
-	case lentilflow.UpstreamFull:
+	case lentilflow.UpstreamFull, lentilflow.UpstreamOverloaded:
 		f.fullRefusals++
+		f.overloaded = f.overloaded || m.Reason == lentilflow.UpstreamOverloaded
 	case lentilflow.UpstreamFailing:
 		f.failingSeen = true
 	}
