Flows of agents that are gone are reset by the balancer that knows them

cause: a balancer went on forwarding packets of a known flow to an agent that it took for gone; the client waited until its deadline. ruled out: a shorter time until an agent counts as gone (restarts take that long). change: handleLaterPacket resets such a flow, by the same rule by which lookups take an agent for gone; tests for partitions and requested stops.

--- a/pkg/lentilplacement/action.go
+++ b/pkg/lentilplacement/action.go
@@ -58,6 +58,8 @@
 	AllRefused
 	// AllDenied means that every agent that could hold the flow has denied it.
 	AllDenied
+	// HolderGone means that the agent that held the flow has ended together with its upstream.
+	HolderGone
 	// ClientGone means that the client has stopped waiting for its flow to open.
 	ClientGone
 	// HolderDenied means that the agent that held the flow has denied it.
--- a/pkg/lentilplacement/enum_string.go
+++ b/pkg/lentilplacement/enum_string.go
@@ -44,18 +44,19 @@
 	_ = x[NoAgent-8]
 	_ = x[AllRefused-9]
 	_ = x[AllDenied-10]
-	_ = x[ClientGone-11]
-	_ = x[HolderDenied-12]
-	_ = x[AskedAlready-13]
-	_ = x[TooManyAsked-14]
-	_ = x[AgentHeard-15]
-	_ = x[AgentSilent-16]
-	_ = x[AgentChanged-17]
+	_ = x[HolderGone-11]
+	_ = x[ClientGone-12]
+	_ = x[HolderDenied-13]
+	_ = x[AskedAlready-14]
+	_ = x[TooManyAsked-15]
+	_ = x[AgentHeard-16]
+	_ = x[AgentSilent-17]
+	_ = x[AgentChanged-18]
 }
 
-const _Cause_name = "NoCauseChosenChosenAgainSoughtSoughtWidelyFoundNoRouteNoConfigurationNoAgentAllRefusedAllDeniedClientGoneHolderDeniedAskedAlreadyTooManyAskedAgentHeardAgentSilentAgentChanged"
+const _Cause_name = "NoCauseChosenChosenAgainSoughtSoughtWidelyFoundNoRouteNoConfigurationNoAgentAllRefusedAllDeniedHolderGoneClientGoneHolderDeniedAskedAlreadyTooManyAskedAgentHeardAgentSilentAgentChanged"
 
-var _Cause_index = [...]uint8{0, 7, 13, 24, 30, 42, 47, 54, 69, 76, 86, 95, 105, 117, 129, 141, 151, 162, 174}
+var _Cause_index = [...]uint8{0, 7, 13, 24, 30, 42, 47, 54, 69, 76, 86, 95, 105, 115, 127, 139, 151, 161, 172, 184}
 
 func (i Cause) String() string {
 	idx := int(i) - 0
--- a/pkg/lentilplacement/lookup.go
+++ b/pkg/lentilplacement/lookup.go
@@ -16,6 +16,8 @@
 	}
 	f.acknowledged = packet.Acknowledged
 	switch {
+	case f.state == stateKnown && p.endedWithAgent(now, f.agent):
+		return p.resetEndedFlow(packet.Key, f, HolderGone, actions)
 	case f.state == stateKnown, f.state == statePlaced && len(f.possibleHolders) == 1:
 		return append(actions, p.forwardAction(f.agent, packet.Key, lentilflow.Owned, data))
 	case f.state == stateLookup:
@@ -29,6 +31,12 @@
 	return actions
 }
 
+// endedWithAgent reports whether the flows of an agent have ended with it and its upstream.
+func (p *Placer) endedWithAgent(now time.Time, addr lentilflow.Endpoint) bool {
+	a := p.agents[addr]
+	return a == nil || a.holdsNoFlows() || a.unresponsive(now) && p.isGone(now, a)
+}
+
 // forwardAction returns the action that sends a packet of an open flow to an agent.
 func (p *Placer) forwardAction(to lentilflow.Endpoint, key lentilflow.Key, purpose lentilflow.Purpose, data []byte) Action {
 	cause := Found
--- a/pkg/lentilplacement/placement_test.go
+++ b/pkg/lentilplacement/placement_test.go
@@ -264,6 +264,27 @@
 			{func(h *harness) string { return h.answerDenied(2) }, ""},
 			{func(h *harness) string { return h.answerDenied(1) }, "reset HolderDenied 77"},
 		}},
+		{"a flow is reset once the agent that held it is gone", []step{
+			{packet(firstPacket(7)), "place to 1"},
+			{func(h *harness) string { return h.answerTaken(1, true) }, ""},
+			{func(h *harness) string { return h.advance(2*time.Second, 2, 3, 4) }, "AgentSilent 1"},
+			{packet(laterPacket(7)), "owned to 1"},
+			{func(h *harness) string { return h.advance(2*time.Second, 2, 3, 4) }, ""},
+			{packet(laterPacket(7)), "reset HolderGone 77"},
+		}},
+		{"a flow isn't reset while the agent that held it may only be partitioned", []step{
+			{packet(firstPacket(7)), "place to 1"},
+			{func(h *harness) string { return h.answerTaken(1, true) }, ""},
+			{func(h *harness) string { return h.advance(4*time.Second, nil...) }, "AgentSilent 1, AgentSilent 2, AgentSilent 3, AgentSilent 4"},
+			{packet(laterPacket(7)), "owned to 1"},
+		}},
+		{"a flow isn't reset while the agent that held it has been asked to stop", []step{
+			{packet(firstPacket(7)), "place to 1"},
+			{func(h *harness) string { return h.answerTaken(1, true) }, ""},
+			{func(h *harness) string { return h.sendStatus(1, func(m *lentilflow.Status) { m.Stopping = true }) }, "AgentChanged 1"},
+			{func(h *harness) string { return h.advance(4*time.Second, 2, 3, 4) }, "AgentSilent 1"},
+			{packet(laterPacket(7)), "owned to 1"},
+		}},
 		{"a flow isn't placed any more after its client has given up", []step{
 			{packet(firstPacket(7)), "place to 1"},
 			{func(h *harness) string {
