--- a/internal/lentilagent/agent.go
+++ b/internal/lentilagent/agent.go
@@ -68,6 +68,9 @@
 	WarmupTime time.Duration
 	// Clock is the source of time; nil is the machine's clock.
 	Clock lentilclock.Clock
+	// WithTimeout limits requests whose callers set a timeout; nil is context.WithTimeout. It has to measure the
+	// time as Clock does.
+	WithTimeout func(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc)
 	// Random returns uniformly distributed numbers in [0, 1); nil is math/rand/v2.Float64.
 	Random func() float64
 	// Announce publishes the agent's record; nil publishes nothing.
@@ -148,6 +151,9 @@
 		o.DrainLimit = DefaultDrainLimit
 	}
 	o.Clock = lentilclock.OrSystem(o.Clock)
+	if o.WithTimeout == nil {
+		o.WithTimeout = context.WithTimeout
+	}
 	if o.Random == nil {
 		o.Random = rand.Float64
 	}
--- a/internal/lentilagent/handler.go
+++ b/internal/lentilagent/handler.go
@@ -215,7 +215,7 @@
 		return context.WithCancel(in.request.Context())
 	}
 	left := in.deadline.Sub(a.options.Clock.Now())
-	return context.WithTimeout(in.request.Context(), left)
+	return a.options.WithTimeout(in.request.Context(), left)
 }
 
 // writeStoredAnswer answers with a complete stored answer of the copy.
--- a/internal/lentilagent/upstream.go
+++ b/internal/lentilagent/upstream.go
@@ -95,7 +95,7 @@
 		if x.kind == lentilconfig.KindOnce {
 			left += onceGrace
 		}
-		ctx, cancel = context.WithTimeout(parent, left)
+		ctx, cancel = a.options.WithTimeout(parent, left)
 	} else {
 		ctx, cancel = context.WithCancel(parent)
 	}
--- a/internal/lentilstand/caller/caller.go
+++ b/internal/lentilstand/caller/caller.go
@@ -26,6 +26,7 @@
 	"github.com/quic-go/quic-go/http3"
 
 	"lentilstair.example/lentilstair/internal/lentilstand/upstream"
+	"lentilstair.example/lentilstair/pkg/lentilclock"
 )
 
 // Options configure a group of callers.
@@ -55,7 +56,11 @@
 	// StreamDuration is the time after which a caller ends a stream itself and opens
 	// the next one; zero means never.
 	StreamDuration time.Duration
-	Seed           uint64
+	// Clock is the source of time for the results; nil is the system clock. WithTimeout limits attempts by the
+	// same time; nil is context.WithTimeout.
+	Clock       lentilclock.Clock
+	WithTimeout func(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc)
+	Seed        uint64
 	// IDPrefix is the prefix of all request and stream ids of this group.
 	IDPrefix string
 	TLS      *tls.Config
@@ -100,6 +105,10 @@
 
 // Run sends requests and keeps streams open until ctx ends. It returns the report.
 func Run(ctx context.Context, options Options) (report ReportDoc) {
+	options.Clock = lentilclock.OrSystem(options.Clock)
+	if options.WithTimeout == nil {
+		options.WithTimeout = context.WithTimeout
+	}
 	g := &Group{options: options}
 	for range max(options.Connections, 1) {
 		g.clients = append(g.clients, &client{})
@@ -212,7 +221,7 @@
 		query.Set("bytes", strconv.Itoa(g.options.AnswerBytes))
 	}
 	target := g.options.Target + path + "?" + query.Encode()
-	start := time.Now()
+	start := g.options.Clock.Now()
 	var res attemptResult
 	for attempt := 0; attempt <= g.options.Retries; attempt++ {
 		res = g.attempt(cl, method, target, id)
@@ -229,7 +238,7 @@
 			target = res.ticketURL
 		}
 	}
-	took := time.Since(start)
+	took := g.options.Clock.Now().Sub(start)
 	if res.result == resultAnswered && took > g.options.Timeout {
 		g.recorder.recordLate(once)
 	}
@@ -259,7 +268,7 @@
 
 // attempt sends a request once and classifies the answer.
 func (g *Group) attempt(cl *client, method, target, id string) (res attemptResult) {
-	ctx, cancel := context.WithTimeout(context.Background(), g.options.Timeout+lateAnswerTimeout)
+	ctx, cancel := g.options.WithTimeout(context.Background(), g.options.Timeout+lateAnswerTimeout)
 	defer cancel()
 	var body io.Reader
 	if method == http.MethodPost {
