--- a/pkg/lentilplacement/placement.go
+++ b/pkg/lentilplacement/placement.go
@@ -52,7 +52,7 @@
 	// preferred agents. With more agents such a flow gets no answer.
 	askAllLimit = 256
 	// asksPerSecond bounds the rate of Ask datagrams. Each takes some 10 us of CPU time. A process may have only
-	// a twentieth of a core, and all Asks together take a sixth of that.
+	// a twentieth of a core, and all Asks together take a fifth of that.
 	asksPerSecond = 1000
 	asksBurst     = 4000
 	// askBatchDelay is how long keys are collected for the next Ask after one was sent: a quarter of the
