--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -50,6 +50,9 @@
 	coldWindow = 1100 * time.Millisecond
 	// defaultSlots is assumed for an upstream that hasn't reported its slots.
 	defaultSlots = 2
+	// requestTimeout is how long a request without an answer counts as load. It is the longest deadline of the users'
+	// requests; a client that has given up may not have closed its flow.
+	requestTimeout = 10 * time.Second
 	// sweepInterval is the time between two removals of expired flows.
 	sweepInterval = time.Second
 )
@@ -288,7 +291,7 @@
 		if !ok {
 			break
 		}
-		if f := t.flows[key]; f != nil && f.waiting {
+		if f := t.flows[key]; f != nil && f.state == halfOpen && f.waiting {
 			actions = t.openAtUpstream(now, key, f, actions)
 		}
 	}
--- a/pkg/lentilconntrack/tracker_test.go
+++ b/pkg/lentilconntrack/tracker_test.go
@@ -378,6 +378,35 @@
 			{func(h *harness) string { return h.offer(5, true) }, "SendTaken open=false"},
 			{upstream(dataPacket(flowKey(1), 110)), "ToClient, ToUpstream"},
 		}},
+		{"a flow whose client has left while it waited isn't opened", true, []step{
+			{register("u"), "ReportStateChange UpstreamRegistered"},
+			{func(h *harness) string {
+				for n := range 4 {
+					h.openFlow(flowKey(10 + n))
+				}
+				return h.offer(5, true)
+			}, "SendTaken open=false"},
+			{carry(lentilflow.Owned, lentilflow.Packet{Key: flowKey(5), Flags: lentilflow.Reset}), "ToUpstream"},
+			{upstream(dataPacket(flowKey(10), 110)), "ToClient"},
+		}},
+		{"requests that are never answered don't count as load for ever", true, []step{
+			{register("u"), "ReportStateChange UpstreamRegistered"},
+			{func(h *harness) string {
+				h.openFlow(flowKey(1))
+				h.openFlow(flowKey(2))
+				return fmt.Sprint(h.Load().InFlight)
+			}, "2"},
+			{func(h *harness) string {
+				h.clock.Advance(9 * time.Second)
+				h.Tick(nil)
+				return fmt.Sprint(h.Load().InFlight)
+			}, "2"},
+			{func(h *harness) string {
+				h.clock.Advance(2 * time.Second)
+				h.Tick(nil)
+				return fmt.Sprint(h.Load().InFlight)
+			}, "0"},
+		}},
 		{"a waiting flow goes elsewhere if the upstream drains", true, []step{
 			{register("u"), "ReportStateChange UpstreamRegistered"},
 			{func(h *harness) string {
--- a/pkg/lentilconntrack/upstream.go
+++ b/pkg/lentilconntrack/upstream.go
@@ -266,7 +266,8 @@
 	return t.sendDueStatuses(now, t.admitWaiting(now, actions))
 }
 
-// sweep removes flows that weren't used for longer than the timeout of their state.
+// sweep removes flows that weren't used for longer than the timeout of their state, and stops counting requests
+// without an answer.
 func (t *Tracker) sweep(now time.Time) {
 	idleTimeout := t.IdleTimeout
 	if idleTimeout == 0 {
@@ -274,6 +275,9 @@
 	}
 	timeouts := [...]time.Duration{unverified: halfOpenTimeout, halfOpen: halfOpenTimeout, open: idleTimeout, closed: closedTimeout, lost: closedTimeout}
 	for key, f := range t.flows {
+		if f.requestInFlight && now.Sub(f.requestAt) > requestTimeout {
+			t.setRequestInFlight(f, false)
+		}
 		if now.Sub(f.lastUsed) > timeouts[f.state] {
 			t.removeFlow(key)
 		}
--- a/pkg/lentilfollow/run.go
+++ b/pkg/lentilfollow/run.go
@@ -34,8 +34,8 @@
 	// Replace receives all objects, Apply the changes since the last call of either.
 	Replace func(all []Change[T])
 	Apply   func(changes []Change[T])
-	// Failed is called when the store begins to fail. Its error is nil if the store has answered, but with a list
-	// older than the known revision. Recovered is called when the store works again, with the duration of the
+	// Failed is called when the store begins to fail, or answers with a list older than the known revision.
+	// Recovered is called when the store works again, with the duration of the
 	// outage.
 	Failed    func(err error)
 	Recovered func(outage time.Duration)
@@ -87,8 +87,12 @@
 		case ctx.Err() != nil:
 		case err != nil && r.DeferWatch != nil:
 			r.Follower.RecordFailure(false)
-		case err == nil && r.applyList(all, revision) && r.cancelStep != nil:
-			r.cancelStep()
+		case err == nil:
+			changed, listErr := r.applyList(all, revision)
+			if changed && r.cancelStep != nil {
+				r.cancelStep()
+			}
+			return listErr
 		}
 		return err
 	})
@@ -131,7 +135,7 @@
 func (r *Reader[T]) perform(ctx context.Context, step Step) {
 	if step.Kind == List {
 		all, revision, err := r.Source.List(ctx)
-		r.recordStep(ctx, err, func() { r.applyList(all, revision) })
+		r.recordStep(ctx, err, func() error { _, err := r.applyList(all, revision); return err })
 		return
 	}
 	if r.DeferWatch != nil {
@@ -142,18 +146,18 @@
 	}
 	changes, revision, err := r.Source.Watch(ctx, step.FromRevision)
 	changed := false
-	r.recordStep(ctx, err, func() { changed = r.applyChanges(changes, revision) })
+	r.recordStep(ctx, err, func() error { changed = r.applyChanges(changes, revision); return nil })
 	if changed && r.Watched != nil {
 		r.Watched()
 	}
 }
 
 // recordStep records the result of a step's call, unless it was canceled, and applies it if the call succeeded.
-func (r *Reader[T]) recordStep(ctx context.Context, err error, apply func()) {
+func (r *Reader[T]) recordStep(ctx context.Context, err error, apply func() error) {
 	r.trackOutage(func() error {
 		switch {
 		case err == nil:
-			apply()
+			return apply()
 		case ctx.Err() == nil:
 			r.Follower.RecordFailure(errors.Is(err, lentilplatform.ErrGone))
 		}
@@ -177,18 +181,24 @@
 	return len(newChanges) > 0
 }
 
+// errOlderList is the reason for a failure if the store has answered, but with an older state than before.
+var errOlderList = errors.New("the store has answered with a list older than the known revision")
+
 // applyList records a list and passes it to the sink if it differs from the objects known before. It reports
 // whether it does. The caller holds r.mu.
-func (r *Reader[T]) applyList(all []Change[T], revision uint64) (changed bool) {
+func (r *Reader[T]) applyList(all []Change[T], revision uint64) (changed bool, err error) {
 	revisions := make(map[string]uint64, len(all))
 	for _, c := range all {
 		revisions[c.Name] = c.Revision
 	}
 	usable, changed := r.Follower.RecordList(revision, revisions)
-	if usable && changed {
+	if !usable {
+		return false, errOlderList
+	}
+	if changed {
 		r.Sink.Replace(all)
 	}
-	return changed
+	return changed, nil
 }
 
 // pause waits for d. It reports false if ctx is done before.
--- a/pkg/lentilfollow/run_test.go
+++ b/pkg/lentilfollow/run_test.go
@@ -93,7 +93,8 @@
 	})
 }
 
-// TestPollReportsOutage checks that a reader that only polls reports the begin and the end of an outage, once each.
+// TestPollReportsOutage checks that a reader that only polls reports the begin and the end of an outage, once each,
+// and that an older list than before counts as one.
 func TestPollReportsOutage(t *testing.T) {
 	source := &countingSource{}
 	source.revision.Store(1)
@@ -109,14 +110,15 @@
 		},
 		DeferWatch: func() time.Duration { return time.Hour },
 	}
-	for _, down := range []bool{false, true, true, false, false} {
+	for step, down := range []bool{false, true, true, false, false, false, false} {
 		source.down.Store(down)
+		source.revision.Store([]uint64{3, 3, 3, 3, 3, 2, 3}[step])
 		if answered := r.Poll(t.Context()); answered == down {
 			t.Errorf("answered %t while the store is down: %t", answered, down)
 		}
 		clock.Advance(time.Second)
 	}
-	if got, want := strings.Join(events, "; "), "the store is down; 2s"; got != want {
+	if got, want := strings.Join(events, "; "), "the store is down; 2s; "+errOlderList.Error()+"; 1s"; got != want {
 		t.Errorf("got %q, want %q", got, want)
 	}
 }
--- a/pkg/lentilplacement/lookup.go
+++ b/pkg/lentilplacement/lookup.go
@@ -249,7 +249,13 @@
 	if !slices.Contains(f.deniedBy, from) {
 		f.deniedBy = append(f.deniedBy, from)
 	}
-	f.unsureAgents = slices.DeleteFunc(f.unsureAgents, func(unsure lentilflow.Endpoint) bool { return unsure == from })
+	if i := slices.Index(f.unsureAgents, from); i >= 0 {
+		f.unsureAgents = slices.Delete(f.unsureAgents, i, i+1)
+		if i < maxUnsureAgents && len(f.unsureAgents) >= maxUnsureAgents && f.heldPacket != nil && f.state == stateLookup {
+			// The next one gets the packet now.
+			actions = append(actions, p.forwardAction(f.unsureAgents[maxUnsureAgents-1], key, lentilflow.Lookup, f.heldPacket))
+		}
+	}
 	switch {
 	case f.state != stateLookup:
 	case p.deniedByAll(now, f):
--- a/pkg/lentilplacement/lookup_test.go
+++ b/pkg/lentilplacement/lookup_test.go
@@ -165,3 +165,45 @@
 		})
 	}
 }
+
+// TestUnsureAgentsInTurn looks up a flow that twenty agents can't decide about without a packet. Each must get the
+// packet, at most maxUnsureAgents at a time, without another packet of the client, and the flow must be reset once all have denied it.
+func TestUnsureAgentsInTurn(t *testing.T) {
+	const agents = 20
+	h := newHarness(t)
+	for n := 5; n <= agents; n++ {
+		h.sendStatus(n, func(m *lentilflow.Status) { m.Service = "b" })
+	}
+	h.sendPacket(laterPacket(testFlow))
+	for n := 1; n <= 3; n++ {
+		h.answerDenied(n)
+	}
+	var waiting []lentilflow.Endpoint
+	collect := func(actions []Action) (reset bool) {
+		for _, a := range actions {
+			switch a.Kind {
+			case SendCarry:
+				waiting = append(waiting, a.To)
+			case ResetClient:
+				reset = true
+			}
+		}
+		return reset
+	}
+	for n := 4; n <= agents; n++ {
+		collect(h.HandleDenied(agentAddress(n), lentilflow.Denied{Keys: []lentilflow.Key{flowKey(testFlow)}, Unsure: true}, nil))
+	}
+	if len(waiting) > maxUnsureAgents {
+		t.Errorf("%d agents got the packet at once, limit %d", len(waiting), maxUnsureAgents)
+	}
+	decided, reset := 0, false
+	for len(waiting) > 0 && !reset {
+		next := waiting[0]
+		waiting = waiting[1:]
+		decided++
+		reset = collect(h.HandleDenied(next, lentilflow.Denied{Keys: []lentilflow.Key{flowKey(testFlow)}}, nil))
+	}
+	if decided != agents-3 || !reset {
+		t.Errorf("%d of %d agents got the packet, reset %t", decided, agents-3, reset)
+	}
+}
--- a/pkg/lentilplacement/placement.go
+++ b/pkg/lentilplacement/placement.go
@@ -60,7 +60,7 @@
 	askBatchDelay = 50 * time.Millisecond
 	// maxAskQueue bounds the number of flows for which all agents have still to be asked: 12 KB.
 	maxAskQueue = 1024
-	// maxUnsureAgents bounds how many agents get a packet of a flow because they can't decide without one.
+	// maxUnsureAgents bounds how many agents get a packet of a flow at a time because they can't decide without one.
 	maxUnsureAgents = 8
 	// maxHeldPackets bounds the number of packets held until their flow is found: 300 KB in all.
 	maxHeldPackets = 256
