--- /dev/null
+++ b/pkg/lentilplacement/place.go
@@ -0,0 +1,97 @@
+package lentilplacement
+
+import (
+	"slices"
+	"time"
+
+	"lentilstair.example/lentilstair/pkg/lentilflow"
+)
+
+// place sends a flow's first packet to the best agent to which it hasn't been sent yet.
+func (p *Placer) place(now time.Time, key lentilflow.Key, f *flow, cause Cause, actions []Action) []Action {
+	if p.configuration.Version() == 0 {
+		return p.abandonPlacement(now, key, f, NoConfiguration, actions)
+	}
+	if now.Sub(f.since) > lentilflow.OpeningPatience {
+		return p.abandonPlacement(now, key, f, ClientGone, actions)
+	}
+	backends := p.configuration.Backends(key.Service())
+	if len(backends) == 0 {
+		return p.abandonPlacement(now, key, f, NoRoute, actions)
+	}
+	mayWait := len(f.busyAgents) >= maxBusyTries || f.fullRefusals > 0
+	excluded := f.triedAgents
+	if !mayWait {
+		excluded = slices.Concat(f.triedAgents, f.busyAgents)
+	}
+	addr, a := p.chooseAgent(now, key, backends, excluded)
+	if a == nil && !mayWait && len(f.busyAgents) > 0 {
+		mayWait = true
+		addr, a = p.chooseAgent(now, key, backends, f.triedAgents)
+	}
+	if a == nil || len(f.triedAgents) >= maxTries || f.fullRefusals >= maxFullRefusals {
+		return p.abandonPlacement(now, key, f, NoAgent, actions)
+	}
+	f.state, f.agent, f.sentAt = statePlacing, addr, now
+	f.triedAgents, f.possibleHolders = append(f.triedAgents, addr), append(f.possibleHolders, addr)
+	if p.pendingPlacements == nil {
+		p.pendingPlacements = make(map[lentilflow.Key]*flow)
+	}
+	p.pendingPlacements[key] = f
+	a.flowsSent++
+	action := p.placeAction(now, addr, key, f, f.firstPacket, cause, mayWait)
+	action.Load, action.AgeMillis, action.Refusal = a.status.Load, now.Sub(a.lastSeen).Milliseconds(), f.lastRefusal
+	return append(actions, action)
+}
+
+// abandonPlacement ends a flow that can't be placed, by a reset or by dropping its packet. Clients retry
+// at once after a reset. The packet is therefore dropped while the configuration or the list of agents is
+// still missing: it may arrive in a moment, and the client's retransmission is placed then.
+func (p *Placer) abandonPlacement(now time.Time, key lentilflow.Key, f *flow, cause Cause, actions []Action) []Action {
+	delete(p.pendingPlacements, key)
+	if cause == NoAgent && len(f.triedAgents) > 0 {
+		cause = AllRefused
+		if f.lastRefusal == lentilflow.NotRefused || len(f.possibleHolders) > 0 {
+			// An agent that hasn't answered may have taken the flow. A retransmission of the first packet is
+			// placed again.
+			f.awaitCopy(now)
+			return append(actions, Action{Kind: Drop, Cause: NoAgent, Key: key})
+		}
+		if f.fullRefusals > 0 && !f.overloaded && now.Sub(f.since) < lentilflow.LastOpeningAge {
+			// Upstreams that are full for a moment, as after an outage, may have room when the client's next copy
+			// of the packet arrives. A reset would use up one of its few attempts within milliseconds.
+			f.awaitCopy(now)
+			return append(actions, Action{Kind: Drop, Cause: AllRefused, Key: key, Refusal: f.lastRefusal})
+		}
+		if f.failingSeen && !f.lastResort {
+			// An upstream that fails some requests serves clients better than none.
+			f.lastResort, f.triedAgents, f.busyAgents, f.fullRefusals = true, nil, nil, 0
+			return p.place(now, key, f, ChosenAgain, actions)
+		}
+	}
+	p.flows.Delete(key)
+	kind := ResetClient
+	if cause == NoConfiguration || cause == ClientGone || cause == NoAgent && !p.agentsComplete {
+		kind = Drop
+	}
+	return append(actions, Action{Kind: kind, Cause: cause, Key: key, Refusal: f.lastRefusal})
+}
+
+// awaitCopy prepares the flow for being placed again when the client's next copy of the first packet arrives.
+func (f *flow) awaitCopy(now time.Time) {
+	f.state, f.sentAt, f.triedAgents, f.busyAgents, f.fullRefusals = statePlacing, now, nil, nil, 0
+}
+
+// placeAction returns the action that offers a new flow to an agent. mayWait allows the agent to hold the flow
+// until its upstream has room.
+func (p *Placer) placeAction(now time.Time, to lentilflow.Endpoint, key lentilflow.Key, f *flow, data []byte, cause Cause, mayWait bool) Action {
+	c := lentilflow.Carry{Purpose: lentilflow.Place, Version: p.configuration.Version(), Packet: data}
+	if a := p.agents[to]; a != nil {
+		c.Service = a.status.Service
+		c.ColdRate = float32(p.configuration.ColdRate(c.Service))
+		if a.status.UnderstandsTerms {
+			c.Terms, c.Age, c.MayWait, c.LastResort = p.configuration.Terms(key.Service()), now.Sub(f.since), mayWait, f.lastResort
+		}
+	}
+	return Action{Kind: SendCarry, Cause: cause, To: to, Key: key, Carry: c}
+}
