--- a/internal/lentilpacketmodel/load_test.go
+++ b/internal/lentilpacketmodel/load_test.go
@@ -1,6 +1,7 @@
 package lentilpacketmodel
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -88,21 +89,24 @@
 			duration = 20 * time.Second
 		}
 		for seed := range uint64(3) {
-			sim := New(arrivalSetup(seed, c.slots, c.queueLimit, c.load))
-			sim.Run(duration)
-			sim.StopArrivals()
-			sim.Run(duration + 4*time.Second)
-			s := sim.Stats
-			answered := s.InTarget + s.Late
-			if share := float64(s.InTarget) / float64(answered); share < c.minInTarget {
-				t.Errorf("%d slots, load %.2f, seed %d: %.4f of %d answers are in time, want %.2f", c.slots, c.load, seed, share, answered, c.minInTarget)
-			}
-			if share := float64(answered) / float64(s.Due); share < c.minServed {
-				t.Errorf("%d slots, load %.2f, seed %d: %.4f of %d requests are answered, want %.3f", c.slots, c.load, seed, share, s.Due, c.minServed)
-			}
-			if s.Shed > 0 {
-				t.Errorf("%d slots, load %.2f, seed %d: %d requests were shed by copies", c.slots, c.load, seed, s.Shed)
-			}
+			t.Run(fmt.Sprintf("%d slots, load %.2f, seed %d", c.slots, c.load, seed), func(t *testing.T) {
+				t.Parallel()
+				sim := New(arrivalSetup(seed, c.slots, c.queueLimit, c.load))
+				sim.Run(duration)
+				sim.StopArrivals()
+				sim.Run(duration + 4*time.Second)
+				s := sim.Stats
+				answered := s.InTarget + s.Late
+				if share := float64(s.InTarget) / float64(answered); share < c.minInTarget {
+					t.Errorf("%.4f of %d answers are in time, want %.2f", share, answered, c.minInTarget)
+				}
+				if share := float64(answered) / float64(s.Due); share < c.minServed {
+					t.Errorf("%.4f of %d requests are answered, want %.3f", share, s.Due, c.minServed)
+				}
+				if s.Shed > 0 {
+					t.Errorf("%d requests were shed by copies", s.Shed)
+				}
+			})
 		}
 	}
 }
@@ -110,6 +114,7 @@
 // TestArrivalsWhileCopiesFail lets an eighth of the copies reset every request for some seconds. Such copies are
 // idle all the time, so balancers that choose the least loaded one would send them most requests.
 func TestArrivalsWhileCopiesFail(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		sim := New(arrivalSetup(seed, 2, 8, 0.5))
 		schedule(sim, 4*time.Second, func() {
@@ -133,6 +138,7 @@
 // TestArrivalsAfterPowerLoss checks that the requests that arrive from two seconds after all machines have restarted
 // are answered, 97 % of them in time, although clients that waited meanwhile come back at the same moment.
 func TestArrivalsAfterPowerLoss(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		setup := arrivalSetup(seed, 2, 8, 0.5)
 		setup.ColdFor = 2 * time.Second
