--- a/pkg/lentilconntrack/cold_test.go
+++ b/pkg/lentilconntrack/cold_test.go
@@ -45,8 +45,8 @@
 	}
 }
 
-// TestColdUpstreamRateBound draws a rate and the times of first packets. No second may see more new flows forwarded to a
-// cold upstream than the bound.
+// TestColdUpstreamRateBound draws a rate, the times of first packets, and which of them may wait. No second may see
+// more new flows forwarded to a cold upstream than the bound.
 func TestColdUpstreamRateBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		clock, table := &lentilclock.Fake{}, &packetTable{}
@@ -57,15 +57,26 @@
 		var accepted []time.Time
 		for i := range 200 {
 			clock.Advance(time.Duration(rapid.IntRange(0, 60).Draw(t, "pause")) * time.Millisecond)
-			actions, err := tracker.HandleCarry(peer1, lentilflow.Carry{Service: "a", Version: 1, ColdRate: rate, Packet: table.encode(firstPacket(flowKey(i)))}, nil)
+			m := lentilflow.Carry{Service: "a", Version: 1, ColdRate: rate, Packet: table.encode(firstPacket(flowKey(i))), MayWait: rapid.Bool().Draw(t, "may wait")}
+			m.Terms.Target = 250 * time.Millisecond
+			actions, err := tracker.HandleCarry(peer1, m, nil)
 			if err != nil {
 				t.Fatal(err)
 			}
-			if actions[0].Kind != ToUpstream {
+			// A tick lets flows that have waited open.
+			forwarded := 0
+			for _, a := range tracker.Tick(actions) {
+				if a.Kind == ToUpstream {
+					forwarded++
+				}
+			}
+			if forwarded == 0 {
 				continue
 			}
 			now := clock.Now()
-			accepted = append(accepted, now)
+			for range forwarded {
+				accepted = append(accepted, now)
+			}
 			inLastSecond := 0
 			for _, acceptedAt := range accepted {
 				if now.Sub(acceptedAt) < time.Second {
