lentilplacement: a balancer that starts holds first packets until it knows an agent

Change: such packets are held, 1,024 at most, and offered when a configuration, a list or a status may have brought an agent; ClientGone ends them. LE2416 says so. The packet model counts arrivals and offers by half seconds, and may give balancers a time for each datagram (a share of a core).

--- a/internal/lentilevent/catalogue.go
+++ b/internal/lentilevent/catalogue.go
@@ -80,6 +80,8 @@
 	StoreLost: {Warn, "store not reachable", "A call to the store failed and is retried. The field `what` names the call. The data read before stays in use.",
 		[]string{"what", "error"}},
 	StoreRegained: {Info, "store reachable again", "The store answers again.", []string{"what", "downMillis"}},
+	FlowHeld: {Info, "first packet held", "A balancer that has just started holds the first packet of a flow until it knows an agent for it. The cause says what is missing.",
+		[]string{"flow", "cause"}},
 	RegistrationRefused: {Warn, "registration rejected", "An upstream's registration is malformed or for another service, and was ignored.",
 		[]string{"id", "error"}},
 }
--- a/internal/lentilevent/event.go
+++ b/internal/lentilevent/event.go
@@ -114,6 +114,7 @@
 	StoreRegained
 	RegistrationRefused
 	PeerForgotten
+	FlowHeld
 )
 
 // Code returns the code under which the event is documented, such as LE2001.
--- a/internal/lentilpacket/balancer.go
+++ b/internal/lentilpacket/balancer.go
@@ -222,7 +222,7 @@
 			b.send(lentilframe.AppendHello(b.frameBuffer[:0], b.hello(b.sentStoreState, a.To)), a.To)
 		case lentilplacement.ReportPlaced:
 			b.Counts.recordPlacing(a.Latency)
-		case lentilplacement.ReportLookup, lentilplacement.ReportAgent:
+		case lentilplacement.Hold, lentilplacement.ReportLookup, lentilplacement.ReportAgent:
 		}
 		b.logAction(a)
 	}
--- a/internal/lentilpacketmodel/arrival.go
+++ b/internal/lentilpacketmodel/arrival.go
@@ -28,6 +28,7 @@
 	s.After(time.Duration(s.Random.ExpFloat64()/s.Setup.ArrivalRate*float64(time.Second)), s.arrive)
 	c := s.idleClient()
 	s.Stats.Due++
+	s.periodAt(s.Clock.Now()).Due++
 	c.arrival = &arrival{at: s.Clock.Now(), retriesLeft: s.Setup.Retries, repeatable: s.Stats.Due%unrepeatableEvery != 0}
 	c.domain = s.Random.IntN(s.Setup.Domains)
 	c.openFlow()
@@ -66,8 +67,10 @@
 func (c *client) finishArrival() {
 	if c.sim.Clock.Now().Sub(c.arrival.at) <= c.sim.Setup.Target {
 		c.sim.Stats.InTarget++
+		c.sim.periodAt(c.arrival.at).InTarget++
 	} else {
 		c.sim.Stats.Late++
+		c.sim.periodAt(c.arrival.at).Late++
 	}
 	c.sendClose()
 	c.attempt++
--- a/internal/lentilpacketmodel/client.go
+++ b/internal/lentilpacketmodel/client.go
@@ -143,7 +143,7 @@
 	data := encodePacket(packet)
 	c.sim.After(clientDelay, func() {
 		if b.up {
-			b.deliver(b.runNumber, func() { b.handleClientPacket(data) })
+			b.receive(func() { b.handleClientPacket(data) })
 		}
 	})
 }
--- a/internal/lentilpacketmodel/process.go
+++ b/internal/lentilpacketmodel/process.go
@@ -24,6 +24,7 @@
 
 func (s *Simulation) addBalancer(domain int) {
 	b := &balancer{process: s.newProcess(domain)}
+	b.receiveTime = s.Setup.ReceiveTime
 	s.balancers = append(s.balancers, b)
 	b.start()
 	s.After(time.Duration(s.Random.Float64()*float64(probeInterval)), b.probe)
@@ -104,6 +105,10 @@
 			}
 			m := action.Carry
 			m.Packet = slices.Clone(m.Packet)
+			if m.Purpose == lentilflow.Place {
+				sim.Stats.Offers++
+				sim.periodAt(sim.Clock.Now()).Offers++
+			}
 			b.sendToAgent(action.To, func(g *agent) { g.handleCarry(b.endpoint, m) })
 		case lentilplacement.SendAsk:
 			m := lentilflow.Ask{Keys: action.Keys}
@@ -112,7 +117,7 @@
 			b.sendHello(action.To)
 		case lentilplacement.ResetClient:
 			sim.sendToClient(b.process, codec().AppendReset(nil, action.Key, action.Sequence), action.Cause.String())
-		case lentilplacement.Drop, lentilplacement.ReportAgent, lentilplacement.ReportPlaced, lentilplacement.ReportLookup:
+		case lentilplacement.Drop, lentilplacement.Hold, lentilplacement.ReportAgent, lentilplacement.ReportPlaced, lentilplacement.ReportLookup:
 		}
 	}
 }
--- a/internal/lentilpacketmodel/simulation.go
+++ b/internal/lentilpacketmodel/simulation.go
@@ -53,6 +53,9 @@
 	// DeliveryOutcome decides how each datagram about a flow is delivered after ApplyDeliveryOutcomes was
 	// called: it is sent with an extra delay, or it is lost. Datagrams are numbered from 0. Nil changes nothing.
 	DeliveryOutcome func(number int) (extraDelay time.Duration, lost bool)
+	// ReceiveTime is how long a balancer takes to handle a datagram, as on a VM with a small share of a core; zero is
+	// no time. Datagrams that arrive meanwhile wait, up to the limit of the socket's buffer.
+	ReceiveTime time.Duration
 	// ChooseAgent replaces the balancers' choice of an agent for new flows, for comparison. Nil keeps it.
 	ChooseAgent func(sim *Simulation, key lentilflow.Key) (agent int)
 }
@@ -138,6 +141,25 @@
 	// Due, InTarget and Late count the arrivals of Setup.ArrivalRate, and those that were answered within and
 	// after the latency objective.
 	Due, InTarget, Late int
+	// Offers counts the first packets that balancers sent to agents, Overflowed the datagrams that were lost because
+	// a balancer's receive buffer was full.
+	Offers, Overflowed int
+	// Periods has the same counts by the time of the arrivals and of the offers, in steps of Period.
+	Periods []PeriodStats
+}
+
+// Period is the time that a PeriodStats covers.
+const Period = 500 * time.Millisecond
+
+// PeriodStats counts the arrivals of a period by their outcome, and the offers made in it.
+type PeriodStats struct{ Due, InTarget, Late, Offers int }
+
+// periodAt returns the counts of the period that contains a time.
+func (s *Simulation) periodAt(at time.Time) *PeriodStats {
+	for index := int(at.Sub(s.startedAt) / Period); len(s.Stats.Periods) <= index; {
+		s.Stats.Periods = append(s.Stats.Periods, PeriodStats{})
+	}
+	return &s.Stats.Periods[at.Sub(s.startedAt)/Period]
 }
 
 // event is a function that runs at a simulated time. Events of the same time run in the order of their numbers.
@@ -238,6 +260,10 @@
 	lastFaultAt time.Time
 	// deferredEvents are the events that arrived while the process was frozen.
 	deferredEvents []func()
+	// receiveTime is how long the process takes to handle a datagram, and busyUntil when it has handled all those
+	// that have arrived.
+	receiveTime time.Duration
+	busyUntil   time.Time
 }
 
 // stable reports whether the process has had no unplanned fault for the stability window of the platform's
@@ -265,6 +291,28 @@
 	}
 }
 
+// receiveBufferLimit is the number of datagrams that fit into the receive buffer of a balancer's socket.
+const receiveBufferLimit = 256
+
+// receive runs the handler of a datagram that has arrived at the process, after those that arrived before. The
+// datagram is lost if the buffer is full.
+func (p *process) receive(do func()) {
+	now := p.sim.Clock.Now()
+	if p.receiveTime == 0 {
+		p.deliver(p.runNumber, do)
+		return
+	}
+	if p.busyUntil.Before(now) {
+		p.busyUntil = now
+	}
+	if p.busyUntil.Sub(now) > receiveBufferLimit*p.receiveTime {
+		p.sim.Stats.Overflowed++
+		return
+	}
+	p.busyUntil = p.busyUntil.Add(p.receiveTime)
+	p.schedule(p.busyUntil.Sub(now), do)
+}
+
 // ApplyDeliveryOutcomes makes Setup.DeliveryOutcome decide about all later datagrams about flows.
 func (s *Simulation) ApplyDeliveryOutcomes() { s.applyOutcomes = true }
 
@@ -302,7 +350,7 @@
 		if !p.up || p.isolated {
 			return
 		}
-		p.deliver(p.runNumber, func() { receive(p) })
+		p.receive(func() { receive(p) })
 	})
 }
 
--- a/pkg/lentilplacement/action.go
+++ b/pkg/lentilplacement/action.go
@@ -21,6 +21,8 @@
 	ResetClient
 	// Drop discards the packet of Key, for the reason Cause.
 	Drop
+	// Hold reports that the first packet of Key is held until there is an agent for it, for the reason Cause.
+	Hold
 	// SendHello asks the agent To for its status.
 	SendHello
 	// ReportPlaced reports that the agent To has taken the flow Key, Latency after it was asked.
--- a/pkg/lentilplacement/agent.go
+++ b/pkg/lentilplacement/agent.go
@@ -86,6 +86,7 @@
 		return actions
 	}
 	appeared := !a.seen() || a.unresponsiveLogged
+	p.heldPlacementsDue = true
 	if !a.seen() || a.unresponsive(p.now()) {
 		a.responsiveSince = p.now()
 	}
--- a/pkg/lentilplacement/enum_string.go
+++ b/pkg/lentilplacement/enum_string.go
@@ -12,15 +12,16 @@
 	_ = x[SendAsk-1]
 	_ = x[ResetClient-2]
 	_ = x[Drop-3]
-	_ = x[SendHello-4]
-	_ = x[ReportPlaced-5]
-	_ = x[ReportLookup-6]
-	_ = x[ReportAgent-7]
+	_ = x[Hold-4]
+	_ = x[SendHello-5]
+	_ = x[ReportPlaced-6]
+	_ = x[ReportLookup-7]
+	_ = x[ReportAgent-8]
 }
 
-const _ActionKind_name = "SendCarrySendAskResetClientDropSendHelloReportPlacedReportLookupReportAgent"
+const _ActionKind_name = "SendCarrySendAskResetClientDropHoldSendHelloReportPlacedReportLookupReportAgent"
 
-var _ActionKind_index = [...]uint8{0, 9, 16, 27, 31, 40, 52, 64, 75}
+var _ActionKind_index = [...]uint8{0, 9, 16, 27, 31, 35, 44, 56, 68, 79}
 
 func (i ActionKind) String() string {
 	idx := int(i) - 0
--- /dev/null
+++ b/pkg/lentilplacement/hold_test.go
@@ -0,0 +1,102 @@
+package lentilplacement
+
+import (
+	"testing"
+	"time"
+
+	"lentilstair.example/lentilstair/pkg/lentilflow"
+)
+
+// newStartingHarness returns a harness whose placer has just started: it has no configuration, no list of agents, and
+// has heard from none.
+func newStartingHarness(t *testing.T) *harness {
+	h := newHarness(t)
+	h.Placer = &Placer{Clock: h.clock, Codec: codec(), Domain: "near"}
+	return h
+}
+
+func listAgent(h *harness, n int) {
+	h.AddPeer(lentilflow.Node{Domain: "near", Address: agentAddress(n)}, "a", false, nil)
+}
+
+// TestFirstPacketsAreHeldWhileStarting checks that a flow that arrives before the balancer knows an agent for it is
+// offered as soon as there is one, without another packet from its client.
+func TestFirstPacketsAreHeldWhileStarting(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		steps func(h *harness) (got string)
+		want  string
+	}{
+		{"until the configuration is read", func(h *harness) string {
+			h.sendStatus(1)
+			got := h.sendPacket(firstPacket(testFlow))
+			h.configure(1, "a")
+			return got + "; " + describe(h.Tick(nil))
+		}, "hold NoConfiguration; place to 1"},
+		{"until the list of agents is read", func(h *harness) string {
+			h.configure(1, "a")
+			got := h.sendPacket(firstPacket(testFlow))
+			listAgent(h, 2)
+			h.SetAgentsComplete()
+			got += "; " + describe(h.Tick(nil))
+			h.sendStatus(2)
+			return got + "; " + describe(h.Tick(nil))
+		}, "hold NoAgent; ; place to 2"},
+		{"until a listed agent is heard", func(h *harness) string {
+			h.configure(1, "a")
+			listAgent(h, 2)
+			h.SetAgentsComplete()
+			got := h.sendPacket(firstPacket(testFlow))
+			h.sendStatus(2)
+			return got + "; " + describe(h.Tick(nil))
+		}, "hold NoAgent; place to 2"},
+		{"until the client gives up", func(h *harness) string {
+			got := h.sendPacket(firstPacket(testFlow))
+			h.clock.Advance(lentilflow.OpeningPatience + time.Millisecond)
+			return got + "; " + describe(h.Tick(nil))
+		}, "hold NoConfiguration; drop ClientGone"},
+		{"not if the service has no agent", func(h *harness) string {
+			h.configure(1, "a")
+			h.SetAgentsComplete()
+			return h.sendPacket(firstPacket(testFlow))
+		}, "reset NoAgent 0"},
+		{"not if no listed agent has been heard for as long as clients wait", func(h *harness) string {
+			h.configure(1, "a")
+			listAgent(h, 2)
+			h.SetAgentsComplete()
+			h.clock.Advance(lentilflow.OpeningTimeout)
+			return h.sendPacket(firstPacket(testFlow))
+		}, "reset NoAgent 0"},
+		{"until a packet shows that the flow is open", func(h *harness) string {
+			h.sendStatus(1)
+			got := h.sendPacket(firstPacket(testFlow)) + "; " + h.sendPacket(laterPacket(testFlow))
+			h.configure(1, "a")
+			return got + "; " + describe(h.Tick(nil))
+		}, "hold NoConfiguration; ask 1; "},
+		{"once, however often the client sends it", func(h *harness) string {
+			got := h.sendPacket(firstPacket(testFlow)) + "; " + h.sendPacket(firstPacket(testFlow))
+			h.sendStatus(1)
+			h.configure(1, "a")
+			return got + "; " + describe(h.Tick(nil)) + "; " + describe(h.Tick(nil))
+		}, "hold NoConfiguration; ; place to 1; "},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if got := c.steps(newStartingHarness(t)); got != c.want {
+				t.Errorf("got %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+// TestHeldFirstPacketsAreBounded checks that first packets beyond the limit are dropped, as their clients send them again.
+func TestHeldFirstPacketsAreBounded(t *testing.T) {
+	h := newStartingHarness(t)
+	for n := range maxHeldPlacements {
+		if got := h.sendPacket(firstPacket(n)); got != "hold NoConfiguration" {
+			t.Fatalf("flow %d: %s", n, got)
+		}
+	}
+	if got := h.sendPacket(firstPacket(maxHeldPlacements)); got != "drop NoConfiguration" {
+		t.Errorf("one more flow: %s", got)
+	}
+}
--- a/pkg/lentilplacement/lookup.go
+++ b/pkg/lentilplacement/lookup.go
@@ -10,7 +10,9 @@
 // handleLaterPacket sends a packet of an open flow to the agent that holds it, or to every agent that may hold it.
 func (p *Placer) handleLaterPacket(now time.Time, packet lentilflow.Packet, data []byte, actions []Action) []Action {
 	f := p.flows.Get(now, packet.Key)
-	if f == nil {
+	if f == nil || p.heldPlacements[packet.Key] == f {
+		// A flow whose first packet is held has been opened by another balancer.
+		delete(p.heldPlacements, packet.Key)
 		f = &flow{state: stateLookup}
 		p.flows.Put(now, packet.Key, f)
 	}
--- a/pkg/lentilplacement/place.go
+++ b/pkg/lentilplacement/place.go
@@ -9,12 +9,12 @@
 
 // place sends a flow's first packet to the best agent to which it hasn't been sent yet.
 func (p *Placer) place(now time.Time, key lentilflow.Key, f *flow, cause Cause, actions []Action) []Action {
-	if p.configuration.Version() == 0 {
-		return p.abandonPlacement(now, key, f, NoConfiguration, actions)
-	}
 	if now.Sub(f.since) > lentilflow.OpeningPatience {
 		return p.abandonPlacement(now, key, f, ClientGone, actions)
 	}
+	if p.configuration.Version() == 0 {
+		return p.abandonPlacement(now, key, f, NoConfiguration, actions)
+	}
 	backends := p.configuration.Backends(key.Service())
 	if len(backends) == 0 {
 		return p.abandonPlacement(now, key, f, NoRoute, actions)
@@ -32,6 +32,7 @@
 	if a == nil || len(f.triedAgents) >= maxTries || f.fullRefusals >= maxFullRefusals {
 		return p.abandonPlacement(now, key, f, NoAgent, actions)
 	}
+	delete(p.heldPlacements, key)
 	f.state, f.agent, f.sentAt = statePlacing, addr, now
 	f.triedAgents, f.possibleHolders = append(f.triedAgents, addr), append(f.possibleHolders, addr)
 	if p.pendingPlacements == nil {
@@ -45,8 +46,7 @@
 }
 
 // abandonPlacement ends a flow that can't be placed, by a reset or by dropping its packet. Clients retry
-// at once after a reset. The packet is therefore dropped while the configuration or the list of agents is
-// still missing: it may arrive in a moment, and the client's retransmission is placed then.
+// at once after a reset. The packet is therefore held while an agent may become known in a moment.
 func (p *Placer) abandonPlacement(now time.Time, key lentilflow.Key, f *flow, cause Cause, actions []Action) []Action {
 	delete(p.pendingPlacements, key)
 	if cause == NoAgent && len(f.triedAgents) > 0 {
@@ -69,9 +69,18 @@
 			return p.place(now, key, f, ChosenAgain, actions)
 		}
 	}
+	if cause == NoConfiguration || cause == NoAgent && p.expectsAgents(now, key) {
+		if p.heldPlacements[key] == f {
+			return actions
+		}
+		if len(p.heldPlacements) < maxHeldPlacements {
+			return p.holdPlacement(key, f, cause, actions)
+		}
+	}
+	delete(p.heldPlacements, key)
 	p.flows.Delete(key)
 	kind := ResetClient
-	if cause == NoConfiguration || cause == ClientGone || cause == NoAgent && !p.agentsComplete {
+	if cause == NoConfiguration || cause == ClientGone || cause == NoAgent && p.expectsAgents(now, key) {
 		kind = Drop
 	}
 	return append(actions, Action{Kind: kind, Cause: cause, Key: key, Refusal: f.lastRefusal})
--- a/pkg/lentilplacement/placement.go
+++ b/pkg/lentilplacement/placement.go
@@ -115,6 +115,10 @@
 	flows       lentilflow.Table[flow]
 	// pendingPlacements has the new flows whose agent hasn't answered yet.
 	pendingPlacements map[lentilflow.Key]*flow
+	// heldPlacements has the new flows for which no agent is known yet. heldPlacementsDue is set when one may have
+	// become known.
+	heldPlacements    map[lentilflow.Key]*flow
+	heldPlacementsDue bool
 	// lookups has the flows that are being looked up.
 	lookups map[lentilflow.Key]*flow
 	// goneAgents is the number of agents that held no flows or were gone when lookups was last checked.
@@ -184,7 +188,7 @@
 		return false
 	}
 	p.recordPreviousServices(configuration)
-	p.configuration = configuration
+	p.configuration, p.heldPlacementsDue = configuration, true
 	return true
 }
 
@@ -222,7 +226,7 @@
 
 // SetAgentsComplete records that every agent that existed a moment ago has been added with AddPeer.
 // Until then, no flow is reset on the ground that all known agents denied it or that there is no agent to try.
-func (p *Placer) SetAgentsComplete() { p.agentsComplete = true }
+func (p *Placer) SetAgentsComplete() { p.agentsComplete, p.heldPlacementsDue = true, true }
 
 // Flows returns the number of cached flows.
 func (p *Placer) Flows() int { return p.flows.Len() }
@@ -259,6 +263,8 @@
 		f = &flow{state: statePlacing, firstPacket: slices.Clone(data), since: now.Add(-packet.OpeningAge)}
 		p.flows.Put(now, packet.Key, f)
 		return p.place(now, packet.Key, f, Chosen, actions)
+	case p.heldPlacements[packet.Key] == f:
+		return actions
 	case f.state == statePlacing && now.Sub(f.sentAt) >= placeTimeout:
 		return p.place(now, packet.Key, f, ChosenAgain, actions)
 	default:
@@ -334,5 +340,6 @@
 			actions = p.place(now, key, f, ChosenAgain, actions)
 		}
 	}
+	actions = p.tickHeldPlacements(now, actions)
 	return p.tickLookups(now, p.tickAgents(now, p.sendQueuedAsks(now, actions)))
 }
