--- a/internal/lentilevent/event.go
+++ b/internal/lentilevent/event.go
@@ -115,6 +115,10 @@
 	RegistrationRefused
 	PeerForgotten
 	FlowHeld
+	StoreReturned
+	StoreEraIgnored
+	EntryRenewed
+	DomainKeptOut
 )
 
 // Code returns the code under which the event is documented, such as LE2001.
--- a/internal/lentilframe/frame.go
+++ b/internal/lentilframe/frame.go
@@ -53,13 +53,15 @@
 	return Kind(data[1])
 }
 
-// Flags of a Status frame.
+// Flags of a Status frame. With flagStatusHasEra, the era of the store ends the frame.
 const (
 	flagCold = 1 << iota
 	flagOut
 	flagStopping
 	flagEnded
 	flagUnderstandsTerms
+	flagAgentUnderstandsEra
+	flagStatusHasEra
 )
 
 // Bits of the purpose of a Carry frame. hasTerms means that the terms of the flow follow the cold rate. Releases
@@ -76,11 +78,14 @@
 	flagLastResort
 )
 
-// Flags of a Hello frame. With flagHasDomainState, the state of the agent's failure domain follows.
+// Flags of a Hello frame. With flagHasDomainState, the state of the agent's failure domain follows, and with
+// flagHelloHasEra the era of the store ends the frame.
 const (
 	flagBalancerStopping = 1 << iota
 	flagHasDomainState
 	flagDomainOut
+	flagBalancerUnderstandsEra
+	flagHelloHasEra
 )
 
 // AppendCarry appends a Carry frame, which ends with the client's packet.
@@ -191,11 +196,12 @@
 	dst = binary.BigEndian.AppendUint64(dst, m.RunID)
 	dst = binary.BigEndian.AppendUint64(dst, m.Sequence)
 	dst = append(dst, byte(m.Phase), flagIf(m.Cold, flagCold)|flagIf(m.Out, flagOut)|flagIf(m.Stopping, flagStopping)|
-		flagIf(m.UpstreamEnded, flagEnded)|flagIf(m.UnderstandsTerms, flagUnderstandsTerms))
+		flagIf(m.UpstreamEnded, flagEnded)|flagIf(m.UnderstandsTerms, flagUnderstandsTerms)|
+		flagIf(m.UnderstandsEra, flagAgentUnderstandsEra)|flagIf(m.Store.Era > 0, flagStatusHasEra))
 	dst = binary.BigEndian.AppendUint32(dst, uint32(m.Interval.Milliseconds()))
 	dst = binary.BigEndian.AppendUint16(dst, m.BalancerCount)
 	dst = appendStoreState(dst, m.Store)
-	return appendLoad(dst, m.Load)
+	return appendEra(appendLoad(dst, m.Load), m.Store)
 }
 
 // ParseStatus parses a Status frame.
@@ -209,11 +215,14 @@
 	m.Phase = lentilflow.Phase(r.byte())
 	flags := r.byte()
 	m.Cold, m.Out, m.Stopping, m.UpstreamEnded = flags&flagCold != 0, flags&flagOut != 0, flags&flagStopping != 0, flags&flagEnded != 0
-	m.UnderstandsTerms = flags&flagUnderstandsTerms != 0
+	m.UnderstandsTerms, m.UnderstandsEra = flags&flagUnderstandsTerms != 0, flags&flagAgentUnderstandsEra != 0
 	m.Interval = time.Duration(r.uint32()) * time.Millisecond
 	m.BalancerCount = r.uint16()
 	m.Store = r.storeState()
 	m.Load = r.load()
+	if flags&flagStatusHasEra != 0 {
+		r.era(&m.Store)
+	}
 	if m.Phase > lentilflow.Gone {
 		r.fail("phase")
 	}
@@ -227,12 +236,13 @@
 	dst = appendText(dst, m.Domain)
 	dst = binary.BigEndian.AppendUint64(dst, m.RunID)
 	withDomain := m.DomainState != lentilflow.DomainState{}
-	dst = append(dst, flagIf(m.Stopping, flagBalancerStopping)|flagIf(withDomain, flagHasDomainState)|flagIf(m.DomainState.Out, flagDomainOut))
+	dst = append(dst, flagIf(m.Stopping, flagBalancerStopping)|flagIf(withDomain, flagHasDomainState)|flagIf(m.DomainState.Out, flagDomainOut)|
+		flagIf(m.UnderstandsEra, flagBalancerUnderstandsEra)|flagIf(m.Store.Era > 0, flagHelloHasEra))
 	dst = appendStoreState(dst, m.Store)
 	if withDomain {
 		dst = binary.BigEndian.AppendUint64(dst, m.DomainState.AsOf)
 	}
-	return dst
+	return appendEra(dst, m.Store)
 }
 
 // ParseHello parses a Hello frame.
@@ -242,10 +252,13 @@
 	m.Domain = r.text()
 	m.RunID = r.uint64()
 	flags := r.byte()
-	m.Stopping = flags&flagBalancerStopping != 0
+	m.Stopping, m.UnderstandsEra = flags&flagBalancerStopping != 0, flags&flagBalancerUnderstandsEra != 0
 	m.Store = r.storeState()
 	if flags&flagHasDomainState != 0 {
 		m.DomainState = lentilflow.DomainState{AsOf: r.uint64(), Out: flags&flagDomainOut != 0}
 	}
+	if flags&flagHelloHasEra != 0 {
+		r.era(&m.Store)
+	}
 	return m, r.finish()
 }
--- a/internal/lentilframe/frame_test.go
+++ b/internal/lentilframe/frame_test.go
@@ -29,8 +29,13 @@
 	drawName       = rapid.StringN(0, 40, 120)
 	drawPacket     = rapid.SliceOfN(rapid.Byte(), 1, 1300)
 	drawStoreState = rapid.Custom(func(t *rapid.T) lentilflow.StoreState {
-		return lentilflow.StoreState{ConfigurationRevision: rapid.Uint64().Draw(t, "configuration"), DomainsRevision: rapid.Uint64().Draw(t, "domains"),
-			CheckedAgo: time.Duration(rapid.Uint32().Draw(t, "checked")) * time.Millisecond}
+		state := lentilflow.StoreState{Era: rapid.Uint64().Draw(t, "era")}
+		if state.Era > 0 {
+			state.EraAge = time.Duration(rapid.Uint32().Draw(t, "era age")) * time.Millisecond
+		}
+		state.ConfigurationRevision, state.DomainsRevision = rapid.Uint64().Draw(t, "configuration"), rapid.Uint64().Draw(t, "domains")
+		state.CheckedAgo = time.Duration(rapid.Uint32().Draw(t, "checked")) * time.Millisecond
+		return state
 	})
 )
 
@@ -81,13 +86,13 @@
 		"status": func(t *rapid.T) {
 			m := lentilflow.Status{Name: drawName.Draw(t, "name"), Service: drawName.Draw(t, "service"), Domain: drawName.Draw(t, "domain"),
 				RunID: rapid.Uint64().Draw(t, "run"), Sequence: rapid.Uint64().Draw(t, "number"), Phase: lentilflow.Phase(rapid.IntRange(0, 3).Draw(t, "phase")),
-				Cold: rapid.Bool().Draw(t, "cold"), Out: rapid.Bool().Draw(t, "out"), Stopping: rapid.Bool().Draw(t, "stopping"), UpstreamEnded: rapid.Bool().Draw(t, "ended"), UnderstandsTerms: rapid.Bool().Draw(t, "terms"), Load: drawLoad.Draw(t, "load"),
+				Cold: rapid.Bool().Draw(t, "cold"), Out: rapid.Bool().Draw(t, "out"), Stopping: rapid.Bool().Draw(t, "stopping"), UpstreamEnded: rapid.Bool().Draw(t, "ended"), UnderstandsTerms: rapid.Bool().Draw(t, "terms"), UnderstandsEra: rapid.Bool().Draw(t, "understands era"), Load: drawLoad.Draw(t, "load"),
 				Interval: time.Duration(rapid.Uint32().Draw(t, "interval")) * time.Millisecond, BalancerCount: rapid.Uint16().Draw(t, "balancers"), Store: drawStoreState.Draw(t, "knowledge")}
 			checkRoundTrip(t, m, AppendStatus, ParseStatus, false)
 		},
 		"hello": func(t *rapid.T) {
 			m := lentilflow.Hello{Name: drawName.Draw(t, "name"), Domain: drawName.Draw(t, "domain"), RunID: rapid.Uint64().Draw(t, "run"),
-				Stopping: rapid.Bool().Draw(t, "stopping"), Store: drawStoreState.Draw(t, "knowledge"),
+				Stopping: rapid.Bool().Draw(t, "stopping"), UnderstandsEra: rapid.Bool().Draw(t, "understands era"), Store: drawStoreState.Draw(t, "knowledge"),
 				DomainState: lentilflow.DomainState{AsOf: rapid.Uint64Min(1).Draw(t, "as of"), Out: rapid.Bool().Draw(t, "out")}}
 			checkRoundTrip(t, m, AppendHello, ParseHello, false)
 		},
@@ -119,3 +124,23 @@
 		}
 	})
 }
+
+// TestFramesOfEarlierReleases checks that frames without an era, as processes of earlier releases send them, are
+// parsed as of era 0, and that frames to them carry none.
+func TestFramesOfEarlierReleases(t *testing.T) {
+	state := lentilflow.StoreState{ConfigurationRevision: 4, DomainsRevision: 5}
+	hello, err := ParseHello(AppendHello(nil, lentilflow.Hello{Name: "b", Store: state}))
+	if err != nil || hello.Store != state || hello.UnderstandsEra {
+		t.Errorf("Hello: %+v, %v", hello, err)
+	}
+	status, err := ParseStatus(AppendStatus(nil, lentilflow.Status{Name: "a", Store: state}))
+	if err != nil || status.Store != state || status.UnderstandsEra {
+		t.Errorf("Status: %+v, %v", status, err)
+	}
+	const eraSize = 12
+	with, without := state, state
+	with.Era = 6
+	if got := len(AppendHello(nil, lentilflow.Hello{Store: with})) - len(AppendHello(nil, lentilflow.Hello{Store: without})); got != eraSize {
+		t.Errorf("the era takes %d bytes, want %d", got, eraSize)
+	}
+}
--- a/internal/lentilframe/part.go
+++ b/internal/lentilframe/part.go
@@ -45,6 +45,15 @@
 	return binary.BigEndian.AppendUint32(dst, uint32(min(state.CheckedAgo.Milliseconds(), math.MaxUint32)))
 }
 
+// appendEra appends the era of the store. Era 0 is left out: processes that don't know of eras reject it.
+func appendEra(dst []byte, state lentilflow.StoreState) []byte {
+	if state.Era == 0 {
+		return dst
+	}
+	dst = binary.BigEndian.AppendUint64(dst, state.Era)
+	return binary.BigEndian.AppendUint32(dst, uint32(min(state.EraAge.Milliseconds(), math.MaxUint32)))
+}
+
 // flagIf returns the bit if set is true, and zero otherwise.
 func flagIf(set bool, bit byte) byte {
 	if set {
@@ -162,6 +171,14 @@
 	}
 }
 
+// era parses the era of the store.
+func (r *reader) era(state *lentilflow.StoreState) {
+	if state.Era = r.uint64(); state.Era == 0 {
+		r.fail("era")
+	}
+	state.EraAge = time.Duration(r.uint32()) * time.Millisecond
+}
+
 // rest returns the remaining bytes. It is an error if none remain.
 func (r *reader) rest() []byte {
 	if len(r.data) == 0 {
--- a/internal/lentilpacket/agent.go
+++ b/internal/lentilpacket/agent.go
@@ -16,6 +16,7 @@
 	"lentilstair.example/lentilstair/internal/lentilserver"
 	"lentilstair.example/lentilstair/internal/lentilsetting"
 	"lentilstair.example/lentilstair/pkg/lentilconntrack"
+	"lentilstair.example/lentilstair/pkg/lentilera"
 	"lentilstair.example/lentilstair/pkg/lentilerror"
 	"lentilstair.example/lentilstair/pkg/lentilflow"
 )
@@ -51,7 +52,8 @@
 	actions     []lentilconntrack.Action
 	frameBuffer []byte
 	logLimiter  logLimiter
-	// storeState has the highest store revisions that balancers have reported. storeCheckedAt is when a
+	era         lentilera.Tracker
+	// storeState has the latest state of the store that balancers have reported. storeCheckedAt is when a
 	// process last read the store, as far as this agent knows.
 	storeState     lentilflow.StoreState
 	storeCheckedAt time.Time
@@ -82,6 +84,13 @@
 	a.workers.Go(func() { a.watchConnectionRefused() })
 	a.workers.Go(func() { a.tick(ctx) })
 	a.rediscover = func() { discoverPeers(ctx, a.Logger, a.Store.Agents, a.Store.Balancers, self, a.addPeers) }
+	if a.Store.NotifyEra != nil {
+		a.Store.NotifyEra(func(era uint64) {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			a.observeEra(era, 0, eraFromStore)
+		})
+	}
 	a.workers.Go(a.rediscover)
 	a.workers.Go(func() { a.maintainLedger(ctx) })
 	<-graceful.Done()
@@ -163,10 +172,10 @@
 func (a *Agent) maintainLedger(ctx context.Context) {
 	if !a.Settings.FirstStart() {
 		retry(ctx, a.Logger, "ledger", func() error {
-			ledger, err := a.Store.Ledgers.Load(ctx, a.Settings.Name())
+			ledger, era, err := a.Store.Ledgers.Load(ctx, a.Settings.Name())
 			if err == nil {
 				a.handleEvent(func(actions []lentilconntrack.Action) []lentilconntrack.Action {
-					return a.tracker.Restore(ledger, actions)
+					return a.tracker.Restore(ledger, era, actions)
 				})
 			}
 			return err
@@ -182,6 +191,7 @@
 		}
 		a.mu.Lock()
 		ledger, due := a.tracker.DueLedger()
+		ledger.Era = a.era.Era()
 		a.mu.Unlock()
 		if !due {
 			continue
@@ -237,19 +247,43 @@
 	a.perform(actions)
 }
 
+// observeEra records an era of the store. After its return from an older copy, the agent writes its entry and its
+// ledger again. The caller holds a.mu.
+func (a *Agent) observeEra(era uint64, age time.Duration, source string) {
+	if !observeEra(a.Logger, &a.era, era, age, source) {
+		return
+	}
+	a.tracker.RenewLedger()
+	balancers := a.tracker.BalancerCount()
+	a.workers.Go(func() { renewEntry(a.ctx, a.Logger, era, balancers, a.rediscover) })
+}
+
 // updateStoreState merges the store state that a balancer reports. The agent passes it on with its status.
 func (a *Agent) updateStoreState(state lentilflow.StoreState) {
-	a.storeState.ConfigurationRevision = max(a.storeState.ConfigurationRevision, state.ConfigurationRevision)
-	a.storeState.DomainsRevision = max(a.storeState.DomainsRevision, state.DomainsRevision)
+	if state.Era > 0 {
+		a.observeEra(state.Era, state.EraAge, eraFromPeer)
+	}
+	a.storeState = mergeStoreState(a.storeState, state)
+	if state.Era < a.storeState.Era {
+		return
+	}
 	if checkedAt := time.Now().Add(-state.CheckedAgo); checkedAt.After(a.storeCheckedAt) {
 		a.storeCheckedAt = checkedAt
 	}
 }
 
-func (a *Agent) status() lentilflow.Status {
+// status returns the status for a balancer.
+func (a *Agent) status(balancer lentilflow.Endpoint) lentilflow.Status {
 	status := a.tracker.Status()
 	status.Store = a.storeState
 	status.Store.CheckedAgo = time.Since(a.storeCheckedAt)
+	status.Store.EraAge = 0
+	switch {
+	case !a.tracker.UnderstandsEra(balancer):
+		status.Store.Era = 0
+	case status.Store.Era == a.era.Era():
+		status.Store.EraAge = a.era.Age()
+	}
 	return status
 }
 
@@ -322,7 +356,7 @@
 		case lentilconntrack.SendDenied:
 			a.send(lentilframe.AppendDenied(a.frameBuffer[:0], lentilflow.Denied{Keys: action.Keys, Unsure: action.Unsure}), action.To)
 		case lentilconntrack.SendStatus:
-			a.send(lentilframe.AppendStatus(a.frameBuffer[:0], a.status()), action.To)
+			a.send(lentilframe.AppendStatus(a.frameBuffer[:0], a.status(action.To)), action.To)
 		case lentilconntrack.ProbeUpstream:
 			a.workers.Go(a.probeUpstream)
 		case lentilconntrack.Rediscover:
--- a/internal/lentilpacket/balancer.go
+++ b/internal/lentilpacket/balancer.go
@@ -13,6 +13,7 @@
 	"lentilstair.example/lentilstair/internal/lentilmetric"
 	"lentilstair.example/lentilstair/internal/lentilserver"
 	"lentilstair.example/lentilstair/internal/lentilsetting"
+	"lentilstair.example/lentilstair/pkg/lentilera"
 	"lentilstair.example/lentilstair/pkg/lentilerror"
 	"lentilstair.example/lentilstair/pkg/lentilflow"
 	"lentilstair.example/lentilstair/pkg/lentilfollow"
@@ -51,15 +52,18 @@
 	actions      []lentilplacement.Action
 	frameBuffer  []byte
 	pollSchedule lentilfollow.PollSchedule
-	// domainsAsOf is the revision of the store at which the failure domains that are out of service were read.
-	domainsAsOf uint64
+	era          lentilera.Tracker
+	// domainsAsOf is the position of the store at which the failure domains that are out of service were read.
+	domainsAsOf lentilera.Position
 	// sentStoreState is the store state that was last sent to agents.
 	sentStoreState lentilflow.StoreState
 	// agentsListedAt is when the list of agents was read; zero before that.
 	agentsListedAt time.Time
 	// stopping is set when a stop is requested, and leaving at the end of the grace period.
-	stopping   bool
-	leaving    bool
+	stopping bool
+	leaving  bool
+	// renewEntry writes the balancer's entry again, and reads the list of agents.
+	renewEntry func(era uint64, balancers int)
 	logLimiter logLimiter
 }
 
@@ -73,17 +77,24 @@
 	defer func() { _ = b.peerConn.Close() }()
 	ctx, stop := context.WithCancel(forced)
 	defer stop()
+	if b.Store.NotifyEra != nil {
+		b.Store.NotifyEra(func(era uint64) { b.observeEra(era, 0, eraFromStore) })
+	}
 	var workers sync.WaitGroup
+	discover := func() {
+		self := Peer{Node: lentilflow.Node{Name: b.Settings.Name(), Domain: b.Settings.Domain(), Address: lentilflow.EndpointOf(b.Settings.PeerAddress())}}
+		discoverPeers(ctx, b.Logger, b.Store.Balancers, b.Store.Agents, self, b.addAgents)
+	}
+	b.renewEntry = func(era uint64, balancers int) {
+		workers.Go(func() { renewEntry(ctx, b.Logger, era, balancers, discover) })
+	}
 	workers.Go(func() { lentilserver.ServeDatagrams(b.ingressConn, make([]byte, readBufferSize), b.handleClientPacket) })
 	workers.Go(func() { lentilserver.ServeDatagrams(b.peerConn, make([]byte, readBufferSize), b.handlePeerMessage) })
 	workers.Go(func() { b.tick(ctx) })
 	workers.Go(func() { b.configurations.Run(ctx) })
 	workers.Go(func() { b.domains.Run(ctx) })
 	workers.Go(func() { b.pollStore(ctx) })
-	workers.Go(func() {
-		self := Peer{Node: lentilflow.Node{Name: b.Settings.Name(), Domain: b.Settings.Domain(), Address: lentilflow.EndpointOf(b.Settings.PeerAddress())}}
-		discoverPeers(ctx, b.Logger, b.Store.Balancers, b.Store.Agents, self, b.addAgents)
-	})
+	workers.Go(discover)
 	<-graceful.Done()
 	b.beginStop()
 	select {
@@ -230,9 +241,12 @@
 
 // hello returns the Hello for an agent.
 func (b *Balancer) hello(state lentilflow.StoreState, agent lentilflow.Endpoint) (m lentilflow.Hello) {
-	m = lentilflow.Hello{Name: b.Settings.Name(), Domain: b.Settings.Domain(), RunID: b.runID, Stopping: b.leaving, Store: state}
-	if out, known := b.placer.DomainOutOf(agent); known && b.domainsAsOf > 0 {
-		m.DomainState = lentilflow.DomainState{AsOf: b.domainsAsOf, Out: out}
+	m = lentilflow.Hello{Name: b.Settings.Name(), Domain: b.Settings.Domain(), RunID: b.runID, Stopping: b.leaving, UnderstandsEra: true, Store: state}
+	if out, known := b.placer.DomainOutOf(agent); known && b.domainsAsOf.Era == state.Era {
+		m.DomainState = lentilflow.DomainState{AsOf: b.domainsAsOf.Revision, Out: out}
+	}
+	if !b.placer.UnderstandsEra(agent) {
+		m.Store.Era, m.Store.EraAge = 0, 0
 	}
 	return m
 }
@@ -258,7 +272,9 @@
 	}
 	b.perform(actions)
 	b.placer.SetAgentsComplete()
-	b.agentsListedAt = time.Now()
+	if b.agentsListedAt.IsZero() {
+		b.agentsListedAt = time.Now()
+	}
 	b.Logger.Write(lentilevent.PeersRead, lentilevent.Int("peers", len(peers)))
 }
 
--- a/internal/lentilpacket/readers.go
+++ b/internal/lentilpacket/readers.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"time"
 
 	"lentilstair.example/lentilstair/internal/lentilevent"
 	"lentilstair.example/lentilstair/internal/lentilframe"
+	"lentilstair.example/lentilstair/pkg/lentilera"
 	"lentilstair.example/lentilstair/pkg/lentilflow"
 	"lentilstair.example/lentilstair/pkg/lentilfollow"
 )
@@ -23,13 +23,13 @@
 	}
 	b.configurations = lentilfollow.Reader[lentilflow.Configuration]{Source: b.Store.Configuration,
 		Sink: withStoreLogging(b.Logger, "configuration", lentilfollow.Sink[lentilflow.Configuration]{Replace: apply, Apply: apply})}
-	b.domains = lentilfollow.Reader[struct{}]{Source: b.Store.DomainsOut, Sink: domainSink(b.Logger, func(out map[string]bool) {
-		// The reader holds its lock, and its follower already has the revision of the new state.
-		asOf := b.domains.Follower.Revision()
+	// The reader holds its lock when it calls the sink, and its follower already has the position of the new state.
+	position := func() lentilera.Position { return b.domains.Follower.Position() }
+	b.domains = lentilfollow.Reader[struct{}]{Source: b.Store.DomainsOut, Sink: domainSink(b.Logger, position, func(out map[string]bool) {
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		b.placer.SetOut(out)
-		b.domainsAsOf = asOf
+		b.domainsAsOf = position()
 	})}
 	b.configurations.DeferWatch, b.domains.DeferWatch = b.deferWatch, b.deferWatch
 	b.configurations.Watched, b.domains.Watched = b.sendHelloToAll, b.sendHelloToAll
@@ -127,29 +127,60 @@
 	}
 }
 
-// storeState returns the store revisions that this balancer has read and the age of the last read. It takes
+// storeState returns the state of the store that this balancer has read and the age of the last read. It takes
 // the readers' locks. These are held while b.mu is taken, so b.mu must not be held by the caller.
-func (b *Balancer) storeState() lentilflow.StoreState {
-	state := lentilflow.StoreState{ConfigurationRevision: b.configurations.LastChangeRevision(), DomainsRevision: b.domains.LastChangeRevision()}
+func (b *Balancer) storeState() (state lentilflow.StoreState) {
+	configuration, domains := b.configurations.LastChange(), b.domains.LastChange()
+	state.Era = max(configuration.Era, domains.Era)
+	if configuration.Era == state.Era {
+		state.ConfigurationRevision = configuration.Revision
+	}
+	if domains.Era == state.Era {
+		state.DomainsRevision = domains.Revision
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	state.CheckedAgo = b.pollSchedule.CheckedAgo()
+	if b.era.Era() == state.Era {
+		state.EraAge = b.era.Age()
+	}
 	return state
 }
 
+// observeEra records an era of the store. After its return from an older copy, the balancer reads the store anew and
+// writes its entry again. The caller holds neither b.mu nor the readers' locks.
+func (b *Balancer) observeEra(era uint64, age time.Duration, source string) {
+	b.mu.Lock()
+	returned := observeEra(b.Logger, &b.era, era, age, source)
+	balancers := b.pollSchedule.ProcessCount
+	b.mu.Unlock()
+	if !returned {
+		return
+	}
+	b.configurations.ObservePeer(lentilera.Position{Era: era})
+	b.domains.ObservePeer(lentilera.Position{Era: era})
+	b.renewEntry(era, balancers)
+}
+
 // updateFromStatus processes the store state and the number of balancers that an agent reports.
 func (b *Balancer) updateFromStatus(status lentilflow.Status) {
-	b.configurations.ObservePeerRevision(status.Store.ConfigurationRevision)
-	b.domains.ObservePeerRevision(status.Store.DomainsRevision)
+	if status.Store.Era > 0 {
+		b.observeEra(status.Store.Era, status.Store.EraAge, eraFromPeer)
+	}
+	b.configurations.ObservePeer(lentilera.Position{Era: status.Store.Era, Revision: status.Store.ConfigurationRevision})
+	b.domains.ObservePeer(lentilera.Position{Era: status.Store.Era, Revision: status.Store.DomainsRevision})
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.pollSchedule.ProcessCount = int(status.BalancerCount)
-	b.pollSchedule.RecordCheck(status.Store.CheckedAgo)
+	if status.Store.Era >= b.era.Era() {
+		b.pollSchedule.RecordCheck(status.Store.CheckedAgo)
+	}
 }
 
 // domainSink returns a sink that keeps the set of failure domains that are out of service. It logs each
-// change and passes the new set to apply.
-func domainSink(logger lentilevent.Logger, apply func(out map[string]bool)) lentilfollow.Sink[struct{}] {
+// change and passes the new set to apply. position returns the position of the state that the sink gets.
+func domainSink(logger lentilevent.Logger, position func() lentilera.Position, apply func(out map[string]bool)) lentilfollow.Sink[struct{}] {
+	var survivors lentilera.Survivors
 	out := make(map[string]bool)
 	replace := func(next map[string]bool) {
 		for domain := range next {
@@ -165,18 +196,25 @@
 		out = next
 		apply(out)
 	}
-	change := func(next map[string]bool, changes []lentilfollow.Change[struct{}]) {
-		for _, c := range changes {
-			if c.Removed {
-				delete(next, c.Name)
-			} else {
-				next[c.Name] = true
-			}
-		}
-		replace(next)
-	}
 	return withStoreLogging(logger, "domains", lentilfollow.Sink[struct{}]{
-		Replace: func(all []lentilfollow.Change[struct{}]) { change(make(map[string]bool), all) },
-		Apply:   func(changes []lentilfollow.Change[struct{}]) { change(maps.Clone(out), changes) },
+		Replace: func(all []lentilfollow.Change[struct{}]) {
+			listed := make(map[string]bool, len(all))
+			for _, c := range all {
+				listed[c.Name] = true
+			}
+			era := position().Era
+			next, unconfirmed := survivors.Replace(era, listed)
+			for domain := range unconfirmed {
+				logger.Write(lentilevent.DomainKeptOut, lentilevent.Str("domain", domain), lentilevent.Uint("era", era))
+			}
+			replace(next)
+		},
+		Apply: func(changes []lentilfollow.Change[struct{}]) {
+			next := out
+			for _, c := range changes {
+				next = survivors.Apply(c.Name, c.Removed)
+			}
+			replace(next)
+		},
 	})
 }
--- a/internal/lentilpacket/store.go
+++ b/internal/lentilpacket/store.go
@@ -27,6 +27,9 @@
 
 // Store gives the processes access to the store.
 type Store struct {
+	// NotifyEra sets the function that is called with each later era that the store's answers tell. It is called
+	// before the first call to the store.
+	NotifyEra func(handle func(era uint64))
 	// Configuration reads the configuration, which is one object at most.
 	Configuration lentilfollow.Source[lentilflow.Configuration]
 	// DomainsOut reads the names of the failure domains that operators have taken out of service.
@@ -39,8 +42,8 @@
 // Ledgers stores the agents' lists of flows by agent name.
 type Ledgers struct {
 	Save func(ctx context.Context, name string, ledger lentilconntrack.Ledger) error
-	// Load returns an empty ledger if there is none.
-	Load func(ctx context.Context, name string) (lentilconntrack.Ledger, error)
+	// Load returns a ledger and the era of the store in which it was read. The ledger is empty if there is none.
+	Load func(ctx context.Context, name string) (ledger lentilconntrack.Ledger, era uint64, err error)
 }
 
 // Directory lists processes, so they can find each other.
--- a/internal/lentilpacketmodel/fault.go
+++ b/internal/lentilpacketmodel/fault.go
@@ -142,9 +142,11 @@
 // store, after storeDelay.
 func (s *Simulation) TakeDomainOut(domain int, duration time.Duration) {
 	domain %= s.Setup.Domains
+	s.keepCopy()
 	s.outSince[domain] = s.Clock.Now()
 	s.After(storeDelay, s.notifyDomains)
 	s.After(duration, func() {
+		s.keepCopy()
 		delete(s.outSince, domain)
 		s.After(storeDelay, s.notifyDomains)
 	})
@@ -154,17 +156,13 @@
 // once.
 func (s *Simulation) notifyDomains() {
 	s.domainsRevision++
-	out, revision := s.domainsOut(), s.domainsRevision
 	informed := false
 	for _, b := range s.balancers {
 		b.deliver(b.runNumber, func() {
-			b.setOut(out, revision)
-			if informed {
-				return
-			}
-			informed = true
-			for _, addr := range b.placer.AgentAddresses() {
-				b.sendHello(addr)
+			b.readDomains()
+			if !informed {
+				informed = true
+				b.sendHellos()
 			}
 		})
 	}
--- a/internal/lentilpacketmodel/fault_test.go
+++ b/internal/lentilpacketmodel/fault_test.go
@@ -68,6 +68,22 @@
 		sim.SetLoss(0.03)
 		schedule(sim, 6*time.Second, func() { sim.SetLoss(0) })
 	}},
+	{"the store returns from an older copy", 0.999, func(sim *Simulation) { sim.ReturnStore(5*time.Second, 1500*time.Millisecond) }},
+	{"the store returns after a domain was taken out", 0.99, func(sim *Simulation) {
+		sim.TakeDomainOut(1, 9*time.Second)
+		schedule(sim, 3*time.Second, func() { sim.ReturnStore(4*time.Second, 1500*time.Millisecond) })
+	}},
+	{"agents restart after the store has returned", 0.95, func(sim *Simulation) {
+		for i := range 3 {
+			sim.Crash(3*i, false, 500*time.Millisecond)
+		}
+		schedule(sim, 1500*time.Millisecond, func() { sim.ReturnStore(4*time.Second, time.Second) })
+		schedule(sim, 1600*time.Millisecond, func() {
+			for i := range 3 {
+				sim.KillAgent(3 * i)
+			}
+		})
+	}},
 	{"all processes are killed", 0.9, func(sim *Simulation) { sim.KillAll() }},
 	{"all power is lost", 0.8, func(sim *Simulation) { sim.PowerOff(700 * time.Millisecond) }},
 }
--- a/internal/lentilpacketmodel/process.go
+++ b/internal/lentilpacketmodel/process.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lentilstair.example/lentilstair/pkg/lentilconntrack"
+	"lentilstair.example/lentilstair/pkg/lentilera"
 	"lentilstair.example/lentilstair/pkg/lentilflow"
 	"lentilstair.example/lentilstair/pkg/lentilplacement"
 )
@@ -18,8 +19,9 @@
 	inRotation   bool
 	missedProbes int
 	stopping     bool
-	// domainsAsOf is the revision of the state of the failure domains that the balancer knows.
-	domainsAsOf uint64
+	// domainsAsOf is the position of the state of the failure domains that the balancer knows.
+	domainsAsOf lentilera.Position
+	survivors   lentilera.Survivors
 }
 
 func (s *Simulation) addBalancer(domain int) {
@@ -34,10 +36,11 @@
 func (b *balancer) start() {
 	sim := b.sim
 	b.up, b.runNumber, b.ready, b.stopping = true, b.runNumber+1, false, false
+	b.survivors = lentilera.Survivors{Clock: sim.Clock}
 	b.placer = lentilplacement.Placer{Clock: sim.Clock, Codec: codec(), Random: sim.Random.Float64, Domain: domainName(b.domain)}
 	b.schedule(storeDelay/10, func() {
 		b.placer.Configure(sim.configuration())
-		b.setOut(sim.domainsOut(), sim.domainsRevision+1)
+		b.readDomains()
 		var actions []lentilplacement.Action
 		for _, a := range sim.agents {
 			if !a.removed {
@@ -51,17 +54,12 @@
 	b.schedule(tickInterval, b.tick)
 }
 
-func (b *balancer) setOut(out map[string]bool, asOf uint64) {
-	b.placer.SetOut(out)
-	b.domainsAsOf = asOf
-}
-
 func (b *balancer) sendHello(to lentilflow.Endpoint) {
-	m := lentilflow.Hello{}
+	m := lentilflow.Hello{UnderstandsEra: true, Store: b.storeState()}
 	if out, known := b.placer.DomainOutOf(to); known {
-		m.DomainState = lentilflow.DomainState{AsOf: b.domainsAsOf, Out: out}
+		m.DomainState = lentilflow.DomainState{AsOf: b.domainsAsOf.Revision, Out: out}
 	}
-	b.sim.sendDatagram(b.process, to, b.agentHandler(func(g *agent) { g.perform(g.tracker.HandleHello(b.endpoint, m, nil)) }))
+	b.sim.sendDatagram(b.process, to, b.agentHandler(func(g *agent) { g.handleHello(b.endpoint, m) }))
 }
 
 func (b *balancer) tick() {
@@ -140,6 +138,7 @@
 	*process
 	tracker  lentilconntrack.Tracker
 	upstream *upstream
+	era      lentilera.Tracker
 	// removed is set while the agent has no entry in the store.
 	removed bool
 	// stopping is set if the agent's entry in the store says that it was asked to stop.
@@ -170,13 +169,15 @@
 		Clock: sim.Clock, Codec: codec(), Service: ServiceName, Name: a.name(), Domain: domainName(a.domain),
 		RunID: uint64(a.runNumber), Address: a.endpoint, FlowsComplete: firstStart, RenewInterval: registrationInterval, ColdFactor: 1.5, ColdSlack: 5,
 	}
+	a.era = lentilera.Tracker{Clock: sim.Clock}
 	a.schedule(storeDelay/10, func() {
+		a.era.Observe(sim.era, 0)
 		var actions []lentilconntrack.Action
 		for _, b := range sim.balancers {
 			actions = a.tracker.AddPeer(lentilflow.Node{Address: b.endpoint}, actions)
 		}
 		if saved, ok := sim.ledgers[a.name()]; ok && !firstStart {
-			actions = a.tracker.Restore(saved.ledger, actions)
+			actions = a.tracker.Restore(saved.ledger, sim.era, actions)
 		}
 		a.perform(actions)
 	})
@@ -186,7 +187,8 @@
 func (a *agent) tick() {
 	a.perform(a.tracker.Tick(nil))
 	if ledger, due := a.tracker.DueLedger(); due {
-		a.sim.After(storeDelay/10, func() { a.sim.ledgers[a.name()] = savedLedger{ledger: ledger} })
+		ledger.Era = a.era.Era()
+		a.sim.After(storeDelay/10, func() { a.sim.saveLedger(a.name(), savedLedger{ledger: ledger}) })
 	}
 	a.schedule(tickInterval, a.tick)
 }
--- a/internal/lentilpacketmodel/simulation.go
+++ b/internal/lentilpacketmodel/simulation.go
@@ -117,7 +117,14 @@
 	lastIncarnation int64
 	// domainsRevision is the revision of the last change to outSince in the store.
 	domainsRevision uint64
-	loss            float64
+	// era is the era of the store, which began at eraSince.
+	era      uint64
+	eraSince time.Time
+	// storeCopies has earlier contents of the store. returnedOut has the failure domains that are out of service
+	// according to a store that has returned from one of them; nil if the store's content is right.
+	storeCopies []storeCopy
+	returnedOut map[string]bool
+	loss        float64
 	// applyOutcomes is set once ApplyDeliveryOutcomes was called.
 	applyOutcomes bool
 	// outcomesDecided is how many datagrams were passed to Setup.DeliveryOutcome.
@@ -192,10 +199,11 @@
 	sim = &Simulation{
 		Setup: setup, Clock: &lentilclock.Fake{}, Random: rand.New(rand.NewPCG(setup.Seed, 1)),
 		processes: make(map[lentilflow.Endpoint]*process), ledgers: make(map[string]savedLedger),
-		configurationVersion: 1, outSince: make(map[int]time.Time), partitions: make(map[[2]int]bool), loss: setup.Loss,
+		configurationVersion: 1, era: 1, outSince: make(map[int]time.Time), partitions: make(map[[2]int]bool), loss: setup.Loss,
 	}
 	sim.Clock.Advance(time.Hour)
 	sim.startedAt = sim.Clock.Now()
+	sim.eraSince = sim.startedAt.Add(-time.Hour)
 	sim.Stats.Arrivals = make(map[string]int)
 	for domain := range setup.Domains {
 		for range setup.UpstreamsPerDomain {
--- a/pkg/lentilconntrack/action.go
+++ b/pkg/lentilconntrack/action.go
@@ -68,6 +68,9 @@
 	UpstreamFails
 	// UpstreamWorks means that an upstream that had failed answers requests again.
 	UpstreamWorks
+	// DomainKeptOut means that the failure domain stays out of service although the store, which has returned from
+	// an older copy, doesn't say so: that may be missing from the copy.
+	DomainKeptOut
 	// ColdChanged means that the upstream has warmed up, or has become cold.
 	ColdChanged
 )
--- a/pkg/lentilconntrack/balancers.go
+++ b/pkg/lentilconntrack/balancers.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lentilstair.example/lentilstair/pkg/lentilera"
 	"lentilstair.example/lentilstair/pkg/lentilflow"
 )
 
@@ -23,6 +24,8 @@
 type balancer struct {
 	// helloAt is the time of the last Hello, or of AddPeer before the first one.
 	helloAt time.Time
+	// understandsEra is set if the balancer accepts the era in a Status.
+	understandsEra bool
 }
 
 // AddPeer adds a balancer that was found in the list of balancers, which may hold stale entries.
@@ -41,24 +44,52 @@
 		delete(t.balancers, from)
 		return actions
 	}
-	t.addBalancer(from)
+	t.addBalancer(from).understandsEra = m.UnderstandsEra
 	now := t.now()
 	if !t.lastHelloAt.IsZero() && now.Sub(t.lastHelloAt) > maxHelloGap {
 		actions = append(actions, Action{Kind: Rediscover})
 	}
 	t.lastHelloAt = now
-	if m.DomainState.AsOf > t.domainAsOf {
-		t.domainAsOf = m.DomainState.AsOf
-		actions = t.SetOut(m.DomainState.Out, actions)
+	if m.DomainState.AsOf > 0 {
+		actions = t.handleDomainState(now, lentilera.Position{Era: m.Store.Era, Revision: m.DomainState.AsOf}, m.DomainState.Out, actions)
 	}
+	t.confirmFlowsComplete(m.Store)
 	return append(actions, Action{Kind: SendStatus, To: from})
 }
 
-func (t *Tracker) addBalancer(address lentilflow.Endpoint) {
+// handleDomainState handles a state of the failure domain that was read at the given position of the store. After the
+// store has returned from an older copy, a failure domain that was out of service stays so until the operators have
+// had the time to write that again.
+func (t *Tracker) handleDomainState(now time.Time, asOf lentilera.Position, out bool, actions []Action) []Action {
+	if asOf.Compare(t.domainAsOf) <= 0 {
+		return actions
+	}
+	if t.out && !out && asOf.Era > t.domainAsOf.Era {
+		if t.unsettledEra != asOf.Era {
+			t.unsettledEra, t.settledAt = asOf.Era, now.Add(lentilera.SettleTime)
+			actions = append(actions, Action{Kind: ReportStateChange, Cause: DomainKeptOut})
+		}
+		if now.Before(t.settledAt) {
+			return actions
+		}
+	}
+	t.domainAsOf = asOf
+	return t.SetOut(out, actions)
+}
+
+// UnderstandsEra reports whether a balancer accepts the era of the store in a Status.
+func (t *Tracker) UnderstandsEra(address lentilflow.Endpoint) bool {
+	b := t.balancers[address]
+	return b != nil && b.understandsEra
+}
+
+func (t *Tracker) addBalancer(address lentilflow.Endpoint) (added *balancer) {
 	if t.balancers == nil {
 		t.balancers = make(map[lentilflow.Endpoint]*balancer)
 	}
-	t.balancers[address] = &balancer{helloAt: t.now()}
+	added = &balancer{helloAt: t.now()}
+	t.balancers[address] = added
+	return added
 }
 
 // BalancerCount returns the number of balancers that get the status.
@@ -70,7 +101,7 @@
 	return lentilflow.Status{
 		Name: t.Name, Service: t.Service, Domain: t.Domain, RunID: t.RunID, Sequence: t.statusSequence,
 		Phase: t.upstream.phase, Cold: t.Cold(), Out: t.out, Stopping: t.stopping, UpstreamEnded: t.upstream.ended, Load: t.Load(), Interval: t.statusInterval(),
-		BalancerCount: uint16(len(t.balancers)), UnderstandsTerms: true,
+		BalancerCount: uint16(len(t.balancers)), UnderstandsTerms: true, UnderstandsEra: true,
 	}
 }
 
--- a/pkg/lentilconntrack/enum_string.go
+++ b/pkg/lentilconntrack/enum_string.go
@@ -48,12 +48,13 @@
 	_ = x[StopAsked-10]
 	_ = x[UpstreamFails-11]
 	_ = x[UpstreamWorks-12]
-	_ = x[ColdChanged-13]
+	_ = x[DomainKeptOut-13]
+	_ = x[ColdChanged-14]
 }
 
-const _Cause_name = "NoCauseFlowUnknownUpstreamReplacedUpstreamLeftUpstreamRefusedUpstreamSilentUpstreamOverdueUpstreamRegisteredUpstreamLeavingDomainChangedStopAskedUpstreamFailsUpstreamWorksColdChanged"
+const _Cause_name = "NoCauseFlowUnknownUpstreamReplacedUpstreamLeftUpstreamRefusedUpstreamSilentUpstreamOverdueUpstreamRegisteredUpstreamLeavingDomainChangedStopAskedUpstreamFailsUpstreamWorksDomainKeptOutColdChanged"
 
-var _Cause_index = [...]uint8{0, 7, 18, 34, 46, 61, 75, 90, 108, 123, 136, 145, 158, 171, 182}
+var _Cause_index = [...]uint8{0, 7, 18, 34, 46, 61, 75, 90, 108, 123, 136, 145, 158, 171, 184, 195}
 
 func (i Cause) String() string {
 	idx := int(i) - 0
--- a/pkg/lentilconntrack/ledger.go
+++ b/pkg/lentilconntrack/ledger.go
@@ -19,6 +19,9 @@
 	// minLedgerFlowAge is the age from which on a flow is listed in a ledger. Flows of a single request have
 	// ended by then, and most flows that last longer are used again.
 	minLedgerFlowAge = 2 * time.Second
+	// startupTime is the age up to which an upstream's registrations have sequences of at most maxStartupSequence. It
+	// is that many intervals of 1.2 s, and one more for registrations that are late.
+	startupTime = 5 * time.Second
 	// ledgerChurnDivisor gives the share of the listed flows, 1/8, that must have come or gone since the last
 	// ledger before the next one is due. Below that share the stored ledger is accurate enough.
 	ledgerChurnDivisor = 8
@@ -43,6 +46,8 @@
 	// Service and Address are those of the agent that wrote the ledger.
 	Service string
 	Address lentilflow.Endpoint
+	// Era is the era of the store, as far as the agent knew, in which the ledger was written.
+	Era uint64
 	// UpstreamID and UpstreamIncarnation identify the run of the upstream.
 	UpstreamID          string
 	UpstreamIncarnation int64
@@ -131,16 +136,31 @@
 	return Ledger{Service: t.Service, Address: t.Address, UpstreamID: t.upstream.id, UpstreamIncarnation: t.upstream.incarnation}
 }
 
-// Restore takes the ledger that an earlier run of the agent has stored. Its flows are open if the same run of the
-// upstream registers, and are reset if another one does. A ledger of another service or address is ignored.
-func (t *Tracker) Restore(ledger Ledger, actions []Action) []Action {
+// Restore takes the ledger that an earlier run of the agent has stored, and the era in which it was read. Its flows
+// are open if the same run of the upstream registers, and are reset if another one does. A ledger of another service
+// or address is ignored.
+func (t *Tracker) Restore(ledger Ledger, era uint64, actions []Action) []Action {
 	if ledger.Service != t.Service || ledger.Address != t.Address {
 		ledger = Ledger{}
 	}
-	t.previousLedger = &ledger
+	t.previousLedger, t.previousLedgerEra = &ledger, era
 	return t.applyPreviousLedger(actions)
 }
 
+// RenewLedger makes the ledger due, since the store may have lost the last one.
+func (t *Tracker) RenewLedger() {
+	t.ledgerFlows, t.ledgerWrittenAt, t.runMarkerDue = nil, time.Time{}, t.upstream.id != ""
+	t.churn++
+}
+
+// confirmFlowsComplete concludes from the age of the store's era that a ledger which wasn't found in it has not been
+// lost with a return from an older copy, and hence has never been written.
+func (t *Tracker) confirmFlowsComplete(state lentilflow.StoreState) {
+	if t.missingLedgerEra != 0 && state.Era == t.missingLedgerEra && state.EraAge >= startupTime+t.now().Sub(t.startedAt) {
+		t.FlowsComplete, t.missingLedgerEra = true, 0
+	}
+}
+
 // applyPreviousLedger opens or resets the flows of the restored ledger once the upstream has registered.
 func (t *Tracker) applyPreviousLedger(actions []Action) []Action {
 	ledger := t.previousLedger
@@ -150,8 +170,13 @@
 	t.previousLedger = nil
 	now := t.now()
 	if t.upstream.sequence <= maxStartupSequence && !ledger.matches(t.upstream) {
-		// No earlier run of the agent has let flows open at this run of the upstream.
-		t.FlowsComplete = true
+		// No earlier run of the agent has let flows open at this run of the upstream, or the store has lost the
+		// ledger that would show it.
+		if ledger.Era == t.previousLedgerEra {
+			t.FlowsComplete = true
+		} else {
+			t.missingLedgerEra = t.previousLedgerEra
+		}
 	}
 	sameRun := ledger.matches(t.upstream)
 	for _, l := range ledger.Flows {
--- a/pkg/lentilconntrack/ledger_test.go
+++ b/pkg/lentilconntrack/ledger_test.go
@@ -34,9 +34,9 @@
 				}
 				var actions []Action
 				if first == "ledger" {
-					actions = append(h.Restore(c.ledger, nil), register()...)
+					actions = append(h.Restore(c.ledger, 0, nil), register()...)
 				} else {
-					actions = append(register(), h.Restore(c.ledger, nil)...)
+					actions = append(register(), h.Restore(c.ledger, 0, nil)...)
 				}
 				var resets []Action
 				for _, a := range actions {
@@ -76,7 +76,7 @@
 			if h.FlowsComplete {
 				t.Error("FlowsComplete is set before the ledger is restored")
 			}
-			h.Restore(c.ledger, nil)
+			h.Restore(c.ledger, 0, nil)
 			if h.FlowsComplete != c.want {
 				t.Errorf("FlowsComplete: %t, want %t", h.FlowsComplete, c.want)
 			}
--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -21,6 +21,7 @@
 
 	"lentilstair.example/lentilstair/pkg/lentilbreaker"
 	"lentilstair.example/lentilstair/pkg/lentilclock"
+	"lentilstair.example/lentilstair/pkg/lentilera"
 	"lentilstair.example/lentilstair/pkg/lentilflow"
 	"lentilstair.example/lentilstair/pkg/lentilflowqueue"
 )
@@ -99,9 +100,13 @@
 	openFlows        int
 	halfOpenFlows    int
 	out              bool
-	// domainAsOf is the revision of the store at which out was read by the balancer that reported it.
-	domainAsOf uint64
-	stopping   bool
+	// domainAsOf is the position of the store at which out was read by the balancer that reported it.
+	domainAsOf lentilera.Position
+	// unsettledEra is the last era in which the failure domain no longer seemed to be out of service, and settledAt
+	// from when that counts.
+	unsettledEra uint64
+	settledAt    time.Time
+	stopping     bool
 	// coldRate is the rate of new flows for cold upstreams, from the newest configuration version that a
 	// balancer has used in a Carry.
 	coldRate        float64
@@ -122,13 +127,18 @@
 	lastHelloAt    time.Time
 	statusSequence uint64
 	// previousLedger is the ledger of an earlier run of the agent until the upstream has registered, else nil.
-	previousLedger  *Ledger
-	ledgerWrittenAt time.Time
+	// previousLedgerEra is the era of the store in which it was read.
+	previousLedger    *Ledger
+	previousLedgerEra uint64
+	ledgerWrittenAt   time.Time
 	// ledgerFlows has the flows of the last ledger.
 	ledgerFlows map[lentilflow.Key]bool
 	// runMarkerDue is set until DueLedger has returned the run marker of an upstream that has just started, or
 	// until its registrations show that it hasn't just started.
 	runMarkerDue bool
+	// missingLedgerEra is the era in which no ledger of the upstream's run was found, while it isn't certain that the
+	// store had not lost it; zero if there is no such doubt.
+	missingLedgerEra uint64
 	// churn counts the flows that opened or ended since the last ledger.
 	churn     int
 	lastTick  time.Time
--- a/pkg/lentilflow/message.go
+++ b/pkg/lentilflow/message.go
@@ -132,8 +132,12 @@
 // StoreState summarizes what a process has read from the store. Processes exchange it, so each read of
 // the store by one process serves all of them.
 type StoreState struct {
+	// Era is the era of the store in which the revisions were given out, and EraAge how long it is known to have
+	// lasted. It is zero in messages of and to processes that don't know of eras.
+	Era    uint64
+	EraAge time.Duration
 	// ConfigurationRevision and DomainsRevision are the revisions of the latest changes to the configuration and
-	// to the set of failure domains that are out of service.
+	// to the set of failure domains that are out of service; zero means that no change of the era is known.
 	ConfigurationRevision, DomainsRevision uint64
 	// CheckedAgo is the time since a process last read the store to check for changes.
 	CheckedAgo time.Duration
@@ -157,9 +161,10 @@
 	Stopping bool
 	// UpstreamEnded is set while the upstream is known to have ended, and all its flows with it.
 	UpstreamEnded bool
-	// UnderstandsTerms is set by agents that accept Carry.Terms and Hello.DomainState.
-	UnderstandsTerms bool
-	Load             Load
+	// UnderstandsTerms is set by agents that accept Carry.Terms and Hello.DomainState, and UnderstandsEra by those
+	// that accept the era in a Hello.
+	UnderstandsTerms, UnderstandsEra bool
+	Load                             Load
 	// Interval is the time until the next status if nothing changes.
 	Interval time.Duration
 	// BalancerCount is the number of balancers that the agent knows.
@@ -174,14 +179,17 @@
 	RunID  uint64
 	// Stopping is set when the balancer shuts down and no longer needs the status.
 	Stopping bool
-	Store    StoreState
+	// UnderstandsEra is set by balancers that accept the era in a Status.
+	UnderstandsEra bool
+	Store          StoreState
 	// DomainState is the state of the agent's failure domain. It is zero for agents that read it themselves.
 	DomainState DomainState
 }
 
 // DomainState tells an agent whether its failure domain is out of service.
 type DomainState struct {
-	// AsOf is the revision of the store at which the state was read; zero means that the state isn't known.
+	// AsOf is the revision of the store, in the era of Hello.Store, at which the state was read; zero means that the
+	// state isn't known.
 	AsOf uint64
 	Out  bool
 }
--- a/pkg/lentilfollow/follow_test.go
+++ b/pkg/lentilfollow/follow_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"lentilstair.example/lentilstair/pkg/lentilclock"
+	"lentilstair.example/lentilstair/pkg/lentilera"
 	"lentilstair.example/lentilstair/pkg/lentilplatform"
 )
 
@@ -23,7 +24,7 @@
 		fromRevision uint64
 	}
 	list := func(revision uint64, revisions map[string]uint64) func(f *Follower) {
-		return func(f *Follower) { f.RecordList(revision, revisions) }
+		return func(f *Follower) { f.RecordList(lentilera.Position{Revision: revision}, revisions) }
 	}
 	for _, c := range []struct {
 		name  string
@@ -35,26 +36,81 @@
 		{"ignores an older revision of a watch", []step{{list(7, nil), Watch, 7}, {func(f *Follower) { f.RecordWatch(3, false) }, Watch, 7}}},
 		{"lists again after the history was dropped", []step{{list(7, nil), Watch, 7}, {func(f *Follower) { f.RecordFailure(true) }, List, 0}}},
 		{"watches again after a failure", []step{{list(7, nil), Watch, 7}, {func(f *Follower) { f.RecordFailure(false) }, Watch, 7}}},
-		{"lists if a peer knows a later change", []step{{list(7, nil), Watch, 7}, {func(f *Follower) { f.ObservePeerRevision(8) }, List, 0}}},
-		{"keeps watching if a peer knows no later change", []step{{list(7, nil), Watch, 7}, {func(f *Follower) { f.ObservePeerRevision(7) }, Watch, 7}}},
+		{"lists if a peer knows a later change", []step{{list(7, nil), Watch, 7}, {func(f *Follower) { f.ObservePeer(lentilera.Position{Revision: 8}) }, List, 0}}},
+		{"keeps watching if a peer knows no later change", []step{{list(7, nil), Watch, 7}, {func(f *Follower) { f.ObservePeer(lentilera.Position{Revision: 7}) }, Watch, 7}}},
 		{"rejects an older list", []step{{list(7, nil), Watch, 7}, {list(6, nil), Watch, 7}}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f := &Follower{Clock: &lentilclock.Fake{}}
 			for i, s := range c.steps {
 				s.action(f)
-				if got := f.Next(); got.Kind != s.verb || got.FromRevision != s.fromRevision {
-					t.Errorf("step %d: got verb %d from revision %d, want verb %d from revision %d", i, got.Kind, got.FromRevision, s.verb, s.fromRevision)
+				if got := f.Next(); got.Kind != s.verb || got.From.Revision != s.fromRevision {
+					t.Errorf("step %d: got verb %d from revision %d, want verb %d from revision %d", i, got.Kind, got.From.Revision, s.verb, s.fromRevision)
 				}
 			}
 		})
 	}
 }
 
+// TestFollowerInNewEra checks what the follower does after the store has returned from an older copy.
+func TestFollowerInNewEra(t *testing.T) {
+	clock := &lentilclock.Fake{}
+	f := &Follower{Clock: clock}
+	position := func(era, revision uint64) lentilera.Position {
+		return lentilera.Position{Era: era, Revision: revision}
+	}
+	objects := map[string]uint64{"x": 4}
+	f.RecordList(position(1, 90), objects)
+	for _, c := range []struct {
+		name string
+		run  func() bool
+		want bool
+		next StepKind
+	}{
+		{"a watch's answer of the new era is not a continuation", func() bool { return f.Continues(position(2, 95)) }, false, List},
+		{"the first list of the new era counts, although its revision is lower and its objects have the same revisions", func() bool {
+			_, changed := f.RecordList(position(2, 7), objects)
+			return changed
+		}, true, Watch},
+		{"a list of the earlier era doesn't count", func() bool {
+			usable, _ := f.RecordList(position(1, 99), nil)
+			return usable
+		}, false, Watch},
+		{"a change that a peer knows from the earlier era isn't missed", func() bool { return f.ObservePeer(position(1, 99)) }, false, Watch},
+		{"a list is due once the lost objects have been written again", func() bool {
+			clock.Advance(lentilera.SettleTime)
+			return true
+		}, true, List},
+		{"that list counts even if it is the same", func() bool {
+			_, changed := f.RecordList(position(2, 7), objects)
+			return changed
+		}, true, Watch},
+		{"further lists count only if they differ", func() bool {
+			_, changed := f.RecordList(position(2, 7), objects)
+			return changed
+		}, false, Watch},
+		{"a peer that knows a later era leads to a list", func() bool { return f.ObservePeer(position(3, 0)) }, true, List},
+		{"the same report doesn't lead to another one", func() bool {
+			f.RecordList(position(2, 8), objects)
+			return f.ObservePeer(position(3, 0))
+		}, false, Watch},
+	} {
+		if got := c.run(); got != c.want {
+			t.Errorf("%s: got %t", c.name, got)
+		}
+		if got := f.Next(); got.Kind != c.next {
+			t.Errorf("%s: the next step is %+v", c.name, got)
+		}
+	}
+	if last := f.LastChange(); last.Era != 2 {
+		t.Errorf("last change %v, want one of era 2", last)
+	}
+}
+
 func TestFollowerPauses(t *testing.T) {
 	clock := &lentilclock.Fake{}
 	f := &Follower{Clock: clock}
-	f.RecordList(1, nil)
+	f.RecordList(lentilera.Position{Revision: 1}, nil)
 	f.RecordWatch(2, true)
 	if got := f.Next().Pause; got != 0 {
 		t.Errorf("after a single change: pause %s, want none", got)
@@ -80,12 +136,42 @@
 	}
 }
 
-// storeModel is a store whose history may be dropped. Watches that need the history then fail.
+// storeModel is a store whose history may be dropped, and which may return from an older copy. Watches that need
+// changes that it doesn't have then fail.
 type storeModel struct {
-	revision    uint64
-	objects     map[string]Change[int]
-	history     []Change[int]
-	compactedAt uint64
+	era, revision uint64
+	objects       map[string]Change[int]
+	history       []Change[int]
+	compactedAt   uint64
+	// log has all changes, also those dropped from history, and changes counts them.
+	log     []Change[int]
+	changes int
+}
+
+// change writes or removes an object.
+func (s *storeModel) change(name string, removed bool) {
+	s.revision++
+	s.changes++
+	c := Change[int]{Name: name, Revision: s.revision, Value: s.changes, Removed: removed}
+	s.history, s.log = append(s.history, c), append(s.log, c)
+	s.objects[name] = c
+	if removed {
+		delete(s.objects, name)
+	}
+}
+
+// returnFrom lets the store return from its copy at a revision.
+func (s *storeModel) returnFrom(revision uint64) {
+	later := func(c Change[int]) bool { return c.Revision > revision }
+	s.era, s.revision = s.era+1, revision
+	s.history, s.log = slices.DeleteFunc(s.history, later), slices.DeleteFunc(s.log, later)
+	clear(s.objects)
+	for _, c := range s.log {
+		s.objects[c.Name] = c
+		if c.Removed {
+			delete(s.objects, c.Name)
+		}
+	}
 }
 
 func (s *storeModel) list() (all []Change[int], revisions map[string]uint64) {
@@ -98,11 +184,13 @@
 }
 
 // TestFollowerMatchesStore checks that the lists and changes that the follower accepts give the content of the
-// store. Watches may answer late or repeatedly, and the store may drop its history.
+// store. Watches may answer late or repeatedly, and the store may drop its history or
+// return from an older copy.
 func TestFollowerMatchesStore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		store := &storeModel{revision: 1, objects: make(map[string]Change[int])}
-		f := &Follower{Clock: &lentilclock.Fake{}}
+		clock := &lentilclock.Fake{}
+		f := &Follower{Clock: clock}
 		view := make(map[string]int)
 		apply := func(c Change[int]) {
 			if c.Removed {
@@ -113,7 +201,7 @@
 		}
 		list := func() {
 			all, revisions := store.list()
-			if usable, changed := f.RecordList(store.revision, revisions); usable && changed {
+			if usable, changed := f.RecordList(lentilera.Position{Era: store.era, Revision: store.revision}, revisions); usable && changed {
 				clear(view)
 				for _, c := range all {
 					apply(c)
@@ -121,10 +209,13 @@
 			}
 		}
 		watch := func(from uint64) {
-			if from < store.compactedAt {
+			if from < store.compactedAt || from > store.revision {
 				f.RecordFailure(true)
 				return
 			}
+			if !f.Continues(lentilera.Position{Era: store.era, Revision: store.revision}) {
+				return
+			}
 			newChanges := 0
 			for _, c := range store.history {
 				if c.Revision > from && f.RecordChange(c.Name, c.Revision, c.Removed) {
@@ -136,27 +227,24 @@
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"change": func(t *rapid.T) {
-				store.revision++
 				name := fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "name"))
 				_, exists := store.objects[name]
-				c := Change[int]{Name: name, Revision: store.revision, Value: int(store.revision), Removed: exists && rapid.Bool().Draw(t, "removed")}
-				store.objects[name] = c
-				if c.Removed {
-					delete(store.objects, name)
-				}
-				store.history = append(store.history, c)
+				store.change(name, exists && rapid.Bool().Draw(t, "removed"))
 			},
 			"drop history": func(*rapid.T) { store.compactedAt, store.history = store.revision, nil },
 			"next": func(*rapid.T) {
 				if step := f.Next(); step.Kind == List {
 					list()
 				} else {
-					watch(step.FromRevision)
+					watch(step.From.Revision)
 				}
 			},
 			"poll": func(*rapid.T) { list() },
 			"late watch": func(t *rapid.T) {
 				// A watch that began before a list answers after it.
+				if !f.Continues(lentilera.Position{Era: store.era}) {
+					return
+				}
 				if from := rapid.Uint64Range(0, store.revision).Draw(t, "from"); from >= store.compactedAt {
 					for _, c := range store.history {
 						if c.Revision > from && f.RecordChange(c.Name, c.Revision, c.Removed) {
@@ -165,7 +253,13 @@
 					}
 				}
 			},
-			"missed": func(t *rapid.T) { f.ObservePeerRevision(rapid.Uint64Range(0, store.revision).Draw(t, "revision")) },
+			"missed": func(t *rapid.T) {
+				f.ObservePeer(lentilera.Position{Era: store.era, Revision: rapid.Uint64Range(0, store.revision).Draw(t, "revision")})
+			},
+			"return from an older copy": func(t *rapid.T) {
+				store.returnFrom(rapid.Uint64Range(store.compactedAt, store.revision).Draw(t, "copy"))
+			},
+			"time passes": func(*rapid.T) { clock.Advance(time.Second) },
 		})
 		f.RecordFailure(true)
 		list()
@@ -253,14 +347,14 @@
 	values := make(chan int, 8)
 	r := &Reader[int]{
 		Source: Source[int]{
-			List: func(context.Context) ([]Change[int], uint64, error) {
+			List: func(context.Context) ([]Change[int], lentilera.Position, error) {
 				mu.Lock()
 				defer mu.Unlock()
-				return []Change[int]{{Name: "x", Revision: revision, Value: value}}, revision, nil
+				return []Change[int]{{Name: "x", Revision: revision, Value: value}}, lentilera.Position{Revision: revision}, nil
 			},
-			Watch: func(ctx context.Context, _ uint64) ([]Change[int], uint64, error) {
+			Watch: func(ctx context.Context, _ uint64) ([]Change[int], lentilera.Position, error) {
 				<-ctx.Done()
-				return nil, 0, errors.Join(lentilplatform.ErrUnavailable, ctx.Err())
+				return nil, lentilera.Position{}, errors.Join(lentilplatform.ErrUnavailable, ctx.Err())
 			},
 		},
 		Sink: Sink[int]{
@@ -286,12 +380,12 @@
 	mu.Lock()
 	value, revision = 3, 9
 	mu.Unlock()
-	r.ObservePeerRevision(9)
+	r.ObservePeer(lentilera.Position{Revision: 9})
 	if got := <-values; got != 3 {
 		t.Errorf("after a peer knows a later change: got %d, want 3", got)
 	}
-	if last := r.LastChangeRevision(); last != 9 {
-		t.Errorf("revision of the last change %d, want 9", last)
+	if last := r.LastChange(); last.Revision != 9 {
+		t.Errorf("position of the last change %v, want revision 9", last)
 	}
 	cancel()
 	<-done
--- a/pkg/lentilfollow/follower.go
+++ b/pkg/lentilfollow/follower.go
@@ -1,9 +1,10 @@
 // Package lentilfollow keeps a local view of one kind of objects in a store up to date. It lists the
 // objects, and then watches for changes after the revision of the list.
 //
-// A Follower decides on the next call to the store. Its revision never decreases: it rejects a list that is
-// older than the revision already known. If the store has dropped the history that a watch needs, the
-// next call is a list. While changes follow each other quickly, it pauses between watches, which
+// A Follower decides on the next call to the store. Its position never goes back: it rejects a list that is
+// older than the position already known. If the store has dropped the history that a watch needs, the
+// next call is a list. If the store has returned from an older copy, which begins a new era, the follower lists it,
+// and once more after lentilera.SettleTime, when what the store has lost has been written again. While changes follow each other quickly, it pauses between watches, which
 // reduces the cost of a hundred changes to a few calls.
 //
 // The package is designed for a few changes per hour with bursts of ten per second, and for a store that is
@@ -16,6 +17,7 @@
 
 	"lentilstair.example/lentilstair/pkg/lentilbudget"
 	"lentilstair.example/lentilstair/pkg/lentilclock"
+	"lentilstair.example/lentilstair/pkg/lentilera"
 )
 
 const (
@@ -47,9 +49,11 @@
 
 // Step is the next call to the store, to be made after a pause.
 type Step struct {
-	Kind         StepKind
-	Pause        time.Duration
-	FromRevision uint64
+	Kind  StepKind
+	Pause time.Duration
+	From  lentilera.Position
+	// Limit ends a watch, since a list is due then; zero is no limit.
+	Limit time.Duration
 }
 
 // Follower decides on the next call to the store. The zero Follower begins with a list. It is not safe for
@@ -62,11 +66,14 @@
 	// Backoff computes the pauses after failures. The follower sets its bounds.
 	Backoff lentilbudget.Backoff
 
-	// revision is the revision up to which changes are known.
-	revision uint64
+	// position is the point up to which changes are known, and reported the latest one that another process has
+	// reported and that has led to a list.
+	position, reported lentilera.Position
+	// settledAt is when the store must be listed again after its return from an older copy; zero if it needn't.
+	settledAt time.Time
 	// objectRevisions holds the revision of each object. It is nil until the first list or change.
 	objectRevisions map[string]uint64
-	// lastChange is the revision of the latest known change.
+	// lastChange is the revision of the latest known change in the era of position.
 	lastChange uint64
 	// watching is set if the next call is a watch.
 	watching bool
@@ -80,13 +87,18 @@
 
 func (f *Follower) now() time.Time { return lentilclock.OrSystem(f.Clock).Now() }
 
-// Revision returns the revision up to which changes are known.
-func (f *Follower) Revision() uint64 { return f.revision }
+// Position returns the point up to which changes are known.
+func (f *Follower) Position() lentilera.Position { return f.position }
 
 // Next returns the next step.
 func (f *Follower) Next() (step Step) {
 	if f.watching {
-		step = Step{Kind: Watch, FromRevision: f.revision}
+		step = Step{Kind: Watch, From: f.position}
+	}
+	if f.watching && !f.settledAt.IsZero() {
+		if step.Limit = f.settledAt.Sub(f.now()); step.Limit <= 0 {
+			step = Step{Kind: List}
+		}
 	}
 	switch {
 	case f.failures > 0:
@@ -109,24 +121,36 @@
 	return value
 }
 
-// LastChangeRevision returns the revision of the latest known change. Processes exchange this revision. A process
-// that learns of one later than its own Revision has missed a change.
-func (f *Follower) LastChangeRevision() uint64 { return f.lastChange }
+// LastChange returns the position of the latest known change. Processes exchange it. A process
+// that learns of one later than its own Position has missed a change.
+func (f *Follower) LastChange() lentilera.Position {
+	return lentilera.Position{Era: f.position.Era, Revision: f.lastChange}
+}
 
-// RecordList records a list: the store's revision and the revision of each object. It reports whether the list
-// is usable, and whether it differs from the objects known before. A list that is older than the known revision
+// RecordList records a list: the store's position and the revision of each object. It reports whether the list
+// is usable, and whether it may differ from the objects known before. A list that is older than the known position
 // isn't usable and counts as a failure.
-func (f *Follower) RecordList(revision uint64, revisions map[string]uint64) (usable, changed bool) {
-	if revision < f.revision {
+func (f *Follower) RecordList(position lentilera.Position, revisions map[string]uint64) (usable, changed bool) {
+	if position.Compare(f.position) < 0 {
 		f.RecordFailure(false)
 		return false, false
 	}
 	f.resetFailures()
+	now := f.now()
 	first := f.objectRevisions == nil
-	changed = first || !maps.Equal(f.objectRevisions, revisions)
+	returned := !first && position.Era > f.position.Era
+	settled := !f.settledAt.IsZero() && !now.Before(f.settledAt)
+	// Equal revisions of different eras may belong to different contents.
+	changed = first || returned || settled || !maps.Equal(f.objectRevisions, revisions)
+	switch {
+	case returned:
+		f.lastChange, f.settledAt = 0, now.Add(lentilera.SettleTime)
+	case settled:
+		f.settledAt = time.Time{}
+	}
 	if changed && !first {
 		// A list doesn't contain the revision of a removal, so the revision of the list is used for it.
-		f.lastChange = max(f.lastChange, revision)
+		f.lastChange = max(f.lastChange, position.Revision)
 	}
 	for _, r := range revisions {
 		f.lastChange = max(f.lastChange, r)
@@ -135,7 +159,7 @@
 	if f.objectRevisions == nil {
 		f.objectRevisions = make(map[string]uint64)
 	}
-	f.revision, f.watching, f.batching = revision, true, false
+	f.position, f.watching, f.batching = position, true, false
 	return true, changed
 }
 
@@ -158,10 +182,21 @@
 	return ok || !removed
 }
 
+// Continues reports whether a watch's answer from the given position continues what is known. An answer of another
+// era doesn't: it lacks the changes that the new era has up to the position from which the watch began. The next step
+// is then a list.
+func (f *Follower) Continues(position lentilera.Position) bool {
+	if position.Era != f.position.Era {
+		f.watching = false
+		return false
+	}
+	return true
+}
+
 // RecordWatch records the result of a watch: the revision that it has reached, and whether it brought new changes.
 func (f *Follower) RecordWatch(revision uint64, changed bool) {
 	f.resetFailures()
-	f.revision = max(f.revision, revision)
+	f.position.Revision = max(f.position.Revision, revision)
 	now := f.now()
 	f.batching = changed && now.Sub(f.changedAt) < batchWindow
 	if changed {
@@ -169,14 +204,14 @@
 	}
 }
 
-// ObservePeerRevision records the revision of a change that another process knows. If it is later than the
-// follower's revision, the next step is a list. It reports whether this call changed the next step from a
-// watch to a list.
-func (f *Follower) ObservePeerRevision(revision uint64) (missed bool) {
-	if revision <= f.revision || !f.watching {
+// ObservePeer records the position of a change that another process knows, or of an answer of the store to another
+// call. If it is later than the follower's position, the next step is a list. It reports whether this call changed the
+// next step from a watch to a list. A position that has led to a list before doesn't lead to another one.
+func (f *Follower) ObservePeer(position lentilera.Position) (missed bool) {
+	if position.Compare(f.position) <= 0 || position.Compare(f.reported) <= 0 || !f.watching {
 		return false
 	}
-	f.watching = false
+	f.watching, f.reported = false, position
 	return true
 }
 
--- a/pkg/lentilfollow/run.go
+++ b/pkg/lentilfollow/run.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"lentilstair.example/lentilstair/pkg/lentilera"
 	"lentilstair.example/lentilstair/pkg/lentilplatform"
 )
 
@@ -21,11 +22,11 @@
 // Source reads one kind of objects from the store. Its errors match those of lentilplatform; ErrGone means that
 // the store no longer has the history after a revision.
 type Source[T any] struct {
-	// List returns all objects and the revision of the store at which they were read.
-	List func(ctx context.Context) (all []Change[T], revision uint64, err error)
-	// Watch waits for changes after a revision. It returns the revision up to which it has watched, and may
+	// List returns all objects and the position of the store at which they were read.
+	List func(ctx context.Context) (all []Change[T], position lentilera.Position, err error)
+	// Watch waits for changes after a revision. It returns the position up to which it has watched, and may
 	// return no changes.
-	Watch func(ctx context.Context, from uint64) (changes []Change[T], revision uint64, err error)
+	Watch func(ctx context.Context, from uint64) (changes []Change[T], position lentilera.Position, err error)
 }
 
 // Sink receives the objects that a Reader reads. Replace and Apply are never called concurrently, nor are
@@ -34,7 +35,7 @@
 	// Replace receives all objects, Apply the changes since the last call of either.
 	Replace func(all []Change[T])
 	Apply   func(changes []Change[T])
-	// Failed is called when the store begins to fail, or answers with a list older than the known revision.
+	// Failed is called when the store begins to fail, or answers with a list older than the known position.
 	// Recovered is called when the store works again, with the duration of the
 	// outage.
 	Failed    func(err error)
@@ -49,9 +50,9 @@
 	Sink     Sink[T]
 	// DeferWatch returns how long to wait before it is asked again whether to watch the source; with zero the
 	// reader watches. A reader that doesn't watch reads the source when Poll is called or when
-	// ObservePeerRevision shows that it has missed a change. Nil means that the reader always watches.
+	// ObservePeer shows that it has missed a change. Nil means that the reader always watches.
 	DeferWatch func() time.Duration
-	// Watched is called after a watch has brought changes. It may be nil.
+	// Watched is called after a watch has brought changes, or a list a new era of the store. It may be nil.
 	Watched func()
 
 	mu sync.Mutex
@@ -61,19 +62,19 @@
 	cancelStep context.CancelFunc
 }
 
-// LastChangeRevision returns the revision of the latest known change.
-func (r *Reader[T]) LastChangeRevision() uint64 {
+// LastChange returns the position of the latest known change.
+func (r *Reader[T]) LastChange() lentilera.Position {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.Follower.LastChangeRevision()
+	return r.Follower.LastChange()
 }
 
-// ObservePeerRevision records the revision of a change that another process knows. If this reader has missed
+// ObservePeer records the position of a change that another process knows. If this reader has missed
 // the change, it ends the current step and lists the source.
-func (r *Reader[T]) ObservePeerRevision(revision uint64) {
+func (r *Reader[T]) ObservePeer(position lentilera.Position) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.Follower.ObservePeerRevision(revision) && r.cancelStep != nil {
+	if r.Follower.ObservePeer(position) && r.cancelStep != nil {
 		r.cancelStep()
 	}
 }
@@ -81,14 +82,14 @@
 // Poll lists the source while a watch waits, as the watch may be disconnected without an error. If the list
 // brings changes, Poll ends the watch. It reports whether the source has answered.
 func (r *Reader[T]) Poll(ctx context.Context) (answered bool) {
-	all, revision, err := r.Source.List(ctx)
+	all, position, err := r.Source.List(ctx)
 	r.trackOutage(func() error {
 		switch {
 		case ctx.Err() != nil:
 		case err != nil && r.DeferWatch != nil:
 			r.Follower.RecordFailure(false)
 		case err == nil:
-			changed, listErr := r.applyList(all, revision)
+			changed, listErr := r.applyList(all, position)
 			if changed && r.cancelStep != nil {
 				r.cancelStep()
 			}
@@ -134,19 +135,38 @@
 // perform makes the call of a step and passes new objects or changes to the sink.
 func (r *Reader[T]) perform(ctx context.Context, step Step) {
 	if step.Kind == List {
-		all, revision, err := r.Source.List(ctx)
-		r.recordStep(ctx, err, func() error { _, err := r.applyList(all, revision); return err })
+		all, position, err := r.Source.List(ctx)
+		changed := false
+		r.recordStep(ctx, err, func() error {
+			before := r.Follower.Position()
+			applied, err := r.applyList(all, position)
+			changed = applied && before.Era != position.Era && before != lentilera.Position{}
+			return err
+		})
+		if changed && r.Watched != nil {
+			r.Watched()
+		}
 		return
 	}
+	if step.Limit > 0 {
+		limited, cancel := context.WithTimeout(ctx, step.Limit)
+		defer cancel()
+		ctx = limited
+	}
 	if r.DeferWatch != nil {
 		if wait := r.DeferWatch(); wait > 0 {
 			pause(ctx, wait)
 			return
 		}
 	}
-	changes, revision, err := r.Source.Watch(ctx, step.FromRevision)
+	changes, position, err := r.Source.Watch(ctx, step.From.Revision)
 	changed := false
-	r.recordStep(ctx, err, func() error { changed = r.applyChanges(changes, revision); return nil })
+	r.recordStep(ctx, err, func() error {
+		if r.Follower.Continues(position) {
+			changed = r.applyChanges(changes, position.Revision)
+		}
+		return nil
+	})
 	if changed && r.Watched != nil {
 		r.Watched()
 	}
@@ -182,16 +202,16 @@
 }
 
 // errOlderList is the reason for a failure if the store has answered, but with an older state than before.
-var errOlderList = errors.New("the store has answered with a list older than the known revision")
+var errOlderList = errors.New("the store has answered with a list older than the known position")
 
 // applyList records a list and passes it to the sink if it differs from the objects known before. It reports
 // whether it does. The caller holds r.mu.
-func (r *Reader[T]) applyList(all []Change[T], revision uint64) (changed bool, err error) {
+func (r *Reader[T]) applyList(all []Change[T], position lentilera.Position) (changed bool, err error) {
 	revisions := make(map[string]uint64, len(all))
 	for _, c := range all {
 		revisions[c.Name] = c.Revision
 	}
-	usable, changed := r.Follower.RecordList(revision, revisions)
+	usable, changed := r.Follower.RecordList(position, revisions)
 	if !usable {
 		return false, errOlderList
 	}
--- a/pkg/lentilfollow/run_test.go
+++ b/pkg/lentilfollow/run_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"lentilstair.example/lentilstair/pkg/lentilclock"
+	"lentilstair.example/lentilstair/pkg/lentilera"
 )
 
 // countingSource is a source whose calls are counted. Its watches wait until their context ends or a change comes.
@@ -28,20 +29,20 @@
 		return []Change[int]{{Name: "main", Revision: r, Value: int(r)}}
 	}
 	return Source[int]{
-		List: func(context.Context) ([]Change[int], uint64, error) {
+		List: func(context.Context) ([]Change[int], lentilera.Position, error) {
 			c.lists.Add(1)
 			if c.down.Load() {
-				return nil, 0, errDown
+				return nil, lentilera.Position{}, errDown
 			}
-			return object(), c.revision.Load(), nil
+			return object(), lentilera.Position{Revision: c.revision.Load()}, nil
 		},
-		Watch: func(ctx context.Context, _ uint64) ([]Change[int], uint64, error) {
+		Watch: func(ctx context.Context, _ uint64) ([]Change[int], lentilera.Position, error) {
 			c.watches.Add(1)
 			select {
 			case <-ctx.Done():
-				return nil, 0, ctx.Err()
+				return nil, lentilera.Position{}, ctx.Err()
 			case <-c.changes:
-				return object(), c.revision.Load(), nil
+				return object(), lentilera.Position{Revision: c.revision.Load()}, nil
 			}
 		},
 	}
@@ -75,7 +76,7 @@
 			t.Errorf("%d lists and %d watches while nothing changed, value %d", source.lists.Load(), source.watches.Load(), value.Load())
 		}
 		source.revision.Store(7)
-		r.ObservePeerRevision(7)
+		r.ObservePeer(lentilera.Position{Revision: 7})
 		synctest.Wait()
 		if source.lists.Load() != 2 || value.Load() != 7 {
 			t.Errorf("%d lists after a peer's change, value %d", source.lists.Load(), value.Load())
--- a/pkg/lentilplacement/agent.go
+++ b/pkg/lentilplacement/agent.go
@@ -53,6 +53,12 @@
 	return append(actions, Action{Kind: SendHello, To: node.Address})
 }
 
+// UnderstandsEra reports whether an agent accepts the era of the store in a Hello.
+func (p *Placer) UnderstandsEra(addr lentilflow.Endpoint) bool {
+	a := p.agents[addr]
+	return a != nil && a.status.UnderstandsEra
+}
+
 func (p *Placer) putAgent(addr lentilflow.Endpoint, a *agent) {
 	if p.agents == nil {
 		p.agents = make(map[lentilflow.Endpoint]*agent)
