Flows that a new run of a copy has accepted before it registers stay; flows aren't reset for silence alone

Cause: a copy that replaces another one at its address accepts flows before its first registration arrives. The registration of the new run then reset every flow of the table, also those that the new run had accepted. A late registration of an earlier run, handled first by an agent that has restarted, did the same to all flows, and made the agent deny flows it didn't know. Change: registrations carry the start of the run; flows that the upstream has answered since then, and lookups that it has got since then, are left alone. FlowsComplete is concluded only if the agent ran before its upstream. Suspects of the issue, each with a test: - Silence as proof that an agent is gone: balancers probe the machine; one that answers isn't gone, whatever its agent does. - A run marker that isn't stored yet: written at once with the first flow, and again after a failed write. - Agent.stop while the copy is only overdue: it probes first, and withdraws its entry only if the copy has ended. HolderDenied and late datagrams: no case found in which a flow moves or its holder denies it; left as it is.

--- a/internal/lentilpacket/agent.go
+++ b/internal/lentilpacket/agent.go
@@ -57,6 +57,8 @@
 	// process last read the store, as far as this agent knows.
 	storeState     lentilflow.StoreState
 	storeCheckedAt time.Time
+	// markerDue wakes maintainLedger for the run marker.
+	markerDue chan struct{}
 	// rediscover publishes the agent's entry and reads the list of balancers.
 	rediscover func()
 	workers    sync.WaitGroup
@@ -102,6 +104,7 @@
 }
 
 func (a *Agent) open() (err error) {
+	a.markerDue = make(chan struct{}, 1)
 	a.tracker.Codec, a.tracker.RunID = a.Codec, rand.Uint64()
 	a.tracker.Name, a.tracker.Domain, a.tracker.Service = a.Settings.Name(), a.Settings.Domain(), a.Settings.Service()
 	a.tracker.Address = lentilflow.EndpointOf(a.Settings.PeerAddress())
@@ -143,10 +146,11 @@
 	return lentilmetric.Readiness{Ready: true}
 }
 
-func (a *Agent) upstreamPhase() lentilflow.Phase {
+// upstreamState returns the phase of the upstream, and whether it is known to have ended.
+func (a *Agent) upstreamState() (phase lentilflow.Phase, ended bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.tracker.Phase()
+	return a.tracker.Phase(), a.tracker.UpstreamEnded()
 }
 
 // Register processes the registration of an upstream. It is in effect when Register returns.
@@ -186,6 +190,7 @@
 	for {
 		select {
 		case <-ticker.C:
+		case <-a.markerDue:
 		case <-ctx.Done():
 			return
 		}
@@ -196,9 +201,11 @@
 		if !due {
 			continue
 		}
-		// A failed write is not retried: the next ledger replaces this one.
 		if err := a.Store.Ledgers.Save(ctx, a.Settings.Name(), ledger); err != nil && ctx.Err() == nil {
 			a.Logger.Write(lentilevent.StoreLost, lentilevent.Str("what", "ledger"), lentilevent.Err(err))
+			a.mu.Lock()
+			a.tracker.LedgerFailed(ledger)
+			a.mu.Unlock()
 		}
 	}
 }
@@ -365,6 +372,12 @@
 		}
 		a.logAction(action)
 	}
+	if a.tracker.RunMarkerDue() {
+		select {
+		case a.markerDue <- struct{}{}:
+		default:
+		}
+	}
 	if connRefused {
 		a.perform(a.tracker.HandlePacketRefused(a.actions[:0]))
 	}
--- a/internal/lentilpacket/balancer.go
+++ b/internal/lentilpacket/balancer.go
@@ -62,6 +62,8 @@
 	// stopping is set when a stop is requested, and leaving at the end of the grace period.
 	stopping bool
 	leaving  bool
+	// probeMachine starts a probe of an agent's machine.
+	probeMachine func(agent lentilflow.Endpoint)
 	// renewEntry writes the balancer's entry again, and reads the list of agents.
 	renewEntry func(era uint64, balancers int)
 	logLimiter logLimiter
@@ -88,6 +90,14 @@
 	b.renewEntry = func(era uint64, balancers int) {
 		workers.Go(func() { renewEntry(ctx, b.Logger, era, balancers, discover) })
 	}
+	b.probeMachine = func(agent lentilflow.Endpoint) {
+		workers.Go(func() {
+			answered := machineAnswers(ctx, agent)
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			b.placer.HandleProbeResult(agent, answered)
+		})
+	}
 	workers.Go(func() { lentilserver.ServeDatagrams(b.ingressConn, make([]byte, readBufferSize), b.handleClientPacket) })
 	workers.Go(func() { lentilserver.ServeDatagrams(b.peerConn, make([]byte, readBufferSize), b.handlePeerMessage) })
 	workers.Go(func() { b.tick(ctx) })
@@ -231,6 +241,8 @@
 		case lentilplacement.SendHello:
 			b.sentStoreState.CheckedAgo = b.pollSchedule.CheckedAgo()
 			b.send(lentilframe.AppendHello(b.frameBuffer[:0], b.hello(b.sentStoreState, a.To)), a.To)
+		case lentilplacement.ProbeMachine:
+			b.probeMachine(a.To)
 		case lentilplacement.ReportPlaced:
 			b.Counts.recordPlacing(a.Latency)
 		case lentilplacement.Hold, lentilplacement.ReportLookup, lentilplacement.ReportAgent:
--- a/internal/lentilpacket/stop.go
+++ b/internal/lentilpacket/stop.go
@@ -19,11 +19,12 @@
 // ends, it resets the flows that clients still consider open.
 func (a *Agent) stop(forced context.Context, self Peer) {
 	a.handleEvent(a.tracker.Stop)
-	if a.upstreamPhase() == lentilflow.Unheard {
-		// An upstream that left while its agent was away has not registered with this run.
+	if phase, ended := a.upstreamState(); !ended && (phase == lentilflow.Unheard || phase == lentilflow.Gone) {
+		// An upstream that left while its agent was away has not registered with this run, and one whose registration
+		// is overdue may still hold its flows.
 		a.probeUpstream()
 	}
-	gone := a.upstreamPhase() == lentilflow.Gone
+	_, gone := a.upstreamState()
 	pause, operation := handoverDelay, "mark"
 	updateEntry := func(ctx context.Context) error {
 		self.Stopping = true
--- a/internal/lentilpacketmodel/fault.go
+++ b/internal/lentilpacketmodel/fault.go
@@ -192,7 +192,7 @@
 		b.up, b.lastFaultAt = false, s.Clock.Now()
 	}
 	for _, a := range s.agents {
-		a.up, a.lastFaultAt = false, s.Clock.Now()
+		a.up, a.powerless, a.lastFaultAt = false, true, s.Clock.Now()
 		if a.upstream != nil {
 			a.upstream.ended = true
 		}
@@ -203,7 +203,7 @@
 			b.start()
 		}
 		for _, a := range s.agents {
-			a.lastFaultAt = s.Clock.Now()
+			a.powerless, a.lastFaultAt = false, s.Clock.Now()
 			a.start(false)
 			a.upstream = s.newUpstream(a)
 		}
--- a/internal/lentilpacketmodel/process.go
+++ b/internal/lentilpacketmodel/process.go
@@ -115,11 +115,22 @@
 			b.sendHello(action.To)
 		case lentilplacement.ResetClient:
 			sim.sendToClient(b.process, codec().AppendReset(nil, action.Key, action.Sequence), action.Cause.String())
+		case lentilplacement.ProbeMachine:
+			b.probeMachine(action.To)
 		case lentilplacement.Drop, lentilplacement.Hold, lentilplacement.ReportAgent, lentilplacement.ReportPlaced, lentilplacement.ReportLookup:
 		}
 	}
 }
 
+// probeMachine simulates a connection attempt to an agent's machine.
+func (b *balancer) probeMachine(agent lentilflow.Endpoint) {
+	p := b.sim.processes[agent]
+	answers := func() bool {
+		return p != nil && !p.powerless && !p.isolated && !b.isolated && !b.sim.partitions[domainPair(b.domain, p.domain)]
+	}
+	b.schedule(2*crossDomainDelay, func() { b.placer.HandleProbeResult(agent, answers()) })
+}
+
 func (b *balancer) sendToAgent(to lentilflow.Endpoint, handle func(g *agent)) {
 	b.sim.sendFlowDatagram(b.process, to, b.agentHandler(handle))
 }
--- a/internal/lentilpacketmodel/simulation.go
+++ b/internal/lentilpacketmodel/simulation.go
@@ -264,6 +264,8 @@
 	runNumber int
 	frozen    bool
 	isolated  bool
+	// powerless is set while the machine of the process has no power.
+	powerless bool
 	// lastFaultAt is when the process was last killed, frozen or isolated, or recovered from that.
 	lastFaultAt time.Time
 	// deferredEvents are the events that arrived while the process was frozen.
--- a/internal/lentilpacketmodel/upstream.go
+++ b/internal/lentilpacketmodel/upstream.go
@@ -49,7 +49,7 @@
 func (s *Simulation) newUpstream(a *agent) *upstream {
 	s.lastIncarnation++
 	u := &upstream{
-		sim: s, agent: a, id: fmt.Sprintf("upstream-%d", s.lastIncarnation), incarnation: s.lastIncarnation, startedAt: s.Clock.Now(),
+		sim: s, agent: a, id: fmt.Sprintf("upstream-%d", s.lastIncarnation), incarnation: s.Clock.Now().UnixMilli(), startedAt: s.Clock.Now(),
 		flows: make(map[lentilflow.Key]*flowState),
 	}
 	s.After(sameDomainDelay, u.register)
--- a/pkg/lentilconntrack/flow.go
+++ b/pkg/lentilconntrack/flow.go
@@ -23,6 +23,8 @@
 	// isn't known. A reset to the client carries it.
 	acknowledged uint32
 	lastUsed     time.Time
+	// heardAt is when the upstream last sent a packet of the flow.
+	heardAt time.Time
 	// openedAt is the value of lastUsed when the flow became open.
 	openedAt time.Time
 	// requestInFlight is set from a client's data packet until the upstream's next data packet.
--- a/pkg/lentilconntrack/harness_test.go
+++ b/pkg/lentilconntrack/harness_test.go
@@ -51,11 +51,14 @@
 	*Tracker
 	// lastSequence is the sequence of the last registration.
 	lastSequence int64
+	// createdAt is the time of newHarness. Incarnations are counted from it in milliseconds.
+	createdAt time.Time
 }
 
 func newHarness(t testing.TB) *harness {
 	h := &harness{t: t, clock: &lentilclock.Fake{}, packetTable: &packetTable{}}
 	h.clock.Advance(time.Hour)
+	h.createdAt = h.clock.Now()
 	h.Tracker = &Tracker{Clock: h.clock, Codec: h.codec(), Service: "a", RenewInterval: 1200 * time.Millisecond, ColdFactor: 1.5, ColdSlack: 5}
 	return h
 }
@@ -66,6 +69,7 @@
 	for _, apply := range change {
 		apply(&r)
 	}
+	r.Incarnation += h.createdAt.UnixMilli()
 	return formatActions(h.Register(r, nil))
 }
 
--- a/pkg/lentilconntrack/ledger.go
+++ b/pkg/lentilconntrack/ledger.go
@@ -99,7 +99,7 @@
 // this one may have let flows open at that upstream. A run that isn't new shows it by its registration sequence.
 func (t *Tracker) DueLedger() (ledger Ledger, due bool) {
 	now := t.now()
-	if t.runMarkerDue && t.openFlows+t.halfOpenFlows > 0 {
+	if t.RunMarkerDue() {
 		t.runMarkerDue = false
 		return t.newLedger(), true
 	}
@@ -131,6 +131,17 @@
 	return ledger, true
 }
 
+// RunMarkerDue reports whether the run marker is due. Until it is stored, a later run of the agent can't know that this
+// one may have let flows open.
+func (t *Tracker) RunMarkerDue() bool { return t.runMarkerDue && t.openFlows+t.halfOpenFlows > 0 }
+
+// LedgerFailed records that a ledger could not be stored. A run marker is due again; a later ledger replaces another one.
+func (t *Tracker) LedgerFailed(ledger Ledger) {
+	if len(ledger.Flows) == 0 && ledger.matches(t.upstream) && t.upstream.sequence <= maxStartupSequence {
+		t.runMarkerDue = true
+	}
+}
+
 // newLedger returns a ledger of the upstream's run without flows.
 func (t *Tracker) newLedger() Ledger {
 	return Ledger{Service: t.Service, Address: t.Address, UpstreamID: t.upstream.id, UpstreamIncarnation: t.upstream.incarnation}
--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -334,7 +334,7 @@
 		// An upstream that has just started also resets flows that another upstream holds.
 		return t.denyFlow(now, packet.Key, f, actions), nil
 	}
-	f.lastUsed = now
+	f.lastUsed, f.heardAt = now, now
 	if packet.Flags.Has(lentilflow.Open) {
 		f.initialSequence, f.upstreamAccepted, f.firstPacket = packet.Sequence, true, nil
 		if f.state == unverified {
--- a/pkg/lentilconntrack/tracker_test.go
+++ b/pkg/lentilconntrack/tracker_test.go
@@ -122,6 +122,37 @@
 			{register("v", func(r *Registration) { r.Incarnation = 2 }), "ResetClient UpstreamReplaced 501, ReportStateChange UpstreamRegistered"},
 			{carry(lentilflow.Place, firstPacket(flowKey(2))), "ToUpstream, SendTaken open=false"},
 		}},
+		{"flows that a new run has accepted before it registers stay", false, []step{
+			{register("u"), "ReportStateChange UpstreamRegistered"},
+			{func(h *harness) string { h.openFlow(flowKey(1)); h.clock.Advance(10 * time.Millisecond); return "" }, ""},
+			{func(h *harness) string { h.openFlow(flowKey(2)); return "" }, ""},
+			{register("v", func(r *Registration) { r.Incarnation = 5 }), "ResetClient UpstreamReplaced 501, ReportStateChange UpstreamRegistered"},
+			{func(h *harness) string { return h.fromBalancer(peer1, lentilflow.Owned, dataPacket(flowKey(2), 501)) }, "ToUpstream"},
+			{func(h *harness) string { return h.fromBalancer(peer1, lentilflow.Owned, dataPacket(flowKey(1), 501)) }, "ResetClient FlowUnknown 501"},
+		}},
+		{"a lookup that a new run may still answer isn't denied", false, []step{
+			{register("u"), "ReportStateChange UpstreamRegistered"},
+			{func(h *harness) string { h.FlowsComplete = false; h.clock.Advance(10 * time.Millisecond); return "" }, ""},
+			{func(h *harness) string { return h.fromBalancer(peer1, lentilflow.Lookup, dataPacket(flowKey(2), 501)) }, "ToUpstream"},
+			{register("v", func(r *Registration) { r.Incarnation = 5 }), "ReportStateChange UpstreamRegistered"},
+			{func(h *harness) string { return h.fromUpstream(dataPacket(flowKey(2), 501)) }, "SendTaken open=true, ToClient"},
+		}},
+		{"a late registration of an earlier run doesn't end the flows of the current one", false, []step{
+			{func(h *harness) string {
+				h.clock.Advance(time.Second)
+				return h.fromBalancer(peer1, lentilflow.Lookup, dataPacket(flowKey(1), 501))
+			}, "ToUpstream"},
+			{func(h *harness) string { return h.fromUpstream(dataPacket(flowKey(1), 501)) }, "SendTaken open=true, ToClient"},
+			{register("old", func(r *Registration) { r.Incarnation = -9000 }), "ReportStateChange UpstreamRegistered"},
+			{register("u", func(r *Registration) { r.Incarnation = -5000 }), "ReportStateChange UpstreamRegistered"},
+			{func(h *harness) string { return h.fromBalancer(peer1, lentilflow.Owned, dataPacket(flowKey(1), 501)) }, "ToUpstream"},
+			// An earlier run of the agent may have let this flow open.
+			{func(h *harness) string { return h.fromBalancer(peer1, lentilflow.Lookup, dataPacket(flowKey(2), 501)) }, "ToUpstream"},
+		}},
+		{"a first registration proves nothing if the upstream has started long before the agent", false, []step{
+			{register("u", func(r *Registration) { r.Incarnation, r.Sequence = -5000, 1 }), "ReportStateChange UpstreamRegistered"},
+			{func(h *harness) string { return h.fromBalancer(peer1, lentilflow.Lookup, dataPacket(flowKey(2), 501)) }, "ToUpstream"},
+		}},
 		{"the same ID with a later incarnation is another run", true, []step{
 			{register("u"), "ReportStateChange UpstreamRegistered"},
 			{func(h *harness) string { h.openFlow(key); return "" }, ""},
--- a/pkg/lentilconntrack/upstream.go
+++ b/pkg/lentilconntrack/upstream.go
@@ -10,7 +10,8 @@
 type Registration struct {
 	// ID names the upstream.
 	ID string
-	// Incarnation identifies a run of the upstream; later runs have higher values.
+	// Incarnation is when the run of the upstream started, in milliseconds of Unix time by the clock that the agent's
+	// machine shares with it. Later runs have higher values. Zero means that it isn't known.
 	Incarnation int64
 	// Sequence increases with each registration of a run, so that one that arrives late can be detected.
 	Sequence int64
@@ -59,14 +60,14 @@
 	}
 	sameRun := registered && u.id == r.ID && u.incarnation == r.Incarnation
 	previousPhase := u.phase
-	if !registered && r.Sequence <= firstSequence {
+	if !registered && r.Sequence <= firstSequence && t.precedes(r) {
 		// The agent was running before its upstream could get a flow.
 		t.FlowsComplete = true
 	}
 	if !sameRun && registered {
 		// The run that held the flows has ended, since only one upstream can use an address.
-		actions = t.resetFlows(UpstreamReplaced, actions)
-		t.FlowsComplete = true
+		actions = t.resetFlows(UpstreamReplaced, r.Incarnation, actions)
+		t.FlowsComplete = t.FlowsComplete || t.precedes(r)
 	}
 	u.id, u.incarnation, u.sequence, u.otherRunSequence = r.ID, r.Incarnation, r.Sequence, 0
 	u.registeredAt, u.slots, u.coldStateKnown, u.coldUntil = now, r.Slots, true, now.Add(r.ColdFor)
@@ -90,6 +91,16 @@
 	return actions
 }
 
+// startSlack is by how much an upstream may start before the agent when their machine starts. It is less than the time in
+// which an agent that has ended is started again.
+const startSlack = 200 * time.Millisecond
+
+// precedes reports whether the agent was running when the run of the upstream started, so that no earlier run of the agent
+// can have let flows open there.
+func (t *Tracker) precedes(r Registration) bool {
+	return r.Incarnation == 0 || t.startedAt.Add(-startSlack).UnixMilli() <= r.Incarnation
+}
+
 // stale reports whether a registration is older than the last one in effect. Incarnations come from the time of day,
 // which may jump back. So a run that seems older is accepted once it registers again while the registered run is
 // overdue.
@@ -183,6 +194,9 @@
 	return t.setUpstreamEnded(cause, actions)
 }
 
+// UpstreamEnded reports whether the upstream is known to have ended. One whose registration is overdue isn't.
+func (t *Tracker) UpstreamEnded() bool { return t.upstream.ended }
+
 // HandlePacketRefused asks for a probe after the upstream's machine has refused a packet.
 func (t *Tracker) HandlePacketRefused(actions []Action) []Action {
 	if t.probing {
@@ -200,16 +214,18 @@
 	if previousPhase != lentilflow.Gone {
 		actions = t.announceChange(cause, actions)
 	}
-	return t.resetFlows(cause, actions)
+	return t.resetFlows(cause, 0, actions)
 }
 
 // resetFlows marks all flows as lost after their upstream has gone, and resets the clients of those that it held.
 // It returns the first packets of flows that the upstream hadn't accepted. It denies the unverified flows: whether
-// the upstream held one isn't known, and another agent may hold it.
-func (t *Tracker) resetFlows(cause Cause, actions []Action) []Action {
+// the upstream held one isn't known, and another agent may hold it. If another run of the upstream has started, at
+// startedAt in milliseconds of Unix time, flows that it has got or answered since then are left alone: it may accept
+// flows before it registers. Zero means that there is no such run, or that its start isn't known.
+func (t *Tracker) resetFlows(cause Cause, startedAt int64, actions []Action) []Action {
 	for key, f := range t.flows {
 		switch {
-		case f.state == closed || f.state == lost:
+		case f.state == closed || f.state == lost || f.usedSince(startedAt):
 			continue
 		case f.state == unverified:
 			actions = t.denyFlow(t.now(), key, f, actions)
@@ -225,6 +241,16 @@
 	return actions
 }
 
+// usedSince reports whether the upstream has sent a packet of the flow since a time in milliseconds of Unix time or, if
+// it hasn't confirmed the flow, has got one. It is false if the time is zero.
+func (f *flow) usedSince(unixMilli int64) bool {
+	used := f.heardAt
+	if f.state == unverified || f.state == halfOpen && !f.waiting {
+		used = f.lastUsed
+	}
+	return unixMilli != 0 && used.UnixMilli() >= unixMilli
+}
+
 // expectReply counts a packet to the upstream that needs an answer.
 func (t *Tracker) expectReply(now time.Time) {
 	if t.unanswered == 0 {
--- a/pkg/lentilplacement/action.go
+++ b/pkg/lentilplacement/action.go
@@ -25,6 +25,8 @@
 	Hold
 	// SendHello asks the agent To for its status.
 	SendHello
+	// ProbeMachine tries to connect to the machine of the agent To and passes the result to HandleProbeResult.
+	ProbeMachine
 	// ReportPlaced reports that the agent To has taken the flow Key, Latency after it was asked.
 	ReportPlaced
 	// ReportLookup reports that the flow Key is being looked up, for the reason Cause.
--- a/pkg/lentilplacement/agent.go
+++ b/pkg/lentilplacement/agent.go
@@ -18,6 +18,9 @@
 	addedAt         time.Time
 	// helloAt is when the agent was last asked for its status.
 	helloAt time.Time
+	// machineSeenAt is when the agent's machine last answered a connection attempt, and probedAt the time of the last
+	// attempt.
+	machineSeenAt, probedAt time.Time
 	// flowsSent counts the flows sent to the agent since it last reported its load.
 	flowsSent int
 	// suspected is set when the agent misses placeTimeout, until it is seen again.
@@ -115,7 +118,16 @@
 	return actions
 }
 
-// isGone reports whether an unresponsive agent is presumed to have ended together with its upstream.
+// HandleProbeResult records whether the machine of an agent has answered a connection attempt, by accepting or by
+// refusing it.
+func (p *Placer) HandleProbeResult(addr lentilflow.Endpoint, answered bool) {
+	if a := p.agents[addr]; a != nil && answered {
+		a.machineSeenAt = p.now()
+	}
+}
+
+// isGone reports whether an unresponsive agent is presumed to have ended together with its upstream. A machine that
+// answers shows that only the agent has ended, or is starved, which says nothing about its upstream.
 // At least half of the other agents of its failure domain must respond: this rules out that a network
 // partition between failure domains hides the agent. An agent counts as responding only after it has done so
 // for goneAfter, since after a partition its agents are seen again one by one. An agent that was asked to
@@ -125,6 +137,9 @@
 	if since.Before(a.addedAt) {
 		since = a.addedAt
 	}
+	if since.Before(a.machineSeenAt) {
+		since = a.machineSeenAt
+	}
 	if now.Sub(since) < goneAfter || a.status.Stopping && now.Sub(since) < expireAfter {
 		return false
 	}
@@ -297,8 +312,10 @@
 	return cost
 }
 
-// tickAgents sends due Hellos, more often to agents that are unresponsive, and reports agents that have become so.
+// tickAgents sends due Hellos, more often to agents that are unresponsive, probes the machines of these, and reports agents
+// that have become so.
 func (p *Placer) tickAgents(now time.Time, actions []Action) []Action {
+	p.probeBudget.PerSecond, p.probeBudget.Burst = probesPerSecond, probesPerSecond
 	if gap := now.Sub(p.lastTick); !p.lastTick.IsZero() && gap > pauseThreshold {
 		// This process was paused, and the messages that arrived meanwhile are still unread.
 		// The pause doesn't count as time in which the agents were unresponsive.
@@ -319,6 +336,10 @@
 		interval := keepaliveInterval
 		if unresponsive && (now.Sub(a.lastSeen) <= helloRetryPeriod || now.Sub(a.addedAt) <= helloRetryPeriod) {
 			interval = helloRetryInterval
+			if now.Sub(a.probedAt) >= probeInterval && now.Sub(a.addedAt) >= probeInterval && p.probeBudget.Allow(now, 1) {
+				a.probedAt = now
+				actions = append(actions, Action{Kind: ProbeMachine, To: addr})
+			}
 		}
 		if now.Sub(a.helloAt) >= interval {
 			a.helloAt = now
--- a/pkg/lentilplacement/enum_string.go
+++ b/pkg/lentilplacement/enum_string.go
@@ -14,14 +14,15 @@
 	_ = x[Drop-3]
 	_ = x[Hold-4]
 	_ = x[SendHello-5]
-	_ = x[ReportPlaced-6]
-	_ = x[ReportLookup-7]
-	_ = x[ReportAgent-8]
+	_ = x[ProbeMachine-6]
+	_ = x[ReportPlaced-7]
+	_ = x[ReportLookup-8]
+	_ = x[ReportAgent-9]
 }
 
-const _ActionKind_name = "SendCarrySendAskResetClientDropHoldSendHelloReportPlacedReportLookupReportAgent"
+const _ActionKind_name = "SendCarrySendAskResetClientDropHoldSendHelloProbeMachineReportPlacedReportLookupReportAgent"
 
-var _ActionKind_index = [...]uint8{0, 9, 16, 27, 31, 35, 44, 56, 68, 79}
+var _ActionKind_index = [...]uint8{0, 9, 16, 27, 31, 35, 44, 56, 68, 80, 91}
 
 func (i ActionKind) String() string {
 	idx := int(i) - 0
--- a/pkg/lentilplacement/placement.go
+++ b/pkg/lentilplacement/placement.go
@@ -73,6 +73,11 @@
 	// maxFullRefusals is how many agents may refuse a flow that would wait too long there. These are the least
 	// loaded candidates, so the other agents are hardly better.
 	maxFullRefusals = 3
+	// probeInterval is the interval between the probes of an unresponsive agent's machine. It leaves two probes before
+	// the agent counts as gone.
+	probeInterval = time.Second
+	// probesPerSecond bounds the probes of all machines. Each takes some 50 us of CPU time.
+	probesPerSecond = 100
 	// helloRetryInterval is the interval between Hellos to an unresponsive agent.
 	helloRetryInterval = 500 * time.Millisecond
 	// helloRetryPeriod is how long after it was last seen or added an unresponsive agent gets Hellos at
@@ -106,6 +111,7 @@
 	// agentsByService has the agents of each service in a fixed order; nil if it has to be rebuilt.
 	agentsByService map[string][]lentilflow.Endpoint
 	askBudget       lentilbudget.Bucket
+	probeBudget     lentilbudget.Bucket
 	// askQueue has the flows for which all agents have still to be asked.
 	askQueue []lentilflow.Key
 	// lastAskAt is when Asks were last sent.
--- a/pkg/lentilplacement/placement_test.go
+++ b/pkg/lentilplacement/placement_test.go
@@ -138,7 +138,7 @@
 	return strings.Join(lines, ", ")
 }
 
-// describe formats actions as short texts. SendHello, ReportPlaced and ReportLookup are left out.
+// describe formats actions as short texts. SendHello, ProbeMachine, ReportPlaced and ReportLookup are left out.
 func describe(actions []Action) string {
 	var lines []string
 	for _, a := range actions {
@@ -156,7 +156,7 @@
 			lines = append(lines, "hold "+a.Cause.String())
 		case ReportAgent:
 			lines = append(lines, fmt.Sprintf("%s %d", a.Cause, to[3]))
-		case SendHello, ReportPlaced, ReportLookup:
+		case SendHello, ProbeMachine, ReportPlaced, ReportLookup:
 		}
 	}
 	return strings.Join(lines, ", ")
@@ -280,6 +280,19 @@
 			{func(h *harness) string { return h.advance(4*time.Second, nil...) }, "AgentSilent 1, AgentSilent 2, AgentSilent 3, AgentSilent 4"},
 			{packet(laterPacket(7)), "owned to 1"},
 		}},
+		{"a flow isn't reset while the machine of the silent agent that held it answers", []step{
+			{packet(firstPacket(7)), "place to 1"},
+			{func(h *harness) string { return h.answerTaken(1, true) }, ""},
+			{func(h *harness) string { return h.advance(2*time.Second, 2, 3, 4) }, "AgentSilent 1"},
+			{func(h *harness) string { h.HandleProbeResult(agentAddress(1), true); return "" }, ""},
+			{func(h *harness) string { return h.advance(2*time.Second, 2, 3, 4) }, ""},
+			{packet(laterPacket(7)), "owned to 1"},
+			{func(h *harness) string {
+				h.HandleProbeResult(agentAddress(1), false)
+				return h.advance(time.Second, 2, 3, 4)
+			}, ""},
+			{packet(laterPacket(7)), "reset HolderGone 77"},
+		}},
 		{"a flow isn't reset while the agent that held it has been asked to stop", []step{
 			{packet(firstPacket(7)), "place to 1"},
 			{func(h *harness) string { return h.answerTaken(1, true) }, ""},
