lentilflowqueue: a new flow's expected wait counts only what is served before it

Hypothesis: after an outage flows that can still be in time are refused as full because of overdue ones that are served after them, and bounce between agents.

--- a/internal/lentilpacketmodel/load_test.go
+++ b/internal/lentilpacketmodel/load_test.go
@@ -107,6 +107,33 @@
 	}
 }
 
+// TestArrivalsFarAboveCapacity applies twice the capacity, with few and with many balancers. Copies must spend their
+// capacity on requests that are answered in time, and all of it.
+func TestArrivalsFarAboveCapacity(t *testing.T) {
+	for _, balancersPerDomain := range []int{1, 20} {
+		for seed := range uint64(2) {
+			t.Run(fmt.Sprintf("%d balancers, seed %d", balancersPerDomain, seed), func(t *testing.T) {
+				t.Parallel()
+				const load, minInTarget, minServed = 2, 0.85, 0.95
+				setup := arrivalSetup(seed, 2, 8, load)
+				setup.BalancersPerDomain = balancersPerDomain
+				sim := New(setup)
+				sim.Run(12 * time.Second)
+				sim.StopArrivals()
+				sim.Run(16 * time.Second)
+				s := sim.Stats
+				answered := s.InTarget + s.Late
+				if share := float64(s.InTarget) / float64(answered); share < minInTarget {
+					t.Errorf("%.4f of %d answers are in time, want %.2f", share, answered, minInTarget)
+				}
+				if share := load * float64(answered) / float64(s.Due); share < minServed {
+					t.Errorf("requests for %.4f of the capacity are answered, want %.2f", share, minServed)
+				}
+			})
+		}
+	}
+}
+
 // TestArrivalsWhileCopiesFail lets an eighth of the copies reset every request for some seconds. Such copies are
 // idle all the time, so balancers that choose the least loaded one would send them most requests.
 func TestArrivalsWhileCopiesFail(t *testing.T) {
@@ -154,3 +181,33 @@
 		}
 	}
 }
+
+// TestArrivalsAfterHeavyPowerLoss lets a large site lose power at more than half of its capacity, so that clients come
+// back faster than cold copies can serve them. From the third second after the return on, 97 % of the requests must be
+// answered in time.
+func TestArrivalsAfterHeavyPowerLoss(t *testing.T) {
+	for _, load := range []float64{0.45, 0.55} {
+		for seed := range uint64(2) {
+			t.Run(fmt.Sprintf("load %.2f, seed %d", load, seed), func(t *testing.T) {
+				t.Parallel()
+				setup := arrivalSetup(seed, 2, 8, load)
+				setup.BalancersPerDomain, setup.UpstreamsPerDomain, setup.ColdFor = 8, 17, 2*time.Second
+				setup.ReceiveTime = 200 * time.Microsecond
+				setup.ArrivalRate *= 17.0 / 8
+				sim := New(setup)
+				const lostAt, down, recovery, measured = 8 * time.Second, 1300 * time.Millisecond, 3 * time.Second, 3 * time.Second
+				schedule(sim, lostAt, func() { sim.PowerOff(down) })
+				sim.Run(lostAt + down + recovery + measured)
+				sim.StopArrivals()
+				sim.Run(lostAt + down + recovery + measured + 4*time.Second)
+				var total PeriodStats
+				for _, p := range sim.Stats.Periods[(lostAt+down+recovery+Period-1)/Period:] {
+					total.Due, total.InTarget = total.Due+p.Due, total.InTarget+p.InTarget
+				}
+				if share := float64(total.InTarget) / float64(total.Due); share < 0.97 {
+					t.Errorf("%.4f of %d requests are answered in time, want 0.97", share, total.Due)
+				}
+			})
+		}
+	}
+}
--- a/pkg/lentilflowqueue/queue.go
+++ b/pkg/lentilflowqueue/queue.go
@@ -150,14 +150,15 @@
 		return Admit
 	}
 	prompt := time.Duration(float64(cmp.Or(o.Terms.Target, defaultTarget)) * promptShare)
-	switch wait := o.Age + q.expectedWait(load); {
+	newcomer := entry{key: o.Key, since: now.Add(-o.Age), prompt: prompt, priority: o.Terms.Priority}
+	switch wait := o.Age + q.expectedWait(now, load, newcomer); {
 	case q.updateSustained(now) && wait > prompt:
 		q.refusedAt = now
 		return Overloaded
 	case len(q.waiting) >= maxWaiting || wait > patience:
 		return Full
 	}
-	q.waiting = append(q.waiting, entry{key: o.Key, since: now.Add(-o.Age), prompt: prompt, priority: o.Terms.Priority})
+	q.waiting = append(q.waiting, newcomer)
 	return Wait
 }
 
@@ -177,9 +178,14 @@
 // limit is the number of requests up to which the upstream gets flows that may wait.
 func (q *Queue) limit() int { return q.slotCount() * (1 + queuedPerSlot) }
 
-// expectedWait estimates how long a new flow would wait behind all others.
-func (q *Queue) expectedWait(load int) time.Duration {
-	ahead := max(0, load-q.limit()) + len(q.waiting) + 1
+// expectedWait estimates how long a new flow would wait behind those that are served before it.
+func (q *Queue) expectedWait(now time.Time, load int, newcomer entry) time.Duration {
+	ahead := max(0, load-q.limit()) + 1
+	for _, e := range q.waiting {
+		if newcomer.overdue(now) || !e.overdue(now) && e.priority <= newcomer.priority {
+			ahead++
+		}
+	}
 	return time.Duration(ahead) * cmp.Or(q.serviceTime, initialServiceTime) / time.Duration(q.slotCount())
 }
 
--- a/pkg/lentilflowqueue/queue_test.go
+++ b/pkg/lentilflowqueue/queue_test.go
@@ -117,6 +117,35 @@
 	}
 }
 
+// TestNewcomersBeforeOverdue checks that a flow which can still meet its objective isn't refused for the sake of flows
+// that are served after it, as they wait by hundreds after an outage.
+func TestNewcomersBeforeOverdue(t *testing.T) {
+	q, clock := newQueue()
+	const waiting = 150
+	offer := func(n int, age time.Duration) Verdict {
+		return q.Offer(Offer{Key: key(n), Age: age, MayWait: true, Terms: lentilflow.Terms{Priority: 1}}, 2*testSlots, false)
+	}
+	accepted := 0
+	for n := range waiting {
+		if offer(n, 0) == Wait {
+			accepted++
+		}
+	}
+	if accepted == waiting {
+		t.Fatal("the queue never got full")
+	}
+	clock.Advance(lentilflow.LastOpeningAge)
+	if got := offer(waiting, 0); got != Wait {
+		t.Errorf("a new flow: %s, want %s", got, Wait)
+	}
+	if got := offer(waiting+1, lentilflow.LastOpeningAge); got != Full {
+		t.Errorf("a flow that has waited elsewhere: %s, want %s", got, Full)
+	}
+	if next, _ := q.Next(0); next != key(waiting) {
+		t.Errorf("flow %s is served next, want the new one", next)
+	}
+}
+
 // TestFlush checks that a flushed queue is empty, and that removed flows are neither waiting nor load.
 func TestFlush(t *testing.T) {
 	q, _ := newQueue()
