Balancers without a configuration relay packets to one that has a configuration

Change: agents tell a balancer that lacks a configuration of one that has it. Only balancers that say so get relayed packets (old beside new).

--- a/internal/lentilevent/catalogue.go
+++ b/internal/lentilevent/catalogue.go
@@ -90,6 +90,8 @@
 	EntryRenewed: {Info, "own entry written again", "After the return of the store from an older copy, the process has made sure that its own entry is in the store.", []string{"era"}},
 	DomainKeptOut: {Info, "failure domain kept out of service", "The store, which has returned from an older copy, doesn't say that the failure domain is out of service. This may be missing from the copy, " +
 		"so it counts for two more seconds.", []string{"domain", "era"}},
+	FlowRelayed: {Info, "packet relayed", "A balancer without a configuration passed a client's packet to one that has a configuration.",
+		[]string{"flow", "cause", "balancer"}},
 	RegistrationRefused: {Warn, "registration rejected", "An upstream's registration is malformed or for another service, and was ignored.",
 		[]string{"id", "error"}},
 }
--- a/internal/lentilevent/event.go
+++ b/internal/lentilevent/event.go
@@ -119,6 +119,7 @@
 	StoreEraIgnored
 	EntryRenewed
 	DomainKeptOut
+	FlowRelayed
 )
 
 // Code returns the code under which the event is documented, such as LE2001.
--- a/internal/lentilframe/frame.go
+++ b/internal/lentilframe/frame.go
@@ -31,6 +31,7 @@
 	Status
 	Hello
 	Ask
+	Relay
 )
 
 // magic is the first byte of every frame. It changes with the format.
@@ -53,7 +54,8 @@
 	return Kind(data[1])
 }
 
-// Flags of a Status frame. With flagStatusHasEra, the era of the store ends the frame.
+// Flags of a Status frame. With flagStatusHasEra, the era of the store follows the load, and with
+// flagHasConfiguredBalancer the address of such a balancer ends the frame.
 const (
 	flagCold = 1 << iota
 	flagOut
@@ -62,6 +64,7 @@
 	flagUnderstandsTerms
 	flagAgentUnderstandsEra
 	flagStatusHasEra
+	flagHasConfiguredBalancer
 )
 
 // Bits of the purpose of a Carry frame. hasTerms means that the terms of the flow follow the cold rate. Releases
@@ -86,6 +89,8 @@
 	flagDomainOut
 	flagBalancerUnderstandsEra
 	flagHelloHasEra
+	flagConfigured
+	flagRelays
 )
 
 // AppendCarry appends a Carry frame, which ends with the client's packet.
@@ -126,6 +131,18 @@
 	return m, r.err
 }
 
+// AppendRelay appends a Relay frame, which is a client's packet.
+func AppendRelay(dst []byte, m lentilflow.Relay) []byte {
+	return append(append(dst, magic, byte(Relay)), m.Packet...)
+}
+
+// ParseRelay parses a Relay frame. The client's packet in the result shares the memory of data.
+func ParseRelay(data []byte) (m lentilflow.Relay, err error) {
+	r := reader{data: data, kind: Relay}
+	m.Packet = r.head().rest()
+	return m, r.err
+}
+
 // AppendTaken appends a Taken frame.
 func AppendTaken(dst []byte, m lentilflow.Taken) []byte {
 	dst = append(dst, magic, byte(Taken))
@@ -197,11 +214,16 @@
 	dst = binary.BigEndian.AppendUint64(dst, m.Sequence)
 	dst = append(dst, byte(m.Phase), flagIf(m.Cold, flagCold)|flagIf(m.Out, flagOut)|flagIf(m.Stopping, flagStopping)|
 		flagIf(m.UpstreamEnded, flagEnded)|flagIf(m.UnderstandsTerms, flagUnderstandsTerms)|
-		flagIf(m.UnderstandsEra, flagAgentUnderstandsEra)|flagIf(m.Store.Era > 0, flagStatusHasEra))
+		flagIf(m.UnderstandsEra, flagAgentUnderstandsEra)|flagIf(m.Store.Era > 0, flagStatusHasEra)|
+		flagIf(m.ConfiguredBalancer != lentilflow.Endpoint{}, flagHasConfiguredBalancer))
 	dst = binary.BigEndian.AppendUint32(dst, uint32(m.Interval.Milliseconds()))
 	dst = binary.BigEndian.AppendUint16(dst, m.BalancerCount)
 	dst = appendStoreState(dst, m.Store)
-	return appendEra(appendLoad(dst, m.Load), m.Store)
+	dst = appendEra(appendLoad(dst, m.Load), m.Store)
+	if m.ConfiguredBalancer != (lentilflow.Endpoint{}) {
+		dst = appendEndpoint(dst, m.ConfiguredBalancer)
+	}
+	return dst
 }
 
 // ParseStatus parses a Status frame.
@@ -223,6 +245,9 @@
 	if flags&flagStatusHasEra != 0 {
 		r.era(&m.Store)
 	}
+	if flags&flagHasConfiguredBalancer != 0 {
+		m.ConfiguredBalancer = r.endpoint()
+	}
 	if m.Phase > lentilflow.Gone {
 		r.fail("phase")
 	}
@@ -237,7 +262,8 @@
 	dst = binary.BigEndian.AppendUint64(dst, m.RunID)
 	withDomain := m.DomainState != lentilflow.DomainState{}
 	dst = append(dst, flagIf(m.Stopping, flagBalancerStopping)|flagIf(withDomain, flagHasDomainState)|flagIf(m.DomainState.Out, flagDomainOut)|
-		flagIf(m.UnderstandsEra, flagBalancerUnderstandsEra)|flagIf(m.Store.Era > 0, flagHelloHasEra))
+		flagIf(m.UnderstandsEra, flagBalancerUnderstandsEra)|flagIf(m.Store.Era > 0, flagHelloHasEra)|
+		flagIf(m.Configured, flagConfigured)|flagIf(m.Relays, flagRelays))
 	dst = appendStoreState(dst, m.Store)
 	if withDomain {
 		dst = binary.BigEndian.AppendUint64(dst, m.DomainState.AsOf)
@@ -253,6 +279,7 @@
 	m.RunID = r.uint64()
 	flags := r.byte()
 	m.Stopping, m.UnderstandsEra = flags&flagBalancerStopping != 0, flags&flagBalancerUnderstandsEra != 0
+	m.Configured, m.Relays = flags&flagConfigured != 0, flags&flagRelays != 0
 	m.Store = r.storeState()
 	if flags&flagHasDomainState != 0 {
 		m.DomainState = lentilflow.DomainState{AsOf: r.uint64(), Out: flags&flagDomainOut != 0}
--- a/internal/lentilframe/kind_string.go
+++ b/internal/lentilframe/kind_string.go
@@ -15,11 +15,12 @@
 	_ = x[Status-5]
 	_ = x[Hello-6]
 	_ = x[Ask-7]
+	_ = x[Relay-8]
 }
 
-const _Kind_name = "CarryTakenRefusedDeniedStatusHelloAsk"
+const _Kind_name = "CarryTakenRefusedDeniedStatusHelloAskRelay"
 
-var _Kind_index = [...]uint8{0, 5, 10, 17, 23, 29, 34, 37}
+var _Kind_index = [...]uint8{0, 5, 10, 17, 23, 29, 34, 37, 42}
 
 func (i Kind) String() string {
 	idx := int(i) - 1
--- a/internal/lentilpacket/agent.go
+++ b/internal/lentilpacket/agent.go
@@ -284,6 +284,7 @@
 	status := a.tracker.Status()
 	status.Store = a.storeState
 	status.Store.CheckedAgo = time.Since(a.storeCheckedAt)
+	status.ConfiguredBalancer = a.tracker.ConfiguredBalancer(balancer)
 	status.Store.EraAge = 0
 	switch {
 	case !a.tracker.UnderstandsEra(balancer):
--- a/internal/lentilpacket/balancer.go
+++ b/internal/lentilpacket/balancer.go
@@ -191,6 +191,11 @@
 		if m, err = lentilframe.ParseDenied(data); err == nil {
 			actions = b.placer.HandleDenied(sender, m, actions)
 		}
+	case lentilframe.Relay:
+		var m lentilflow.Relay
+		if m, err = lentilframe.ParseRelay(data); err == nil {
+			actions, err = b.placer.HandleRelayed(m, actions)
+		}
 	case lentilframe.Status:
 		var m lentilflow.Status
 		if m, err = lentilframe.ParseStatus(data); err == nil {
@@ -229,6 +234,8 @@
 		switch a.Kind {
 		case lentilplacement.SendCarry:
 			b.send(lentilframe.AppendCarry(b.frameBuffer[:0], a.Carry), a.To)
+		case lentilplacement.SendRelay:
+			b.send(lentilframe.AppendRelay(b.frameBuffer[:0], lentilflow.Relay{Packet: a.Carry.Packet}), a.To)
 		case lentilplacement.SendAsk:
 			b.send(lentilframe.AppendAsk(b.frameBuffer[:0], lentilflow.Ask{Keys: a.Keys}), a.To)
 		case lentilplacement.ResetClient:
@@ -253,7 +260,7 @@
 
 // hello returns the Hello for an agent.
 func (b *Balancer) hello(state lentilflow.StoreState, agent lentilflow.Endpoint) (m lentilflow.Hello) {
-	m = lentilflow.Hello{Name: b.Settings.Name(), Domain: b.Settings.Domain(), RunID: b.runID, Stopping: b.leaving, UnderstandsEra: true, Store: state}
+	m = lentilflow.Hello{Name: b.Settings.Name(), Domain: b.Settings.Domain(), RunID: b.runID, Stopping: b.leaving, UnderstandsEra: true, Relays: true, Configured: b.placer.Version() != 0 && !b.stopping, Store: state}
 	if out, known := b.placer.DomainOutOf(agent); known && b.domainsAsOf.Era == state.Era {
 		m.DomainState = lentilflow.DomainState{AsOf: b.domainsAsOf.Revision, Out: out}
 	}
--- a/internal/lentilpacket/log.go
+++ b/internal/lentilpacket/log.go
@@ -61,6 +61,8 @@
 		b.logLimiter.write(b.Logger, lentilevent.FlowReset, flow, cause, lentilevent.Str("refusal", a.Refusal.String()))
 	case a.Kind == lentilplacement.Drop:
 		b.logLimiter.write(b.Logger, lentilevent.FlowDropped, flow, cause)
+	case a.Kind == lentilplacement.SendRelay:
+		b.logLimiter.write(b.Logger, lentilevent.FlowRelayed, flow, cause, lentilevent.Addr("balancer", a.To.AddrPort()))
 	case a.Kind == lentilplacement.Hold:
 		b.logLimiter.write(b.Logger, lentilevent.FlowHeld, flow, cause)
 	case a.Kind == lentilplacement.ReportAgent:
--- a/internal/lentilpacketmodel/process.go
+++ b/internal/lentilpacketmodel/process.go
@@ -115,6 +115,7 @@
 			b.sendHello(action.To)
 		case lentilplacement.ResetClient:
 			sim.sendToClient(b.process, codec().AppendReset(nil, action.Key, action.Sequence), action.Cause.String())
+		case lentilplacement.SendRelay: // All simulated balancers have a configuration.
 		case lentilplacement.ProbeMachine:
 			b.probeMachine(action.To)
 		case lentilplacement.Drop, lentilplacement.Hold, lentilplacement.ReportAgent, lentilplacement.ReportPlaced, lentilplacement.ReportLookup:
--- a/pkg/lentilconntrack/balancers.go
+++ b/pkg/lentilconntrack/balancers.go
@@ -26,6 +26,8 @@
 	helloAt time.Time
 	// understandsEra is set if the balancer accepts the era in a Status.
 	understandsEra bool
+	// configured is set if the balancer has a configuration, and relays if it accepts the address of such a balancer.
+	configured, relays bool
 }
 
 // AddPeer adds a balancer that was found in the list of balancers, which may hold stale entries.
@@ -44,7 +46,8 @@
 		delete(t.balancers, from)
 		return actions
 	}
-	t.addBalancer(from).understandsEra = m.UnderstandsEra
+	b := t.addBalancer(from)
+	b.understandsEra, b.configured, b.relays = m.UnderstandsEra, m.Configured, m.Relays
 	now := t.now()
 	if !t.lastHelloAt.IsZero() && now.Sub(t.lastHelloAt) > maxHelloGap {
 		actions = append(actions, Action{Kind: Rediscover})
@@ -83,6 +86,20 @@
 	return b != nil && b.understandsEra
 }
 
+// ConfiguredBalancer returns one of the balancers that relay packets and have a configuration, in turn, for a balancer
+// that lacks one. It is zero if there is none, or if the other one doesn't need it.
+func (t *Tracker) ConfiguredBalancer(address lentilflow.Endpoint) (chosen lentilflow.Endpoint) {
+	if b := t.balancers[address]; b == nil || b.configured || !b.relays {
+		return chosen
+	}
+	for other, b := range t.balancers {
+		if b.configured && b.relays && t.now().Sub(b.helloAt) <= maxHelloGap {
+			return other // The order of a map is random.
+		}
+	}
+	return chosen
+}
+
 func (t *Tracker) addBalancer(address lentilflow.Endpoint) (added *balancer) {
 	if t.balancers == nil {
 		t.balancers = make(map[lentilflow.Endpoint]*balancer)
--- a/pkg/lentilflow/message.go
+++ b/pkg/lentilflow/message.go
@@ -87,6 +87,11 @@
 	Packet     []byte
 }
 
+// Relay passes a client's packet from a balancer without a configuration to one that has a configuration.
+type Relay struct {
+	Packet []byte
+}
+
 // Taken informs a balancer that the agent owns a flow.
 type Taken struct {
 	Key Key
@@ -165,6 +170,9 @@
 	// that accept the era in a Hello.
 	UnderstandsTerms, UnderstandsEra bool
 	Load                             Load
+	// ConfiguredBalancer is a balancer that has a configuration, drawn for each status. It is zero if the agent knows
+	// none, and in statuses to balancers that don't relay.
+	ConfiguredBalancer Endpoint
 	// Interval is the time until the next status if nothing changes.
 	Interval time.Duration
 	// BalancerCount is the number of balancers that the agent knows.
@@ -179,9 +187,12 @@
 	RunID  uint64
 	// Stopping is set when the balancer shuts down and no longer needs the status.
 	Stopping bool
-	// UnderstandsEra is set by balancers that accept the era in a Status.
-	UnderstandsEra bool
-	Store          StoreState
+	// UnderstandsEra is set by balancers that accept the era in a Status, and Relays by those that accept a
+	// ConfiguredBalancer in it and relayed packets.
+	UnderstandsEra, Relays bool
+	// Configured is set by balancers that have a configuration.
+	Configured bool
+	Store      StoreState
 	// DomainState is the state of the agent's failure domain. It is zero for agents that read it themselves.
 	DomainState DomainState
 }
--- a/pkg/lentilplacement/action.go
+++ b/pkg/lentilplacement/action.go
@@ -19,6 +19,8 @@
 	SendAsk
 	// ResetClient sends a reset with Sequence to the client of Key, for the reason Cause.
 	ResetClient
+	// SendRelay sends the client's packet Carry.Packet to the balancer To.
+	SendRelay
 	// Drop discards the packet of Key, for the reason Cause.
 	Drop
 	// Hold reports that the first packet of Key is held until there is an agent for it, for the reason Cause.
--- a/pkg/lentilplacement/agent.go
+++ b/pkg/lentilplacement/agent.go
@@ -94,6 +94,7 @@
 	if m.RunID == previous.RunID && m.Sequence <= previous.Sequence {
 		return actions
 	}
+	p.recordRelay(m.ConfiguredBalancer)
 	appeared := !a.seen() || a.unresponsiveLogged
 	p.heldPlacementsDue = true
 	if !a.seen() || a.unresponsive(p.now()) {
--- a/pkg/lentilplacement/enum_string.go
+++ b/pkg/lentilplacement/enum_string.go
@@ -11,18 +11,19 @@
 	_ = x[SendCarry-0]
 	_ = x[SendAsk-1]
 	_ = x[ResetClient-2]
-	_ = x[Drop-3]
-	_ = x[Hold-4]
-	_ = x[SendHello-5]
-	_ = x[ProbeMachine-6]
-	_ = x[ReportPlaced-7]
-	_ = x[ReportLookup-8]
-	_ = x[ReportAgent-9]
+	_ = x[SendRelay-3]
+	_ = x[Drop-4]
+	_ = x[Hold-5]
+	_ = x[SendHello-6]
+	_ = x[ProbeMachine-7]
+	_ = x[ReportPlaced-8]
+	_ = x[ReportLookup-9]
+	_ = x[ReportAgent-10]
 }
 
-const _ActionKind_name = "SendCarrySendAskResetClientDropHoldSendHelloProbeMachineReportPlacedReportLookupReportAgent"
+const _ActionKind_name = "SendCarrySendAskResetClientSendRelayDropHoldSendHelloProbeMachineReportPlacedReportLookupReportAgent"
 
-var _ActionKind_index = [...]uint8{0, 9, 16, 27, 31, 35, 44, 56, 68, 80, 91}
+var _ActionKind_index = [...]uint8{0, 9, 16, 27, 36, 40, 44, 53, 65, 77, 89, 100}
 
 func (i ActionKind) String() string {
 	idx := int(i) - 0
--- a/pkg/lentilplacement/hold.go
+++ b/pkg/lentilplacement/hold.go
@@ -46,6 +46,12 @@
 			delete(p.heldPlacements, key)
 			continue
 		}
+		if to, ok := p.relayFor(now, key); ok && now.Sub(f.since) <= lentilflow.OpeningPatience {
+			delete(p.heldPlacements, key)
+			p.flows.Delete(key)
+			actions = append(actions, Action{Kind: SendRelay, Cause: NoConfiguration, To: to, Key: key, Carry: lentilflow.Carry{Packet: f.firstPacket}})
+			continue
+		}
 		if p.heldPlacementsDue || now.Sub(f.since) > lentilflow.OpeningPatience {
 			actions = p.place(now, key, f, Chosen, actions)
 		}
--- a/pkg/lentilplacement/placement.go
+++ b/pkg/lentilplacement/placement.go
@@ -132,6 +132,8 @@
 	// agentsComplete is set by SetAgentsComplete.
 	agentsComplete bool
 	lastTick       time.Time
+	// relays has the balancers that have a configuration, with the time when an agent last named them.
+	relays map[lentilflow.Endpoint]time.Time
 }
 
 // flow is the cached state of a flow.
@@ -253,12 +255,32 @@
 		return actions, err
 	}
 	now := p.now()
+	if to, ok := p.relayFor(now, packet.Key); ok {
+		return append(actions, Action{Kind: SendRelay, Cause: NoConfiguration, To: to, Key: packet.Key, Carry: lentilflow.Carry{Packet: data}}), nil
+	}
+	return p.handlePacket(now, packet, data, actions), nil
+}
+
+// HandleRelayed decides about a client's packet that another balancer has relayed. Without a configuration, which the
+// other one can't know, the packet is dropped.
+func (p *Placer) HandleRelayed(m lentilflow.Relay, actions []Action) (result []Action, err error) {
+	packet, err := p.Codec.ParseClientPacket(m.Packet)
+	switch {
+	case err != nil:
+		return actions, err
+	case p.configuration.Version() == 0:
+		return append(actions, Action{Kind: Drop, Cause: NoConfiguration, Key: packet.Key}), nil
+	}
+	return p.handlePacket(p.now(), packet, m.Packet, actions), nil
+}
+
+func (p *Placer) handlePacket(now time.Time, packet lentilflow.Packet, data []byte, actions []Action) []Action {
 	p.flows.MaxFlows = p.MaxFlows
 	p.flows.IdleTimeout = cmp.Or(p.configuration.IdleTimeout(), lentilflow.DefaultIdleTimeout)
 	if packet.OpensFlow() {
-		return p.handleFirstPacket(now, packet, data, actions), nil
+		return p.handleFirstPacket(now, packet, data, actions)
 	}
-	return p.handleLaterPacket(now, packet, data, actions), nil
+	return p.handleLaterPacket(now, packet, data, actions)
 }
 
 // handleFirstPacket places a new flow, or forwards a retransmitted first packet.
--- a/pkg/lentilplacement/placement_test.go
+++ b/pkg/lentilplacement/placement_test.go
@@ -152,6 +152,8 @@
 			lines = append(lines, fmt.Sprintf("reset %s %d", a.Cause, a.Sequence))
 		case Drop:
 			lines = append(lines, "drop "+a.Cause.String())
+		case SendRelay:
+			lines = append(lines, fmt.Sprintf("relay to %d", to[3]))
 		case Hold:
 			lines = append(lines, "hold "+a.Cause.String())
 		case ReportAgent:
