--- a/internal/lentilmeasure/table.go
+++ b/internal/lentilmeasure/table.go
@@ -11,6 +11,7 @@
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentiloverloadmeasure"
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilpacketmeasure"
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilplacementmeasure"
+	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilrecoverymeasure"
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilrestartmeasure"
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilroutemeasure"
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilsitemeasure"
@@ -28,6 +29,7 @@
 	lentildomainmeasure.Experiment,
 	lentilpacketmeasure.Experiment,
 	lentilplacementmeasure.Experiment,
+	lentilrecoverymeasure.Experiment,
 	lentilrestartmeasure.Experiment,
 	lentilsitemeasure.Experiment,
 }
