--- a/internal/lentilpacket/balancer.go
+++ b/internal/lentilpacket/balancer.go
@@ -95,7 +95,7 @@
 			answered := machineAnswers(ctx, agent)
 			b.mu.Lock()
 			defer b.mu.Unlock()
-			b.placer.HandleProbeResult(agent, answered)
+			b.perform(b.placer.HandleProbeResult(agent, answered, b.actions[:0]))
 		})
 	}
 	workers.Go(func() { lentilserver.ServeDatagrams(b.ingressConn, make([]byte, readBufferSize), b.handleClientPacket) })
--- a/internal/lentilpacketmodel/process.go
+++ b/internal/lentilpacketmodel/process.go
@@ -129,7 +129,7 @@
 	answers := func() bool {
 		return p != nil && !p.powerless && !p.isolated && !b.isolated && !b.sim.partitions[domainPair(b.domain, p.domain)]
 	}
-	b.schedule(2*crossDomainDelay, func() { b.placer.HandleProbeResult(agent, answers()) })
+	b.schedule(2*crossDomainDelay, func() { b.perform(b.placer.HandleProbeResult(agent, answers(), nil)) })
 }
 
 func (b *balancer) sendToAgent(to lentilflow.Endpoint, handle func(g *agent)) {
--- a/pkg/lentilconntrack/balancers.go
+++ b/pkg/lentilconntrack/balancers.go
@@ -86,8 +86,8 @@
 	return b != nil && b.understandsEra
 }
 
-// ConfiguredBalancer returns one of the balancers that relay packets and have a configuration, in turn, for a balancer
-// that lacks one. It is zero if there is none, or if the other one doesn't need it.
+// ConfiguredBalancer returns one of the balancers that accept relayed packets and have a configuration, drawn at
+// random, for the balancer at address. It is zero if there is none, or if that balancer has a configuration itself.
 func (t *Tracker) ConfiguredBalancer(address lentilflow.Endpoint) (chosen lentilflow.Endpoint) {
 	if b := t.balancers[address]; b == nil || b.configured || !b.relays {
 		return chosen
--- a/pkg/lentilplacement/action.go
+++ b/pkg/lentilplacement/action.go
@@ -78,6 +78,8 @@
 	AgentHeard
 	// AgentSilent means that an agent has become unresponsive.
 	AgentSilent
+	// MachineAnswered means that the machine of an unresponsive agent answers connection attempts.
+	MachineAnswered
 	// AgentChanged means that an agent has restarted, or that its phase or a flag of its status has changed.
 	AgentChanged
 )
--- a/pkg/lentilplacement/agent.go
+++ b/pkg/lentilplacement/agent.go
@@ -121,10 +121,19 @@
 
 // HandleProbeResult records whether the machine of an agent has answered a connection attempt, by accepting or by
 // refusing it.
-func (p *Placer) HandleProbeResult(addr lentilflow.Endpoint, answered bool) {
-	if a := p.agents[addr]; a != nil && answered {
-		a.machineSeenAt = p.now()
+func (p *Placer) HandleProbeResult(addr lentilflow.Endpoint, answered bool, actions []Action) []Action {
+	a := p.agents[addr]
+	if a == nil || !answered {
+		return actions
 	}
+	now, known := p.now(), a.machineSeenAt.After(a.lastSeen)
+	a.machineSeenAt = now
+	if known {
+		return actions
+	}
+	return append(actions, Action{
+		Kind: ReportAgent, Cause: MachineAnswered, To: addr, Phase: a.status.Phase, AgeMillis: now.Sub(a.lastSeen).Milliseconds(),
+	})
 }
 
 // isGone reports whether an unresponsive agent is presumed to have ended together with its upstream. A machine that
--- a/pkg/lentilplacement/enum_string.go
+++ b/pkg/lentilplacement/enum_string.go
@@ -54,12 +54,13 @@
 	_ = x[TooManyAsked-15]
 	_ = x[AgentHeard-16]
 	_ = x[AgentSilent-17]
-	_ = x[AgentChanged-18]
+	_ = x[MachineAnswered-18]
+	_ = x[AgentChanged-19]
 }
 
-const _Cause_name = "NoCauseChosenChosenAgainSoughtSoughtWidelyFoundNoRouteNoConfigurationNoAgentAllRefusedAllDeniedHolderGoneClientGoneHolderDeniedAskedAlreadyTooManyAskedAgentHeardAgentSilentAgentChanged"
+const _Cause_name = "NoCauseChosenChosenAgainSoughtSoughtWidelyFoundNoRouteNoConfigurationNoAgentAllRefusedAllDeniedHolderGoneClientGoneHolderDeniedAskedAlreadyTooManyAskedAgentHeardAgentSilentMachineAnsweredAgentChanged"
 
-var _Cause_index = [...]uint8{0, 7, 13, 24, 30, 42, 47, 54, 69, 76, 86, 95, 105, 115, 127, 139, 151, 161, 172, 184}
+var _Cause_index = [...]uint8{0, 7, 13, 24, 30, 42, 47, 54, 69, 76, 86, 95, 105, 115, 127, 139, 151, 161, 172, 187, 199}
 
 func (i Cause) String() string {
 	idx := int(i) - 0
--- a/pkg/lentilplacement/place.go
+++ b/pkg/lentilplacement/place.go
@@ -69,18 +69,17 @@
 			return p.place(now, key, f, ChosenAgain, actions)
 		}
 	}
-	if cause == NoConfiguration || cause == NoAgent && p.expectsAgents(now, key) {
-		if p.heldPlacements[key] == f {
-			return actions
-		}
-		if len(p.heldPlacements) < maxHeldPlacements {
-			return p.holdPlacement(key, f, cause, actions)
-		}
+	mayBePlaced := cause == NoConfiguration || cause == NoAgent && p.expectsAgents(now, key)
+	switch {
+	case mayBePlaced && p.heldPlacements[key] == f:
+		return actions
+	case mayBePlaced && len(p.heldPlacements) < maxHeldPlacements:
+		return p.holdPlacement(key, f, cause, actions)
 	}
 	delete(p.heldPlacements, key)
 	p.flows.Delete(key)
 	kind := ResetClient
-	if cause == NoConfiguration || cause == ClientGone || cause == NoAgent && p.expectsAgents(now, key) {
+	if mayBePlaced || cause == ClientGone {
 		kind = Drop
 	}
 	return append(actions, Action{Kind: kind, Cause: cause, Key: key, Refusal: f.lastRefusal})
--- a/pkg/lentilplacement/placement_test.go
+++ b/pkg/lentilplacement/placement_test.go
@@ -286,11 +286,12 @@
 			{packet(firstPacket(7)), "place to 1"},
 			{func(h *harness) string { return h.answerTaken(1, true) }, ""},
 			{func(h *harness) string { return h.advance(2*time.Second, 2, 3, 4) }, "AgentSilent 1"},
-			{func(h *harness) string { h.HandleProbeResult(agentAddress(1), true); return "" }, ""},
+			{func(h *harness) string { return describe(h.HandleProbeResult(agentAddress(1), true, nil)) }, "MachineAnswered 1"},
+			{func(h *harness) string { return describe(h.HandleProbeResult(agentAddress(1), true, nil)) }, ""},
 			{func(h *harness) string { return h.advance(2*time.Second, 2, 3, 4) }, ""},
 			{packet(laterPacket(7)), "owned to 1"},
 			{func(h *harness) string {
-				h.HandleProbeResult(agentAddress(1), false)
+				h.HandleProbeResult(agentAddress(1), false, nil)
 				return h.advance(time.Second, 2, 3, 4)
 			}, ""},
 			{packet(laterPacket(7)), "reset HolderGone 77"},
