--- a/internal/lentilpacketmodel/load_test.go
+++ b/internal/lentilpacketmodel/load_test.go
@@ -23,14 +23,16 @@
 	const bound, boundFrom = 1.15, 0.7
 	for _, load := range []float64{0.45, 0.75, 0.95} {
 		for seed := range uint64(3) {
-			sim := New(heavySetup(seed, load))
-			sim.Run(20 * time.Second)
-			if answered := sim.Stats.AnsweredShare(); answered < 0.99 {
-				t.Errorf("load %.2f seed %d: %.4f of the requests were answered", load, seed, answered)
-			}
-			if peak := sim.Stats.PeakToMean(); load >= boundFrom && peak > bound {
-				t.Errorf("load %.2f seed %d: the busiest copy received %.2f times the mean, bound %.2f", load, seed, peak, bound)
-			}
+			t.Run(fmt.Sprintf("load %.2f, seed %d", load, seed), func(t *testing.T) {
+				sim := New(heavySetup(seed, load))
+				sim.Run(20 * time.Second)
+				if answered := sim.Stats.AnsweredShare(); answered < 0.99 {
+					t.Errorf("%.4f of the requests were answered", answered)
+				}
+				if peak := sim.Stats.PeakToMean(); load >= boundFrom && peak > bound {
+					t.Errorf("the busiest copy received %.2f times the mean, bound %.2f", peak, bound)
+				}
+			})
 		}
 	}
 }
