--- a/internal/lentilpacket/agent.go
+++ b/internal/lentilpacket/agent.go
@@ -187,10 +187,13 @@
 	}
 	ticker := time.NewTicker(ledgerInterval)
 	defer ticker.Stop()
+	// After a failed write, the run marker waits for the ticker, so that a store that is down gets few calls.
+	markerDue := a.markerDue
 	for {
 		select {
 		case <-ticker.C:
-		case <-a.markerDue:
+			markerDue = a.markerDue
+		case <-markerDue:
 		case <-ctx.Done():
 			return
 		}
@@ -203,6 +206,7 @@
 		}
 		if err := a.Store.Ledgers.Save(ctx, a.Settings.Name(), ledger); err != nil && ctx.Err() == nil {
 			a.Logger.Write(lentilevent.StoreLost, lentilevent.Str("what", "ledger"), lentilevent.Err(err))
+			markerDue = nil
 			a.mu.Lock()
 			a.tracker.LedgerFailed(ledger)
 			a.mu.Unlock()
--- a/pkg/lentilconntrack/era_test.go
+++ b/pkg/lentilconntrack/era_test.go
@@ -86,6 +86,43 @@
 	}
 }
 
+// TestRunMarkerThatFailed checks that a run marker that could not be stored is due again, as long as a later run of the
+// agent might draw a conclusion from its absence, and that other ledgers aren't.
+func TestRunMarkerThatFailed(t *testing.T) {
+	h := newHarness(t)
+	h.Address = peer1
+	h.register("u")
+	if h.RunMarkerDue() {
+		t.Error("due without a flow")
+	}
+	h.openFlow(flowKey(1))
+	if !h.RunMarkerDue() {
+		t.Error("not due with the first flow")
+	}
+	marker, _ := h.DueLedger()
+	if h.RunMarkerDue() {
+		t.Error("due twice")
+	}
+	h.LedgerFailed(marker)
+	if !h.RunMarkerDue() {
+		t.Error("not due after it could not be stored")
+	}
+	h.DueLedger()
+	listed := marker
+	listed.Flows = []LedgerFlow{{Key: flowKey(1)}}
+	h.LedgerFailed(listed)
+	if h.RunMarkerDue() {
+		t.Error("due after a ledger with flows could not be stored")
+	}
+	for range maxStartupSequence {
+		h.register("u")
+	}
+	h.LedgerFailed(marker)
+	if h.RunMarkerDue() {
+		t.Error("due although the upstream has been registering for longer")
+	}
+}
+
 // TestRenewLedger checks that the run marker is due again after the store has returned from an older copy.
 func TestRenewLedger(t *testing.T) {
 	h := newHarness(t)
