--- a/internal/lentilmeasure/lentilrecoverymeasure/ideal.go
+++ b/internal/lentilmeasure/lentilrecoverymeasure/ideal.go
@@ -1,10 +1,10 @@
 package lentilrecoverymeasure
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"time"
 
+	"lentilstair.example/lentilstair/internal/lentilschedule"
 	"lentilstair.example/lentilstair/pkg/lentilflow"
 )
 
@@ -29,9 +29,7 @@
 	load           float64
 	returnAt       time.Duration
 	knowsTrueAge   bool
-	now            time.Duration
-	events         eventQueue
-	lastNumber     uint64
+	schedule       lentilschedule.Schedule
 	requests       []*request
 	waiting        map[*request]bool
 	busy, capacity int
@@ -52,36 +50,9 @@
 	}
 }
 
-type event struct {
-	at     time.Duration
-	number uint64
-	run    func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].number < q[j].number
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-// Push is part of heap.Interface.
-func (q *eventQueue) Push(x any) { *q = append(*q, x.(event)) }
+func (s *idealSite) now() time.Duration { return s.schedule.Elapsed() }
 
-// Pop is part of heap.Interface.
-func (q *eventQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
-func (s *idealSite) at(at time.Duration, run func()) {
-	s.lastNumber++
-	heap.Push(&s.events, event{at, s.lastNumber, run})
-}
-
-func (s *idealSite) hasPower() bool { return s.now < lostAt || s.now >= s.returnAt }
+func (s *idealSite) hasPower() bool { return s.now() < lostAt || s.now() >= s.returnAt }
 
 // run lets requests arrive until some time after the return, and counts them.
 func (s *idealSite) run() (outage, afterwards counts) {
@@ -89,15 +60,11 @@
 	for at := time.Duration(0); at < powerAt+after; at += time.Duration(s.random.ExpFloat64() / arrivalRate(s.load) * float64(time.Second)) {
 		r := &request{at: at}
 		s.requests = append(s.requests, r)
-		s.at(at, func() { s.try(r) })
-	}
-	s.at(lostAt, func() { s.busy = 0 })
-	s.at(s.returnAt, s.serve)
-	for len(s.events) > 0 {
-		next := heap.Pop(&s.events).(event)
-		s.now = next.at
-		next.run()
+		s.schedule.After(at, func() { s.try(r) })
 	}
+	s.schedule.After(lostAt, func() { s.busy = 0 })
+	s.schedule.After(s.returnAt, s.serve)
+	s.schedule.RunUntil(s.schedule.Now().Add(powerAt + after + tries*deadline))
 	for _, r := range s.requests {
 		c := counts{due: 1}
 		switch {
@@ -118,24 +85,24 @@
 
 // try begins a try of a request, if its client still waits.
 func (s *idealSite) try(r *request) {
-	if r.tries >= tries || s.now-r.at >= deadline {
+	if r.tries >= tries || s.now()-r.at >= deadline {
 		return
 	}
 	r.tries++
-	r.triedAt, r.open = s.now, false
+	r.triedAt, r.open = s.now(), false
 	number := r.tries
 	for _, delay := range openDelays {
-		s.at(s.now+delay, func() {
+		s.schedule.After(delay, func() {
 			if r.tries == number && !r.open && s.hasPower() {
 				s.waiting[r] = true
 				s.serve()
 			}
 		})
 	}
-	s.at(s.now+lentilflow.OpeningTimeout, func() {
+	s.schedule.After(lentilflow.OpeningTimeout, func() {
 		if r.tries == number && !r.open {
 			delete(s.waiting, r)
-			s.at(s.now+retryDelay, func() { s.try(r) })
+			s.schedule.After(retryDelay, func() { s.try(r) })
 		}
 	})
 }
@@ -148,18 +115,18 @@
 		r.open = true
 		s.busy++
 		duration := time.Duration(s.random.ExpFloat64() * float64(serviceTime))
-		if s.now >= s.returnAt && s.now < s.returnAt+coldFor {
+		if s.now() >= s.returnAt && s.now() < s.returnAt+coldFor {
 			duration = time.Duration(coldSlowness * float64(duration))
 		}
-		begunAt := s.now
-		s.at(s.now+openTime+duration, func() {
-			if begunAt < lostAt && s.now >= lostAt {
+		begunAt := s.now()
+		s.schedule.After(openTime+duration, func() {
+			if begunAt < lostAt && s.now() >= lostAt {
 				// The client learns of the end of its flow when it sends again after the return.
-				s.at(max(s.now, s.returnAt), func() { s.try(r) })
+				s.schedule.After(max(0, s.returnAt-s.now()), func() { s.try(r) })
 				return
 			}
 			s.busy--
-			if answeredAt := s.now + answerTime; answeredAt-r.at < deadline {
+			if answeredAt := s.now() + answerTime; answeredAt-r.at < deadline {
 				r.served, r.answeredAt = true, answeredAt
 			}
 			s.serve()
@@ -175,7 +142,7 @@
 		}
 		return r.triedAt
 	}
-	prompt := func(r *request) bool { return s.now-since(r) <= promptAge }
+	prompt := func(r *request) bool { return s.now()-since(r) <= promptAge }
 	for r := range s.waiting {
 		switch {
 		case best == nil, prompt(r) && !prompt(best):
--- a/internal/lentilstand/packets.go
+++ b/internal/lentilstand/packets.go
@@ -28,6 +28,7 @@
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`NUMBER` that seeds the random faults"},
 			&cli.DurationFlag{Name: "length", Value: defaultFaultDuration, Usage: "inject faults for `TIME`"},
 			&cli.BoolFlag{Name: "calm", Usage: "inject no faults"},
+			&cli.BoolFlag{Name: "store-returns", Usage: "let the store return from older copies, in addition to the other faults"},
 		},
 		Action: runPackets,
 	}
@@ -48,6 +49,7 @@
 	report, err := lentilsite.Run(ctx, lentilsite.Setup{
 		Program: filepath.Join(filepath.Dir(program), "lentilpacket"), Directory: directory, Seed: c.Uint64("seed"),
 		Zones: 2, BalancersPerZone: 2, UpstreamsPerZone: 3, Clients: 24, FaultDuration: c.Duration("length"), NoFaults: c.Bool("calm"),
+		StoreReturns: c.Bool("store-returns"),
 	})
 	if err != nil {
 		return err
