--- a/internal/lentilpacket/probe.go
+++ b/internal/lentilpacket/probe.go
@@ -10,8 +10,8 @@
 	"lentilstair.example/lentilstair/pkg/lentilflow"
 )
 
-// machineProbeTimeout is how long a machine may take to answer a connection attempt. It covers two lost packets on a
-// link between failure domains.
+// machineProbeTimeout is how long a machine may take to answer a connection attempt. It is shorter than the second
+// between two probes of a machine, so that only one is under way.
 const machineProbeTimeout = 900 * time.Millisecond
 
 // machineAnswers reports whether an agent's machine answers a connection attempt to the agent's port. Nothing listens
--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -155,7 +155,9 @@
 
 // Load returns the upstream's load: its open and half-open flows without the idle ones, requests in flight and slots.
 func (t *Tracker) Load() lentilflow.Load {
-	return lentilflow.Load{Flows: uint32(max(0, t.openFlows+t.halfOpenFlows-t.idleFlows)), InFlight: uint16(t.requestsInFlight), Slots: uint16(cmp.Or(t.upstream.slots, defaultSlots))}
+	return lentilflow.Load{
+		Flows: uint32(max(0, t.openFlows+t.halfOpenFlows-t.idleFlows)), InFlight: uint16(t.requestsInFlight), Slots: uint16(cmp.Or(t.upstream.slots, defaultSlots)),
+	}
 }
 
 // Phase returns the phase of the upstream.
