--- a/pkg/lentillimit/durations.go
+++ b/pkg/lentillimit/durations.go
@@ -27,8 +27,12 @@
 	initialStdDev = 0.7
 	// defaultExpectedSeconds is the expected duration while no duration is known.
 	defaultExpectedSeconds = 0.1
-	// minSeconds is the minimum duration in seconds; shorter ones count as this.
-	minSeconds = 1e-5
+	// minSeconds is the minimum duration in seconds; shorter ones count as this. Below a
+	// millisecond a duration shows how the agent's own process is scheduled, not the copy.
+	minSeconds = 1e-3
+	// minStuckSeconds is the minimum of stuckSeconds: one period of the kernel's CPU quota
+	// (100 ms by default), for which a process pauses that has spent its share.
+	minStuckSeconds = 0.1
 )
 
 // add records the duration of one request.
@@ -77,7 +81,7 @@
 		return defaultStuckSeconds
 	}
 	factor := math.Exp(stuckDeviations * s.stdDev())
-	return math.Exp(s.logMean) * min(max(factor, minStuckFactor), maxStuckFactor)
+	return max(math.Exp(s.logMean)*min(max(factor, minStuckFactor), maxStuckFactor), minStuckSeconds)
 }
 
 // expectedSeconds returns the mean duration in seconds, or a default without samples.
--- a/pkg/lentillimit/limit_test.go
+++ b/pkg/lentillimit/limit_test.go
@@ -146,6 +146,45 @@
 	}
 }
 
+// Processes that wait for a processor make some requests of a fast copy take many times as long
+// as usual. The copy is not cold then, but it is if a request hangs.
+func TestPausesOfFastCopy(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		usual, pause time.Duration
+		between      int // usual requests from one pause to the next
+		reset        bool
+	}{
+		{"a quota spent, answers below the clock's resolution", 0, 90 * time.Millisecond, 20, false},
+		{"short pauses, answers below the clock's resolution", 0, 3 * time.Millisecond, 2, false},
+		{"a quota spent, answers of 50 us", 50 * time.Microsecond, 90 * time.Millisecond, 20, false},
+		{"a quota spent, answers of 2 ms", 2 * time.Millisecond, 90 * time.Millisecond, 20, false},
+		{"it hangs, answers below the clock's resolution", 0, time.Hour, 20, true},
+		{"it hangs, answers of 2 ms", 2 * time.Millisecond, time.Hour, 20, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var clock lentilclock.Fake
+			l := Limiter{Clock: &clock}
+			for id := range uint64(200) {
+				clock.Advance(100 * time.Millisecond)
+				duration := c.usual
+				if (id+1)%uint64(c.between+1) == 0 {
+					duration = c.pause
+				}
+				l.Started(id)
+				for left := min(duration, 500*time.Millisecond); left > 0; left -= 20 * time.Millisecond {
+					clock.Advance(min(left, 20*time.Millisecond))
+					l.Tick()
+				}
+				l.Ended(id, OutcomeDone)
+			}
+			if got := l.ColdResets() > 0; got != c.reset {
+				t.Errorf("%d cold resets", l.ColdResets())
+			}
+		})
+	}
+}
+
 // A copy that stays slow must be reset to cold once its durations change, and reach all its
 // slots again with the new durations.
 func TestPermanentlySlowCopy(t *testing.T) {
--- a/pkg/lentillimit/state.go
+++ b/pkg/lentillimit/state.go
@@ -20,7 +20,7 @@
 	maxDeviation = 5.0
 	// A request is considered stuck when its duration is stuckDeviations standard deviations
 	// above the usual. minStuckFactor and maxStuckFactor bound this limit in multiples of the
-	// usual duration. defaultStuckSeconds is the limit while no duration is known.
+	// usual duration; it is at least minStuckSeconds. defaultStuckSeconds is the limit while no duration is known.
 	stuckDeviations     = 4.0
 	minStuckFactor      = 3.0
 	maxStuckFactor      = 20.0
