lentilplacement: above 256 agents, flows that were placed from another failure domain are found

Cause: above 256 agents only the candidates in the view of the balancer's own failure domain were asked. Ruled out: asking all (3,300 datagrams a flow); a directory on agents by hash, which is one more state that can be wrong. Change: the agents that any balancer can have chosen are asked: in each domain the first three of the flow's ranking that accept flows. Such a flow isn't reset when all of them deny it. Up to 256 agents nothing changes.

--- a/pkg/lentilplacement/action.go
+++ b/pkg/lentilplacement/action.go
@@ -72,7 +72,7 @@
 	HolderDenied
 	// AskedAlready means that some agents haven't yet answered whether they hold the flow.
 	AskedAlready
-	// TooManyAsked means that there are too many agents, or too many queued flows, to ask all agents.
+	// TooManyAsked means that too many flows are queued to ask agents for them.
 	TooManyAsked
 	// AgentHeard means that an agent has sent its first status, or its first one after it was unresponsive.
 	AgentHeard
--- a/pkg/lentilplacement/choose.go
+++ b/pkg/lentilplacement/choose.go
@@ -137,6 +137,34 @@
 	if len(members) <= allCandidatesLimit {
 		return members
 	}
+	sameDomain, otherDomains := 0, 0
+	return p.chooseRanked(key, members, func(a *agent) (count *int, limit int) {
+		if a.status.Domain == p.Domain {
+			return &sameDomain, sameDomainCandidates
+		}
+		return &otherDomains, otherDomainCandidates
+	})
+}
+
+// candidatesOfAll returns the agents of a service that are candidates for a flow in the view of any balancer. A candidate of
+// balancers in other failure domains ranks among the first of its own domain too.
+func (p *Placer) candidatesOfAll(key lentilflow.Key, service string) []lentilflow.Endpoint {
+	members := p.agentsOfService(service)
+	if len(members) <= allCandidatesLimit {
+		return members
+	}
+	counts := make(map[string]*int)
+	return p.chooseRanked(key, members, func(a *agent) (count *int, limit int) {
+		if counts[a.status.Domain] == nil {
+			counts[a.status.Domain] = new(int)
+		}
+		return counts[a.status.Domain], max(sameDomainCandidates, otherDomainCandidates)
+	})
+}
+
+// chooseRanked returns the members that rank first for a flow in their groups: as many as accept flows up to the limit of the
+// group, and those before the last of them.
+func (p *Placer) chooseRanked(key lentilflow.Key, members []lentilflow.Endpoint, group func(a *agent) (count *int, limit int)) (chosen []lentilflow.Endpoint) {
 	type rankedAgent struct {
 		addr lentilflow.Endpoint
 		hash uint64
@@ -146,14 +174,9 @@
 		ranking = append(ranking, rankedAgent{addr: addr, hash: lentilflow.NewKey(key.Client(), addr).Hash()})
 	}
 	slices.SortFunc(ranking, func(a, b rankedAgent) int { return cmp.Compare(b.hash, a.hash) })
-	var chosen []lentilflow.Endpoint
-	sameDomain, otherDomains := 0, 0
 	for _, r := range ranking {
 		a := p.agents[r.addr]
-		count, limit := &otherDomains, otherDomainCandidates
-		if a.status.Domain == p.Domain {
-			count, limit = &sameDomain, sameDomainCandidates
-		}
+		count, limit := group(a)
 		if *count >= limit {
 			continue
 		}
@@ -168,12 +191,22 @@
 // preferredAgents returns the agents that are most likely to hold a flow: its candidates by the current
 // configuration and by earlier ones.
 func (p *Placer) preferredAgents(key lentilflow.Key) (addresses []lentilflow.Endpoint) {
+	return p.agentsOfAddress(key, p.candidates)
+}
+
+// likelyHolders returns the agents that any balancer can have chosen for a flow.
+func (p *Placer) likelyHolders(key lentilflow.Key) (addresses []lentilflow.Endpoint) {
+	return p.agentsOfAddress(key, p.candidatesOfAll)
+}
+
+// agentsOfAddress returns those agents that of returns for each service that the flow's address has or had.
+func (p *Placer) agentsOfAddress(key lentilflow.Key, of func(key lentilflow.Key, service string) []lentilflow.Endpoint) (addresses []lentilflow.Endpoint) {
 	address := key.Service()
 	for _, b := range p.configuration.Backends(address) {
-		addresses = append(addresses, p.candidates(key, b.Service)...)
+		addresses = append(addresses, of(key, b.Service)...)
 	}
 	for _, service := range p.previousServices[address] {
-		addresses = append(addresses, p.candidates(key, service)...)
+		addresses = append(addresses, of(key, service)...)
 	}
 	return addresses
 }
--- a/pkg/lentilplacement/cluster_test.go
+++ b/pkg/lentilplacement/cluster_test.go
@@ -88,6 +88,72 @@
 	}
 }
 
+// TestLookupOnLargeSites looks up flows that a balancer of another failure domain has placed, on sites of more agents than are all
+// asked. The holder must be asked first or, once the preferred agents have denied the flow, with the likely holders, and the number of
+// agents that are asked must not grow with the site.
+func TestLookupOnLargeSites(t *testing.T) {
+	const domains = 15
+	for _, agents := range []int{300, 3300} {
+		for _, service := range []string{"a", "formerly of the address"} {
+			t.Run(fmt.Sprintf("%d agents, service %s", agents, service), func(t *testing.T) {
+				site := func(domain string) *harness {
+					h := newHarness(t)
+					h.Placer = &Placer{Clock: h.clock, Codec: codec(), Domain: domain}
+					h.configure(1, service)
+					for n := 1; n <= agents; n++ {
+						h.sendStatus(n, func(m *lentilflow.Status) { m.Service, m.Domain = service, fmt.Sprint("domain-", n%domains) })
+					}
+					h.SetAgentsComplete()
+					return h
+				}
+				placer, searcher := site("domain-3"), site("domain-8")
+				if service != "a" {
+					searcher.configure(2, "a")
+				}
+				inFirst := 0
+				const flows = 40
+				for n := 1; n <= flows; n++ {
+					actions, err := placer.HandlePacket(firstPacket(n), nil)
+					if err != nil || actions[0].Kind != SendCarry {
+						t.Fatal(actions, err)
+					}
+					holder := actions[0].To
+					searcher.clock.Advance(time.Second)
+					if actions, err = searcher.HandlePacket(laterPacket(n), nil); err != nil {
+						t.Fatal(err)
+					}
+					asked := make(map[lentilflow.Endpoint]bool)
+					var replies []Action
+					for _, a := range actions {
+						if a.Kind == SendCarry {
+							asked[a.To] = true
+							replies = searcher.HandleDenied(a.To, lentilflow.Denied{Keys: []lentilflow.Key{a.Key}}, replies)
+						}
+					}
+					if asked[holder] {
+						inFirst++
+					}
+					for _, a := range replies {
+						if a.Kind == SendAsk {
+							asked[a.To] = true
+						}
+						if a.Kind == ResetClient {
+							t.Errorf("flow %d was reset though not every agent has denied it", n)
+						}
+					}
+					if !asked[holder] {
+						t.Errorf("flow %d: its holder isn't among the %d agents that were asked", n, len(asked))
+					}
+					if len(asked) > maxLikelyHolders {
+						t.Errorf("flow %d: %d agents were asked, limit %d", n, len(asked), maxLikelyHolders)
+					}
+				}
+				t.Logf("%d of %d holders were among the preferred agents", inFirst, flows)
+			})
+		}
+	}
+}
+
 // TestLookupAsksAllWithoutAnswers checks that a retransmission makes the balancer ask all agents if the
 // preferred ones haven't answered.
 func TestLookupAsksAllWithoutAnswers(t *testing.T) {
--- a/pkg/lentilplacement/lookup.go
+++ b/pkg/lentilplacement/lookup.go
@@ -151,41 +151,75 @@
 	return actions
 }
 
-// queueAsk queues a flow for the next Ask to every agent that hasn't denied it, and sends the queue if due.
+// queueAsk queues a flow for the next Ask to the agents that may hold it, and sends the queue if due.
 func (p *Placer) queueAsk(now time.Time, key lentilflow.Key, f *flow, actions []Action) []Action {
-	if len(p.agents) > askAllLimit || len(p.askQueue) >= maxAskQueue {
+	if len(p.askQueue) >= maxAskQueue {
 		return append(actions, Action{Kind: Drop, Cause: TooManyAsked, Key: key})
 	}
 	f.askedAllAt = now
 	p.askQueue = append(p.askQueue, key)
-	if now.Sub(p.lastAskAt) < askBatchDelay && len(p.askQueue) < lentilflow.MaxKeys {
+	if now.Sub(p.lastAskAt) < askBatchDelay && len(p.askQueue) < p.askBatchSize() {
 		return actions
 	}
 	return p.sendQueuedAsks(now, actions)
 }
 
-// sendQueuedAsks sends the queued keys to all agents, as far as the budget allows. One datagram holds many
-// keys, since a datagram itself takes as much CPU time as a hundred keys in it.
+// askBatchSize returns for how many flows agents are asked at a time.
+func (p *Placer) askBatchSize() int {
+	if len(p.agents) > askAllLimit {
+		return maxLikelyBatch
+	}
+	return lentilflow.MaxKeys
+}
+
+// sendQueuedAsks sends the queued keys as far as the budget allows. One datagram holds many keys, since a datagram itself
+// takes as much CPU time as a hundred keys in it.
 func (p *Placer) sendQueuedAsks(now time.Time, actions []Action) []Action {
 	p.askBudget.PerSecond, p.askBudget.Burst = asksPerSecond, asksBurst
-	for len(p.askQueue) > 0 && p.askBudget.Allow(now, len(p.agents)) {
+	for len(p.askQueue) > 0 {
+		batch := p.askQueue[:min(len(p.askQueue), p.askBatchSize())]
+		cost := len(p.agents)
+		if cost > askAllLimit {
+			cost = min(cost, len(batch)*maxLikelyHolders)
+		}
+		if !p.askBudget.Allow(now, cost) {
+			return actions
+		}
 		p.lastAskAt = now
-		batch := p.askQueue[:min(len(p.askQueue), lentilflow.MaxKeys)]
 		p.askQueue = p.askQueue[len(batch):]
 		for _, key := range batch {
 			actions = append(actions, Action{Kind: ReportLookup, Cause: SoughtWidely, Key: key})
 		}
-		for _, addr := range p.sortedAddresses() {
-			if keys := p.keysNotDenied(now, batch, addr); len(keys) > 0 {
-				p.agents[addr].recordAsked(now)
-				actions = append(actions, Action{Kind: SendAsk, Cause: SoughtWidely, To: addr, Keys: keys})
+		for _, a := range p.asks(now, batch) {
+			p.agents[a.To].recordAsked(now)
+			actions = append(actions, a)
+		}
+	}
+	p.askQueue = nil
+	return actions
+}
+
+// asks returns the Asks for some flows: to every agent or, above askAllLimit, to those of a flow's service that any
+// balancer can have chosen for it.
+func (p *Placer) asks(now time.Time, batch []lentilflow.Key) (asks []Action) {
+	askedFor := make(map[lentilflow.Endpoint][]lentilflow.Key)
+	if len(p.agents) <= askAllLimit {
+		for addr := range p.agents {
+			askedFor[addr] = batch
+		}
+	} else {
+		for _, key := range batch {
+			for _, addr := range p.likelyHolders(key) {
+				askedFor[addr] = append(askedFor[addr], key)
 			}
 		}
 	}
-	if len(p.askQueue) == 0 {
-		p.askQueue = nil
+	for _, addr := range p.sortedAddresses() {
+		if keys := p.keysNotDenied(now, askedFor[addr], addr); len(keys) > 0 {
+			asks = append(asks, Action{Kind: SendAsk, Cause: SoughtWidely, To: addr, Keys: keys})
+		}
 	}
-	return actions
+	return asks
 }
 
 // keysNotDenied returns those of the given flows that are still looked up and that an agent hasn't denied.
--- a/pkg/lentilplacement/placement.go
+++ b/pkg/lentilplacement/placement.go
@@ -49,8 +49,12 @@
 	// askAgainFor is how long after a lookup has begun agents are asked again without another packet of the client.
 	askAgainFor = 2 * time.Second
 	// askAllLimit is the number of agents up to which all are asked for a flow that isn't found at its
-	// preferred agents. With more agents such a flow gets no answer.
+	// preferred agents. With more agents its likely holders are asked. If none of them holds it, it gets no answer.
 	askAllLimit = 256
+	// maxLikelyHolders is the usual number of likely holders at the size that the product is designed for: three in each of
+	// 15 failure domains. maxLikelyBatch is for how many flows they are asked at a time; they differ from flow to flow.
+	maxLikelyHolders = 45
+	maxLikelyBatch   = 16
 	// asksPerSecond bounds the rate of Ask datagrams. Each takes some 10 us of CPU time. A process may have only
 	// a twentieth of a core, and all Asks together take a fifth of that.
 	asksPerSecond = 1000
