--- a/internal/lentilpacketmodel/fault_test.go
+++ b/internal/lentilpacketmodel/fault_test.go
@@ -121,6 +121,65 @@
 	}
 }
 
+// largeSetup returns a site with so many balancers that agents send each of them a status only every 2.4 s.
+func largeSetup(seed uint64) Setup {
+	s := smallSetup(seed)
+	s.BalancersPerDomain, s.UpstreamsPerDomain, s.Clients = 16, 8, 300
+	return s
+}
+
+// silenceCases hide agents beside sound upstreams from all or some balancers, for about as long as an agent may be silent
+// before it counts as gone. Each begins at 6 s.
+var silenceCases = []struct {
+	name  string
+	apply func(sim *Simulation)
+}{
+	{"an agent freezes for 2 s", func(sim *Simulation) { sim.Freeze(firstAgent+2, 2*time.Second) }},
+	{"agents freeze for 4 s", func(sim *Simulation) {
+		for i := range 3 {
+			sim.Freeze(firstAgent+5*i, 4*time.Second)
+		}
+	}},
+	{"two domains are partitioned for 2.4 s", func(sim *Simulation) { sim.PartitionDomains(0, 1, 2400*time.Millisecond) }},
+	{"two domains are partitioned for 3 s", func(sim *Simulation) { sim.PartitionDomains(0, 2, 3*time.Second) }},
+	{"two domains are partitioned for 6 s", func(sim *Simulation) { sim.PartitionDomains(1, 2, 6*time.Second) }},
+	{"agents stop in turn", func(sim *Simulation) {
+		for i := range 6 {
+			schedule(sim, time.Duration(i)*1300*time.Millisecond, func() { sim.StopAgent(i) })
+		}
+	}},
+	{"datagrams are lost", func(sim *Simulation) { sim.SetLoss(0.1) }},
+}
+
+// firstAgent is the number of the first agent among the processes of largeSetup.
+const firstAgent = 3 * 16
+
+// TestSilencePairsOnLargeSite looks flows up while agents are silent beside sound upstreams: balancers are killed, so that others get
+// their flows, and two faults hide agents at a time. None of the flows may be reset.
+func TestSilencePairsOnLargeSite(t *testing.T) {
+	seeds := uint64(1)
+	if *everything {
+		seeds = moreSeeds
+	}
+	for _, first := range silenceCases {
+		for _, second := range silenceCases {
+			t.Run(first.name+", then "+second.name, func(t *testing.T) {
+				t.Parallel()
+				for seed := range seeds {
+					sim := New(largeSetup(seed))
+					schedule(sim, 6*time.Second, func() { first.apply(sim) })
+					schedule(sim, 7300*time.Millisecond, func() { second.apply(sim) })
+					for i := range 6 {
+						schedule(sim, 6200*time.Millisecond+time.Duration(i)*700*time.Millisecond, func() { sim.KillBalancer(7 * i) })
+					}
+					sim.Run(15 * time.Second)
+					reportViolations(t, sim, fmt.Sprintf("seed %d", seed))
+				}
+			})
+		}
+	}
+}
+
 // TestFaultPairs runs pairs of faults, the second one 1.5 s after the first. It runs an eighth of the pairs, or all
 // of them with the flag everything.
 func TestFaultPairs(t *testing.T) {
