--- a/pkg/lentilplacement/liveness_test.go
+++ b/pkg/lentilplacement/liveness_test.go
@@ -8,6 +8,9 @@
 	"lentilstair.example/lentilstair/pkg/lentilflow"
 )
 
+// silentAgent is the number of the agent that is silent. It is in failure domain 2, as every fourth agent.
+const silentAgent = 42
+
 // TestSilentAgentsOnLargeSites looks up a flow while one agent doesn't answer, on sites whose agents send statuses seldom. If
 // the agent has ended, the flow must be reset within silentLimit of the client's first packet, however long the status interval.
 // If it holds the flow and is only hidden, the flow must not be reset.
@@ -19,9 +22,7 @@
 		length      = 20 * time.Second
 		forever     = time.Hour
 	)
-	// The flow's holder, or the agent that has ended, is in failure domain 2 as every fourth agent.
-	const silent = 42
-	sameDomain := func(n int) bool { return n%4 == silent%4 }
+	sameDomain := func(n int) bool { return n%4 == silentAgent%4 }
 	for _, c := range []struct {
 		name     string
 		interval time.Duration
@@ -30,18 +31,18 @@
 		holds          bool // the silent agent holds the flow
 		machineAnswers bool
 	}{
-		{name: "agent ended, status each 0.5 s", interval: 500 * time.Millisecond, silentFor: only(silent, forever)},
-		{name: "agent ended, status each 1.2 s", interval: 1200 * time.Millisecond, silentFor: only(silent, forever)},
-		{name: "agent ended, status each 3 s", interval: 3 * time.Second, silentFor: only(silent, forever)},
-		{name: "agent ended, status each 35 s", interval: 35 * time.Second, silentFor: only(silent, forever)},
+		{name: "agent ended, status each 0.5 s", interval: 500 * time.Millisecond, silentFor: onlySilentAgent(forever)},
+		{name: "agent ended, status each 1.2 s", interval: 1200 * time.Millisecond, silentFor: onlySilentAgent(forever)},
+		{name: "agent ended, status each 3 s", interval: 3 * time.Second, silentFor: onlySilentAgent(forever)},
+		{name: "agent ended, status each 35 s", interval: 35 * time.Second, silentFor: onlySilentAgent(forever)},
 		{name: "six of a failure domain ended", interval: 3 * time.Second, silentFor: func(n int) time.Duration {
-			if sameDomain(n) && n >= silent && n < silent+24 {
+			if sameDomain(n) && n >= silentAgent && n < silentAgent+24 {
 				return forever
 			}
 			return 0
 		}},
-		{name: "agent hidden until the last Hello", interval: 3 * time.Second, silentFor: only(silent, goneAfter-helloRetryInterval), holds: true},
-		{name: "agent starved, its machine answers", interval: 3 * time.Second, silentFor: only(silent, 9*time.Second), holds: true, machineAnswers: true},
+		{name: "agent hidden until the last Hello", interval: 3 * time.Second, silentFor: onlySilentAgent(goneAfter - helloRetryInterval), holds: true},
+		{name: "agent starved, its machine answers", interval: 3 * time.Second, silentFor: onlySilentAgent(9 * time.Second), holds: true, machineAnswers: true},
 		{name: "failure domain cut for 2.6 s", interval: 3 * time.Second, silentFor: cut(sameDomain, 2600*time.Millisecond, 0), holds: true},
 		{name: "failure domain cut for 4 s", interval: 3 * time.Second, silentFor: cut(sameDomain, 4*time.Second, 0), holds: true},
 		{name: "failure domain back one by one", interval: 3 * time.Second, silentFor: cut(sameDomain, 3*time.Second, 40*time.Millisecond), holds: true},
@@ -55,7 +56,7 @@
 					status(n)
 				}
 				// The site has run for longer than an agent takes to count as gone.
-				h.runAgents(step, 4*time.Second, c.interval, func(int) bool { return true }, status)
+				h.runAgents(step, 4*time.Second, c.interval, status)
 				var resetAt, foundAt time.Duration
 				var process func(now time.Duration, actions []Action)
 				process = func(now time.Duration, actions []Action) {
@@ -64,14 +65,14 @@
 						switch {
 						case a.Kind == ResetClient:
 							resetAt = now
-						case a.Kind == ProbeMachine && n == silent && c.machineAnswers:
+						case a.Kind == ProbeMachine && n == silentAgent && c.machineAnswers:
 							process(now, h.HandleProbeResult(a.To, true, nil))
 						case now < c.silentFor(n):
 						case a.Kind == SendHello:
 							status(n)
 						case a.Kind == SendCarry && a.Carry.Purpose == lentilflow.Owned:
 							foundAt = now
-						case (a.Kind == SendAsk || a.Kind == SendCarry) && n == silent && c.holds:
+						case (a.Kind == SendAsk || a.Kind == SendCarry) && n == silentAgent && c.holds:
 							process(now, h.HandleTaken(a.To, lentilflow.Taken{Key: flowKey(testFlow), Open: true}, nil))
 						case a.Kind == SendAsk:
 							process(now, h.HandleDenied(a.To, lentilflow.Denied{Keys: a.Keys}, nil))
@@ -110,7 +111,6 @@
 func TestKnownFlowsOfSilentAgents(t *testing.T) {
 	const (
 		step   = 100 * time.Millisecond
-		silent = 42
 		length = expireAfter - time.Second
 	)
 	for _, interval := range []time.Duration{500 * time.Millisecond, 1200 * time.Millisecond, 3 * time.Second} {
@@ -121,12 +121,12 @@
 				for n := 1; n <= clusterAgents; n++ {
 					status(n)
 				}
-				h.runAgents(step, 4*time.Second, interval, func(int) bool { return true }, status)
-				h.HandleTaken(agentAddress(silent), lentilflow.Taken{Key: flowKey(testFlow), Open: true}, nil)
+				h.runAgents(step, 4*time.Second, interval, status)
+				h.HandleTaken(agentAddress(silentAgent), lentilflow.Taken{Key: flowKey(testFlow), Open: true}, nil)
 				limit := interval + helloRetryInterval + goneAfter + step
 				resetAt := time.Duration(0)
 				for now := time.Duration(0); now < length && resetAt == 0; now += step {
-					h.sendDueStatuses(now, step, interval, func(n int) bool { return n != silent }, status)
+					h.sendDueStatuses(now, step, interval, func(n int) bool { return n != silentAgent }, status)
 					actions, err := h.HandlePacket(laterPacket(testFlow), nil)
 					if err != nil {
 						t.Fatal(err)
@@ -135,9 +135,9 @@
 						switch n := agentNumber(a.To); {
 						case a.Kind == ResetClient:
 							resetAt = now
-						case a.Kind == ProbeMachine && n == silent && machineAnswers:
+						case a.Kind == ProbeMachine && n == silentAgent && machineAnswers:
 							h.HandleProbeResult(a.To, true, nil)
-						case a.Kind == SendHello && n != silent:
+						case a.Kind == SendHello && n != silentAgent:
 							status(n)
 						}
 					}
@@ -159,7 +159,7 @@
 	const interval = 3 * time.Second
 	h := newCluster(t)
 	status := func(n int) { h.sendStatus(n, inCluster(n, interval)) }
-	hellos := h.runAgents(100*time.Millisecond, time.Minute, interval, func(int) bool { return true }, status)
+	hellos := h.runAgents(100*time.Millisecond, time.Minute, interval, status)
 	if limit := clusterAgents * int(time.Minute/keepaliveInterval); hellos > limit {
 		t.Errorf("%d Hellos in a minute, limit %d", hellos, limit)
 	}
@@ -172,10 +172,10 @@
 	}
 }
 
-// only makes one agent silent.
-func only(silent int, d time.Duration) func(n int) time.Duration {
+// onlySilentAgent makes silentAgent silent.
+func onlySilentAgent(d time.Duration) func(n int) time.Duration {
 	return func(n int) time.Duration {
-		if n == silent {
+		if n == silentAgent {
 			return d
 		}
 		return 0
@@ -193,9 +193,9 @@
 }
 
 // runAgents runs the placer while agents send their regular statuses and answer Hellos, and returns the number of Hellos.
-func (h *harness) runAgents(step, length, interval time.Duration, alive func(n int) bool, status func(n int)) (hellos int) {
+func (h *harness) runAgents(step, length, interval time.Duration, status func(n int)) (hellos int) {
 	for now := time.Duration(0); now < length; now += step {
-		h.sendDueStatuses(now, step, interval, alive, status)
+		h.sendDueStatuses(now, step, interval, func(int) bool { return true }, status)
 		for _, a := range h.Tick(nil) {
 			if a.Kind == SendHello {
 				hellos++
