lentilconntrack: ledgers are due for flows whose requests may not be repeated

Cause: a ledger is written when an eighth of the lasting flows has changed, every 7 s on a site of 23 balancers.

Change: with the setting ledger.unlisted of agents, a ledger is due as soon as such a flow has been open and unlisted for that long, a second after the last one at the earliest; on sites of more than 16 balancers the interval grows in proportion, as for other ledgers. A ledger that could not be stored is due again. Flows of a single request never reach that age, so sites without long flows make no further calls.

--- a/internal/lentilpacket/agent.go
+++ b/internal/lentilpacket/agent.go
@@ -110,6 +110,7 @@
 	a.tracker.Address = lentilflow.EndpointOf(a.Settings.PeerAddress())
 	a.tracker.FlowsComplete, a.tracker.RenewInterval, a.tracker.IdleTimeout = a.Settings.FirstStart(), a.Settings.RenewInterval(), a.Settings.FlowIdleTimeout()
 	a.tracker.ColdFactor, a.tracker.ColdSlack = a.Settings.ColdFactor(), a.Settings.ColdSlack()
+	a.tracker.MaxUnlisted = a.Settings.MaxUnlisted()
 	defer func() {
 		if err != nil {
 			a.close()
--- a/internal/lentilsetting/packet.go
+++ b/internal/lentilsetting/packet.go
@@ -53,7 +53,19 @@
 	StopGrace           string  `json:"stopGrace,omitempty"`
 	FlowLife            string  `json:"flowLife,omitempty"`
 	Cold                ColdDoc `json:"cold,omitzero"`
-	Log                 LogDoc  `json:"log,omitzero"`
+	// Ledger is about the list of flows that the agent keeps in the store.
+	Ledger PacketLedgerDoc `json:"ledger,omitzero"`
+	Log    LogDoc          `json:"log,omitzero"`
+}
+
+// PacketLedgerDoc is the JSON form of the settings of an agent's flow ledger.
+type PacketLedgerDoc struct {
+	Unlisted string `json:"unlisted,omitempty"`
+}
+
+var packetLedgerFields = []field{
+	{name: "unlisted", description: "How long an open flow of a route whose requests may not be repeated may be missing in the ledger. A request on a missing flow is lost if all VMs lose power.",
+		example: `"3s"`, defaultText: "as for other flows", check: checkDuration},
 }
 
 // ColdDoc is the JSON form of the limit on new flows per second of a cold upstream: its
@@ -120,6 +132,7 @@
 	{name: "stopGrace", description: "How long a graceful stop may take.", example: `"4s"`, defaultText: `"4s"`, check: checkDuration},
 	flowIdleTimeoutField,
 	{name: "cold", description: "Limit on the new flows per second of cold upstreams.", example: `{"factor": 1.5, "slack": 5}`, defaultText: `{"factor": 1, "slack": 1}`, members: coldFields},
+	{name: "ledger", description: "List of open flows that the agent keeps in the store.", example: `{"unlisted": "3s"}`, defaultText: `{}`, members: packetLedgerFields},
 	logField,
 }
 
@@ -227,6 +240,7 @@
 	renewInterval time.Duration
 	coldFactor    float64
 	coldSlack     float64
+	maxUnlisted   time.Duration
 }
 
 // Service returns the name of the service that the upstream belongs to.
@@ -256,6 +270,10 @@
 // ColdSlack returns the number of new flows per second that a cold upstream may get on top of that.
 func (p PacketAgent) ColdSlack() float64 { return p.coldSlack }
 
+// MaxUnlisted returns how long an open flow whose requests may not be repeated may be missing in the flow ledger, or
+// zero if such flows are treated like others.
+func (p PacketAgent) MaxUnlisted() time.Duration { return p.maxUnlisted }
+
 // PacketBalancer reads the settings of a balancer of packet flows. It returns a *ValidationError
 // if they are invalid.
 func (l Loader) PacketBalancer(file string) (settings PacketBalancer, err error) {
@@ -301,6 +319,7 @@
 		renewInterval: durationOrDefault(doc.RenewInterval, 0),
 		coldFactor:    factorOrDefault(doc.Cold.Factor),
 		coldSlack:     factorOrDefault(doc.Cold.Slack),
+		maxUnlisted:   durationOrDefault(doc.Ledger.Unlisted, 0),
 	}, nil
 }
 
--- a/pkg/lentilconntrack/flow.go
+++ b/pkg/lentilconntrack/flow.go
@@ -33,6 +33,8 @@
 	requestAt   time.Time
 	requestLoad int
 	closedBy    closeSides
+	// nonRepeatable is set if the flow's route says that its requests may not be repeated.
+	nonRepeatable bool
 }
 
 // flowState is the state of a flow in the connection table.
--- a/pkg/lentilconntrack/ledger.go
+++ b/pkg/lentilconntrack/ledger.go
@@ -16,6 +16,9 @@
 	// ledgerBaseBalancers is the number of balancers beyond which the interval grows in proportion, so that
 	// the agents of a large site write no more in total.
 	ledgerBaseBalancers = 16
+	// minExposedLedgerInterval is the shortest time between two ledgers of an agent that are due because of exposed
+	// flows, for up to ledgerBaseBalancers balancers. A write takes the store some milliseconds.
+	minExposedLedgerInterval = time.Second
 	// minLedgerFlowAge is the age from which on a flow is listed in a ledger. Flows of a single request have
 	// ended by then, and most flows that last longer are used again.
 	minLedgerFlowAge = 2 * time.Second
@@ -103,15 +106,18 @@
 		t.runMarkerDue = false
 		return t.newLedger(), true
 	}
-	interval := max(minLedgerInterval, minLedgerInterval*time.Duration(len(t.balancers))/ledgerBaseBalancers)
-	if t.upstream.id == "" || t.previousLedger != nil || now.Sub(t.ledgerWrittenAt) < interval || t.churn == 0 {
+	if t.upstream.id == "" || t.previousLedger != nil || t.churn == 0 {
+		return ledger, false
+	}
+	exposed := now.Sub(t.ledgerWrittenAt) >= t.ledgerInterval(minExposedLedgerInterval) && t.hasExposedFlow(now)
+	if !exposed && now.Sub(t.ledgerWrittenAt) < t.ledgerInterval(minLedgerInterval) {
 		return ledger, false
 	}
 	ledger = t.newLedger()
 	listed := make(map[lentilflow.Key]bool)
 	changes := 0
 	for key, f := range t.flows {
-		if f.state == open && now.Sub(f.openedAt) >= minLedgerFlowAge && len(ledger.Flows) < maxLedgerFlows {
+		if f.state == open && t.lasts(now, f) && len(ledger.Flows) < maxLedgerFlows {
 			ledger.Flows = append(ledger.Flows, LedgerFlow{Key: key, Acknowledged: f.acknowledged})
 			listed[key] = true
 			if !t.ledgerFlows[key] {
@@ -124,19 +130,53 @@
 			changes++
 		}
 	}
-	if changes == 0 || changes*ledgerChurnDivisor < max(len(listed), len(t.ledgerFlows)) {
+	if changes == 0 || !exposed && changes*ledgerChurnDivisor < max(len(listed), len(t.ledgerFlows)) {
 		return Ledger{}, false
 	}
 	t.ledgerWrittenAt, t.churn, t.ledgerFlows = now, 0, listed
 	return ledger, true
 }
 
+// ledgerInterval returns the shortest time between two ledgers, given the one for a small site.
+func (t *Tracker) ledgerInterval(small time.Duration) time.Duration {
+	return max(small, small*time.Duration(len(t.balancers))/ledgerBaseBalancers)
+}
+
+// lasts reports whether an open flow is old enough to be listed in a ledger.
+func (t *Tracker) lasts(now time.Time, f *flow) bool {
+	minAge := minLedgerFlowAge
+	if t.MaxUnlisted > 0 && f.nonRepeatable {
+		minAge = min(minAge, t.MaxUnlisted)
+	}
+	return now.Sub(f.openedAt) >= minAge
+}
+
+// hasExposedFlow reports whether a flow whose requests may not be repeated has been open for MaxUnlisted, and isn't
+// listed in the last ledger. After a loss of power such a flow is reset only when its client sends the next request,
+// which is lost with it.
+func (t *Tracker) hasExposedFlow(now time.Time) bool {
+	if t.MaxUnlisted == 0 {
+		return false
+	}
+	for key, f := range t.flows {
+		if f.state == open && f.nonRepeatable && !t.ledgerFlows[key] && now.Sub(f.openedAt) >= t.MaxUnlisted {
+			return true
+		}
+	}
+	return false
+}
+
 // RunMarkerDue reports whether the run marker is due. Until it is stored, a later run of the agent can't know that this
 // one may have let flows open.
 func (t *Tracker) RunMarkerDue() bool { return t.runMarkerDue && t.openFlows+t.halfOpenFlows > 0 }
 
-// LedgerFailed records that a ledger could not be stored. A run marker is due again; a later ledger replaces another one.
+// LedgerFailed records that a ledger could not be stored. A run marker is due again; a later ledger replaces another one,
+// which is due as soon as the interval allows if flows may be exposed.
 func (t *Tracker) LedgerFailed(ledger Ledger) {
+	if t.MaxUnlisted > 0 {
+		t.ledgerFlows = nil
+		t.churn++
+	}
 	if len(ledger.Flows) == 0 && ledger.matches(t.upstream) && t.upstream.sequence <= maxStartupSequence {
 		t.runMarkerDue = true
 	}
--- a/pkg/lentilconntrack/ledger_test.go
+++ b/pkg/lentilconntrack/ledger_test.go
@@ -139,3 +139,64 @@
 		t.Error("flows with an incomplete record are parsed without an error")
 	}
 }
+
+// TestLedgerOfExposedFlows checks when a ledger is due because of flows whose requests may not be repeated. Without one,
+// such a flow is reset after a loss of power only when its client sends the next request, which is lost.
+func TestLedgerOfExposedFlows(t *testing.T) {
+	const maxUnlisted = 3 * time.Second
+	oneOfMany := func(h *harness) { h.openFlowWithTerms(flowKey(100), lentilflow.Terms{Target: time.Second}) }
+	for _, c := range []struct {
+		name        string
+		maxUnlisted time.Duration
+		balancers   int
+		change      func(h *harness)
+		// after is the time from the change to the check.
+		after time.Duration
+		want  bool
+	}{
+		{"one such flow of many flows is old enough", maxUnlisted, 1, oneOfMany, maxUnlisted, true},
+		{"it isn't old enough", maxUnlisted, 1, oneOfMany, maxUnlisted - 200*time.Millisecond, false},
+		{"no limit is set", 0, 1, oneOfMany, maxUnlisted, false},
+		{"its requests may be repeated", maxUnlisted, 1, func(h *harness) {
+			h.openFlowWithTerms(flowKey(100), lentilflow.Terms{Target: time.Second, Repeatable: true})
+		}, maxUnlisted, false},
+		{"its terms are not known", maxUnlisted, 1, func(h *harness) { h.openFlowWithTerms(flowKey(100), lentilflow.Terms{}) }, maxUnlisted, false},
+		{"the site has so many balancers that the store allows fewer ledgers", maxUnlisted, 64, oneOfMany, maxUnlisted, false},
+		{"the last ledger could not be stored", maxUnlisted, 1, func(h *harness) { h.LedgerFailed(Ledger{Flows: []LedgerFlow{{}}}) }, maxUnlisted, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.RenewInterval, h.MaxUnlisted = 0, c.maxUnlisted
+			h.register("u")
+			for i := range c.balancers {
+				address := lentilflow.NewEndpoint([4]byte{10, 0, 1, byte(i)}, 7720)
+				h.AddPeer(lentilflow.Node{Name: address.String(), Domain: "d", Address: address}, nil)
+			}
+			const manyFlows = 20
+			for n := range manyFlows {
+				h.openFlowWithTerms(flowKey(n), lentilflow.Terms{Target: time.Second})
+			}
+			h.clock.Advance(time.Minute)
+			h.DueLedger()
+			if ledger, due := h.DueLedger(); !due || len(ledger.Flows) != manyFlows {
+				t.Fatalf("the first ledger: due %t with %d flows, want %d", due, len(ledger.Flows), manyFlows)
+			}
+			c.change(h)
+			h.clock.Advance(c.after)
+			if ledger, due := h.DueLedger(); due != c.want {
+				t.Errorf("due %t with %d flows, want %t", due, len(ledger.Flows), c.want)
+			}
+		})
+	}
+}
+
+// openFlowWithTerms opens a flow of a route with the given terms.
+func (h *harness) openFlowWithTerms(key lentilflow.Key, terms lentilflow.Terms) {
+	h.t.Helper()
+	if _, err := h.HandleCarry(peer1, lentilflow.Carry{Purpose: lentilflow.Place, Service: "a", Version: 1, Terms: terms, MayWait: true, Packet: h.encode(firstPacket(key))}, nil); err != nil {
+		h.t.Fatal(err)
+	}
+	h.fromUpstream(lentilflow.Packet{Key: key, Flags: lentilflow.Open | lentilflow.Acknowledge, Sequence: 500, Acknowledged: 101})
+	h.fromBalancer(peer1, lentilflow.Owned, lentilflow.Packet{Key: key, Flags: lentilflow.Acknowledge, Sequence: 101, Acknowledged: 501})
+	h.clock.Advance(100 * time.Millisecond)
+}
--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -91,6 +91,9 @@
 	// IdleTimeout is how long an open flow without packets stays in the table; zero is
 	// lentilflow.DefaultIdleTimeout.
 	IdleTimeout time.Duration
+	// MaxUnlisted is how long an open flow of a route whose requests may not be repeated may be missing in the ledger
+	// before one is due. With zero, such flows are treated like all others.
+	MaxUnlisted time.Duration
 
 	upstream upstream
 	// breaker stops new flows to an upstream that fails, and queue holds them until the upstream has room.
@@ -214,7 +217,7 @@
 	if refusal != lentilflow.NotRefused {
 		return append(actions, Action{Kind: SendRefused, To: from, Key: packet.Key, Refusal: refusal, Packet: m.Packet})
 	}
-	f = &flow{balancer: from, lastUsed: now, firstPacket: slices.Clone(m.Packet), waiting: wait}
+	f = &flow{balancer: from, lastUsed: now, firstPacket: slices.Clone(m.Packet), waiting: wait, nonRepeatable: m.Terms != lentilflow.Terms{} && !m.Terms.Repeatable}
 	t.addFlow(packet.Key, f)
 	t.setState(f, halfOpen)
 	if !wait {
