lentilpacket: balancers send through the link scheduler

Cause: a balancer sends datagrams as soon as it decides on them, also when they exceed the rate of its link.

Change: with the setting `link`, every datagram of a balancer passes lentillink. One goroutine with one timer sends what waits; datagrams that arrive send what is due meanwhile. A graceful stop sends the queue before the sockets close. Without the setting there is no queue, no further goroutine and no allocation for a datagram (TestUnlimitedLink).

The message of numbers out of range writes its limit as 1000000, not 1e+06, so the golden file of agents' faults changes.

--- a/internal/lentilevent/catalogue.go
+++ b/internal/lentilevent/catalogue.go
@@ -93,6 +93,11 @@
 		"out of service. This may be missing from the copy, so it counts for two more seconds.", []string{"domain", "era"}},
 	FlowRelayed: {Info, "packet relayed", "A balancer without a configuration passed a client's packet to one that has a configuration.",
 		[]string{"flow", "cause", "balancer"}},
+	LinkFull: {Warn, "link full", "More than 50 ms of datagrams wait for the balancer's link. The caller is the one with most bytes in the lowest class. If the network " +
+		"could take more, the setting `link` is too low. See docs/operating/scarce-capacity.md.", []string{"queuedBytes", "bytesPerSecond", "caller"}},
+	LinkFree: {Info, "link free", "For two seconds, less than 50 ms of datagrams have waited for the balancer's link. The event says for how long it was full, what was sent " +
+		"meanwhile, and how many datagrams of each class were lost.",
+		[]string{"fullMillis", "bytes", "droppedControl", "droppedOpening", "droppedShort", "droppedBulk"}},
 	RegistrationRefused: {Warn, "registration rejected", "An upstream's registration is malformed or for another service, and was ignored.",
 		[]string{"id", "error"}},
 }
--- a/internal/lentilevent/event.go
+++ b/internal/lentilevent/event.go
@@ -120,6 +120,8 @@
 	EntryRenewed
 	DomainKeptOut
 	FlowRelayed
+	LinkFull
+	LinkFree
 )
 
 // Code returns the code under which the event is documented, such as LE2001.
--- a/internal/lentilevent/event_string.go
+++ b/internal/lentilevent/event_string.go
@@ -59,6 +59,8 @@
 	_ = x[EntryRenewed-2419]
 	_ = x[DomainKeptOut-2420]
 	_ = x[FlowRelayed-2421]
+	_ = x[LinkFull-2422]
+	_ = x[LinkFree-2423]
 }
 
 const (
@@ -66,7 +68,7 @@
 	_Event_name_1 = "PacketRefusedTunnelRefusedPlaceRefusedServiceMismatchSocketFailed"
 	_Event_name_2 = "ConfigurationInForceConfigurationRefusedPlatformDownPlatformBackDomainOutDomainBackControlFailedCopyUnlisted"
 	_Event_name_3 = "CopyWarmingCopyReadyCopyColdCopyDrainingOutcomeUnknown"
-	_Event_name_4 = "FlowPlacedFlowSoughtFlowTakenFlowOpenFlowRefusedFlowDeniedFlowResetFlowDroppedAgentNotedUpstreamNotedPeersReadStoreLostStoreRegainedRegistrationRefusedPeerForgottenFlowHeldStoreReturnedStoreEraIgnoredEntryRenewedDomainKeptOutFlowRelayed"
+	_Event_name_4 = "FlowPlacedFlowSoughtFlowTakenFlowOpenFlowRefusedFlowDeniedFlowResetFlowDroppedAgentNotedUpstreamNotedPeersReadStoreLostStoreRegainedRegistrationRefusedPeerForgottenFlowHeldStoreReturnedStoreEraIgnoredEntryRenewedDomainKeptOutFlowRelayedLinkFullLinkFree"
 )
 
 var (
@@ -74,7 +76,7 @@
 	_Event_index_1 = [...]uint8{0, 13, 26, 38, 53, 65}
 	_Event_index_2 = [...]uint8{0, 20, 40, 52, 64, 73, 83, 96, 108}
 	_Event_index_3 = [...]uint8{0, 11, 20, 28, 40, 54}
-	_Event_index_4 = [...]uint8{0, 10, 20, 29, 37, 48, 58, 67, 78, 88, 101, 110, 119, 132, 151, 164, 172, 185, 200, 212, 225, 236}
+	_Event_index_4 = [...]uint8{0, 10, 20, 29, 37, 48, 58, 67, 78, 88, 101, 110, 119, 132, 151, 164, 172, 185, 200, 212, 225, 236, 244, 252}
 )
 
 func (i Event) String() string {
@@ -91,7 +93,7 @@
 	case 2301 <= i && i <= 2305:
 		i -= 2301
 		return _Event_name_3[_Event_index_3[i]:_Event_index_3[i+1]]
-	case 2401 <= i && i <= 2421:
+	case 2401 <= i && i <= 2423:
 		i -= 2401
 		return _Event_name_4[_Event_index_4[i]:_Event_index_4[i+1]]
 	default:
--- a/internal/lentilmetric/metric.go
+++ b/internal/lentilmetric/metric.go
@@ -52,6 +52,11 @@
 	FlowsRefused
 	PlacingTime
 	AnswerTime
+	LinkWaited
+	LinkDropped
+	LinkQueuedBytes
+	LinkUtilization
+	LinkFullSeconds
 )
 
 type metricDoc struct {
@@ -86,6 +91,11 @@
 	AnswerTime:           {"answer_seconds", Histogram, "seconds", nil, "Time from the arrival of a request's data at an agent until the first data of the upstream's answer."},
 	FlowsReset:           {"flows_reset", Counter, "flows", nil, "Packet flows whose clients were sent a reset."},
 	FlowsRefused:         {"flows_refused", Counter, "flows", nil, "First packets of flows that an agent returned to a balancer."},
+	LinkWaited:           {"link_waited", Counter, "datagrams", []string{"class"}, "Datagrams that a balancer sent after they had waited for its link. The class is control, opening (first packets), short or bulk. Recorded only if `link` is set."},
+	LinkDropped:          {"link_dropped", Counter, "datagrams", []string{"class", "reason"}, "Datagrams that a balancer dropped because its link was full. The reason is overflow (the queue was full), late (the datagram had waited 400 ms) or duplicate (the same packet was still queued, so nothing is lost)."},
+	LinkQueuedBytes:      {"link_queued_bytes", Gauge, "bytes", nil, "Bytes that wait for the balancer's link, with IP and UDP headers."},
+	LinkUtilization:      {"link_utilization", Gauge, "share", nil, "Share of the rate of the balancer's link that was used in the last second."},
+	LinkFullSeconds:      {"link_full_seconds", Gauge, "seconds", nil, "For how long the balancer's link has been full, or 0 while it is free. It is full while more than 50 ms of datagrams wait, and until that has not been so for 2 s. See docs/operating/scarce-capacity.md."},
 }
 
 // namePrefix is the prefix of all metric names in a scrape.
--- a/internal/lentilpacket/balancer.go
+++ b/internal/lentilpacket/balancer.go
@@ -17,6 +17,7 @@
 	"lentilstair.example/lentilstair/pkg/lentilerror"
 	"lentilstair.example/lentilstair/pkg/lentilflow"
 	"lentilstair.example/lentilstair/pkg/lentilfollow"
+	"lentilstair.example/lentilstair/pkg/lentillink"
 	"lentilstair.example/lentilstair/pkg/lentilplacement"
 )
 
@@ -67,6 +68,10 @@
 	// renewEntry writes the balancer's entry again, and reads the list of agents.
 	renewEntry func(era uint64, balancers int)
 	logLimiter logLimiter
+	// link decides when datagrams are sent. linkQueued wakes serveLink after a datagram was queued.
+	link       lentillink.Scheduler
+	classifier lentillink.Classifier
+	linkQueued chan struct{}
 }
 
 // Run serves until the stop grace period after graceful has passed, or until forced ends.
@@ -101,6 +106,9 @@
 	workers.Go(func() { lentilserver.ServeDatagrams(b.ingressConn, make([]byte, readBufferSize), b.handleClientPacket) })
 	workers.Go(func() { lentilserver.ServeDatagrams(b.peerConn, make([]byte, readBufferSize), b.handlePeerMessage) })
 	workers.Go(func() { b.tick(ctx) })
+	if b.limited() {
+		workers.Go(func() { b.serveLink(ctx) })
+	}
 	workers.Go(func() { b.configurations.Run(ctx) })
 	workers.Go(func() { b.domains.Run(ctx) })
 	workers.Go(func() { b.pollStore(ctx) })
@@ -112,6 +120,7 @@
 	case <-forced.Done():
 	}
 	b.notifyLeaving()
+	b.flushLink(forced)
 	stop()
 	_, _ = b.ingressConn.Close(), b.peerConn.Close()
 	workers.Wait()
@@ -121,6 +130,7 @@
 func (b *Balancer) open() (err error) {
 	b.runID = rand.Uint64()
 	b.pollSchedule.Random = rand.Float64
+	b.link.BytesPerSecond, b.linkQueued = b.Settings.LinkBytesPerSecond(), make(chan struct{}, 1)
 	b.prepareReaders()
 	b.placer.Codec, b.placer.Random, b.placer.Domain = b.Codec, rand.Float64, b.Settings.Domain()
 	if b.ingressConn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(b.Settings.IngressAddress())); err != nil {
@@ -222,6 +232,7 @@
 		}
 		b.mu.Lock()
 		b.perform(b.placer.Tick(b.actions[:0]))
+		b.observeLink()
 		b.mu.Unlock()
 	}
 }
@@ -233,7 +244,8 @@
 		a := &actions[i]
 		switch a.Kind {
 		case lentilplacement.SendCarry:
-			b.send(lentilframe.AppendCarry(b.frameBuffer[:0], a.Carry), a.To)
+			b.frameBuffer = lentilframe.AppendCarry(b.frameBuffer[:0], a.Carry)
+			b.transmit(b.packetDatagram(a))
 		case lentilplacement.SendRelay:
 			b.send(lentilframe.AppendRelay(b.frameBuffer[:0], lentilflow.Relay{Packet: a.Carry.Packet}), a.To)
 		case lentilplacement.SendAsk:
@@ -242,7 +254,8 @@
 			b.Counts.Resets.Add(1)
 			b.frameBuffer = b.Codec.AppendReset(b.frameBuffer[:0], a.Key, a.Sequence)
 			// The port in the key is read from the packets. Clients use the balancer's UDP port.
-			b.write(b.ingressConn, netip.AddrPortFrom(a.Key.Client().AddrPort().Addr(), b.Settings.IngressAddress().Port()))
+			client := netip.AddrPortFrom(a.Key.Client().AddrPort().Addr(), b.Settings.IngressAddress().Port())
+			b.transmit(lentillink.Datagram{Class: lentillink.Control, To: client, Socket: ingressSocket})
 		case lentilplacement.Drop:
 			b.Counts.Dropped.Add(1)
 		case lentilplacement.SendHello:
@@ -273,15 +286,10 @@
 	return m
 }
 
+// send sends a control message. The caller holds b.mu.
 func (b *Balancer) send(frame []byte, to lentilflow.Endpoint) {
 	b.frameBuffer = frame
-	b.write(b.peerConn, to.AddrPort())
-}
-
-func (b *Balancer) write(conn *net.UDPConn, to netip.AddrPort) {
-	if _, err := conn.WriteToUDPAddrPort(b.frameBuffer, to); err != nil {
-		b.Counts.Unsent.Add(1)
-	}
+	b.transmit(lentillink.Datagram{Class: lentillink.Control, To: to.AddrPort()})
 }
 
 // addAgents adds the agents that the store lists.
--- a/internal/lentilpacket/count.go
+++ b/internal/lentilpacket/count.go
@@ -18,6 +18,9 @@
 	// Resets counts flows that were reset, and Refused first packets that an agent returned to the balancer.
 	Resets, Refused atomic.Uint64
 
+	// Link counts what waits for the balancer's link; nil if the link isn't limited.
+	Link *LinkCounts
+
 	// The histograms are nil until Export is called.
 	placingTime, answerTime tally.Histogram
 }
@@ -42,4 +45,7 @@
 	poller.AddCounter(registry.Counter(lentilmetric.PacketsDropped, "unsent"), c.Unsent.Load, nil)
 	poller.AddCounter(registry.Counter(lentilmetric.FlowsReset), c.Resets.Load, nil)
 	poller.AddCounter(registry.Counter(lentilmetric.FlowsRefused), c.Refused.Load, nil)
+	if c.Link != nil {
+		c.Link.export(registry, poller)
+	}
 }
--- a/internal/lentilsetting/packet.go
+++ b/internal/lentilsetting/packet.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -19,20 +20,29 @@
 	maxExternalNameBytes = 128
 	// maxFactor is the highest allowed factor or slack for cold upstreams. Higher values make no sense.
 	maxFactor = 1e6
+	// maxMegabitsPerSecond is the highest allowed rate of a link, above that of any network card.
+	maxMegabitsPerSecond = 1e6
+	bytesPerMegabit      = 1e6 / 8
 )
 
 // PacketBalancerDoc is the JSON form of the settings of a balancer of packet flows.
 type PacketBalancerDoc struct {
-	Name           string `json:"name"`
-	Domain         string `json:"domain"`
-	IngressAddress string `json:"ingressAddress"`
-	PeerAddress    string `json:"peerAddress"`
-	AdminAddress   string `json:"adminAddress"`
-	MetricsAddress string `json:"metricsAddress,omitempty"`
-	StoreAddress   string `json:"storeAddress"`
-	StopGrace      string `json:"stopGrace,omitempty"`
-	FlowLife       string `json:"flowLife,omitempty"`
-	Log            LogDoc `json:"log,omitzero"`
+	Name           string  `json:"name"`
+	Domain         string  `json:"domain"`
+	IngressAddress string  `json:"ingressAddress"`
+	PeerAddress    string  `json:"peerAddress"`
+	AdminAddress   string  `json:"adminAddress"`
+	MetricsAddress string  `json:"metricsAddress,omitempty"`
+	StoreAddress   string  `json:"storeAddress"`
+	StopGrace      string  `json:"stopGrace,omitempty"`
+	FlowLife       string  `json:"flowLife,omitempty"`
+	Link           LinkDoc `json:"link,omitzero"`
+	Log            LogDoc  `json:"log,omitzero"`
+}
+
+// LinkDoc is the JSON form of the link of a balancer.
+type LinkDoc struct {
+	MegabitsPerSecond json.Number `json:"megabitsPerSecond,omitempty"`
 }
 
 // PacketAgentDoc is the JSON form of the settings of an agent of packet flows.
@@ -69,6 +79,10 @@
 	{name: "slack", description: "Number of new flows per second that a cold upstream may get on top of that.", example: `5`, defaultText: `1`, check: checkFactor},
 }
 
+var linkFields = []field{
+	{name: "megabitsPerSecond", description: "Rate of the link in Mbit/s. 0 means that it isn't limited.", example: `10`, defaultText: `0`, check: checkMegabits},
+}
+
 var (
 	packetNameField = field{name: "name", description: "Name of the process. It must be unique among the processes of its role.",
 		example: `"entry-1"`, required: true, check: checkExternalName}
@@ -94,6 +108,8 @@
 	{name: "stopGrace", description: "How long the balancer keeps forwarding during a graceful stop. Choose a longer time than the fabric needs to detect that the balancer isn't ready.",
 		example: `"4s"`, defaultText: `"4s"`, check: checkDuration},
 	flowIdleTimeoutField,
+	{name: "link", description: "The VM's link. If its rate is set, the balancer queues what the link can't take yet, sends it in turns between callers and first packets first. See docs/operating/scarce-capacity.md.",
+		example: `{"megabitsPerSecond": 10}`, defaultText: "not limited", members: linkFields},
 	logField,
 }
 
@@ -158,14 +174,21 @@
 	return uint16(number), err == nil && number != 0
 }
 
-func checkFactor(c *errorCollector, path string, value any) {
+func checkFactor(c *errorCollector, path string, value any) { checkNumber(c, path, value, maxFactor) }
+
+func checkMegabits(c *errorCollector, path string, value any) {
+	checkNumber(c, path, value, maxMegabitsPerSecond)
+}
+
+// checkNumber checks a number between 0 and limit.
+func checkNumber(c *errorCollector, path string, value any, limit float64) {
 	number, ok := value.(json.Number)
 	if !ok {
 		c.add(WrongType, path, "expected a number, got %s", typeName(value))
 		return
 	}
-	if factor, err := number.Float64(); err != nil || factor < 0 || factor > maxFactor {
-		c.add(OutOfRange, path, "%s is not between 0 and %g", number, maxFactor)
+	if f, err := number.Float64(); err != nil || f < 0 || f > limit {
+		c.add(OutOfRange, path, "%s is not between 0 and %.0f", number, limit)
 	}
 }
 
@@ -209,12 +232,16 @@
 // PacketBalancer holds the validated settings of a balancer of packet flows.
 type PacketBalancer struct {
 	commonPacketSettings
-	ingress netip.AddrPort
+	ingress            netip.AddrPort
+	linkBytesPerSecond int
 }
 
 // IngressAddress returns the address and UDP port at which clients' packets arrive.
 func (p PacketBalancer) IngressAddress() netip.AddrPort { return p.ingress }
 
+// LinkBytesPerSecond returns the rate of the VM's link, or 0 if it isn't limited.
+func (p PacketBalancer) LinkBytesPerSecond() int { return p.linkBytesPerSecond }
+
 // PacketAgent holds the validated settings of an agent of packet flows.
 type PacketAgent struct {
 	commonPacketSettings
@@ -271,7 +298,8 @@
 	return PacketBalancer{
 		commonPacketSettings: newCommonPacketSettings(doc.Name, doc.Domain, doc.PeerAddress, doc.AdminAddress, doc.MetricsAddress, doc.StoreAddress,
 			doc.StopGrace, doc.FlowLife, doc.Log),
-		ingress: netip.MustParseAddrPort(doc.IngressAddress),
+		ingress:            netip.MustParseAddrPort(doc.IngressAddress),
+		linkBytesPerSecond: bytesPerSecond(doc.Link),
 	}, nil
 }
 
@@ -317,6 +345,15 @@
 	return p
 }
 
+// bytesPerSecond returns the rate of a validated link, or 0 if it isn't given. Rates above 0 stay above it.
+func bytesPerSecond(link LinkDoc) int {
+	megabits, err := link.MegabitsPerSecond.Float64()
+	if err != nil {
+		return 0
+	}
+	return int(math.Ceil(megabits * bytesPerMegabit))
+}
+
 // factorOrDefault returns a validated number, or 1 if it is not given.
 func factorOrDefault(number json.Number) float64 {
 	if number == "" {
--- a/internal/lentilsetting/setting_test.go
+++ b/internal/lentilsetting/setting_test.go
@@ -69,7 +69,7 @@
 		return fmt.Sprintf("copy %s of %s\nupstream %s\nbalancers %s\ncertificate %s key %s\ndrain limit %s hand-off %t\n%s",
 			s.Copy(), s.Service(), s.Upstream(), s.Balancers(), s.CertificateFile(), s.KeyFile(), s.DrainLimit(), s.HandOff(), describeCommon(s.commonSettings))
 	case PacketBalancer:
-		return fmt.Sprintf("ingress %s\n%s", s.IngressAddress(), describePacket(s.commonPacketSettings))
+		return fmt.Sprintf("ingress %s\nlink %d\n%s", s.IngressAddress(), s.LinkBytesPerSecond(), describePacket(s.commonPacketSettings))
 	case PacketAgent:
 		return fmt.Sprintf("service %s upstream %s outbound %s registration %s\nclient port %d first start %t renewal %s cold %g + %g\n%s",
 			s.Service(), s.UpstreamAddress(), s.OutboundAddress(), s.RegistrationAddress(), s.ClientPort(), s.FirstStart(), s.RenewInterval(),
