--- a/pkg/lentillink/link_test.go
+++ b/pkg/lentillink/link_test.go
@@ -768,3 +768,78 @@
 		s.Offer(d)
 	}
 }
+
+// uploader is a client that sends windows of packets and retransmits those that aren't acknowledged.
+type uploader struct {
+	next    uint32
+	flights []*flight
+}
+
+type flight struct {
+	sequence uint32
+	sendAt   time.Duration
+	timeout  time.Duration
+}
+
+// TestUploadsRetransmit guards against a link that carries copies of packets instead of new ones: 20 clients keep 16
+// packets each in flight, more than the queue holds, and retransmit after 200 ms, which is about the time in the queue. Without
+// the rule of duplicates .675 of the bytes sent are new, with it .934.
+func TestUploadsRetransmit(t *testing.T) {
+	s, clock := newScheduler(testRate)
+	const (
+		uploads, window                = 20, 16
+		roundTrip                      = 20 * time.Millisecond
+		firstTimeout, longestTimeout   = 200 * time.Millisecond, 1600 * time.Millisecond
+		duration                       = 8 * time.Second
+		leastGoodput, leastShareOfRate = .9, .98
+	)
+	type acknowledgement struct {
+		at       time.Duration
+		caller   [4]byte
+		sequence uint32
+	}
+	var acknowledgements []acknowledgement
+	clients := make(map[[4]byte]*uploader)
+	var now time.Duration
+	sentBytes, delivered := 0, 0
+	sim := &simulation{T: t, Scheduler: s, clock: clock, sent: func(d Datagram) {
+		sentBytes += d.cost()
+		acknowledgements = append(acknowledgements, acknowledgement{now + roundTrip, d.Caller, d.Sequence})
+	}}
+	for caller := range uploads {
+		clients[flowOf(caller, 1).Client().Address()] = &uploader{}
+	}
+	sim.run(duration, func(at time.Duration) {
+		now = at
+		for len(acknowledgements) > 0 && acknowledgements[0].at <= at {
+			a := acknowledgements[0]
+			acknowledgements = acknowledgements[1:]
+			c := clients[a.caller]
+			if i := slices.IndexFunc(c.flights, func(f *flight) bool { return f.sequence == a.sequence }); i >= 0 {
+				c.flights = slices.Delete(c.flights, i, i+1)
+				delivered += packetBytes
+			}
+		}
+		for caller := range uploads {
+			c := clients[flowOf(caller, 1).Client().Address()]
+			for len(c.flights) < window {
+				c.next++
+				c.flights = append(c.flights, &flight{sequence: c.next, sendAt: at, timeout: firstTimeout})
+			}
+			for _, f := range c.flights {
+				if f.sendAt > at {
+					continue
+				}
+				f.sendAt, f.timeout = at+f.timeout, min(2*f.timeout, longestTimeout)
+				sim.offer(newDatagram(Bulk, caller, 1, f.sequence, fullPacket))
+			}
+		}
+	})
+	if goodput := float64(delivered) / float64(sentBytes); goodput < leastGoodput {
+		t.Errorf("%.3f of the bytes sent are new, want %.2f; %d duplicates, %d overflows, %d late", goodput, leastGoodput,
+			s.Stats().Dropped(Bulk, Duplicate), s.Stats().Dropped(Bulk, Overflow), s.Stats().Dropped(Bulk, Late))
+	}
+	if share := float64(sentBytes) / (s.rate() * duration.Seconds()); share < leastShareOfRate {
+		t.Errorf("%.3f of the rate is used, want %.2f", share, leastShareOfRate)
+	}
+}
