Connections to copies carry one request

Cause: requests that may be repeated went over kept connections. net/http looks for stray bytes only while a connection is idle: an answer that the copy sends again after the next request was sent, or whose bytes are still buffered when the connection is taken again, is the next request's answer.

Ruled out: finding the stray bytes before the next request is sent; the second answer may come after that. A name in the answer to compare with the request; copies' answers have none.

Change: one transport for all requests to the copy, each connection used once. Requests that may not be repeated already went so.

Before: TestDuplicateAnswers failed for "the answer again just before the next one" (request 1 got the answer of request 0), "more bytes than the length" (request 13 got "stray") and "an answer with 204 and a body" (request 163 got the answer of request 162). After: passes, twice with -race; all tests of internal/lentilagent pass.

--- a/internal/lentilagent/agent.go
+++ b/internal/lentilagent/agent.go
@@ -112,9 +112,8 @@
 	inProgress     atomic.Int64 // running handlers and calls to the copy under a ticket
 	stats          stats
 
-	// pooledTransport sends requests to the copy that may be repeated, singleUseTransport
-	// those that may not. peerTransport sends requests to other agents.
-	pooledTransport, singleUseTransport, peerTransport *http.Transport
+	// copyTransport sends requests to the copy, peerTransport to other agents.
+	copyTransport, peerTransport *http.Transport
 
 	lastAnnouncement announcement
 	stopWorkers      context.CancelFunc
@@ -206,7 +205,7 @@
 	a.actorSystem = actor.NewActorSystem(actor.WithLoggerFactory(discardLogger))
 	c := newCoordinator(&a.options, &a.snapshot)
 	a.coordinator = a.actorSystem.Root.Spawn(actor.PropsFromProducer(func() actor.Actor { return c }))
-	a.pooledTransport, a.singleUseTransport = newPooledTransport(), newSingleUseTransport()
+	a.copyTransport = newCopyTransport()
 	if err = a.startFrontend(); err != nil {
 		_ = listener.Close()
 		return err
--- a/internal/lentilagent/upstream.go
+++ b/internal/lentilagent/upstream.go
@@ -42,27 +42,20 @@
 // complete also if the copy was killed while it sent it.
 var errNoEnd = errors.New("answer has neither a length nor chunks")
 
-// newPooledTransport returns the transport for requests that may be repeated. It keeps
-// connections alive.
-func newPooledTransport() (transport *http.Transport) {
+// newCopyTransport returns the transport for requests to the copy. It uses each connection
+// once, for three reasons. What a copy sends after an answer, such as the same answer again,
+// would be taken for the answer to the next request on a kept connection. If a kept
+// connection breaks before the answer, net/http itself resends a request that it considers
+// repeatable. And if the copy closes an idle connection just as a request is sent, the
+// outcome of the request is unknown.
+func newCopyTransport() (transport *http.Transport) {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: 64,
-		IdleConnTimeout:     30 * time.Second,
+		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DisableCompression: true,
+		DisableKeepAlives:  true,
 	}
 }
 
-// newSingleUseTransport returns the transport for requests that may not be repeated. It uses
-// each connection once, for two reasons. If a kept connection breaks before the answer,
-// net/http itself resends a request that it considers repeatable. And if the copy closes an
-// idle connection just as a request is sent, the outcome of the request is unknown.
-func newSingleUseTransport() (transport *http.Transport) {
-	transport = newPooledTransport()
-	transport.DisableKeepAlives = true
-	return transport
-}
-
 // failedCallOutcome returns the outcome of a failed call for the limiter.
 func failedCallOutcome(ctx context.Context, x *exchange) (outcome lentillimit.Outcome) {
 	switch {
@@ -113,7 +106,7 @@
 func (a *Agent) proxyToCopy(w http.ResponseWriter, in *callerRequest, x *exchange) (done bool) {
 	ctx, cancel := a.callContext(in.request.Context(), in, x)
 	defer cancel()
-	response, sent, err := a.callCopy(ctx, a.pooledTransport, in)
+	response, sent, err := a.callCopy(ctx, in)
 	if err != nil {
 		a.reportFailedCall(in, x, failedCallOutcome(ctx, x), sent)
 		return false
@@ -154,7 +147,7 @@
 }
 
 // callCopy sends one attempt to the copy. sent is false if certainly nothing was sent.
-func (a *Agent) callCopy(ctx context.Context, transport *http.Transport, in *callerRequest) (response *http.Response, sent bool, err error) {
+func (a *Agent) callCopy(ctx context.Context, in *callerRequest) (response *http.Response, sent bool, err error) {
 	var connected atomic.Bool
 	ctx = traceConnection(ctx, &connected)
 	out, err := in.newOutgoing(ctx, a.upstreamURL, in.target, a.options.Clock.Now())
@@ -164,7 +157,7 @@
 	if host, _, err := net.SplitHostPort(in.request.RemoteAddr); err == nil {
 		out.Header.Set("X-Forwarded-For", host)
 	}
-	response, err = transport.RoundTrip(out)
+	response, err = a.copyTransport.RoundTrip(out)
 	return response, connected.Load(), err
 }
 
@@ -247,7 +240,7 @@
 // readAnswer sends the request to the copy and reads the complete answer. sent is false if
 // certainly nothing was sent.
 func (a *Agent) readAnswer(ctx context.Context, in *callerRequest) (answer lentilticket.Answer, sent bool, err error) {
-	response, sent, err := a.callCopy(ctx, a.singleUseTransport, in)
+	response, sent, err := a.callCopy(ctx, in)
 	if err != nil {
 		return lentilticket.Answer{}, sent, err
 	}
