Tickets decide what a refusal may say

Cause: an attempt that an agent can't look up was answered "not run", whatever an earlier attempt under the same ticket had done: the ticket's key was withdrawn, the agent has restarted and has no configuration yet, the body of the attempt breaks off, the ticket belongs to another service. A caller that believes this starts over and runs twice. Rules that say "repeatable" now, or in an older configuration, made the agent ignore the ticket and run the request again. Relayed requests didn't say for which service they are, so that an agent of another service that has taken over an address ran them at its own copy.

Ruled out: a ticket of another incarnation, one that was evicted, another body or target under a ticket (lentilticket, TestTickets).

Change: a request with a ticket is always one that may not be repeated. What the agent can't look up is "outcome unknown". Relays carry the number of the service; agents of earlier releases don't send it and are served as before.

--- a/internal/lentilagent/handler.go
+++ b/internal/lentilagent/handler.go
@@ -34,18 +34,20 @@
 // serve serves a request from a caller or, if relayed is true, from a peer agent.
 func (a *Agent) serve(w http.ResponseWriter, r *http.Request, relayed bool) {
 	w.Header().Set(HeaderCopy, a.options.Copy)
+	in := newCallerRequest(r, a.options.Clock.Now())
 	service := a.service.Load()
 	if service == nil {
-		writeNotRun(w, http.StatusServiceUnavailable, reasonNoConfiguration)
+		refuseAttempt(w, in, http.StatusServiceUnavailable, reasonNoConfiguration)
 		return
 	}
 	if r.Method == http.MethodConnect {
 		writeNotRun(w, http.StatusNotImplemented, reasonMethod)
 		return
 	}
-	in := newCallerRequest(r, a.options.Clock.Now())
 	kind := service.Classify(r.Method, r.URL.Path)
-	if kind == lentilconfig.KindOnce {
+	// A ticket was issued for a request that may not be repeated. The rules may have changed since
+	// then, or agents may have different configurations for some seconds.
+	if kind == lentilconfig.KindOnce || in.ticketText != "" {
 		a.serveOnce(w, in, relayed)
 		return
 	}
@@ -106,7 +108,7 @@
 // answered with one; with a ticket it runs at the agent that the ticket names.
 func (a *Agent) serveOnce(w http.ResponseWriter, in *callerRequest, relayed bool) {
 	if err := in.readBody(maxOnceBody); err != nil {
-		a.refuseUnreadableBody(w, err)
+		refuseUnreadableBody(w, in, err)
 		return
 	}
 	if in.ticketText == "" {
@@ -115,11 +117,13 @@
 	}
 	ticket, err := a.ticketKeys.Parse(in.ticketText)
 	if err != nil {
-		writeNotRun(w, http.StatusBadRequest, reasonTicketMalformed)
+		// The request may have run under the ticket before its key was withdrawn.
+		writeUnknown(w, reasonTicketMalformed)
 		return
 	}
 	if ticket.Service() != a.options.Service {
-		writeNotRun(w, http.StatusBadRequest, reasonTicketMisused)
+		// The request may have run at an agent that had this address before.
+		writeUnknown(w, reasonTicketGone)
 		return
 	}
 	if ticket.Incarnation() != a.options.Incarnation {
@@ -133,12 +137,12 @@
 }
 
 // refuseUnreadableBody answers a request whose body is too long or can't be read.
-func (a *Agent) refuseUnreadableBody(w http.ResponseWriter, err error) {
+func refuseUnreadableBody(w http.ResponseWriter, in *callerRequest, err error) {
 	if err == errTooLarge { //nolint:errorlint // the error is never wrapped
 		writeNotRun(w, http.StatusRequestEntityTooLarge, reasonTooLarge)
 		return
 	}
-	writeNotRun(w, http.StatusBadRequest, reasonBodyBroken)
+	refuseAttempt(w, in, http.StatusBadRequest, reasonBodyBroken)
 }
 
 // serveTicketRequest answers with a redirect that carries a ticket, issued by this agent or
--- a/internal/lentilagent/refusal.go
+++ b/internal/lentilagent/refusal.go
@@ -51,6 +51,7 @@
 	reasonRelayFailed     = "relayFailed"
 	reasonTimedOut        = "timedOut"
 	reasonMethod          = "methodNotSupported"
+	reasonOtherService    = "otherService"
 )
 
 // reasonText maps the admitter's reasons to the reasons in an OutcomeDoc.
@@ -76,6 +77,16 @@
 	writeOutcome(w, status, OutcomeDoc{Outcome: OutcomeNotRun, Reason: reason})
 }
 
+// refuseAttempt answers that an attempt at a request was not run. With a ticket the outcome of
+// the request is unknown, since an earlier attempt may have run it.
+func refuseAttempt(w http.ResponseWriter, in *callerRequest, status int, reason string) {
+	if in.ticketText != "" {
+		writeUnknown(w, reason)
+		return
+	}
+	writeNotRun(w, status, reason)
+}
+
 // writeUnknown answers that the request may or may not have run.
 func writeUnknown(w http.ResponseWriter, reason string) {
 	writeOutcome(w, http.StatusGatewayTimeout, OutcomeDoc{Outcome: OutcomeUnknown, Reason: reason})
--- a/internal/lentilagent/relay.go
+++ b/internal/lentilagent/relay.go
@@ -21,6 +21,9 @@
 	relayPrefix = "/relay"
 	// headerRelayed carries the caller's address in a relayed request.
 	headerRelayed = "Lentil-Relayed"
+	// headerService carries the number of the service in a relayed request. Earlier releases
+	// don't send it.
+	headerService = "Lentil-Service"
 	// headerLoad, headerDemand and headerCapacity carry the load of the answering agent's
 	// copy, in hundredths of a slot.
 	headerLoad     = "Lentil-Load"
@@ -110,6 +113,7 @@
 		return nil, false, err
 	}
 	out.Header.Set(headerRelayed, in.request.RemoteAddr)
+	out.Header.Set(headerService, strconv.Itoa(int(a.options.Service)))
 	response, err = a.peerTransport.RoundTrip(out)
 	return response, connected.Load(), err
 }
@@ -154,6 +158,13 @@
 	r.Header.Del(headerRelayed)
 	r.URL.Path = strings.TrimPrefix(r.URL.Path, relayPrefix)
 	r.URL.RawPath = strings.TrimPrefix(r.URL.RawPath, relayPrefix)
+	service := r.Header.Get(headerService)
+	r.Header.Del(headerService)
+	if service != "" && service != strconv.Itoa(int(a.options.Service)) {
+		// The agent that had this address before belonged to another service.
+		refuseAttempt(w, newCallerRequest(r, a.options.Clock.Now()), http.StatusServiceUnavailable, reasonOtherService)
+		return
+	}
 	current := a.snapshot.Load()
 	w.Header().Set(headerLoad, strconv.Itoa(int(current.load)))
 	w.Header().Set(headerDemand, strconv.Itoa(int(current.demand)))
