Ports that clients use again

Cause: agents and balancers know a flow by its two ends. A first packet from a port whose earlier flow was still open counted as a copy of that flow's first packet: it went to the copy without admission, also to one that drains. While the new flow was opening, any packet of the copy counted as its own, so that a late answer to the earlier flow reached the new client, or ended a flow whose first packet the copy hadn't got yet. A balancer ignored a refusal for a flow it knew as open, and sent each copy of the first packet to that agent again, also when it had ended; so the client's attempt was lost.

Ruled out: late packets of the client's earlier flow; their acknowledgement doesn't fit.

Change: the agent remembers the sequence number of the first packet. Another one on an open flow is a new flow; an answer whose acknowledgement is more than 1 MiB away from it, while the flow opens, is dropped. A refusal for a known flow places its first packet elsewhere, and so does an agent that has ended. A flow that an earlier run of the agent let open leaves the queue when its copy answers.

--- a/pkg/lentilconntrack/flow.go
+++ b/pkg/lentilconntrack/flow.go
@@ -13,6 +13,9 @@
 	balancer lentilflow.Endpoint
 	// firstPacket is the client's packet that opens the flow, kept until the upstream has accepted it.
 	firstPacket []byte
+	// firstSequence is the client's sequence number in the packet that opens the flow; it is valid if firstSeen is set.
+	firstSequence uint32
+	firstSeen     bool
 	// waiting is set while the upstream hasn't got the first packet, because it has no room.
 	waiting bool
 	// initialSequence is the upstream's first sequence number; it is valid if upstreamAccepted is set.
--- a/pkg/lentilconntrack/harness_test.go
+++ b/pkg/lentilconntrack/harness_test.go
@@ -119,6 +119,11 @@
 	return lentilflow.Packet{Key: key, Flags: lentilflow.Open, Sequence: 100}
 }
 
+// firstPacketAgain is the first packet of another flow from the same port.
+func firstPacketAgain(key lentilflow.Key) lentilflow.Packet {
+	return lentilflow.Packet{Key: key, Flags: lentilflow.Open, Sequence: 70000}
+}
+
 func acceptPacket(key lentilflow.Key, sequence uint32) lentilflow.Packet {
 	return lentilflow.Packet{Key: key, Flags: lentilflow.Open | lentilflow.Acknowledge, Sequence: sequence}
 }
--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -201,9 +201,12 @@
 // handleFirst forwards or refuses the first packet of a flow, or a copy of that packet.
 func (t *Tracker) handleFirst(now time.Time, from lentilflow.Endpoint, m lentilflow.Carry, packet lentilflow.Packet, actions []Action) []Action {
 	f := t.flows[packet.Key]
-	if f != nil && (f.state == halfOpen || f.state == open) {
+	if f != nil && (f.state == halfOpen || f.state == open && f.openedBy(packet)) {
 		f.balancer, f.lastUsed = from, now
-		if !f.waiting {
+		if f.waiting {
+			// The client may have given up the attempt that waits and have begun another one.
+			f.firstPacket, f.firstSequence = slices.Clone(m.Packet), packet.Sequence
+		} else {
 			t.expectReply(now)
 			actions = append(actions, Action{Kind: ToUpstream, Key: packet.Key, Packet: m.Packet})
 		}
@@ -214,7 +217,7 @@
 	if refusal != lentilflow.NotRefused {
 		return append(actions, Action{Kind: SendRefused, To: from, Key: packet.Key, Refusal: refusal, Packet: m.Packet})
 	}
-	f = &flow{balancer: from, lastUsed: now, firstPacket: slices.Clone(m.Packet), waiting: wait}
+	f = &flow{balancer: from, lastUsed: now, firstPacket: slices.Clone(m.Packet), firstSequence: packet.Sequence, firstSeen: true, waiting: wait}
 	t.addFlow(packet.Key, f)
 	t.setState(f, halfOpen)
 	if !wait {
@@ -256,6 +259,28 @@
 // upstream that accepted the flow. It is the window of a flow, 16 packets of 1,200 bytes, plus one.
 const maxFirstAckOffset = 16*1200 + 1
 
+// maxFirstAnswerOffset is how far the upstream may have acknowledged beyond the first packet of a half-open flow. It is more than a
+// flow carries in the second in which clients repeat its first packet, and makes one in 4,000 packets of earlier flows pass.
+const maxFirstAnswerOffset = 1 << 20
+
+// openedBy reports whether packet may be a copy of the packet that opened the flow. Otherwise, the client uses its port for
+// another flow.
+func (f *flow) openedBy(packet lentilflow.Packet) bool {
+	return !f.firstSeen || f.firstSequence == packet.Sequence
+}
+
+// ofEarlierFlow reports whether a packet of the upstream belongs to an earlier flow from the same port of the client, of which
+// the upstream has still sent it. Its answer must not reach the client of the flow that is opening.
+func (f *flow) ofEarlierFlow(packet lentilflow.Packet) bool {
+	if f.state != halfOpen || !f.firstSeen || packet.Flags.Has(lentilflow.Open) {
+		return false
+	}
+	if !packet.Flags.Has(lentilflow.Acknowledge) {
+		return f.waiting
+	}
+	return packet.Acknowledged-f.firstSequence > maxFirstAnswerOffset
+}
+
 // trackClientPacket updates a flow for a client's packet that is forwarded to the upstream.
 func (t *Tracker) trackClientPacket(now time.Time, f *flow, packet lentilflow.Packet) {
 	if packet.Flags.Has(lentilflow.Acknowledge) {
@@ -297,6 +322,9 @@
 		// An upstream that has just started also resets flows that another upstream holds.
 		return t.denyFlow(now, packet.Key, f, actions), nil
 	}
+	if f.ofEarlierFlow(packet) {
+		return actions, nil
+	}
 	f.lastUsed, f.heardAt = now, now
 	if packet.Flags.Has(lentilflow.Open) {
 		f.initialSequence, f.upstreamAccepted, f.firstPacket = packet.Sequence, true, nil
@@ -305,6 +333,11 @@
 			t.setState(f, halfOpen)
 		}
 	} else if f.state == unverified || f.state == halfOpen {
+		if f.waiting {
+			// An earlier run of the agent has let the flow open.
+			f.waiting, f.firstPacket = false, nil
+			t.queue.Remove(packet.Key)
+		}
 		t.setState(f, open)
 		f.acknowledged = packet.Sequence
 		if f.balancer != (lentilflow.Endpoint{}) {
--- a/pkg/lentilconntrack/tracker_test.go
+++ b/pkg/lentilconntrack/tracker_test.go
@@ -358,6 +358,62 @@
 				return formatActions(actions)
 			}, "SendRefused OtherService"},
 		}},
+		{"a client's port is used again while the earlier flow is open, and the upstream drains", true, []step{
+			{register("u"), "ReportStateChange UpstreamRegistered"},
+			{func(h *harness) string { h.openFlow(key); return "" }, ""},
+			{register("u", setDraining), "ReportStateChange UpstreamLeaving"},
+			{carry(lentilflow.Place, firstPacket(key)), "ToUpstream, SendTaken open=true"},
+			{carry(lentilflow.Place, firstPacketAgain(key)), "SendRefused UpstreamDraining"},
+		}},
+		{"a client's port is used again, and the answer to the earlier flow comes late", true, []step{
+			{register("u"), "ReportStateChange UpstreamRegistered"},
+			{func(h *harness) string { h.openFlow(key); return "" }, ""},
+			{carry(lentilflow.Place, firstPacketAgain(key)), "ToUpstream, SendTaken open=false"},
+			{upstream(dataPacket(key, 110)), ""},
+			{upstream(acceptPacket(key, 900)), "ToClient"},
+			{carry(lentilflow.Owned, dataPacket(key, 901)), "SendTaken open=true, ToUpstream"},
+			{upstream(dataPacket(key, 70010)), "ToClient"},
+		}},
+		{"a client's port is used again and the flow waits, while the upstream ends the earlier one", true, []step{
+			{register("u"), "ReportStateChange UpstreamRegistered"},
+			{func(h *harness) string {
+				for n := range 4 {
+					h.openFlow(flowKey(10 + n))
+				}
+				return h.offer(5, true)
+			}, "SendTaken open=false"},
+			{upstream(lentilflow.Packet{Key: flowKey(5), Flags: lentilflow.Close | lentilflow.Acknowledge, Acknowledged: 1 << 30}), ""},
+			{upstream(lentilflow.Packet{Key: flowKey(5), Flags: lentilflow.Reset}), ""},
+			{func(h *harness) string { return h.offer(5, true) }, "SendTaken open=false"},
+			{upstream(dataPacket(flowKey(10), 110)), "ToClient, ToUpstream"},
+		}},
+		{"a flow waits that an earlier run of the agent let open", false, []step{
+			{register("u", func(r *Registration) { r.Sequence = 9 }), "ReportStateChange UpstreamRegistered"},
+			{func(h *harness) string {
+				for n := range 4 {
+					h.openFlow(flowKey(10 + n))
+				}
+				return h.offer(5, true)
+			}, "SendTaken open=false"},
+			{upstream(dataPacket(flowKey(5), 110)), "SendTaken open=true, ToClient"},
+			{carry(lentilflow.Owned, dataPacket(flowKey(5), 501)), "ToUpstream"},
+			{upstream(dataPacket(flowKey(10), 110)), "ToClient"},
+		}},
+		{"a client tries again from the same port while its flow waits", true, []step{
+			{register("u"), "ReportStateChange UpstreamRegistered"},
+			{func(h *harness) string {
+				for n := range 4 {
+					h.openFlow(flowKey(10 + n))
+				}
+				return h.offer(5, true)
+			}, "SendTaken open=false"},
+			{carry(lentilflow.Place, firstPacketAgain(flowKey(5))), "SendTaken open=false"},
+			{func(h *harness) string {
+				actions, _ := h.HandleUpstreamPacket(h.encode(dataPacket(flowKey(10), 110)), nil)
+				packet, _ := h.Codec.ParseClientPacket(actions[len(actions)-1].Packet)
+				return fmt.Sprint(formatActions(actions), " ", packet.Sequence)
+			}, "ToClient, ToUpstream 70000"},
+		}},
 		{"balancers get statuses on changes, and a stopping one doesn't", true, []step{
 			{func(h *harness) string { return formatActions(h.HandleHello(peer1, lentilflow.Hello{}, nil)) }, "SendStatus"},
 			{func(h *harness) string { return formatActions(h.AddPeer(lentilflow.Node{Address: peer2}, nil)) }, "SendStatus"},
--- a/pkg/lentilplacement/placement.go
+++ b/pkg/lentilplacement/placement.go
@@ -294,7 +294,7 @@
 func (p *Placer) handleFirstPacket(now time.Time, packet lentilflow.Packet, data []byte, actions []Action) []Action {
 	f := p.flows.Get(now, packet.Key)
 	switch {
-	case f == nil || f.state == stateLookup:
+	case f == nil || f.state == stateLookup || f.state == stateKnown && p.endedWithAgent(now, f.agent):
 		f = &flow{state: statePlacing, firstPacket: slices.Clone(data), since: now.Add(-packet.OpeningAge)}
 		p.flows.Put(now, packet.Key, f)
 		return p.place(now, packet.Key, f, Chosen, actions)
@@ -346,9 +346,14 @@
 	now := p.now()
 	p.applyRefusal(now, from, m)
 	f := p.flows.Get(now, packet.Key)
-	if f == nil || f.agent != from || f.state > statePlaced {
+	if f == nil || f.agent != from {
 		return actions, nil
 	}
+	if f.state == stateKnown {
+		// The agent no longer holds the flow: its client has closed it and uses the port again.
+		f = &flow{state: statePlacing, agent: from, firstPacket: slices.Clone(m.Packet), since: now.Add(-packet.OpeningAge), triedAgents: []lentilflow.Endpoint{from}}
+		p.flows.Put(now, packet.Key, f)
+	}
 	f.lastRefusal = m.Reason
 	switch m.Reason {
 	case lentilflow.UpstreamBusy:
--- a/pkg/lentilplacement/placement_test.go
+++ b/pkg/lentilplacement/placement_test.go
@@ -398,3 +398,38 @@
 
 // clusterAgents is the number of agents of newCluster.
 const clusterAgents = 80
+
+// TestPortUsedAgain guards against a client that opens a new flow from a port whose earlier flow the balancer still knows: the
+// agent of the earlier flow refuses the new one, and another agent must get it.
+func TestPortUsedAgain(t *testing.T) {
+	for _, reason := range []lentilflow.Refusal{lentilflow.UpstreamDraining, lentilflow.UpstreamBusy, lentilflow.UpstreamFull, lentilflow.Stopping, lentilflow.DomainOut} {
+		t.Run(reason.String(), func(t *testing.T) {
+			h := newHarness(t)
+			steps := []struct{ got, want string }{
+				{h.sendPacket(firstPacket(testFlow)), "place to 1"},
+				{h.answerTaken(1, true), ""},
+				{h.sendPacket(laterPacket(testFlow)), "owned to 1"},
+				{h.sendPacket(firstPacket(testFlow)), "place to 1"},
+				{h.answerRefused(1, reason), "place to 2"},
+				{h.answerTaken(2, false), ""},
+				{h.sendPacket(laterPacket(testFlow)), "owned to 2"},
+			}
+			for i, s := range steps {
+				if s.got != s.want {
+					t.Errorf("step %d: got %q, want %q", i, s.got, s.want)
+				}
+			}
+		})
+	}
+}
+
+// TestPortUsedAgainAfterAgentEnded is TestPortUsedAgain with an agent that has ended together with its upstream.
+func TestPortUsedAgainAfterAgentEnded(t *testing.T) {
+	h := newHarness(t)
+	h.sendPacket(firstPacket(testFlow))
+	h.answerTaken(1, true)
+	h.sendStatus(1, func(m *lentilflow.Status) { m.Stopping, m.UpstreamEnded = true, true })
+	if got := h.sendPacket(firstPacket(testFlow)); got != "place to 2" {
+		t.Errorf("got %q, want it placed at agent 2", got)
+	}
+}
