New flows after a pause of the agent

Cause: an agent that was stopped for some seconds reads the first packets that waited in its socket before the Hello that says that its failure domain is out of service, or before any balancer could tell it, and let them open at its copy.

Ruled out: the cold limit, which counts the flows of the last 1.1 s and saves nothing up (TestColdLimitAfterPause); flows that waited in the queue, which have expired; registrations, whose time already moves on by the pause.

Change: after a pause of more than 1 s the agent refuses new flows for 300 ms, as UpstreamFull, which sends them to other agents. By then it has read its socket, and balancers have answered its status with the state of the failure domain. Flows that are open go on.

Before: TestFirstPacketsAfterPause failed in its four cases of a long pause ("ToUpstream, SendTaken open=false" at once). After: lentilconntrack passes with -race, lentilpacketmodel without.

--- a/pkg/lentilconntrack/admission.go
+++ b/pkg/lentilconntrack/admission.go
@@ -23,7 +23,7 @@
 // admission returns the reason why the upstream gets a new flow neither now nor later, or lentilflow.NotRefused
 // and whether the flow has to wait.
 func (t *Tracker) admission(now time.Time, m lentilflow.Carry, packet lentilflow.Packet) (refusal lentilflow.Refusal, wait bool) {
-	switch refusal = t.unavailable(); {
+	switch refusal = t.unavailable(now); {
 	case m.Service != t.Service:
 		return lentilflow.OtherService, false
 	case refusal != lentilflow.NotRefused:
@@ -55,7 +55,7 @@
 }
 
 // unavailable returns the reason why the upstream gets no new flows, or lentilflow.NotRefused.
-func (t *Tracker) unavailable() lentilflow.Refusal {
+func (t *Tracker) unavailable(now time.Time) lentilflow.Refusal {
 	switch {
 	case t.stopping:
 		return lentilflow.Stopping
@@ -65,17 +65,26 @@
 		return lentilflow.UpstreamDraining
 	case t.upstream.phase == lentilflow.Gone:
 		return lentilflow.NoUpstream
+	case !t.resumedAt.IsZero() && now.Sub(t.resumedAt) < resumeTime:
+		return lentilflow.UpstreamFull
 	}
 	return lentilflow.NotRefused
 }
 
+// observePause records that the agent goes on after a pause of more than maxPause.
+func (t *Tracker) observePause(now time.Time) {
+	if !t.lastTick.IsZero() && now.Sub(t.lastTick) > maxPause && !t.resumedAt.After(t.lastTick) {
+		t.resumedAt = now
+	}
+}
+
 // admitWaiting opens waiting flows for which the upstream has room. It returns all of them to their balancers if
 // the upstream gets no more flows, and those that have waited in vain.
 func (t *Tracker) admitWaiting(now time.Time, actions []Action) []Action {
 	if t.queue.Waiting() == 0 {
 		return actions
 	}
-	refusal := t.unavailable()
+	refusal := t.unavailable(now)
 	if refusal == lentilflow.NotRefused && t.breaker.State() != lentilbreaker.Closed {
 		refusal = lentilflow.UpstreamFailing
 	}
--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -43,6 +43,13 @@
 	minUnanswered = 2
 	// pauseThreshold is the gap between two ticks above which the agent itself must have been paused.
 	pauseThreshold = 300 * time.Millisecond
+	// maxPause is the longest pause of the agent after which it admits new flows at once. After a longer one, its failure
+	// domain may have been taken out of service, and first packets that have waited in its socket are old. A change of the failure
+	// domain may take a few seconds to be in force.
+	maxPause = time.Second
+	// resumeTime is how long the agent then refuses new flows. By its end, it has read what waited, and balancers have
+	// answered its status with the state of its failure domain.
+	resumeTime = 300 * time.Millisecond
 	// overdueIntervals is the number of renewal intervals after which a registration that wasn't renewed is
 	// overdue.
 	overdueIntervals = 2.5
@@ -148,6 +155,8 @@
 	churn     int
 	lastTick  time.Time
 	lastSweep time.Time
+	// resumedAt is when the agent went on after its last pause of more than maxPause.
+	resumedAt time.Time
 }
 
 // OpenFlows returns the number of open flows.
@@ -192,6 +201,7 @@
 		t.coldRateVersion, t.coldRate = m.Version, float64(m.ColdRate)
 	}
 	now := t.now()
+	t.observePause(now)
 	if packet.OpensFlow() {
 		return t.handleFirst(now, from, m, packet, actions), nil
 	}
--- a/pkg/lentilconntrack/upstream.go
+++ b/pkg/lentilconntrack/upstream.go
@@ -267,6 +267,7 @@
 // expired flows and sends due statuses. Call it several times a second.
 func (t *Tracker) Tick(actions []Action) []Action {
 	now := t.now()
+	t.observePause(now)
 	if !t.lastTick.IsZero() && now.Sub(t.lastTick) > pauseThreshold {
 		// After the agent's own pause, answers and registrations may still be waiting to be read.
 		t.unansweredSince = now
