Copies that are only overdue

Cause: an accepted probe of a copy in phase Gone counted as "has deregistered and hasn't exited yet", and asked for the next probe 20 ms later. A copy whose registration is only overdue is in that phase too, so it was probed until it registered again.

Ruled out, by tests that passed before: flows of an overdue copy are reset at the agent's stop; a registration that arrives late or twice changes something; flows in the queue, or first packets after the stop, get no answer.

Change: only a copy that has deregistered is probed again.

Before: TestOverdueUpstream failed with "ProbeUpstream" after the accepted probe, with and without a stop. After: lentilconntrack passes with -race.

--- a/pkg/lentilconntrack/upstream.go
+++ b/pkg/lentilconntrack/upstream.go
@@ -32,11 +32,13 @@
 type upstream struct {
 	phase lentilflow.Phase
 	// ended is set while the upstream is known to have ended. It is not set if its registration is only overdue.
-	ended       bool
-	id          string
-	incarnation int64
-	sequence    int64
-	slots       int
+	ended bool
+	// deregistered is set from a deregistration until the next registration.
+	deregistered bool
+	id           string
+	incarnation  int64
+	sequence     int64
+	slots        int
 	// registeredAt is the time of the last registration, moved on by the pauses of the agent since then.
 	registeredAt time.Time
 	coldUntil    time.Time
@@ -71,7 +73,7 @@
 	}
 	u.id, u.incarnation, u.sequence, u.otherRunSequence = r.ID, r.Incarnation, r.Sequence, 0
 	u.registeredAt, u.slots, u.coldStateKnown, u.coldUntil = now, r.Slots, true, now.Add(r.ColdFor)
-	u.phase, u.ended = lentilflow.Ready, false
+	u.phase, u.ended, u.deregistered = lentilflow.Ready, false, false
 	if r.Draining {
 		u.phase = lentilflow.Draining
 	}
@@ -135,7 +137,7 @@
 	if t.upstream.id != id || t.upstream.phase == lentilflow.Gone {
 		return actions
 	}
-	t.upstream.phase = lentilflow.Gone
+	t.upstream.phase, t.upstream.deregistered = lentilflow.Gone, true
 	// The flows are reset once a probe shows that nothing listens at the upstream's address any more.
 	t.probing = true
 	actions = t.admitWaiting(t.now(), actions)
@@ -177,9 +179,8 @@
 // HandleProbeResult handles the result of a ProbeUpstream action.
 func (t *Tracker) HandleProbeResult(result ProbeResult, actions []Action) []Action {
 	t.probing = false
-	gone := t.upstream.phase == lentilflow.Gone
 	switch {
-	case result == ProbeAccepted && gone:
+	case result == ProbeAccepted && t.upstream.deregistered:
 		// The upstream has deregistered and hasn't exited yet.
 		t.probing = true
 		return append(actions, Action{Kind: ProbeUpstream})
