Connections accepted while a stop begins

Cause: the agent took the HTTP/3 server for a new connection, and a planned stop shut that server down before the connection's goroutine handed it over. ServeQUICConn then returns http.ErrServerClosed and leaves the connection open, so that its requests got no answer until the caller's deadline.

Ruled out: streams on a connection that was served before GOAWAY; the library resets them with H3_REQUEST_REJECTED.

Change: a connection that its server refused goes to the next server, and is closed if there is none.

After: all tests of internal/lentilagent, pkg/lentillimit and pkg/lentilconntrack pass with -race.

--- a/internal/lentilagent/frontend.go
+++ b/internal/lentilagent/frontend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -111,13 +112,26 @@
 			closeConnection(conn)
 			continue
 		}
-		go func() {
-			_ = server.ServeQUICConn(conn)
-			a.frontend.remove(conn)
-		}()
+		go a.serveConnection(conn, server)
 	}
 }
 
+// serveConnection serves a new connection until it ends. If a planned stop begins or ends
+// meanwhile, the server may have been shut down before it got the connection, which then goes
+// to the next server.
+func (a *Agent) serveConnection(conn *quic.Conn, server *http3.Server) {
+	for {
+		err := server.ServeQUICConn(conn)
+		previous := server
+		server = a.frontend.currentServer()
+		if !errors.Is(err, http.ErrServerClosed) || server == previous || conn.Context().Err() != nil {
+			break
+		}
+	}
+	closeConnection(conn)
+	a.frontend.remove(conn)
+}
+
 // add registers a new connection and returns the server for it. ok is false if the frontend
 // is closed.
 func (f *frontend) add(conn *quic.Conn) (server *http3.Server, ok bool) {
@@ -145,6 +159,13 @@
 	return previous
 }
 
+// currentServer returns the server for new connections.
+func (f *frontend) currentServer() (server *http3.Server) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.server
+}
+
 // closeAll closes all connections at once, including those in their handshake. It accepts no
 // new connection until listen is called.
 func (f *frontend) closeAll() {
--- a/pkg/lentilconntrack/tracker_test.go
+++ b/pkg/lentilconntrack/tracker_test.go
@@ -109,6 +109,15 @@
 			{carry(lentilflow.Place, firstPacket(key)), "ToUpstream, SendTaken open=false"},
 			{upstream(markReturned(firstPacket(key))), "SendRefused UpstreamFull"},
 		}},
+		{"a first packet that comes back after its flow has opened isn't offered to another upstream", true, []step{
+			{register("u"), "ReportStateChange UpstreamRegistered"},
+			{carry(lentilflow.Place, firstPacket(key)), "ToUpstream, SendTaken open=false"},
+			{upstream(acceptPacket(key, 500)), "ToClient"},
+			{upstream(markReturned(firstPacket(key))), ""},
+			{carry(lentilflow.Owned, dataPacket(key, 501)), "SendTaken open=true, ToUpstream"},
+			{upstream(markReturned(firstPacket(key))), ""},
+			{upstream(dataPacket(key, 110)), "ToClient"},
+		}},
 		{"a flow is reset when the upstream returns a packet of it", true, []step{
 			{register("u"), "ReportStateChange UpstreamRegistered"},
 			{func(h *harness) string { h.openFlow(key); return "" }, ""},
