Requests after a pause of the agent

Cause: an agent that was stopped for some seconds ran the requests that waited in its sockets, although its failure domain might have been taken out of service meanwhile; it hears so with its next heartbeat.

Ruled out: the limit of a cold copy (TestPauseDoesNotWarm); requests that may not be repeated run at most once after a pause as before, since their ledger depends on no time. Refusing them instead: callers that still wait would be turned away after every pause.

Change: for 500 ms after a pause of more than 1 s new requests wait. Those whose connections are closed meanwhile are refused as not run, the others go to the admitter in their order.

Before: TestRequestsAfterPause failed in its nine cases of a long pause ("order Run" at once). After: all tests of internal/lentilagent pass with -race.

--- a/internal/lentilagent/coordinator.go
+++ b/internal/lentilagent/coordinator.go
@@ -43,6 +43,8 @@
 	// handOffDisabled is true if requests aren't relayed to peers with more room, unless
 	// the agent drains.
 	handOffDisabled bool
+	clock           lentilclock.Clock
+	pause           pauseHold
 	snapshot        *atomic.Pointer[snapshot]
 }
 
@@ -54,6 +56,7 @@
 		exchanges: make(map[uint64]*exchange),
 		waiters:   make(map[uint64]*exchange),
 		snapshot:  published,
+		clock:     lentilclock.OrSystem(o.Clock),
 
 		handOffDisabled: o.DisableHandOff,
 	}
@@ -95,7 +98,7 @@
 	case requestCancelled:
 		c.cancel(m.exchange)
 	case tick:
-		c.perform(c.admitter.Tick())
+		c.handleTick()
 	case drainingChanged:
 		c.setDraining(m.draining)
 	case serviceConfigured:
@@ -111,9 +114,17 @@
 	c.publishSnapshot()
 }
 
-// admit registers a request and passes it to the admitter.
+// admit registers a request and passes it to the admitter, or holds it shortly after a pause.
 func (c *coordinator) admit(x *exchange) {
 	c.exchanges[x.id] = x
+	if c.pause.holds(c.now(), x) {
+		return
+	}
+	c.passToAdmitter(x)
+}
+
+// passToAdmitter has the admitter decide about a request.
+func (c *coordinator) passToAdmitter(x *exchange) {
 	c.perform(c.admitter.Arrive(lentiladmit.Arrival{
 		ID:        x.id,
 		Kind:      x.kind,
