--- a/internal/lentilagent/upstream.go
+++ b/internal/lentilagent/upstream.go
@@ -1,6 +1,7 @@
 package lentilagent
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -37,27 +38,24 @@
 // errAnswerTooLong is the error about an answer longer than maxAnswerBytes.
 var errAnswerTooLong = errors.New("answer is too long")
 
-// newPooledTransport returns the transport for requests that may be repeated. It keeps
-// connections alive.
-func newPooledTransport() (transport *http.Transport) {
+// errNoEnd is the error about an answer that ends with its connection. Such an answer looks
+// complete also if the copy was killed while it sent it.
+var errNoEnd = errors.New("answer has neither a length nor chunks")
+
+// newCopyTransport returns the transport for requests to the copy. It uses each connection
+// once, for three reasons. What a copy sends after an answer, such as the same answer again,
+// would be taken for the answer to the next request on a kept connection. If a kept
+// connection breaks before the answer, net/http itself resends a request that it considers
+// repeatable. And if the copy closes an idle connection just as a request is sent, the
+// outcome of the request is unknown.
+func newCopyTransport() (transport *http.Transport) {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: 64,
-		IdleConnTimeout:     30 * time.Second,
+		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DisableCompression: true,
+		DisableKeepAlives:  true,
 	}
 }
 
-// newSingleUseTransport returns the transport for requests that may not be repeated. It uses
-// each connection once, for two reasons. If a kept connection breaks before the answer,
-// net/http itself resends a request that it considers repeatable. And if the copy closes an
-// idle connection just as a request is sent, the outcome of the request is unknown.
-func newSingleUseTransport() (transport *http.Transport) {
-	transport = newPooledTransport()
-	transport.DisableKeepAlives = true
-	return transport
-}
-
 // failedCallOutcome returns the outcome of a failed call for the limiter.
 func failedCallOutcome(ctx context.Context, x *exchange) (outcome lentillimit.Outcome) {
 	switch {
@@ -108,7 +106,7 @@
 func (a *Agent) proxyToCopy(w http.ResponseWriter, in *callerRequest, x *exchange) (done bool) {
 	ctx, cancel := a.callContext(in.request.Context(), in, x)
 	defer cancel()
-	response, sent, err := a.callCopy(ctx, a.pooledTransport, in)
+	response, sent, err := a.callCopy(ctx, in)
 	if err != nil {
 		a.reportFailedCall(in, x, failedCallOutcome(ctx, x), sent)
 		return false
@@ -149,7 +147,7 @@
 }
 
 // callCopy sends one attempt to the copy. sent is false if certainly nothing was sent.
-func (a *Agent) callCopy(ctx context.Context, transport *http.Transport, in *callerRequest) (response *http.Response, sent bool, err error) {
+func (a *Agent) callCopy(ctx context.Context, in *callerRequest) (response *http.Response, sent bool, err error) {
 	var connected atomic.Bool
 	ctx = traceConnection(ctx, &connected)
 	out, err := in.newOutgoing(ctx, a.upstreamURL, in.target, a.options.Clock.Now())
@@ -159,7 +157,7 @@
 	if host, _, err := net.SplitHostPort(in.request.RemoteAddr); err == nil {
 		out.Header.Set("X-Forwarded-For", host)
 	}
-	response, err = transport.RoundTrip(out)
+	response, err = a.copyTransport.RoundTrip(out)
 	return response, connected.Load(), err
 }
 
@@ -169,6 +167,15 @@
 	return httptrace.WithClientTrace(ctx, trace)
 }
 
+// endError returns the error about the end of an answer of which all bytes were read. It is
+// nil if the answer shows where it ends.
+func endError(response *http.Response) (err error) {
+	if response.ProtoMajor == 1 && response.ContentLength < 0 && response.Body != http.NoBody && len(response.TransferEncoding) == 0 {
+		return errNoEnd
+	}
+	return nil
+}
+
 // copyAnswer streams an answer to the caller. An answer of unknown length is flushed after
 // each chunk.
 func (a *Agent) copyAnswer(w http.ResponseWriter, response *http.Response) (err error) {
@@ -191,7 +198,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return nil
+			return endError(response)
 		}
 		if err != nil {
 			return err
@@ -233,7 +240,7 @@
 // readAnswer sends the request to the copy and reads the complete answer. sent is false if
 // certainly nothing was sent.
 func (a *Agent) readAnswer(ctx context.Context, in *callerRequest) (answer lentilticket.Answer, sent bool, err error) {
-	response, sent, err := a.callCopy(ctx, a.singleUseTransport, in)
+	response, sent, err := a.callCopy(ctx, in)
 	if err != nil {
 		return lentilticket.Answer{}, sent, err
 	}
@@ -242,7 +249,7 @@
 		return lentilticket.Answer{}, true, errNotRun
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
-	if err != nil {
+	if err = cmp.Or(err, endError(response)); err != nil {
 		return lentilticket.Answer{}, true, err
 	}
 	if len(body) > maxAnswerBytes {
