Agents report utilization, service time and waiting requests; choice by expected time

Counts of slots are seconds old at a balancer while a request takes 30 ms, and a request counts as in flight from its first packet on. Agents measure smoothed utilization, the time of a request that finds a free slot, and what waits, and send them to balancers that announce that they understand these fields. Placer.ChooseBy selects the choice by expected time; its zero value decides as before.

--- a/internal/lentilframe/frame.go
+++ b/internal/lentilframe/frame.go
@@ -74,6 +74,15 @@
 	hasTerms    = 0x80
 )
 
+// Flags in bytes that hold another value too. With them, Load.Utilization, ServiceTime and Waiting follow the load.
+// Releases that don't know them reject such frames or misread them, so only balancers that announce that they understand
+// these fields get them. All flags of a Status frame are taken, so its flag is in the byte of the phase.
+const (
+	hasWait      = 0x80
+	takenHasWait = 0x02
+	takenOpen    = 0x01
+)
+
 // Flags of the terms of a Carry frame.
 const (
 	flagRepeatable = 1 << iota
@@ -91,6 +100,7 @@
 	flagHelloHasEra
 	flagConfigured
 	flagRelays
+	flagUnderstandsWait
 )
 
 // AppendCarry appends a Carry frame, which ends with the client's packet.
@@ -147,31 +157,39 @@
 func AppendTaken(dst []byte, m lentilflow.Taken) []byte {
 	dst = append(dst, magic, byte(Taken))
 	dst = appendKey(dst, m.Key)
-	dst = append(dst, flagIf(m.Open, 1))
-	return appendLoad(dst, m.Load)
+	dst = append(dst, flagIf(m.Open, takenOpen)|flagIf(m.Load.ReportsWait(), takenHasWait))
+	return appendWait(appendLoad(dst, m.Load), m.Load)
 }
 
 // ParseTaken parses a Taken frame.
 func ParseTaken(data []byte) (m lentilflow.Taken, err error) {
 	r := reader{data: data, kind: Taken}
 	m.Key = r.head().key()
-	m.Open = r.byte() != 0
+	flags := r.byte()
+	m.Open = flags&takenOpen != 0
 	m.Load = r.load()
+	if flags&takenHasWait != 0 {
+		r.wait(&m.Load)
+	}
 	return m, r.finish()
 }
 
 // AppendRefused appends a Refused frame, which ends with the client's packet.
 func AppendRefused(dst []byte, m lentilflow.Refused) []byte {
-	dst = append(dst, magic, byte(Refused), byte(m.Reason))
-	dst = appendLoad(dst, m.Load)
+	dst = append(dst, magic, byte(Refused), byte(m.Reason)|flagIf(m.Load.ReportsWait(), hasWait))
+	dst = appendWait(appendLoad(dst, m.Load), m.Load)
 	return append(dst, m.Packet...)
 }
 
 // ParseRefused parses a Refused frame. The client's packet in the result shares the memory of data.
 func ParseRefused(data []byte) (m lentilflow.Refused, err error) {
 	r := reader{data: data, kind: Refused}
-	m.Reason = lentilflow.Refusal(r.head().byte())
+	reason := r.head().byte()
+	m.Reason = lentilflow.Refusal(reason &^ hasWait)
 	m.Load = r.load()
+	if reason&hasWait != 0 {
+		r.wait(&m.Load)
+	}
 	m.Packet = r.rest()
 	if m.Reason == lentilflow.NotRefused || m.Reason > lentilflow.UpstreamOverloaded {
 		r.fail("reason")
@@ -212,14 +230,14 @@
 	dst = appendText(dst, m.Domain)
 	dst = binary.BigEndian.AppendUint64(dst, m.RunID)
 	dst = binary.BigEndian.AppendUint64(dst, m.Sequence)
-	dst = append(dst, byte(m.Phase), flagIf(m.Cold, flagCold)|flagIf(m.Out, flagOut)|flagIf(m.Stopping, flagStopping)|
+	dst = append(dst, byte(m.Phase)|flagIf(m.Load.ReportsWait(), hasWait), flagIf(m.Cold, flagCold)|flagIf(m.Out, flagOut)|flagIf(m.Stopping, flagStopping)|
 		flagIf(m.UpstreamEnded, flagEnded)|flagIf(m.UnderstandsTerms, flagUnderstandsTerms)|
 		flagIf(m.UnderstandsEra, flagAgentUnderstandsEra)|flagIf(m.Store.Era > 0, flagStatusHasEra)|
 		flagIf(m.ConfiguredBalancer != lentilflow.Endpoint{}, flagHasConfiguredBalancer))
 	dst = binary.BigEndian.AppendUint32(dst, uint32(m.Interval.Milliseconds()))
 	dst = binary.BigEndian.AppendUint16(dst, m.BalancerCount)
 	dst = appendStoreState(dst, m.Store)
-	dst = appendEra(appendLoad(dst, m.Load), m.Store)
+	dst = appendEra(appendWait(appendLoad(dst, m.Load), m.Load), m.Store)
 	if m.ConfiguredBalancer != (lentilflow.Endpoint{}) {
 		dst = appendEndpoint(dst, m.ConfiguredBalancer)
 	}
@@ -234,7 +252,8 @@
 	m.Domain = r.text()
 	m.RunID = r.uint64()
 	m.Sequence = r.uint64()
-	m.Phase = lentilflow.Phase(r.byte())
+	phase := r.byte()
+	m.Phase = lentilflow.Phase(phase &^ hasWait)
 	flags := r.byte()
 	m.Cold, m.Out, m.Stopping, m.UpstreamEnded = flags&flagCold != 0, flags&flagOut != 0, flags&flagStopping != 0, flags&flagEnded != 0
 	m.UnderstandsTerms, m.UnderstandsEra = flags&flagUnderstandsTerms != 0, flags&flagAgentUnderstandsEra != 0
@@ -242,6 +261,9 @@
 	m.BalancerCount = r.uint16()
 	m.Store = r.storeState()
 	m.Load = r.load()
+	if phase&hasWait != 0 {
+		r.wait(&m.Load)
+	}
 	if flags&flagStatusHasEra != 0 {
 		r.era(&m.Store)
 	}
@@ -263,7 +285,7 @@
 	withDomain := m.DomainState != lentilflow.DomainState{}
 	dst = append(dst, flagIf(m.Stopping, flagBalancerStopping)|flagIf(withDomain, flagHasDomainState)|flagIf(m.DomainState.Out, flagDomainOut)|
 		flagIf(m.UnderstandsEra, flagBalancerUnderstandsEra)|flagIf(m.Store.Era > 0, flagHelloHasEra)|
-		flagIf(m.Configured, flagConfigured)|flagIf(m.Relays, flagRelays))
+		flagIf(m.Configured, flagConfigured)|flagIf(m.Relays, flagRelays)|flagIf(m.UnderstandsWait, flagUnderstandsWait))
 	dst = appendStoreState(dst, m.Store)
 	if withDomain {
 		dst = binary.BigEndian.AppendUint64(dst, m.DomainState.AsOf)
@@ -279,7 +301,7 @@
 	m.RunID = r.uint64()
 	flags := r.byte()
 	m.Stopping, m.UnderstandsEra = flags&flagBalancerStopping != 0, flags&flagBalancerUnderstandsEra != 0
-	m.Configured, m.Relays = flags&flagConfigured != 0, flags&flagRelays != 0
+	m.Configured, m.Relays, m.UnderstandsWait = flags&flagConfigured != 0, flags&flagRelays != 0, flags&flagUnderstandsWait != 0
 	m.Store = r.storeState()
 	if flags&flagHasDomainState != 0 {
 		m.DomainState = lentilflow.DomainState{AsOf: r.uint64(), Out: flags&flagDomainOut != 0}
--- a/internal/lentilframe/part.go
+++ b/internal/lentilframe/part.go
@@ -39,6 +39,16 @@
 	return binary.BigEndian.AppendUint16(dst, load.Slots)
 }
 
+// appendWait appends the fields of a load from which balancers estimate waits, if the load has them.
+func appendWait(dst []byte, load lentilflow.Load) []byte {
+	if !load.ReportsWait() {
+		return dst
+	}
+	dst = binary.BigEndian.AppendUint16(dst, load.Utilization)
+	dst = binary.BigEndian.AppendUint16(dst, load.ServiceTime)
+	return binary.BigEndian.AppendUint16(dst, load.Waiting)
+}
+
 func appendStoreState(dst []byte, state lentilflow.StoreState) []byte {
 	dst = binary.BigEndian.AppendUint64(dst, state.ConfigurationRevision)
 	dst = binary.BigEndian.AppendUint64(dst, state.DomainsRevision)
@@ -164,6 +174,14 @@
 	return lentilflow.Load{Flows: flows, InFlight: inFlight, Slots: r.uint16()}
 }
 
+// wait parses the fields of a load from which balancers estimate waits.
+func (r *reader) wait(load *lentilflow.Load) {
+	load.Utilization, load.ServiceTime, load.Waiting = r.uint16(), r.uint16(), r.uint16()
+	if load.ServiceTime == 0 {
+		r.fail("service time")
+	}
+}
+
 func (r *reader) storeState() lentilflow.StoreState {
 	configurationRevision, domainsRevision := r.uint64(), r.uint64()
 	return lentilflow.StoreState{
--- a/internal/lentilpacket/agent.go
+++ b/internal/lentilpacket/agent.go
@@ -244,6 +244,7 @@
 // status returns the status for a balancer.
 func (a *Agent) status(balancer lentilflow.Endpoint) lentilflow.Status {
 	status := a.tracker.Status()
+	status.Load = a.tracker.LoadFor(balancer)
 	status.Store = a.storeState
 	status.Store.CheckedAgo = time.Since(a.storeCheckedAt)
 	status.ConfiguredBalancer = a.tracker.ConfiguredBalancer(balancer)
@@ -319,10 +320,10 @@
 			a.frameBuffer = a.Codec.AppendReset(a.frameBuffer[:0], action.Key, action.Sequence)
 			a.write(a.frameBuffer, a.clientAddress(action.Key))
 		case lentilconntrack.SendTaken:
-			a.send(lentilframe.AppendTaken(a.frameBuffer[:0], lentilflow.Taken{Key: action.Key, Open: action.Open, Load: a.tracker.Load()}), action.To)
+			a.send(lentilframe.AppendTaken(a.frameBuffer[:0], lentilflow.Taken{Key: action.Key, Open: action.Open, Load: a.tracker.LoadFor(action.To)}), action.To)
 		case lentilconntrack.SendRefused:
 			a.Counts.Refused.Add(1)
-			a.send(lentilframe.AppendRefused(a.frameBuffer[:0], lentilflow.Refused{Reason: action.Refusal, Load: a.tracker.Load(), Packet: action.Packet}), action.To)
+			a.send(lentilframe.AppendRefused(a.frameBuffer[:0], lentilflow.Refused{Reason: action.Refusal, Load: a.tracker.LoadFor(action.To), Packet: action.Packet}), action.To)
 		case lentilconntrack.SendDenied:
 			a.send(lentilframe.AppendDenied(a.frameBuffer[:0], lentilflow.Denied{Keys: action.Keys, Unsure: action.Unsure}), action.To)
 		case lentilconntrack.SendStatus:
--- a/internal/lentilpacketmodel/process.go
+++ b/internal/lentilpacketmodel/process.go
@@ -37,7 +37,7 @@
 	sim := b.sim
 	b.up, b.runNumber, b.ready, b.stopping = true, b.runNumber+1, false, false
 	b.survivors = lentilera.Survivors{Clock: sim.Clock}
-	b.placer = lentilplacement.Placer{Clock: sim.Clock, Codec: codec(), Random: sim.Random.Float64, Domain: domainName(b.domain)}
+	b.placer = lentilplacement.Placer{Clock: sim.Clock, Codec: codec(), Random: sim.Random.Float64, Domain: domainName(b.domain), ChooseBy: sim.Setup.ChooseBy}
 	b.schedule(storeDelay/10, func() {
 		b.placer.Configure(sim.configuration())
 		b.readDomains()
@@ -55,7 +55,7 @@
 }
 
 func (b *balancer) sendHello(to lentilflow.Endpoint) {
-	m := lentilflow.Hello{UnderstandsEra: true, Store: b.storeState()}
+	m := lentilflow.Hello{UnderstandsEra: true, UnderstandsWait: true, Store: b.storeState()}
 	if out, known := b.placer.DomainOutOf(to); known {
 		m.DomainState = lentilflow.DomainState{AsOf: b.domainsAsOf.Revision, Out: out}
 	}
@@ -235,10 +235,10 @@
 		case lentilconntrack.ResetClient:
 			sim.sendToClient(a.process, codec().AppendReset(nil, action.Key, action.Sequence), action.Cause.String())
 		case lentilconntrack.SendTaken:
-			m := lentilflow.Taken{Key: action.Key, Open: action.Open, Load: a.tracker.Load()}
+			m := lentilflow.Taken{Key: action.Key, Open: action.Open, Load: a.loadFor(action.To)}
 			a.sendToBalancer(action.To, func(b *balancer) { b.perform(b.placer.HandleTaken(a.endpoint, m, nil)) })
 		case lentilconntrack.SendRefused:
-			m := lentilflow.Refused{Reason: action.Refusal, Load: a.tracker.Load(), Packet: slices.Clone(action.Packet)}
+			m := lentilflow.Refused{Reason: action.Refusal, Load: a.loadFor(action.To), Packet: slices.Clone(action.Packet)}
 			a.sendToBalancer(action.To, func(b *balancer) {
 				if actions, err := b.placer.HandleRefused(a.endpoint, m, nil); err == nil {
 					b.perform(actions)
@@ -249,6 +249,7 @@
 			a.sendToBalancer(action.To, func(b *balancer) { b.perform(b.placer.HandleDenied(a.endpoint, m, nil)) })
 		case lentilconntrack.SendStatus:
 			m := a.tracker.Status()
+			m.Load = a.loadFor(action.To)
 			a.sim.sendDatagram(a.process, action.To, a.balancerHandler(func(b *balancer) { b.perform(b.placer.HandleStatus(a.endpoint, m, nil)) }))
 		case lentilconntrack.ProbeUpstream:
 			a.schedule(sameDomainDelay, a.probeUpstream)
@@ -257,6 +258,15 @@
 	}
 }
 
+// loadFor returns the load that the agent reports to a balancer.
+func (a *agent) loadFor(balancer lentilflow.Endpoint) lentilflow.Load {
+	load := a.tracker.LoadFor(balancer)
+	if n := a.sim.Setup.EarlierAgents; n > 0 && slices.Index(a.sim.agents, a) < n {
+		return load.WithoutWait()
+	}
+	return load
+}
+
 func (a *agent) sendToBalancer(to lentilflow.Endpoint, handle func(b *balancer)) {
 	a.sim.sendFlowDatagram(a.process, to, a.balancerHandler(handle))
 }
--- a/internal/lentilpacketmodel/simulation.go
+++ b/internal/lentilpacketmodel/simulation.go
@@ -14,6 +14,7 @@
 
 	"lentilstair.example/lentilstair/pkg/lentilclock"
 	"lentilstair.example/lentilstair/pkg/lentilflow"
+	"lentilstair.example/lentilstair/pkg/lentilplacement"
 )
 
 // Setup describes a site and its load.
@@ -30,6 +31,13 @@
 	// if ExponentialServiceTime is set.
 	ServiceTime            time.Duration
 	ExponentialServiceTime bool
+	// Speeds are the speeds of the upstreams, which are assigned to the agents in turn and divide the service time. Without
+	// them all have speed 1.
+	Speeds []float64
+	// ChooseBy is what balancers compare agents by for a new flow. The first EarlierAgents agents report their load as
+	// an earlier release does.
+	ChooseBy      lentilplacement.Criterion
+	EarlierAgents int
 	// Deadline is how long a client waits for an answer; zero is a second.
 	Deadline time.Duration
 	// ThinkTime is the mean time between an answer and the client's next request.
--- a/internal/lentilpacketmodel/upstream.go
+++ b/internal/lentilpacketmodel/upstream.go
@@ -181,6 +181,9 @@
 // serviceTime returns how long the upstream works on a request, which is longer while it is cold.
 func (u *upstream) serviceTime() time.Duration {
 	duration := float64(u.sim.Setup.ServiceTime)
+	if speeds := u.sim.Setup.Speeds; len(speeds) > 0 {
+		duration /= speeds[slices.Index(u.sim.agents, u.agent)%len(speeds)]
+	}
 	if u.sim.Setup.ExponentialServiceTime {
 		duration *= u.sim.Random.ExpFloat64()
 	}
--- a/pkg/lentilconntrack/balancers.go
+++ b/pkg/lentilconntrack/balancers.go
@@ -28,6 +28,8 @@
 	understandsEra bool
 	// configured is set if the balancer has a configuration, and relays if it accepts the address of such a balancer.
 	configured, relays bool
+	// understandsWait is set if the balancer accepts the utilization in a Load.
+	understandsWait bool
 }
 
 // AddPeer adds a balancer that was found in the list of balancers, which may hold stale entries.
@@ -47,7 +49,7 @@
 		return actions
 	}
 	b := t.addBalancer(from)
-	b.understandsEra, b.configured, b.relays = m.UnderstandsEra, m.Configured, m.Relays
+	b.understandsEra, b.configured, b.relays, b.understandsWait = m.UnderstandsEra, m.Configured, m.Relays, m.UnderstandsWait
 	now := t.now()
 	if !t.lastHelloAt.IsZero() && now.Sub(t.lastHelloAt) > maxHelloGap {
 		actions = append(actions, Action{Kind: Rediscover})
@@ -86,6 +88,15 @@
 	return b != nil && b.understandsEra
 }
 
+// LoadFor returns the upstream's load as it is sent to a balancer. Balancers that don't announce that they understand
+// utilization, service time and waiting requests get none.
+func (t *Tracker) LoadFor(address lentilflow.Endpoint) lentilflow.Load {
+	if b := t.balancers[address]; b == nil || !b.understandsWait {
+		return t.Load().WithoutWait()
+	}
+	return t.Load()
+}
+
 // ConfiguredBalancer returns one of the balancers that accept relayed packets and have a configuration, drawn at
 // random, for the balancer at address. It is zero if there is none, or if that balancer has a configuration itself.
 func (t *Tracker) ConfiguredBalancer(address lentilflow.Endpoint) (chosen lentilflow.Endpoint) {
@@ -112,7 +123,8 @@
 // BalancerCount returns the number of balancers that get the status.
 func (t *Tracker) BalancerCount() int { return len(t.balancers) }
 
-// Status returns the agent's status. Each call returns a higher sequence number.
+// Status returns the agent's status, with the whole load; LoadFor returns the part that a balancer accepts. Each call
+// returns a higher sequence number.
 func (t *Tracker) Status() lentilflow.Status {
 	t.statusSequence++
 	return lentilflow.Status{
--- a/pkg/lentilconntrack/flow.go
+++ b/pkg/lentilconntrack/flow.go
@@ -32,7 +32,12 @@
 	// requestAt is when the request in flight arrived, and requestLoad how many the upstream then had.
 	requestAt   time.Time
 	requestLoad int
-	closedBy    closeSides
+	// dataAt is when the last new data of the request in flight arrived, and dataSequence its sequence number.
+	dataAt       time.Time
+	dataSequence uint32
+	// foundSlot is set if the upstream then had a free slot.
+	foundSlot bool
+	closedBy  closeSides
 }
 
 // flowState is the state of a flow in the connection table.
--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -100,6 +100,7 @@
 	// denied holds the time at which the upstream was found not to hold a flow.
 	denied           lentilflow.Table[time.Time]
 	requestsInFlight int
+	meter            meter
 	openFlows        int
 	halfOpenFlows    int
 	// idleFlows is the number of open flows that were unused for idleFlowAge at the last sweep.
@@ -153,13 +154,20 @@
 // OpenFlows returns the number of open flows.
 func (t *Tracker) OpenFlows() int { return t.openFlows }
 
-// Load returns the upstream's load: its open and half-open flows without the idle ones, requests in flight and slots.
+// Load returns the upstream's load: its open and half-open flows without the idle ones, requests in flight, slots, and
+// the measurements from which balancers estimate waits.
 func (t *Tracker) Load() lentilflow.Load {
-	return lentilflow.Load{
-		Flows: uint32(max(0, t.openFlows+t.halfOpenFlows-t.idleFlows)), InFlight: uint16(t.requestsInFlight), Slots: uint16(cmp.Or(t.upstream.slots, defaultSlots)),
+	slots := t.slots()
+	load := lentilflow.Load{
+		Flows: uint32(max(0, t.openFlows+t.halfOpenFlows-t.idleFlows)), InFlight: uint16(t.requestsInFlight), Slots: uint16(slots),
 	}
+	t.meter.addTo(&load, t.requestsInFlight, t.queue.Waiting())
+	return load
 }
 
+// slots returns the number of requests that the upstream processes at once.
+func (t *Tracker) slots() int { return cmp.Or(t.upstream.slots, defaultSlots) }
+
 // Phase returns the phase of the upstream.
 func (t *Tracker) Phase() lentilflow.Phase { return t.upstream.phase }
 
@@ -192,6 +200,7 @@
 		t.coldRateVersion, t.coldRate = m.Version, float64(m.ColdRate)
 	}
 	now := t.now()
+	t.meter.advance(now, t.requestsInFlight+t.queue.Waiting())
 	if packet.OpensFlow() {
 		return t.handleFirst(now, from, m, packet, actions), nil
 	}
@@ -261,6 +270,9 @@
 	if packet.Flags.Has(lentilflow.Acknowledge) {
 		f.acknowledged = packet.Acknowledged
 	}
+	if packet.Length > 0 {
+		t.trackRequestData(now, f, packet.Sequence)
+	}
 	if packet.Length > 0 && !f.requestInFlight {
 		f.requestAt, f.requestLoad = now, t.requestsInFlight
 		t.setRequestInFlight(f, true)
@@ -284,6 +296,7 @@
 		return actions, err
 	}
 	now := t.now()
+	t.meter.advance(now, t.requestsInFlight+t.queue.Waiting())
 	t.clearUnanswered()
 	if packet.Flags.Has(lentilflow.Returned) {
 		return t.handleReturned(now, packet, data, actions), nil
@@ -316,6 +329,9 @@
 	case !f.requestInFlight:
 	case packet.Length > 0:
 		responseTime = now.Sub(f.requestAt)
+		if f.foundSlot {
+			t.meter.recordServiceTime(now.Sub(f.dataAt))
+		}
 		t.setRequestInFlight(f, false)
 		t.queue.RecordResponse(responseTime, f.requestLoad+1)
 		if t.breaker.RecordSuccess() {
--- a/pkg/lentilconntrack/upstream.go
+++ b/pkg/lentilconntrack/upstream.go
@@ -78,6 +78,7 @@
 	t.queue.SetSlots(r.Slots)
 	if !sameRun {
 		t.breaker.Reset()
+		t.meter.forgetServiceTime()
 		t.runMarkerDue = true
 	}
 	t.runMarkerDue = t.runMarkerDue && r.Sequence <= maxStartupSequence
@@ -273,6 +274,7 @@
 		t.upstream.registeredAt = t.upstream.registeredAt.Add(now.Sub(t.lastTick))
 	}
 	t.lastTick = now
+	t.meter.advance(now, t.requestsInFlight+t.queue.Waiting())
 	if t.unanswered >= minUnanswered && now.Sub(t.unansweredSince) >= unansweredTimeout && !t.probing && t.upstream.phase != lentilflow.Gone {
 		t.probing = true
 		actions = append(actions, Action{Kind: ProbeUpstream})
--- a/pkg/lentilflow/message.go
+++ b/pkg/lentilflow/message.go
@@ -132,6 +132,22 @@
 	InFlight uint16
 	// Slots is the number of requests that the upstream processes concurrently.
 	Slots uint16
+	// Utilization is the smoothed use of the slots, in hundredths of all slots. It exceeds 100 while requests wait.
+	Utilization uint16
+	// ServiceTime is the mean time of a request that finds a free slot, in tenths of a millisecond. Zero means that the
+	// agent doesn't report it, nor Utilization and Waiting, or that it hasn't measured any request yet.
+	ServiceTime uint16
+	// Waiting is the number of requests and new flows that wait for a slot.
+	Waiting uint16
+}
+
+// ReportsWait reports whether the load has Utilization, ServiceTime and Waiting.
+func (l Load) ReportsWait() bool { return l.ServiceTime > 0 }
+
+// WithoutWait returns the load without Utilization, ServiceTime and Waiting.
+func (l Load) WithoutWait() Load {
+	l.Utilization, l.ServiceTime, l.Waiting = 0, 0, 0
+	return l
 }
 
 // StoreState summarizes what a process has read from the store. Processes exchange it, so each read of
@@ -190,6 +206,8 @@
 	// UnderstandsEra is set by balancers that accept the era in a Status, and Relays by those that accept a
 	// ConfiguredBalancer in it and relayed packets.
 	UnderstandsEra, Relays bool
+	// UnderstandsWait is set by balancers that accept Load.Utilization, ServiceTime and Waiting.
+	UnderstandsWait bool
 	// Configured is set by balancers that have a configuration.
 	Configured bool
 	Store      StoreState
--- a/pkg/lentilplacement/agent.go
+++ b/pkg/lentilplacement/agent.go
@@ -27,6 +27,11 @@
 	machineSeenAt, probedAt time.Time
 	// flowsSent counts the flows sent to the agent since it last reported its load.
 	flowsSent int
+	// loadAt is when the agent last reported its load.
+	loadAt time.Time
+	// work is the expected work of the flows sent to the agent, in requests, as of workAt.
+	work   float64
+	workAt time.Time
 	// suspected is set when the agent misses placeTimeout, until it is seen again.
 	suspected bool
 	// failingAt is when the agent last refused a flow because its upstream fails.
@@ -97,7 +102,7 @@
 	appeared := !a.seen() || a.unresponsiveLogged
 	p.heldPlacementsDue = true
 	a.recordHeard(p.now())
-	a.status, a.flowsSent, a.unresponsiveLogged = m, 0, false
+	a.status, a.flowsSent, a.unresponsiveLogged, a.loadAt = m, 0, false, a.lastSeen
 	if previous.Service != m.Service || previous.Domain != m.Domain {
 		p.agentsByService = nil
 	}
@@ -133,7 +138,7 @@
 func (p *Placer) updateLoad(from lentilflow.Endpoint, load lentilflow.Load) {
 	if a := p.agents[from]; a != nil {
 		a.recordHeard(p.now())
-		a.status.Load, a.flowsSent = load, 0
+		a.status.Load, a.flowsSent, a.loadAt = load, 0, a.lastSeen
 	}
 }
 
@@ -144,7 +149,8 @@
 		return
 	}
 	a.recordHeard(now)
-	a.status.Load, a.flowsSent = m.Load, 0
+	a.status.Load, a.flowsSent, a.loadAt = m.Load, 0, now
+	a.recordReturned(now)
 	switch m.Reason {
 	case lentilflow.DomainOut:
 		a.status.Out = true
--- a/pkg/lentilplacement/choose.go
+++ b/pkg/lentilplacement/choose.go
@@ -39,6 +39,12 @@
 // flows, it returns the cheapest of all agents of the service, or nil. Agents in tried are skipped.
 func (p *Placer) cheapestAgent(now time.Time, key lentilflow.Key, service string, tried []lentilflow.Endpoint) (addr lentilflow.Endpoint, a *agent) {
 	for _, addresses := range [][]lentilflow.Endpoint{p.candidates(key, service), p.agentsOfService(service)} {
+		if p.ChooseBy == ByExpectedWait {
+			if addr, a = p.fastestAgent(now, addresses, tried); a != nil {
+				return addr, a
+			}
+			continue
+		}
 		best := 0.0
 		start := int(p.random() * float64(len(addresses)))
 		for i := range addresses {
@@ -87,7 +93,11 @@
 // cost returns the expected load of an agent in flows and requests per slot, plus the additions above.
 func (p *Placer) cost(now time.Time, a *agent) (cost float64) {
 	load := a.status.Load
-	cost = (float64(load.Flows) + float64(load.InFlight) + float64(a.flowsSent)) / float64(max(load.Slots, 1))
+	return (float64(load.Flows)+float64(load.InFlight)+float64(a.flowsSent))/float64(max(load.Slots, 1)) + p.penalty(now, a)
+}
+
+// penalty returns what is added to the cost of an agent for other reasons than its load.
+func (p *Placer) penalty(now time.Time, a *agent) (cost float64) {
 	if a.status.Domain != p.Domain {
 		cost += otherDomainCost
 	}
--- a/pkg/lentilplacement/placement.go
+++ b/pkg/lentilplacement/placement.go
@@ -102,6 +102,8 @@
 	Random func() float64
 	// Domain is the balancer's own failure domain, preferred among equally loaded agents.
 	Domain string
+	// ChooseBy is what agents are compared by for a new flow.
+	ChooseBy Criterion
 	// MaxFlows bounds the number of cached flows; zero is lentilflow.DefaultMaxFlows.
 	MaxFlows int
 
@@ -125,7 +127,9 @@
 	lastAskAt time.Time
 	// heldPackets is the number of flows with a heldPacket.
 	heldPackets int
-	flows       lentilflow.Table[flow]
+	// estimates is reused by every choice by expected wait.
+	estimates []estimate
+	flows     lentilflow.Table[flow]
 	// pendingPlacements has the new flows whose agent hasn't answered yet.
 	pendingPlacements map[lentilflow.Key]*flow
 	// heldPlacements has the new flows for which no agent is known yet. heldPlacementsDue is set when one may have
