Choice by expected time draws agents; short overlap while flows open; routes' requests count at once

Always taking the least estimate made all balancers choose the same agents until the next report. Agents are drawn with the fourth power of the inverse estimate, utilization is smoothed over 4 s, and a service time is reported after 32 requests. Carry.MayQueue lets a flow open when a slot is likely to be free by the time its request arrives, in place of a refusal.

--- a/internal/lentilframe/frame.go
+++ b/internal/lentilframe/frame.go
@@ -88,6 +88,7 @@
 	flagRepeatable = 1 << iota
 	flagMayWait
 	flagLastResort
+	flagMayQueue
 )
 
 // Flags of a Hello frame. With flagHasDomainState, the state of the agent's failure domain follows, and with
@@ -105,7 +106,7 @@
 
 // AppendCarry appends a Carry frame, which ends with the client's packet.
 func AppendCarry(dst []byte, m lentilflow.Carry) []byte {
-	withTerms := m.MayWait || m.LastResort || m.Age > 0 || m.Terms != lentilflow.Terms{}
+	withTerms := m.MayWait || m.MayQueue || m.LastResort || m.Age > 0 || m.Terms != lentilflow.Terms{}
 	dst = append(dst, magic, byte(Carry), byte(m.Purpose)|flagIf(withTerms, hasTerms))
 	dst = appendText(dst, m.Service)
 	dst = binary.BigEndian.AppendUint64(dst, m.Version)
@@ -113,7 +114,7 @@
 	if withTerms {
 		dst = binary.BigEndian.AppendUint32(dst, uint32(m.Terms.Target.Milliseconds()))
 		dst = append(dst, m.Terms.Priority,
-			flagIf(m.Terms.Repeatable, flagRepeatable)|flagIf(m.MayWait, flagMayWait)|flagIf(m.LastResort, flagLastResort))
+			flagIf(m.Terms.Repeatable, flagRepeatable)|flagIf(m.MayWait, flagMayWait)|flagIf(m.LastResort, flagLastResort)|flagIf(m.MayQueue, flagMayQueue))
 		dst = binary.BigEndian.AppendUint16(dst, uint16(min(m.Age.Milliseconds(), math.MaxUint16)))
 	}
 	return append(dst, m.Packet...)
@@ -132,6 +133,7 @@
 		m.Terms.Priority = r.byte()
 		flags := r.byte()
 		m.Terms.Repeatable, m.MayWait, m.LastResort = flags&flagRepeatable != 0, flags&flagMayWait != 0, flags&flagLastResort != 0
+		m.MayQueue = flags&flagMayQueue != 0
 		m.Age = time.Duration(r.uint16()) * time.Millisecond
 	}
 	m.Packet = r.rest()
--- a/pkg/lentilconntrack/admission.go
+++ b/pkg/lentilconntrack/admission.go
@@ -37,7 +37,8 @@
 	offer := lentilflowqueue.Offer{
 		Key: packet.Key, Age: max(packet.OpeningAge, m.Age), Terms: m.Terms,
 		// Balancers of earlier releases neither send terms nor allow flows to wait.
-		MayWait: m.MayWait || m.Terms == lentilflow.Terms{} && !blocked,
+		MayQueue: m.MayQueue,
+		MayWait:  m.MayWait || m.Terms == lentilflow.Terms{} && !blocked,
 	}
 	switch verdict := t.queue.Offer(offer, t.requestsInFlight, blocked); {
 	case verdict == lentilflowqueue.Admit:
--- a/pkg/lentilconntrack/flow.go
+++ b/pkg/lentilconntrack/flow.go
@@ -38,6 +38,7 @@
 	// foundSlot is set if the upstream then had a free slot.
 	foundSlot bool
 	closedBy  closeSides
+	route     *route
 }
 
 // flowState is the state of a flow in the connection table.
@@ -77,6 +78,7 @@
 		t.flows = make(map[lentilflow.Key]*flow)
 	}
 	t.flows[key] = f
+	f.route = t.route(key.Service())
 }
 
 func (t *Tracker) removeFlow(key lentilflow.Key) {
@@ -104,6 +106,13 @@
 		t.churn++
 		f.openedAt = f.lastUsed
 	}
+	if counts := to == halfOpen || to == open; counts != (f.state == halfOpen || f.state == open) {
+		change := -1
+		if counts {
+			change = 1
+		}
+		t.countFlow(f, change)
+	}
 	f.state = to
 	if to == closed || to == lost {
 		t.setRequestInFlight(f, false)
--- a/pkg/lentilconntrack/meter.go
+++ b/pkg/lentilconntrack/meter.go
@@ -8,12 +8,16 @@
 )
 
 const (
-	// utilizationWindow is the time constant with which the use of the slots is smoothed. Requests take some 30 ms, so it
-	// covers enough of them to say more than chance, and it is short enough to show a change within a status or two.
-	utilizationWindow = time.Second
+	// utilizationWindow is the time constant with which the use of the slots is smoothed. It is longer than the 3 s between
+	// statuses on large sites. With 1 s, chance made up most of the differences between copies, and balancers that acted on
+	// them made 12 times as many requests late at a load of .75.
+	utilizationWindow = 4 * time.Second
 	// serviceTimeWeight is the weight of a new measurement in the mean service time. At the usual 30 requests a second of
-	// a copy with two slots, this covers about a second.
-	serviceTimeWeight = 1.0 / 32
+	// a copy with two slots, this covers about two seconds.
+	serviceTimeWeight = 1.0 / 64
+	// minMeasurements is the number of measurements from which the mean service time is reported. Fewer of them would make
+	// copies of the same speed look up to several times faster than others.
+	minMeasurements = 32
 	// serviceTimeUnit is the unit of lentilflow.Load.ServiceTime.
 	serviceTimeUnit = 100 * time.Microsecond
 )
@@ -38,7 +42,9 @@
 
 // deduct removes one request from the smoothed number for the given time until now. The smoothing is linear, so the
 // result is the same as if the request hadn't been counted in that time.
-func (m *meter) deduct(elapsed time.Duration) { m.occupied = max(0, m.occupied-smoothingShare(elapsed)) }
+func (m *meter) deduct(elapsed time.Duration) {
+	m.occupied = max(0, m.occupied-smoothingShare(elapsed))
+}
 
 // smoothingShare returns the share that the last d have in a smoothed value.
 func smoothingShare(d time.Duration) float64 {
@@ -56,15 +62,15 @@
 func (m *meter) forgetServiceTime() { m.serviceTime, m.measurements = 0, 0 }
 
 // addTo adds the measurements to a load. Nothing is added before the first request was answered.
-func (m *meter) addTo(load *lentilflow.Load, inFlight, waiting int) {
-	if m.measurements == 0 {
+func (m *meter) addTo(load *lentilflow.Load, requests int, routesOccupancy float64) {
+	if m.measurements < minMeasurements {
 		return
 	}
 	const hundredths = 100
 	slots := int(load.Slots)
-	load.Utilization = saturate(m.occupied / float64(slots) * hundredths)
+	load.Utilization = saturate(max(0, m.occupied+routesOccupancy) / float64(slots) * hundredths)
 	load.ServiceTime = max(1, saturate(float64(m.serviceTime)/float64(serviceTimeUnit)))
-	load.Waiting = saturate(float64(max(0, inFlight-slots) + waiting))
+	load.Waiting = saturate(float64(max(0, requests-slots)))
 }
 
 func saturate(x float64) uint16 { return uint16(min(math.Round(x), math.MaxUint16)) }
--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -101,8 +101,10 @@
 	denied           lentilflow.Table[time.Time]
 	requestsInFlight int
 	meter            meter
-	openFlows        int
-	halfOpenFlows    int
+	// routes measures the flows by the address that they are for.
+	routes        map[lentilflow.Endpoint]*route
+	openFlows     int
+	halfOpenFlows int
 	// idleFlows is the number of open flows that were unused for idleFlowAge at the last sweep.
 	idleFlows int
 	out       bool
@@ -161,7 +163,7 @@
 	load := lentilflow.Load{
 		Flows: uint32(max(0, t.openFlows+t.halfOpenFlows-t.idleFlows)), InFlight: uint16(t.requestsInFlight), Slots: uint16(slots),
 	}
-	t.meter.addTo(&load, t.requestsInFlight, t.queue.Waiting())
+	t.meter.addTo(&load, t.queue.Ahead(t.requestsInFlight), t.routesOccupancy())
 	return load
 }
 
@@ -276,6 +278,7 @@
 	if packet.Length > 0 && !f.requestInFlight {
 		f.requestAt, f.requestLoad = now, t.requestsInFlight
 		t.setRequestInFlight(f, true)
+		f.countRequest(now)
 		t.queue.Remove(packet.Key)
 	}
 	if packet.Length > 0 || packet.Flags.Has(lentilflow.Close) {
--- a/pkg/lentilconntrack/upstream.go
+++ b/pkg/lentilconntrack/upstream.go
@@ -303,9 +303,16 @@
 	}
 	timeouts := [...]time.Duration{unverified: halfOpenTimeout, halfOpen: halfOpenTimeout, open: idleTimeout, closed: closedTimeout, lost: closedTimeout}
 	t.idleFlows = 0
+	for _, r := range t.routes {
+		r.advance(now)
+		r.idle = 0
+	}
 	for key, f := range t.flows {
 		if f.state == open && !f.requestInFlight && now.Sub(f.lastUsed) > idleFlowAge {
 			t.idleFlows++
+			if f.route != nil {
+				f.route.idle++
+			}
 		}
 		if f.requestInFlight && now.Sub(f.requestAt) > requestTimeout {
 			t.setRequestInFlight(f, false)
--- a/pkg/lentilflow/message.go
+++ b/pkg/lentilflow/message.go
@@ -81,6 +81,9 @@
 	Age time.Duration
 	// MayWait allows the agent to hold a new flow until its upstream has room.
 	MayWait bool
+	// MayQueue allows the agent to let a new flow open while all slots are occupied, if few requests would wait before
+	// it: slots usually become free while the flow opens.
+	MayQueue bool
 	// LastResort asks the agent to accept the flow although its upstream fails, since all other agents have
 	// refused it.
 	LastResort bool
--- a/pkg/lentilflowqueue/queue.go
+++ b/pkg/lentilflowqueue/queue.go
@@ -80,6 +80,8 @@
 	Terms lentilflow.Terms
 	// MayWait is set if the flow may wait, because the other candidates are busy too.
 	MayWait bool
+	// MayQueue is set if the flow may open while all slots are occupied and few requests wait.
+	MayQueue bool
 }
 
 // entry is a waiting flow.
@@ -119,6 +121,10 @@
 // Waiting returns the number of waiting flows.
 func (q *Queue) Waiting() int { return len(q.waiting) }
 
+// Ahead returns the number of requests and flows that a new flow would find: those at the upstream, of which there are
+// inFlight, those let through and those waiting.
+func (q *Queue) Ahead(inFlight int) int { return q.load(q.now(), inFlight) + len(q.waiting) }
+
 // SetSlots sets how many requests the upstream processes at once.
 func (q *Queue) SetSlots(slots int) { q.slots = slots }
 
@@ -143,6 +149,9 @@
 	case !blocked && load < slots && len(q.waiting) == 0:
 		q.admit(now, o.Key)
 		return Admit
+	case !blocked && o.MayQueue && load < slots+q.openingSlack() && len(q.waiting) == 0:
+		q.admit(now, o.Key)
+		return Admit
 	case !o.MayWait:
 		return Busy
 	case !blocked && load < q.limit() && len(q.waiting) == 0:
@@ -162,6 +171,10 @@
 	return Wait
 }
 
+// openingSlack is by how many requests the load may exceed the slots so that a new flow's request will usually find a free
+// one. Opening the flow takes some 12 ms, in which about every other request of 30 ms ends.
+func (q *Queue) openingSlack() int { return max(1, q.slotCount()/2) }
+
 // updateSustained updates and returns whether the overload is sustained, before a flow is queued or refused.
 func (q *Queue) updateSustained(now time.Time) bool {
 	if len(q.waiting) == 0 {
--- a/pkg/lentilplacement/agent.go
+++ b/pkg/lentilplacement/agent.go
@@ -29,6 +29,8 @@
 	flowsSent int
 	// loadAt is when the agent last reported its load.
 	loadAt time.Time
+	// full is set if the agent then refused a flow because its upstream had no free slot.
+	full bool
 	// work is the expected work of the flows sent to the agent, in requests, as of workAt.
 	work   float64
 	workAt time.Time
@@ -102,7 +104,8 @@
 	appeared := !a.seen() || a.unresponsiveLogged
 	p.heldPlacementsDue = true
 	a.recordHeard(p.now())
-	a.status, a.flowsSent, a.unresponsiveLogged, a.loadAt = m, 0, false, a.lastSeen
+	a.recordLoad(a.lastSeen, m.Load, false)
+	a.status, a.unresponsiveLogged = m, false
 	if previous.Service != m.Service || previous.Domain != m.Domain {
 		p.agentsByService = nil
 	}
@@ -138,7 +141,7 @@
 func (p *Placer) updateLoad(from lentilflow.Endpoint, load lentilflow.Load) {
 	if a := p.agents[from]; a != nil {
 		a.recordHeard(p.now())
-		a.status.Load, a.flowsSent, a.loadAt = load, 0, a.lastSeen
+		a.recordLoad(a.lastSeen, load, false)
 	}
 }
 
@@ -149,7 +152,7 @@
 		return
 	}
 	a.recordHeard(now)
-	a.status.Load, a.flowsSent, a.loadAt = m.Load, 0, now
+	a.recordLoad(now, m.Load, m.Reason == lentilflow.UpstreamBusy || m.Reason == lentilflow.UpstreamFull || m.Reason == lentilflow.UpstreamOverloaded)
 	a.recordReturned(now)
 	switch m.Reason {
 	case lentilflow.DomainOut:
@@ -168,6 +171,12 @@
 	}
 }
 
+// recordLoad records a load that the agent has reported. full is set if it refused a flow because its upstream had no
+// free slot.
+func (a *agent) recordLoad(now time.Time, load lentilflow.Load, full bool) {
+	a.status.Load, a.flowsSent, a.loadAt, a.full = load, 0, now, full
+}
+
 // sortedAddresses returns the addresses of all agents, sorted to make tests reproducible.
 func (p *Placer) sortedAddresses() []lentilflow.Endpoint {
 	addresses := make([]lentilflow.Endpoint, 0, len(p.agents))
--- a/pkg/lentilplacement/choose.go
+++ b/pkg/lentilplacement/choose.go
@@ -35,15 +35,14 @@
 	return addr, nil
 }
 
-// cheapestAgent returns the agent with the lowest cost among the key's candidates. If none of them accepts
+// cheapestAgent returns the agent with the lowest cost among the key's candidates, or draws one by expected time. If none of them accepts
 // flows, it returns the cheapest of all agents of the service, or nil. Agents in tried are skipped.
 func (p *Placer) cheapestAgent(now time.Time, key lentilflow.Key, service string, tried []lentilflow.Endpoint) (addr lentilflow.Endpoint, a *agent) {
 	for _, addresses := range [][]lentilflow.Endpoint{p.candidates(key, service), p.agentsOfService(service)} {
 		if p.ChooseBy == ByExpectedWait {
-			if addr, a = p.fastestAgent(now, addresses, tried); a != nil {
+			if addr, a = p.drawAgent(now, addresses, tried); a != nil {
 				return addr, a
 			}
-			continue
 		}
 		best := 0.0
 		start := int(p.random() * float64(len(addresses)))
--- a/pkg/lentilplacement/place.go
+++ b/pkg/lentilplacement/place.go
@@ -100,6 +100,7 @@
 		c.ColdRate = float32(p.configuration.ColdRate(c.Service))
 		if a.status.UnderstandsTerms {
 			c.Terms, c.Age, c.MayWait, c.LastResort = p.configuration.Terms(key.Service()), now.Sub(f.since), mayWait, f.lastResort
+			c.MayQueue = p.ChooseBy == ByExpectedWait
 		}
 	}
 	return Action{Kind: SendCarry, Cause: cause, To: to, Key: key, Carry: c}
--- a/pkg/lentilplacement/wait.go
+++ b/pkg/lentilplacement/wait.go
@@ -22,15 +22,12 @@
 )
 
 const (
-	// assumedServiceTime is the service time, in seconds, of agents that don't report one. Penalties, which are in
-	// requests per slot, are converted with it too.
+	// assumedServiceTime is the service time, in seconds, with which penalties are converted, which are in requests per
+	// slot.
 	assumedServiceTime = 0.030
 	// openingTime is how long after its first packet the request of a new flow arrives, in seconds: two round trips to
 	// the client.
 	openingTime = 0.012
-	// tieShare is the difference between estimates that counts as none. Choosing among about equal agents at random keeps
-	// balancers with the same reports from choosing the same agent.
-	tieShare = 0.1
 	// utilizationTTL is the age from which a reported utilization says nothing any more. Until then it counts less and
 	// less. Agents of large sites send a status every 3 s.
 	utilizationTTL = 3 * time.Second
@@ -38,26 +35,28 @@
 	defaultUtilization = 0.5
 	// maxUtilization is where the estimated wait, which would grow without limit, goes on as a straight line.
 	maxUtilization = 0.95
-	// loadUnit is the unit of lentilflow.Load.Utilization, and serviceTimeUnit that of ServiceTime, in seconds.
-	loadUnit        = 0.01
+	// utilizationUnit is the unit of lentilflow.Load.Utilization, and serviceTimeUnit that of ServiceTime, in seconds.
+	utilizationUnit = 0.01
 	serviceTimeUnit = 0.0001
 )
 
-// estimate is the time in seconds that a request is expected to take at an agent.
+// estimate is what a request is expected to cost at an agent.
 type estimate struct {
 	addr lentilflow.Endpoint
 	a    *agent
-	time float64
-	// cost is the time with the penalties.
-	cost float64
+	// cost is the expected time in seconds with the penalties, and weight the share of the flows that the agent gets.
+	cost, weight float64
 }
 
-// fastestAgent returns the agent where a new flow's request is expected to take least time, of those that accept flows
-// and aren't in tried, or nil.
-func (p *Placer) fastestAgent(now time.Time, addresses, tried []lentilflow.Endpoint) (addr lentilflow.Endpoint, a *agent) {
+// drawAgent draws an agent for a new flow of those that accept flows and aren't in tried. The shorter a request is
+// expected to take at an agent, the more likely it is drawn. It returns nil if no agent accepts flows, or none reports what
+// its expected time follows from.
+//
+// Always taking the best agent would be worse: reports are up to 3 s old on large sites and reach all balancers at once,
+// so all of them would send their flows to the same agents until the next report.
+func (p *Placer) drawAgent(now time.Time, addresses, tried []lentilflow.Endpoint) (addr lentilflow.Endpoint, a *agent) {
 	p.estimates = p.estimates[:0]
-	reported := false
-	sum, weights := 0.0, 0.0
+	var utilization, serviceTime mean
 	for _, next := range addresses {
 		candidate := p.agents[next]
 		if slices.Contains(tried, next) || !p.acceptsFlows(candidate) {
@@ -65,58 +64,58 @@
 		}
 		p.estimates = append(p.estimates, estimate{addr: next, a: candidate})
 		if load := candidate.status.Load; load.ReportsWait() {
-			reported = true
-			weight := candidate.utilizationWeight(now)
-			sum, weights = sum+weight*float64(load.Utilization)*loadUnit, weights+weight
+			utilization.add(float64(load.Utilization)*utilizationUnit, candidate.utilizationWeight(now))
+			serviceTime.add(float64(load.ServiceTime)*serviceTimeUnit, 1)
 		}
 	}
-	if len(p.estimates) == 0 {
+	if serviceTime.weights == 0 {
 		return addr, nil
 	}
-	mean := defaultUtilization
-	if weights > 0 {
-		mean = sum / weights
-	}
 	best := 0
 	for i := range p.estimates {
 		e := &p.estimates[i]
-		if reported {
-			e.time = e.a.expectedTime(now, mean)
-			e.cost = e.time + p.penalty(now, e.a)*assumedServiceTime
-		} else {
-			e.cost = p.cost(now, e.a) * assumedServiceTime
-			e.time = assumedServiceTime
-		}
+		e.cost = e.a.expectedTime(now, utilization.or(defaultUtilization), serviceTime.or(assumedServiceTime)) + p.penalty(now, e.a)*assumedServiceTime
 		if e.cost < p.estimates[best].cost {
 			best = i
 		}
 	}
-	limit := p.estimates[best].cost + tieShare*p.estimates[best].time
-	ties := 0
-	for _, e := range p.estimates {
-		if e.cost <= limit {
-			ties++
-		}
+	if p.Random == nil {
+		return p.estimates[best].addr, p.estimates[best].a
 	}
-	chosen := int(p.random() * float64(ties))
+	total, least := 0.0, p.estimates[best].cost
+	for i := range p.estimates {
+		e := &p.estimates[i]
+		e.weight = drawWeight(least / e.cost)
+		total += e.weight
+	}
+	draw := p.random() * total
 	for _, e := range p.estimates {
-		if e.cost > limit {
-			continue
-		}
-		if chosen == 0 {
+		if draw -= e.weight; draw < 0 {
 			return e.addr, e.a
 		}
-		chosen--
 	}
 	return p.estimates[best].addr, p.estimates[best].a
 }
 
-// serviceTime returns the agent's service time in seconds.
-func (a *agent) serviceTime() float64 {
-	if load := a.status.Load; load.ReportsWait() {
-		return float64(load.ServiceTime) * serviceTimeUnit
+// drawWeight returns the weight of an agent, given the least cost as a share of its own. The fourth power is a trade-off:
+// with the third, slow copies got so much that more requests were late; with the sixth, single copies got 1.5 times their
+// share of the flows.
+func drawWeight(share float64) float64 {
+	square := share * share
+	return square * math.Sqrt(share) * share
+}
+
+// mean is a weighted mean.
+type mean struct{ sum, weights float64 }
+
+func (m *mean) add(value, weight float64) { m.sum, m.weights = m.sum+weight*value, m.weights+weight }
+
+// or returns the mean, or the given value if nothing was added.
+func (m *mean) or(value float64) float64 {
+	if m.weights == 0 {
+		return value
 	}
-	return assumedServiceTime
+	return m.sum / m.weights
 }
 
 // utilizationWeight returns how much the agent's utilization counts, by the age of its report.
@@ -124,29 +123,26 @@
 	return max(0, 1-now.Sub(a.loadAt).Seconds()/utilizationTTL.Seconds())
 }
 
-// expectedTime returns the time in seconds that a request is expected to take at the agent. mean is the mean utilization
-// of the candidates.
+// expectedTime returns the time in seconds that a request is expected to take at the agent, given the mean utilization and
+// service time of the candidates. They take the place of what the agent doesn't report.
 //
 // The counts of requests describe the moment of the report, and are outdated after about a service time. Then the wait
 // that is usual at the agent's utilization takes their place.
-func (a *agent) expectedTime(now time.Time, mean float64) float64 {
-	load, serviceTime := a.status.Load, a.serviceTime()
-	slots := float64(max(load.Slots, 1))
-	utilization := mean
+func (a *agent) expectedTime(now time.Time, meanUtilization, meanServiceTime float64) float64 {
+	load := a.status.Load
+	slots, age := float64(max(load.Slots, 1)), now.Sub(a.loadAt).Seconds()
+	utilization, serviceTime, waiting := meanUtilization, meanServiceTime, max(0, float64(load.InFlight)-slots)
 	if load.ReportsWait() {
-		utilization += (float64(load.Utilization)*loadUnit - mean) * a.utilizationWeight(now)
+		utilization += (float64(load.Utilization)*utilizationUnit - meanUtilization) * a.utilizationWeight(now)
+		serviceTime, waiting = float64(load.ServiceTime)*serviceTimeUnit, float64(load.Waiting)
 	}
-	waiting := float64(load.Waiting)
-	if !load.ReportsWait() {
-		waiting = max(0, float64(load.InFlight)-slots)
-	}
-	if load.InFlight >= load.Slots {
+	if a.full || load.InFlight >= load.Slots {
 		// The next request waits until the first of the slots is free.
 		waiting++
 	}
-	current := math.Exp(-now.Sub(a.loadAt).Seconds() / serviceTime)
+	current := math.Exp(-age / serviceTime)
 	wait := current*waiting*serviceTime/slots + (1-current)*usualWait(utilization, slots, serviceTime)
-	return wait + serviceTime + a.workAfter(now)*serviceTime/slots
+	return wait + serviceTime + a.workAfter(now, serviceTime)*serviceTime/slots
 }
 
 // usualWait returns the mean wait for a slot at a copy with exponential service times, by Sakasegawa's approximation for
@@ -154,24 +150,32 @@
 func usualWait(utilization, slots, serviceTime float64) float64 {
 	u := min(utilization, maxUtilization)
 	exponent := math.Sqrt(2*(slots+1)) - 1
-	wait := serviceTime / slots * math.Pow(u, exponent) / (1 - u)
+	wait := math.Pow(u, exponent) / (1 - u)
 	if utilization > maxUtilization {
-		wait += serviceTime / slots * (utilization - maxUtilization) / ((1 - u) * (1 - u))
+		wait += (utilization - maxUtilization) / ((1 - u) * (1 - u))
 	}
-	return wait
+	return wait * serviceTime / slots
 }
 
-// workAfter returns how much of the work of the flows sent to the agent is expected to be left.
-func (a *agent) workAfter(now time.Time) float64 {
+// workAfter returns how many of the requests of the flows sent to the agent are expected to be left.
+func (a *agent) workAfter(now time.Time, serviceTime float64) float64 {
 	if a.work == 0 {
 		return 0
 	}
-	return a.work * math.Exp(-now.Sub(a.workAt).Seconds()/(a.serviceTime()+openingTime))
+	return a.work * math.Exp(-now.Sub(a.workAt).Seconds()/(serviceTime+openingTime))
 }
 
-// recordSent records that a new flow was sent to the agent. Reports don't clear it: the agent's answer that it takes the
-// flow comes before the flow's request, and the utilization shows the request only some time later.
-func (a *agent) recordSent(now time.Time) { a.work, a.workAt = a.workAfter(now)+1, now }
+// recordSent records that a new flow was sent to the agent, and recordReturned that the agent has refused one. Reports
+// don't clear this: the agent's answer that it takes the flow comes before the flow's request, and the utilization shows
+// the request only some time later.
+func (a *agent) recordSent(now time.Time) { a.addWork(now, 1) }
+
+func (a *agent) recordReturned(now time.Time) { a.addWork(now, -1) }
 
-// recordReturned records that the agent has refused a flow.
-func (a *agent) recordReturned(now time.Time) { a.work, a.workAt = max(0, a.workAfter(now)-1), now }
+func (a *agent) addWork(now time.Time, requests float64) {
+	serviceTime := assumedServiceTime
+	if load := a.status.Load; load.ReportsWait() {
+		serviceTime = float64(load.ServiceTime) * serviceTimeUnit
+	}
+	a.work, a.workAt = max(0, a.workAfter(now, serviceTime)+requests), now
+}
