--- a/internal/lentilframe/frame_test.go
+++ b/internal/lentilframe/frame_test.go
@@ -22,6 +22,13 @@
 	drawLoad = rapid.Custom(func(t *rapid.T) lentilflow.Load {
 		return lentilflow.Load{Flows: rapid.Uint32().Draw(t, "flows"), InFlight: rapid.Uint16().Draw(t, "busy"), Slots: rapid.Uint16().Draw(t, "slots")}
 	})
+	drawLoadWithWait = rapid.Custom(func(t *rapid.T) lentilflow.Load {
+		load := drawLoad.Draw(t, "load")
+		if load.ServiceTime = rapid.Uint16().Draw(t, "service time"); load.ReportsWait() {
+			load.Utilization, load.Waiting = rapid.Uint16().Draw(t, "utilization"), rapid.Uint16().Draw(t, "waiting")
+		}
+		return load
+	})
 	drawTerms = rapid.Custom(func(t *rapid.T) lentilflow.Terms {
 		return lentilflow.Terms{Target: time.Duration(rapid.Uint32().Draw(t, "target")) * time.Millisecond,
 			Priority: rapid.Uint8().Draw(t, "priority"), Repeatable: rapid.Bool().Draw(t, "repeatable")}
@@ -66,15 +73,15 @@
 		"carry": func(t *rapid.T) {
 			m := lentilflow.Carry{Purpose: lentilflow.Purpose(rapid.IntRange(0, 2).Draw(t, "purpose")), Service: drawName.Draw(t, "service"),
 				Version: rapid.Uint64().Draw(t, "version"), ColdRate: float32(rapid.IntRange(0, 1000).Draw(t, "rate")), Packet: drawPacket.Draw(t, "packet"),
-				Terms: drawTerms.Draw(t, "terms"), Age: time.Duration(rapid.Uint16().Draw(t, "age")) * time.Millisecond, MayWait: rapid.Bool().Draw(t, "wait"), LastResort: rapid.Bool().Draw(t, "last")}
+				Terms: drawTerms.Draw(t, "terms"), Age: time.Duration(rapid.Uint16().Draw(t, "age")) * time.Millisecond, MayWait: rapid.Bool().Draw(t, "wait"), MayQueue: rapid.Bool().Draw(t, "queue"), LastResort: rapid.Bool().Draw(t, "last")}
 			checkRoundTrip(t, m, AppendCarry, ParseCarry, true)
 		},
 		"taken": func(t *rapid.T) {
-			m := lentilflow.Taken{Key: drawKey.Draw(t, "key"), Open: rapid.Bool().Draw(t, "open"), Load: drawLoad.Draw(t, "load")}
+			m := lentilflow.Taken{Key: drawKey.Draw(t, "key"), Open: rapid.Bool().Draw(t, "open"), Load: drawLoadWithWait.Draw(t, "load")}
 			checkRoundTrip(t, m, AppendTaken, ParseTaken, false)
 		},
 		"refused": func(t *rapid.T) {
-			m := lentilflow.Refused{Reason: lentilflow.Refusal(rapid.IntRange(1, 10).Draw(t, "reason")), Load: drawLoad.Draw(t, "load"), Packet: drawPacket.Draw(t, "packet")}
+			m := lentilflow.Refused{Reason: lentilflow.Refusal(rapid.IntRange(1, 10).Draw(t, "reason")), Load: drawLoadWithWait.Draw(t, "load"), Packet: drawPacket.Draw(t, "packet")}
 			checkRoundTrip(t, m, AppendRefused, ParseRefused, true)
 		},
 		"denied": func(t *rapid.T) {
@@ -88,14 +95,14 @@
 				RunID: rapid.Uint64().Draw(t, "run"), Sequence: rapid.Uint64().Draw(t, "number"), Phase: lentilflow.Phase(rapid.IntRange(0, 3).Draw(t, "phase")),
 				Cold: rapid.Bool().Draw(t, "cold"), Out: rapid.Bool().Draw(t, "out"), Stopping: rapid.Bool().Draw(t, "stopping"), UpstreamEnded: rapid.Bool().Draw(t, "ended"), UnderstandsTerms: rapid.Bool().Draw(t, "terms"),
 				UnderstandsEra:     rapid.Bool().Draw(t, "understands era"),
-				ConfiguredBalancer: lentilflow.NewEndpoint([4]byte{10, 0, 0, 1}, rapid.Uint16().Draw(t, "configured")), Load: drawLoad.Draw(t, "load"),
+				ConfiguredBalancer: lentilflow.NewEndpoint([4]byte{10, 0, 0, 1}, rapid.Uint16().Draw(t, "configured")), Load: drawLoadWithWait.Draw(t, "load"),
 				Interval: time.Duration(rapid.Uint32().Draw(t, "interval")) * time.Millisecond, BalancerCount: rapid.Uint16().Draw(t, "balancers"), Store: drawStoreState.Draw(t, "knowledge")}
 			checkRoundTrip(t, m, AppendStatus, ParseStatus, false)
 		},
 		"hello": func(t *rapid.T) {
 			m := lentilflow.Hello{Name: drawName.Draw(t, "name"), Domain: drawName.Draw(t, "domain"), RunID: rapid.Uint64().Draw(t, "run"),
 				Stopping: rapid.Bool().Draw(t, "stopping"), UnderstandsEra: rapid.Bool().Draw(t, "understands era"),
-				Configured: rapid.Bool().Draw(t, "configured"), Relays: rapid.Bool().Draw(t, "relays"), Store: drawStoreState.Draw(t, "knowledge"),
+				Configured: rapid.Bool().Draw(t, "configured"), Relays: rapid.Bool().Draw(t, "relays"), UnderstandsWait: rapid.Bool().Draw(t, "understands wait"), Store: drawStoreState.Draw(t, "knowledge"),
 				DomainState: lentilflow.DomainState{AsOf: rapid.Uint64Min(1).Draw(t, "as of"), Out: rapid.Bool().Draw(t, "out")}}
 			checkRoundTrip(t, m, AppendHello, ParseHello, false)
 		},
@@ -147,3 +154,29 @@
 		t.Errorf("the era takes %d bytes, want %d", got, eraSize)
 	}
 }
+
+// TestLoadsOfEarlierReleases checks that loads without the fields for expected waits, as processes of earlier releases send
+// and accept them, take the same bytes as there: the kind's own byte has no further flag, and nothing follows the load.
+func TestLoadsOfEarlierReleases(t *testing.T) {
+	load := lentilflow.Load{Flows: 1, InFlight: 2, Slots: 3}
+	loadBytes := []byte{0, 0, 0, 1, 0, 2, 0, 3}
+	key := make([]byte, 12)
+	for name, c := range map[string]struct{ got, want []byte }{
+		"taken":   {AppendTaken(nil, lentilflow.Taken{Open: true, Load: load}), append(append([]byte{magic, byte(Taken)}, key...), append([]byte{1}, loadBytes...)...)},
+		"refused": {AppendRefused(nil, lentilflow.Refused{Reason: lentilflow.UpstreamBusy, Load: load, Packet: []byte{9}}), append(append([]byte{magic, byte(Refused), byte(lentilflow.UpstreamBusy)}, loadBytes...), 9)},
+	} {
+		if !bytes.Equal(c.got, c.want) {
+			t.Errorf("%s: got % x, want % x", name, c.got, c.want)
+		}
+	}
+	const waitSize = 6
+	with := load
+	with.ServiceTime = 300
+	without := AppendStatus(nil, lentilflow.Status{Phase: lentilflow.Ready, Load: load})
+	if got := len(AppendStatus(nil, lentilflow.Status{Phase: lentilflow.Ready, Load: with})) - len(without); got != waitSize {
+		t.Errorf("the fields take %d bytes in a status, want %d", got, waitSize)
+	}
+	if status, err := ParseStatus(without); err != nil || status.Load != load || status.Load.ReportsWait() {
+		t.Errorf("Status: %+v, %v", status, err)
+	}
+}
--- a/internal/lentilpacket/balancer.go
+++ b/internal/lentilpacket/balancer.go
@@ -123,6 +123,9 @@
 	b.pollSchedule.Random = rand.Float64
 	b.prepareReaders()
 	b.placer.Codec, b.placer.Random, b.placer.Domain = b.Codec, rand.Float64, b.Settings.Domain()
+	if b.Settings.ByExpectedWait() {
+		b.placer.ChooseBy = lentilplacement.ByExpectedWait
+	}
 	if b.ingressConn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(b.Settings.IngressAddress())); err != nil {
 		return err
 	}
@@ -261,7 +264,7 @@
 // hello returns the Hello for an agent.
 func (b *Balancer) hello(state lentilflow.StoreState, agent lentilflow.Endpoint) (m lentilflow.Hello) {
 	m = lentilflow.Hello{
-		Name: b.Settings.Name(), Domain: b.Settings.Domain(), RunID: b.runID, Stopping: b.leaving, UnderstandsEra: true, Relays: true,
+		Name: b.Settings.Name(), Domain: b.Settings.Domain(), RunID: b.runID, Stopping: b.leaving, UnderstandsEra: true, Relays: true, UnderstandsWait: true,
 		Configured: b.placer.Version() != 0 && !b.stopping, Store: state,
 	}
 	if out, known := b.placer.DomainOutOf(agent); known && b.domainsAsOf.Era == state.Era {
--- a/internal/lentilpacketmodel/upstream.go
+++ b/internal/lentilpacketmodel/upstream.go
@@ -180,10 +180,7 @@
 
 // serviceTime returns how long the upstream works on a request, which is longer while it is cold.
 func (u *upstream) serviceTime() time.Duration {
-	duration := float64(u.sim.Setup.ServiceTime)
-	if speeds := u.sim.Setup.Speeds; len(speeds) > 0 {
-		duration /= speeds[slices.Index(u.sim.agents, u.agent)%len(speeds)]
-	}
+	duration := float64(u.sim.Setup.ServiceTime) / u.speed()
 	if u.sim.Setup.ExponentialServiceTime {
 		duration *= u.sim.Random.ExpFloat64()
 	}
@@ -194,6 +191,15 @@
 	return time.Duration(duration)
 }
 
+// speed returns how many times faster than usual the upstream works.
+func (u *upstream) speed() float64 {
+	speeds := u.sim.Setup.Speeds
+	if len(speeds) == 0 {
+		return 1
+	}
+	return speeds[slices.Index(u.sim.agents, u.agent)%len(speeds)]
+}
+
 // sendToAgent sends a packet to the agent.
 func (u *upstream) sendToAgent(packet lentilflow.Packet) {
 	data, a := encodePacket(packet), u.agent
--- a/internal/lentilsetting/check.go
+++ b/internal/lentilsetting/check.go
@@ -121,10 +121,15 @@
 	handOffOff = "off"
 )
 
-func checkHandOff(c *errorCollector, path string, value any) {
-	s, ok := stringValue(c, path, value)
-	if ok && s != handOffOn && s != handOffOff {
-		c.add(NotAllowed, path, "%q is neither on nor off", s)
+var checkHandOff = checkOneOf(handOffOn, handOffOff)
+
+// checkOneOf returns a check for a string that must have one of two values.
+func checkOneOf(first, second string) func(c *errorCollector, path string, value any) {
+	return func(c *errorCollector, path string, value any) {
+		s, ok := stringValue(c, path, value)
+		if ok && s != first && s != second {
+			c.add(NotAllowed, path, "%q is neither %s nor %s", s, first, second)
+		}
 	}
 }
 
--- a/internal/lentilsetting/packet.go
+++ b/internal/lentilsetting/packet.go
@@ -23,37 +23,67 @@
 
 // PacketBalancerDoc is the JSON form of the settings of a balancer of packet flows.
 type PacketBalancerDoc struct {
-	Name           string `json:"name"`
-	Domain         string `json:"domain"`
-	IngressAddress string `json:"ingressAddress"`
-	PeerAddress    string `json:"peerAddress"`
-	AdminAddress   string `json:"adminAddress"`
-	MetricsAddress string `json:"metricsAddress,omitempty"`
-	StoreAddress   string `json:"storeAddress"`
-	StopGrace      string `json:"stopGrace,omitempty"`
-	FlowLife       string `json:"flowLife,omitempty"`
-	Log            LogDoc `json:"log,omitzero"`
+	Name           string       `json:"name"`
+	Domain         string       `json:"domain"`
+	IngressAddress string       `json:"ingressAddress"`
+	PeerAddress    string       `json:"peerAddress"`
+	AdminAddress   string       `json:"adminAddress"`
+	MetricsAddress string       `json:"metricsAddress,omitempty"`
+	StoreAddress   string       `json:"storeAddress"`
+	StopGrace      string       `json:"stopGrace,omitempty"`
+	FlowLife       string       `json:"flowLife,omitempty"`
+	Placement      PlacementDoc `json:"placement,omitzero"`
+	Log            LogDoc       `json:"log,omitzero"`
+}
+
+// PlacementDoc is the JSON form of how a balancer chooses agents for new flows.
+type PlacementDoc struct {
+	By string `json:"by,omitempty"`
+}
+
+// QueueDoc is the JSON form of how an agent orders waiting flows.
+type QueueDoc struct {
+	Turns string `json:"turns,omitempty"`
+}
+
+// The allowed values of placement.by and of queue.turns.
+const (
+	placementByLoad         = "load"
+	placementByExpectedWait = "expectedWait"
+	queueTurnsArrival       = "arrival"
+	queueTurnsCaller        = "caller"
+)
+
+var placementFields = []field{
+	{name: "by", description: "What agents are compared by for a new flow: \"load\", their flows and requests per slot, or \"expectedWait\", the time that a request is expected to take there. See docs/operating/scarce-capacity-placement.md.",
+		example: `"expectedWait"`, defaultText: `"load"`, check: checkOneOf(placementByLoad, placementByExpectedWait)},
+}
+
+var queueFields = []field{
+	{name: "turns", description: "In which order waiting flows of the same urgency open: \"arrival\", or \"caller\", which is fair between the IP addresses of clients. See docs/operating/scarce-capacity-placement.md.",
+		example: `"caller"`, defaultText: `"arrival"`, check: checkOneOf(queueTurnsArrival, queueTurnsCaller)},
 }
 
 // PacketAgentDoc is the JSON form of the settings of an agent of packet flows.
 type PacketAgentDoc struct {
-	Name                string  `json:"name"`
-	Domain              string  `json:"domain"`
-	Service             string  `json:"service"`
-	PeerAddress         string  `json:"peerAddress"`
-	AdminAddress        string  `json:"adminAddress"`
-	MetricsAddress      string  `json:"metricsAddress,omitempty"`
-	StoreAddress        string  `json:"storeAddress"`
-	UpstreamAddress     string  `json:"upstreamAddress"`
-	OutboundAddress     string  `json:"outboundAddress"`
-	RegistrationAddress string  `json:"registrationAddress"`
-	ClientPort          string  `json:"clientPort"`
-	FirstStart          bool    `json:"firstStart,omitempty"`
-	RenewInterval       string  `json:"renewInterval,omitempty"`
-	StopGrace           string  `json:"stopGrace,omitempty"`
-	FlowLife            string  `json:"flowLife,omitempty"`
-	Cold                ColdDoc `json:"cold,omitzero"`
-	Log                 LogDoc  `json:"log,omitzero"`
+	Name                string   `json:"name"`
+	Domain              string   `json:"domain"`
+	Service             string   `json:"service"`
+	PeerAddress         string   `json:"peerAddress"`
+	AdminAddress        string   `json:"adminAddress"`
+	MetricsAddress      string   `json:"metricsAddress,omitempty"`
+	StoreAddress        string   `json:"storeAddress"`
+	UpstreamAddress     string   `json:"upstreamAddress"`
+	OutboundAddress     string   `json:"outboundAddress"`
+	RegistrationAddress string   `json:"registrationAddress"`
+	ClientPort          string   `json:"clientPort"`
+	FirstStart          bool     `json:"firstStart,omitempty"`
+	RenewInterval       string   `json:"renewInterval,omitempty"`
+	StopGrace           string   `json:"stopGrace,omitempty"`
+	FlowLife            string   `json:"flowLife,omitempty"`
+	Cold                ColdDoc  `json:"cold,omitzero"`
+	Queue               QueueDoc `json:"queue,omitzero"`
+	Log                 LogDoc   `json:"log,omitzero"`
 }
 
 // ColdDoc is the JSON form of the limit on new flows per second of a cold upstream: its
@@ -94,6 +124,7 @@
 	{name: "stopGrace", description: "How long the balancer keeps forwarding during a graceful stop. Choose a longer time than the fabric needs to detect that the balancer isn't ready.",
 		example: `"4s"`, defaultText: `"4s"`, check: checkDuration},
 	flowIdleTimeoutField,
+	{name: "placement", description: "How agents are chosen for new flows.", example: `{"by": "expectedWait"}`, defaultText: `{"by": "load"}`, members: placementFields},
 	logField,
 }
 
@@ -120,6 +151,7 @@
 	{name: "stopGrace", description: "How long a graceful stop may take.", example: `"4s"`, defaultText: `"4s"`, check: checkDuration},
 	flowIdleTimeoutField,
 	{name: "cold", description: "Limit on the new flows per second of cold upstreams.", example: `{"factor": 1.5, "slack": 5}`, defaultText: `{"factor": 1, "slack": 1}`, members: coldFields},
+	{name: "queue", description: "How new flows wait for room at the upstream.", example: `{"turns": "caller"}`, defaultText: `{"turns": "arrival"}`, members: queueFields},
 	logField,
 }
 
@@ -209,12 +241,16 @@
 // PacketBalancer holds the validated settings of a balancer of packet flows.
 type PacketBalancer struct {
 	commonPacketSettings
-	ingress netip.AddrPort
+	ingress        netip.AddrPort
+	byExpectedWait bool
 }
 
 // IngressAddress returns the address and UDP port at which clients' packets arrive.
 func (p PacketBalancer) IngressAddress() netip.AddrPort { return p.ingress }
 
+// ByExpectedWait reports whether agents are compared by the time that a request is expected to take there.
+func (p PacketBalancer) ByExpectedWait() bool { return p.byExpectedWait }
+
 // PacketAgent holds the validated settings of an agent of packet flows.
 type PacketAgent struct {
 	commonPacketSettings
@@ -227,6 +263,7 @@
 	renewInterval time.Duration
 	coldFactor    float64
 	coldSlack     float64
+	fairQueue     bool
 }
 
 // Service returns the name of the service that the upstream belongs to.
@@ -256,6 +293,9 @@
 // ColdSlack returns the number of new flows per second that a cold upstream may get on top of that.
 func (p PacketAgent) ColdSlack() float64 { return p.coldSlack }
 
+// FairQueue reports whether waiting flows of the same urgency open in an order that is fair between callers.
+func (p PacketAgent) FairQueue() bool { return p.fairQueue }
+
 // PacketBalancer reads the settings of a balancer of packet flows. It returns a *ValidationError
 // if they are invalid.
 func (l Loader) PacketBalancer(file string) (settings PacketBalancer, err error) {
@@ -271,7 +311,7 @@
 	return PacketBalancer{
 		commonPacketSettings: newCommonPacketSettings(doc.Name, doc.Domain, doc.PeerAddress, doc.AdminAddress, doc.MetricsAddress, doc.StoreAddress,
 			doc.StopGrace, doc.FlowLife, doc.Log),
-		ingress: netip.MustParseAddrPort(doc.IngressAddress),
+		ingress: netip.MustParseAddrPort(doc.IngressAddress), byExpectedWait: doc.Placement.By == placementByExpectedWait,
 	}, nil
 }
 
@@ -301,6 +341,7 @@
 		renewInterval: durationOrDefault(doc.RenewInterval, 0),
 		coldFactor:    factorOrDefault(doc.Cold.Factor),
 		coldSlack:     factorOrDefault(doc.Cold.Slack),
+		fairQueue:     doc.Queue.Turns == queueTurnsCaller,
 	}, nil
 }
 
--- a/internal/lentilsetting/setting_test.go
+++ b/internal/lentilsetting/setting_test.go
@@ -69,11 +69,11 @@
 		return fmt.Sprintf("copy %s of %s\nupstream %s\nbalancers %s\ncertificate %s key %s\ndrain limit %s hand-off %t\n%s",
 			s.Copy(), s.Service(), s.Upstream(), s.Balancers(), s.CertificateFile(), s.KeyFile(), s.DrainLimit(), s.HandOff(), describeCommon(s.commonSettings))
 	case PacketBalancer:
-		return fmt.Sprintf("ingress %s\n%s", s.IngressAddress(), describePacket(s.commonPacketSettings))
+		return fmt.Sprintf("ingress %s by expected wait %t\n%s", s.IngressAddress(), s.ByExpectedWait(), describePacket(s.commonPacketSettings))
 	case PacketAgent:
-		return fmt.Sprintf("service %s upstream %s outbound %s registration %s\nclient port %d first start %t renewal %s cold %g + %g\n%s",
+		return fmt.Sprintf("service %s upstream %s outbound %s registration %s\nclient port %d first start %t renewal %s cold %g + %g fair queue %t\n%s",
 			s.Service(), s.UpstreamAddress(), s.OutboundAddress(), s.RegistrationAddress(), s.ClientPort(), s.FirstStart(), s.RenewInterval(),
-			s.ColdFactor(), s.ColdSlack(), describePacket(s.commonPacketSettings))
+			s.ColdFactor(), s.ColdSlack(), s.FairQueue(), describePacket(s.commonPacketSettings))
 	}
 	return "no settings\n"
 }
--- a/pkg/lentilconntrack/meter.go
+++ b/pkg/lentilconntrack/meter.go
@@ -14,7 +14,7 @@
 	utilizationWindow = 4 * time.Second
 	// serviceTimeWeight is the weight of a new measurement in the mean service time. At the usual 30 requests a second of
 	// a copy with two slots, this covers about two seconds.
-	serviceTimeWeight = 1.0 / 64
+	serviceTimeWeight = 1.0 / 128
 	// minMeasurements is the number of measurements from which the mean service time is reported. Fewer of them would make
 	// copies of the same speed look up to several times faster than others.
 	minMeasurements = 32
--- a/pkg/lentilconntrack/route.go
+++ b/pkg/lentilconntrack/route.go
@@ -90,8 +90,7 @@
 }
 
 // routesOccupancy returns the occupancy of all routes.
-func (t *Tracker) routesOccupancy() (slots float64) {
-	now := t.now()
+func (t *Tracker) routesOccupancy(now time.Time) (slots float64) {
 	for _, r := range t.routes {
 		r.advance(now)
 		slots += r.occupancy(t.meter.serviceTime)
--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -163,7 +163,8 @@
 	load := lentilflow.Load{
 		Flows: uint32(max(0, t.openFlows+t.halfOpenFlows-t.idleFlows)), InFlight: uint16(t.requestsInFlight), Slots: uint16(slots),
 	}
-	t.meter.addTo(&load, t.queue.Ahead(t.requestsInFlight), t.routesOccupancy())
+	now := t.now()
+	t.meter.addTo(&load, t.queue.Ahead(t.requestsInFlight), t.routesOccupancy(now))
 	return load
 }
 
--- a/pkg/lentilplacement/wait.go
+++ b/pkg/lentilplacement/wait.go
@@ -85,7 +85,7 @@
 	total, least := 0.0, p.estimates[best].cost
 	for i := range p.estimates {
 		e := &p.estimates[i]
-		e.weight = drawWeight(least / e.cost)
+		e.weight = math.Pow(least/e.cost, drawExponent)
 		total += e.weight
 	}
 	draw := p.random() * total
@@ -97,13 +97,10 @@
 	return p.estimates[best].addr, p.estimates[best].a
 }
 
-// drawWeight returns the weight of an agent, given the least cost as a share of its own. The fourth power is a trade-off:
-// with the third, slow copies got so much that more requests were late; with the sixth, single copies got 1.5 times their
-// share of the flows.
-func drawWeight(share float64) float64 {
-	square := share * share
-	return square * math.Sqrt(share) * share
-}
+// drawExponent says how much more often faster agents are drawn. It is a trade-off: with 3, slow copies got so much that
+// the share of late requests at three speeds was hardly halved; with 4, fast copies got 1.34 of their share of the capacity,
+// and with 6 single ones 1.5 of it.
+const drawExponent = 3.5
 
 // mean is a weighted mean.
 type mean struct{ sum, weights float64 }
