Fair queueing between callers in the admission queue of agents

In the order of arrival, a caller with many flows takes the queue from all others. With the setting queue.turns "caller", flows of the same urgency open in an order that is fair between clients' IP addresses, the expected wait of a new flow counts only what this order serves before it, and a full queue takes the newest flow of the caller with most. LE2424 names the caller that holds the queue when a flow is refused; metrics queue_callers and queue_out_of_order. Default: as before.

--- a/internal/lentilevent/catalogue.go
+++ b/internal/lentilevent/catalogue.go
@@ -93,6 +93,8 @@
 		"out of service. This may be missing from the copy, so it counts for two more seconds.", []string{"domain", "era"}},
 	FlowRelayed: {Info, "packet relayed", "A balancer without a configuration passed a client's packet to one that has a configuration.",
 		[]string{"flow", "cause", "balancer"}},
+	QueueHeld: {Warn, "caller holds the queue", "A flow was refused because too many wait at the agent, whose queue is fair between callers. `caller` held most of the queue: `flows` of `waiting`. " +
+		"At most one line in a second.", []string{"flow", "caller", "flows", "waiting"}},
 	RegistrationRefused: {Warn, "registration rejected", "An upstream's registration is malformed or for another service, and was ignored.",
 		[]string{"id", "error"}},
 }
--- a/internal/lentilevent/event.go
+++ b/internal/lentilevent/event.go
@@ -122,6 +122,9 @@
 	FlowRelayed
 )
 
+// QueueHeld is numbered apart from the other events about packet flows, which are still being added to.
+const QueueHeld Event = 2424
+
 // Code returns the code under which the event is documented, such as LE2001.
 func (e Event) Code() string { return fmt.Sprintf("LE%d", uint16(e)) }
 
--- a/internal/lentilmetric/metric.go
+++ b/internal/lentilmetric/metric.go
@@ -52,6 +52,8 @@
 	FlowsRefused
 	PlacingTime
 	AnswerTime
+	QueueCallers
+	QueueOutOfOrder
 )
 
 type metricDoc struct {
@@ -85,6 +87,8 @@
 	PlacingTime:          {"placing_seconds", Histogram, "seconds", nil, "Time from the first packet of a flow that a balancer sends to an agent until the agent reports that it accepted the flow."},
 	AnswerTime:           {"answer_seconds", Histogram, "seconds", nil, "Time from the arrival of a request's data at an agent until the first data of the upstream's answer."},
 	FlowsReset:           {"flows_reset", Counter, "flows", nil, "Packet flows whose clients were sent a reset."},
+	QueueCallers:         {"queue_callers", Gauge, "callers", nil, "Client IP addresses with new flows that wait at an agent of packet flows. Zero unless its queue is fair between callers."},
+	QueueOutOfOrder:      {"queue_out_of_order", Counter, "flows", nil, "New flows that opened before an older one of the same urgency, because the queue is fair between callers."},
 	FlowsRefused:         {"flows_refused", Counter, "flows", nil, "First packets of flows that an agent returned to a balancer."},
 }
 
--- a/internal/lentilpacket/agent.go
+++ b/internal/lentilpacket/agent.go
@@ -109,6 +109,7 @@
 	a.tracker.Name, a.tracker.Domain, a.tracker.Service = a.Settings.Name(), a.Settings.Domain(), a.Settings.Service()
 	a.tracker.Address = lentilflow.EndpointOf(a.Settings.PeerAddress())
 	a.tracker.FlowsComplete, a.tracker.RenewInterval, a.tracker.IdleTimeout = a.Settings.FirstStart(), a.Settings.RenewInterval(), a.Settings.FlowIdleTimeout()
+	a.tracker.FairQueue = a.Settings.FairQueue()
 	a.tracker.ColdFactor, a.tracker.ColdSlack = a.Settings.ColdFactor(), a.Settings.ColdSlack()
 	defer func() {
 		if err != nil {
@@ -332,10 +333,12 @@
 			a.workers.Go(a.probeUpstream)
 		case lentilconntrack.Rediscover:
 			a.workers.Go(a.rediscover)
-		case lentilconntrack.ReportStateChange:
+		case lentilconntrack.ReportStateChange, lentilconntrack.ReportQueueShare:
 		}
 		a.logAction(action)
 	}
+	a.Counts.CallersWaiting.Store(uint64(a.tracker.CallersWaiting()))
+	a.Counts.ServedOutOfOrder.Store(a.tracker.ServedOutOfOrder())
 	if a.tracker.RunMarkerDue() {
 		select {
 		case a.markerDue <- struct{}{}:
--- a/internal/lentilpacket/count.go
+++ b/internal/lentilpacket/count.go
@@ -18,6 +18,10 @@
 	// Resets counts flows that were reset, and Refused first packets that an agent returned to the balancer.
 	Resets, Refused atomic.Uint64
 
+	// CallersWaiting is the number of callers with flows in the queue of an agent, and ServedOutOfOrder counts the flows that
+	// opened before an older one. They stay zero unless the queue is fair between callers.
+	CallersWaiting, ServedOutOfOrder atomic.Uint64
+
 	// The histograms are nil until Export is called.
 	placingTime, answerTime tally.Histogram
 }
@@ -42,4 +46,6 @@
 	poller.AddCounter(registry.Counter(lentilmetric.PacketsDropped, "unsent"), c.Unsent.Load, nil)
 	poller.AddCounter(registry.Counter(lentilmetric.FlowsReset), c.Resets.Load, nil)
 	poller.AddCounter(registry.Counter(lentilmetric.FlowsRefused), c.Refused.Load, nil)
+	poller.AddCounter(registry.Counter(lentilmetric.QueueOutOfOrder), c.ServedOutOfOrder.Load, nil)
+	poller.AddGauge(registry.Gauge(lentilmetric.QueueCallers), func() float64 { return float64(c.CallersWaiting.Load()) })
 }
--- a/internal/lentilpacket/log.go
+++ b/internal/lentilpacket/log.go
@@ -1,6 +1,7 @@
 package lentilpacket
 
 import (
+	"net/netip"
 	"time"
 
 	"lentilstair.example/lentilstair/internal/lentilevent"
@@ -91,6 +92,9 @@
 			lentilevent.Addr("balancer", action.To.AddrPort()), lentilevent.Bool("unsure", action.Unsure))
 	case lentilconntrack.ResetClient:
 		a.logLimiter.write(a.Logger, lentilevent.FlowReset, flow, cause)
+	case lentilconntrack.ReportQueueShare:
+		a.Logger.Write(lentilevent.QueueHeld, flow, lentilevent.Str("caller", netip.AddrFrom4(action.Share.Caller).String()),
+			lentilevent.Int("flows", action.Share.Flows), lentilevent.Int("waiting", action.Share.Waiting))
 	case lentilconntrack.ReportStateChange:
 		id, number := a.tracker.LastRegistration()
 		a.Logger.Write(lentilevent.UpstreamNoted, cause, lentilevent.Str("phase", a.tracker.Phase().String()),
--- a/internal/lentilpacketmodel/process.go
+++ b/internal/lentilpacketmodel/process.go
@@ -253,7 +253,7 @@
 			a.sim.sendDatagram(a.process, action.To, a.balancerHandler(func(b *balancer) { b.perform(b.placer.HandleStatus(a.endpoint, m, nil)) }))
 		case lentilconntrack.ProbeUpstream:
 			a.schedule(sameDomainDelay, a.probeUpstream)
-		case lentilconntrack.Rediscover, lentilconntrack.ReportStateChange:
+		case lentilconntrack.Rediscover, lentilconntrack.ReportStateChange, lentilconntrack.ReportQueueShare:
 		}
 	}
 }
--- a/pkg/lentilconntrack/action.go
+++ b/pkg/lentilconntrack/action.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lentilstair.example/lentilstair/pkg/lentilflow"
+	"lentilstair.example/lentilstair/pkg/lentilflowqueue"
 )
 
 //go:generate stringer -type=ActionKind,Cause -output=enum_string.go
@@ -34,6 +35,9 @@
 	Rediscover
 	// ProbeUpstream tries to connect to the upstream and passes the result to HandleProbeResult.
 	ProbeUpstream
+	// ReportQueueShare reports to the operators which caller held most of the queue, Share, when a flow was refused for want
+	// of room.
+	ReportQueueShare
 )
 
 // Cause is the reason why the agent resets flows or reports a state change.
@@ -89,6 +93,7 @@
 	To       lentilflow.Endpoint
 	Key      lentilflow.Key
 	Sequence uint32
+	Share    lentilflowqueue.Share
 	// ResponseTime is the time from a request to the first packet of its answer. It is set in the ToClient
 	// with that packet.
 	ResponseTime time.Duration
--- a/pkg/lentilconntrack/enum_string.go
+++ b/pkg/lentilconntrack/enum_string.go
@@ -18,11 +18,12 @@
 	_ = x[ReportStateChange-7]
 	_ = x[Rediscover-8]
 	_ = x[ProbeUpstream-9]
+	_ = x[ReportQueueShare-10]
 }
 
-const _ActionKind_name = "ToUpstreamToClientResetClientSendTakenSendRefusedSendDeniedSendStatusReportStateChangeRediscoverProbeUpstream"
+const _ActionKind_name = "ToUpstreamToClientResetClientSendTakenSendRefusedSendDeniedSendStatusReportStateChangeRediscoverProbeUpstreamReportQueueShare"
 
-var _ActionKind_index = [...]uint8{0, 10, 18, 29, 38, 49, 59, 69, 86, 96, 109}
+var _ActionKind_index = [...]uint8{0, 10, 18, 29, 38, 49, 59, 69, 86, 96, 109, 125}
 
 func (i ActionKind) String() string {
 	idx := int(i) - 0
--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -88,6 +88,8 @@
 	ColdFactor, ColdSlack float64
 	// MaxFlows bounds the flows in the table; zero is lentilflow.DefaultMaxFlows.
 	MaxFlows int
+	// FairQueue makes the queue of new flows fair between callers.
+	FairQueue bool
 	// IdleTimeout is how long an open flow without packets stays in the table; zero is
 	// lentilflow.DefaultIdleTimeout.
 	IdleTimeout time.Duration
@@ -171,6 +173,13 @@
 // slots returns the number of requests that the upstream processes at once.
 func (t *Tracker) slots() int { return cmp.Or(t.upstream.slots, defaultSlots) }
 
+// CallersWaiting returns the number of callers with waiting flows, if the queue is fair between callers.
+func (t *Tracker) CallersWaiting() int { return t.queue.CallersWaiting() }
+
+// ServedOutOfOrder returns the number of flows that opened before an older one of the same urgency, because the queue is
+// fair between callers.
+func (t *Tracker) ServedOutOfOrder() uint64 { return t.queue.ServedOutOfOrder() }
+
 // Phase returns the phase of the upstream.
 func (t *Tracker) Phase() lentilflow.Phase { return t.upstream.phase }
 
@@ -188,7 +197,7 @@
 	now = lentilclock.OrSystem(t.Clock).Now()
 	if t.startedAt.IsZero() {
 		t.startedAt = now
-		t.breaker.Clock, t.queue.Clock = t.Clock, t.Clock
+		t.breaker.Clock, t.queue.Clock, t.queue.Fair = t.Clock, t.Clock, t.FairQueue
 	}
 	return now
 }
@@ -223,6 +232,9 @@
 	}
 	t.removeFlow(packet.Key)
 	refusal, wait := t.admission(now, m, packet)
+	if share, ok := t.queue.TakeShare(); ok {
+		actions = append(actions, Action{Kind: ReportQueueShare, Key: packet.Key, Share: share})
+	}
 	if refusal != lentilflow.NotRefused {
 		return append(actions, Action{Kind: SendRefused, To: from, Key: packet.Key, Refusal: refusal, Packet: m.Packet})
 	}
--- a/pkg/lentilflowqueue/queue.go
+++ b/pkg/lentilflowqueue/queue.go
@@ -91,6 +91,8 @@
 	since    time.Time
 	prompt   time.Duration
 	priority uint8
+	// caller is set if the queue is fair between callers.
+	caller *caller
 }
 
 // overdue reports whether the flow has waited too long to meet its latency objective.
@@ -100,6 +102,8 @@
 type Queue struct {
 	// Clock is the source of time; nil is the system clock.
 	Clock lentilclock.Clock
+	// Fair makes the queue fair between callers. Otherwise flows of the same urgency are served in the order of arrival.
+	Fair bool
 
 	slots int
 	// waiting is in the order of arrival.
@@ -114,6 +118,18 @@
 	emptyAt   time.Time
 	sustained bool
 	refusedAt time.Time
+
+	// callers has the callers with waiting flows and those served lately.
+	callers        map[[4]byte]*caller
+	callersSweptAt time.Time
+	// callersWaiting is the number of callers with waiting flows.
+	callersWaiting int
+	// evicted has the flows that lost their place to a newcomer.
+	evicted []lentilflow.Key
+	// share is to be reported, and shareReportedAt is when one was recorded last.
+	share           *Share
+	shareReportedAt time.Time
+	outOfOrder      uint64
 }
 
 func (q *Queue) now() time.Time { return lentilclock.OrSystem(q.Clock).Now() }
@@ -160,17 +176,39 @@
 	}
 	prompt := time.Duration(float64(cmp.Or(o.Terms.Target, defaultTarget)) * promptShare)
 	newcomer := entry{key: o.Key, since: now.Add(-o.Age), prompt: prompt, priority: o.Terms.Priority}
+	if q.Fair {
+		newcomer.caller = q.caller(now, o.Key)
+	}
 	switch wait := o.Age + q.expectedWait(now, load, newcomer); {
 	case q.updateSustained(now) && wait > prompt:
 		q.refusedAt = now
+		q.recordRefused(now)
 		return Overloaded
-	case len(q.waiting) >= maxWaiting || wait > patience:
+	case wait > patience || len(q.waiting) >= maxWaiting && (!q.Fair || !q.evictFor(newcomer.caller)):
+		q.recordRefused(now)
 		return Full
 	}
+	if len(q.evicted) > 0 {
+		q.recordRefused(now)
+	}
 	q.waiting = append(q.waiting, newcomer)
+	q.countWaiting(newcomer, 1)
 	return Wait
 }
 
+// recordRefused records that a flow is refused for want of room.
+func (q *Queue) recordRefused(now time.Time) {
+	if q.Fair {
+		q.recordShare(now)
+	}
+}
+
+// removeAt removes a waiting flow.
+func (q *Queue) removeAt(index int) {
+	q.countWaiting(q.waiting[index], -1)
+	q.waiting = slices.Delete(q.waiting, index, index+1)
+}
+
 // openingSlack is by how many requests the load may exceed the slots so that a new flow's request will usually find a free
 // one. Opening the flow takes some 12 ms, in which about every other request of 30 ms ends.
 func (q *Queue) openingSlack() int { return max(1, q.slotCount()/2) }
@@ -194,6 +232,10 @@
 // expectedWait estimates how long a new flow would wait behind those that are served before it.
 func (q *Queue) expectedWait(now time.Time, load int, newcomer entry) time.Duration {
 	ahead := max(0, load-q.limit()) + 1
+	if q.Fair {
+		ahead += q.aheadFair(now, newcomer)
+		return time.Duration(ahead) * cmp.Or(q.serviceTime, initialServiceTime) / time.Duration(q.slotCount())
+	}
 	for _, e := range q.waiting {
 		if newcomer.overdue(now) || !e.overdue(now) && e.priority <= newcomer.priority {
 			ahead++
@@ -207,6 +249,9 @@
 		q.pending = make(map[lentilflow.Key]time.Time)
 	}
 	q.pending[key] = now
+	if q.Fair {
+		q.caller(now, key).recordServed(now)
+	}
 }
 
 // Next removes and returns the next flow to open, if the upstream has room for one.
@@ -220,13 +265,20 @@
 	}
 	next := q.first(now)
 	key = q.waiting[next].key
-	q.waiting = slices.Delete(q.waiting, next, next+1)
+	q.removeAt(next)
 	q.admit(now, key)
 	return key, true
 }
 
 // first returns the index of the flow to serve next and counts for overdueEvery.
 func (q *Queue) first(now time.Time) (index int) {
+	if q.Fair {
+		index = q.firstFair(now)
+		if q.overtakes(now, index) {
+			q.outOfOrder++
+		}
+		return index
+	}
 	if q.sinceOverdue++; q.sinceOverdue >= overdueEvery {
 		q.sinceOverdue = 0
 		return q.oldest()
@@ -254,33 +306,38 @@
 	return index
 }
 
-// Expire removes and returns the flows whose clients would give up before they open. In a sustained overload, it
-// also returns those that can't meet their objective any more.
+// Expire removes and returns the flows whose clients would give up before they open, and those that lost their place to a
+// flow of another caller. In a sustained overload, it also returns those that can't meet their objective any more.
 func (q *Queue) Expire() (keys []lentilflow.Key) {
 	now := q.now()
+	keys, q.evicted = q.evicted, nil
+	return append(keys, q.removeIf(func(e entry) bool { return now.Sub(e.since) > patience || q.sustained && e.overdue(now) })...)
+}
+
+// removeIf removes and returns the waiting flows for which remove is true.
+func (q *Queue) removeIf(remove func(e entry) bool) (keys []lentilflow.Key) {
 	q.waiting = slices.DeleteFunc(q.waiting, func(e entry) bool {
-		expired := now.Sub(e.since) > patience || q.sustained && e.overdue(now)
-		if expired {
+		removed := remove(e)
+		if removed {
 			keys = append(keys, e.key)
+			q.countWaiting(e, -1)
 		}
-		return expired
+		return removed
 	})
 	return keys
 }
 
 // Flush removes and returns all waiting flows.
 func (q *Queue) Flush() (keys []lentilflow.Key) {
-	for _, e := range q.waiting {
-		keys = append(keys, e.key)
-	}
-	q.waiting = nil
-	return keys
+	keys, q.evicted = q.evicted, nil
+	return append(keys, q.removeIf(func(entry) bool { return true })...)
 }
 
 // Remove forgets a flow: its request has arrived, or it has ended.
 func (q *Queue) Remove(key lentilflow.Key) {
 	delete(q.pending, key)
-	q.waiting = slices.DeleteFunc(q.waiting, func(e entry) bool { return e.key == key })
+	q.removeIf(func(e entry) bool { return e.key == key })
+	q.evicted = slices.DeleteFunc(q.evicted, func(k lentilflow.Key) bool { return k == key })
 }
 
 // RecordResponse records how long a request took at the upstream, of which it had the given number when the
