--- a/pkg/lentilplacement/wait.go
+++ b/pkg/lentilplacement/wait.go
@@ -33,8 +33,9 @@
 	utilizationTTL = 3 * time.Second
 	// defaultUtilization is assumed if no candidate has reported its utilization lately.
 	defaultUtilization = 0.5
-	// maxUtilization is where the estimated wait, which would grow without limit, goes on as a straight line.
-	maxUtilization = 0.95
+	// maxUtilization is where the estimated wait, which would grow without limit, goes on as a straight line. With 0.95, chance
+	// differences between well used copies decided: at a load of .82, .005 of the requests were late instead of .001.
+	maxUtilization = 0.85
 	// utilizationUnit is the unit of lentilflow.Load.Utilization, and serviceTimeUnit that of ServiceTime, in seconds.
 	utilizationUnit = 0.01
 	serviceTimeUnit = 0.0001
