--- a/internal/lentilevent/event.go
+++ b/internal/lentilevent/event.go
@@ -122,6 +122,7 @@
 	FlowRelayed
 	LinkFull
 	LinkFree
+	QueueHeld
 )
 
 // Code returns the code under which the event is documented, such as LE2001.
--- a/internal/lentilevent/event_string.go
+++ b/internal/lentilevent/event_string.go
@@ -61,6 +61,7 @@
 	_ = x[FlowRelayed-2421]
 	_ = x[LinkFull-2422]
 	_ = x[LinkFree-2423]
+	_ = x[QueueHeld-2424]
 }
 
 const (
@@ -68,7 +69,7 @@
 	_Event_name_1 = "PacketRefusedTunnelRefusedPlaceRefusedServiceMismatchSocketFailed"
 	_Event_name_2 = "ConfigurationInForceConfigurationRefusedPlatformDownPlatformBackDomainOutDomainBackControlFailedCopyUnlisted"
 	_Event_name_3 = "CopyWarmingCopyReadyCopyColdCopyDrainingOutcomeUnknown"
-	_Event_name_4 = "FlowPlacedFlowSoughtFlowTakenFlowOpenFlowRefusedFlowDeniedFlowResetFlowDroppedAgentNotedUpstreamNotedPeersReadStoreLostStoreRegainedRegistrationRefusedPeerForgottenFlowHeldStoreReturnedStoreEraIgnoredEntryRenewedDomainKeptOutFlowRelayedLinkFullLinkFree"
+	_Event_name_4 = "FlowPlacedFlowSoughtFlowTakenFlowOpenFlowRefusedFlowDeniedFlowResetFlowDroppedAgentNotedUpstreamNotedPeersReadStoreLostStoreRegainedRegistrationRefusedPeerForgottenFlowHeldStoreReturnedStoreEraIgnoredEntryRenewedDomainKeptOutFlowRelayedLinkFullLinkFreeQueueHeld"
 )
 
 var (
@@ -76,7 +77,7 @@
 	_Event_index_1 = [...]uint8{0, 13, 26, 38, 53, 65}
 	_Event_index_2 = [...]uint8{0, 20, 40, 52, 64, 73, 83, 96, 108}
 	_Event_index_3 = [...]uint8{0, 11, 20, 28, 40, 54}
-	_Event_index_4 = [...]uint8{0, 10, 20, 29, 37, 48, 58, 67, 78, 88, 101, 110, 119, 132, 151, 164, 172, 185, 200, 212, 225, 236, 244, 252}
+	_Event_index_4 = [...]uint16{0, 10, 20, 29, 37, 48, 58, 67, 78, 88, 101, 110, 119, 132, 151, 164, 172, 185, 200, 212, 225, 236, 244, 252, 261}
 )
 
 func (i Event) String() string {
@@ -93,7 +94,7 @@
 	case 2301 <= i && i <= 2305:
 		i -= 2301
 		return _Event_name_3[_Event_index_3[i]:_Event_index_3[i+1]]
-	case 2401 <= i && i <= 2423:
+	case 2401 <= i && i <= 2424:
 		i -= 2401
 		return _Event_name_4[_Event_index_4[i]:_Event_index_4[i+1]]
 	default:
--- a/internal/lentilpacket/count.go
+++ b/internal/lentilpacket/count.go
@@ -20,6 +20,9 @@
 
 	// Link counts what waits for the balancer's link; nil if the link isn't limited.
 	Link *LinkCounts
+	// CallersWaiting is the number of callers with flows in the queue of an agent, and ServedOutOfOrder counts the flows that
+	// opened before an older one. They stay zero unless the queue is fair between callers.
+	CallersWaiting, ServedOutOfOrder atomic.Uint64
 
 	// The histograms are nil until Export is called.
 	placingTime, answerTime tally.Histogram
@@ -48,4 +51,6 @@
 	if c.Link != nil {
 		c.Link.export(registry, poller)
 	}
+	poller.AddCounter(registry.Counter(lentilmetric.QueueOutOfOrder), c.ServedOutOfOrder.Load, nil)
+	poller.AddGauge(registry.Gauge(lentilmetric.QueueCallers), func() float64 { return float64(c.CallersWaiting.Load()) })
 }
--- a/internal/lentilsetting/packet.go
+++ b/internal/lentilsetting/packet.go
@@ -27,17 +27,18 @@
 
 // PacketBalancerDoc is the JSON form of the settings of a balancer of packet flows.
 type PacketBalancerDoc struct {
-	Name           string  `json:"name"`
-	Domain         string  `json:"domain"`
-	IngressAddress string  `json:"ingressAddress"`
-	PeerAddress    string  `json:"peerAddress"`
-	AdminAddress   string  `json:"adminAddress"`
-	MetricsAddress string  `json:"metricsAddress,omitempty"`
-	StoreAddress   string  `json:"storeAddress"`
-	StopGrace      string  `json:"stopGrace,omitempty"`
-	FlowLife       string  `json:"flowLife,omitempty"`
-	Link           LinkDoc `json:"link,omitzero"`
-	Log            LogDoc  `json:"log,omitzero"`
+	Name           string       `json:"name"`
+	Domain         string       `json:"domain"`
+	IngressAddress string       `json:"ingressAddress"`
+	PeerAddress    string       `json:"peerAddress"`
+	AdminAddress   string       `json:"adminAddress"`
+	MetricsAddress string       `json:"metricsAddress,omitempty"`
+	StoreAddress   string       `json:"storeAddress"`
+	StopGrace      string       `json:"stopGrace,omitempty"`
+	FlowLife       string       `json:"flowLife,omitempty"`
+	Link           LinkDoc      `json:"link,omitzero"`
+	Placement      PlacementDoc `json:"placement,omitzero"`
+	Log            LogDoc       `json:"log,omitzero"`
 }
 
 // LinkDoc is the JSON form of the link of a balancer.
@@ -45,6 +46,34 @@
 	MegabitsPerSecond json.Number `json:"megabitsPerSecond,omitempty"`
 }
 
+// PlacementDoc is the JSON form of how a balancer chooses agents for new flows.
+type PlacementDoc struct {
+	By string `json:"by,omitempty"`
+}
+
+// QueueDoc is the JSON form of how an agent orders waiting flows.
+type QueueDoc struct {
+	Turns string `json:"turns,omitempty"`
+}
+
+// The allowed values of placement.by and of queue.turns.
+const (
+	placementByLoad         = "load"
+	placementByExpectedWait = "expectedWait"
+	queueTurnsArrival       = "arrival"
+	queueTurnsCaller        = "caller"
+)
+
+var placementFields = []field{
+	{name: "by", description: "What agents are compared by for a new flow: \"load\", their flows and requests per slot, or \"expectedWait\", the time that a request is expected to take there. See docs/operating/scarce-capacity-placement.md.",
+		example: `"expectedWait"`, defaultText: `"load"`, check: checkOneOf(placementByLoad, placementByExpectedWait)},
+}
+
+var queueFields = []field{
+	{name: "turns", description: "In which order waiting flows of the same urgency open: \"arrival\", or \"caller\", which is fair between the IP addresses of clients. See docs/operating/scarce-capacity-placement.md.",
+		example: `"caller"`, defaultText: `"arrival"`, check: checkOneOf(queueTurnsArrival, queueTurnsCaller)},
+}
+
 // PacketAgentDoc is the JSON form of the settings of an agent of packet flows.
 type PacketAgentDoc struct {
 	Name                string  `json:"name"`
@@ -65,6 +94,7 @@
 	Cold                ColdDoc `json:"cold,omitzero"`
 	// Ledger is about the list of flows that the agent keeps in the store.
 	Ledger PacketLedgerDoc `json:"ledger,omitzero"`
+	Queue  QueueDoc        `json:"queue,omitzero"`
 	Log    LogDoc          `json:"log,omitzero"`
 }
 
@@ -122,6 +152,7 @@
 	flowIdleTimeoutField,
 	{name: "link", description: "The VM's link. If its rate is set, the balancer queues what the link can't take yet, sends it in turns between callers and first packets first. See docs/operating/scarce-capacity.md.",
 		example: `{"megabitsPerSecond": 10}`, defaultText: "not limited", members: linkFields},
+	{name: "placement", description: "How agents are chosen for new flows.", example: `{"by": "expectedWait"}`, defaultText: `{"by": "load"}`, members: placementFields},
 	logField,
 }
 
@@ -149,6 +180,7 @@
 	flowIdleTimeoutField,
 	{name: "cold", description: "Limit on the new flows per second of cold upstreams.", example: `{"factor": 1.5, "slack": 5}`, defaultText: `{"factor": 1, "slack": 1}`, members: coldFields},
 	{name: "ledger", description: "List of open flows that the agent keeps in the store.", example: `{"unlisted": "3s"}`, defaultText: `{}`, members: packetLedgerFields},
+	{name: "queue", description: "How new flows wait for room at the upstream.", example: `{"turns": "caller"}`, defaultText: `{"turns": "arrival"}`, members: queueFields},
 	logField,
 }
 
@@ -247,6 +279,7 @@
 	commonPacketSettings
 	ingress            netip.AddrPort
 	linkBytesPerSecond int
+	byExpectedWait     bool
 }
 
 // IngressAddress returns the address and UDP port at which clients' packets arrive.
@@ -255,6 +288,9 @@
 // LinkBytesPerSecond returns the rate of the VM's link, or 0 if it isn't limited.
 func (p PacketBalancer) LinkBytesPerSecond() int { return p.linkBytesPerSecond }
 
+// ByExpectedWait reports whether agents are compared by the time that a request is expected to take there.
+func (p PacketBalancer) ByExpectedWait() bool { return p.byExpectedWait }
+
 // PacketAgent holds the validated settings of an agent of packet flows.
 type PacketAgent struct {
 	commonPacketSettings
@@ -268,6 +304,7 @@
 	coldFactor    float64
 	coldSlack     float64
 	maxUnlisted   time.Duration
+	fairQueue     bool
 }
 
 // Service returns the name of the service that the upstream belongs to.
@@ -301,6 +338,9 @@
 // zero if such flows are treated like others.
 func (p PacketAgent) MaxUnlisted() time.Duration { return p.maxUnlisted }
 
+// FairQueue reports whether waiting flows of the same urgency open in an order that is fair between callers.
+func (p PacketAgent) FairQueue() bool { return p.fairQueue }
+
 // PacketBalancer reads the settings of a balancer of packet flows. It returns a *ValidationError
 // if they are invalid.
 func (l Loader) PacketBalancer(file string) (settings PacketBalancer, err error) {
@@ -318,6 +358,7 @@
 			doc.StopGrace, doc.FlowLife, doc.Log),
 		ingress:            netip.MustParseAddrPort(doc.IngressAddress),
 		linkBytesPerSecond: bytesPerSecond(doc.Link),
+		byExpectedWait:     doc.Placement.By == placementByExpectedWait,
 	}, nil
 }
 
@@ -348,6 +389,7 @@
 		coldFactor:    factorOrDefault(doc.Cold.Factor),
 		coldSlack:     factorOrDefault(doc.Cold.Slack),
 		maxUnlisted:   durationOrDefault(doc.Ledger.Unlisted, 0),
+		fairQueue:     doc.Queue.Turns == queueTurnsCaller,
 	}, nil
 }
 
--- a/pkg/lentilconntrack/upstream.go
+++ b/pkg/lentilconntrack/upstream.go
@@ -80,6 +80,7 @@
 	t.queue.SetSlots(r.Slots)
 	if !sameRun {
 		t.breaker.Reset()
+		t.meter.forgetServiceTime()
 		t.runMarkerDue = true
 	}
 	t.runMarkerDue = t.runMarkerDue && r.Sequence <= maxStartupSequence
@@ -275,6 +276,7 @@
 		t.upstream.registeredAt = t.upstream.registeredAt.Add(now.Sub(t.lastTick))
 	}
 	t.lastTick = now
+	t.meter.advance(now, t.requestsInFlight+t.queue.Waiting())
 	if t.unanswered >= minUnanswered && now.Sub(t.unansweredSince) >= unansweredTimeout && !t.probing && t.upstream.phase != lentilflow.Gone {
 		t.probing = true
 		actions = append(actions, Action{Kind: ProbeUpstream})
@@ -303,9 +305,16 @@
 	}
 	timeouts := [...]time.Duration{unverified: halfOpenTimeout, halfOpen: halfOpenTimeout, open: idleTimeout, closed: closedTimeout, lost: closedTimeout}
 	t.idleFlows = 0
+	for _, r := range t.routes {
+		r.advance(now)
+		r.idle = 0
+	}
 	for key, f := range t.flows {
 		if f.state == open && !f.requestInFlight && now.Sub(f.lastUsed) > idleFlowAge {
 			t.idleFlows++
+			if f.route != nil {
+				f.route.idle++
+			}
 		}
 		if f.requestInFlight && now.Sub(f.requestAt) > requestTimeout {
 			t.setRequestInFlight(f, false)
