check-config: find errors of a configuration before it is sent

An error in a configuration, or an entry that never matches, showed only after the configuration had been sent, if at all: packet flows skip routes that they can't parse, and no process reports unknown fields.

`lentilstair check-config` and `lentilpacket check-config` decode a file with the types of the product, run its validation, and report errors and warnings with place, field and reason, and what differs from another file or from the configuration on the platform. Exit codes 10 to 12 are new.

--- a/internal/lentilcommand/command.go
+++ b/internal/lentilcommand/command.go
@@ -13,6 +13,7 @@
 	"lentilstair.example/lentilstair/internal/lentilcommand/lentilauditcommand"
 	"lentilstair.example/lentilstair/internal/lentilcommand/lentilbalancercommand"
 	"lentilstair.example/lentilstair/internal/lentilcommand/lentilcheckcommand"
+	"lentilstair.example/lentilstair/internal/lentilcommand/lentilconfigcommand"
 	"lentilstair.example/lentilstair/internal/lentilcommand/lentildraincommand"
 	"lentilstair.example/lentilstair/internal/lentilcommand/lentilexplaincommand"
 	"lentilstair.example/lentilstair/internal/lentilcommand/lentilplancommand"
@@ -34,6 +35,7 @@
 	lentilrestorecommand.New,
 	lentilauditcommand.New,
 	lentilcheckcommand.New,
+	lentilconfigcommand.New,
 	lentilexplaincommand.New,
 	lentilversioncommand.New,
 }
--- a/internal/lentilcommand/lentilexplaincommand/explain.go
+++ b/internal/lentilcommand/lentilexplaincommand/explain.go
@@ -17,6 +17,7 @@
 	"lentilstair.example/lentilstair/internal/lentilcode"
 	"lentilstair.example/lentilstair/internal/lentilevent"
 	"lentilstair.example/lentilstair/internal/lentilexit"
+	"lentilstair.example/lentilstair/internal/lentilfinding"
 	"lentilstair.example/lentilstair/internal/lentilmetric"
 	"lentilstair.example/lentilstair/internal/lentilsetting"
 )
@@ -36,10 +37,10 @@
 	}
 }
 
-// Codes returns the documentation of all codes: faults in settings, events, exit codes and
-// metrics.
+// Codes returns the documentation of all codes: faults in settings, findings in configurations,
+// events, exit codes and metrics.
 func Codes() []lentilcode.Doc {
-	return slices.Concat(lentilsetting.Codes(), lentilevent.Codes(), lentilexit.Codes(), lentilmetric.Codes())
+	return slices.Concat(lentilsetting.Codes(), lentilfinding.Codes(), lentilevent.Codes(), lentilexit.Codes(), lentilmetric.Codes())
 }
 
 func run(_ context.Context, c *cli.Command) (err error) {
--- a/internal/lentildoc/doc.go
+++ b/internal/lentildoc/doc.go
@@ -16,6 +16,7 @@
 	"lentilstair.example/lentilstair/internal/lentilcommand"
 	"lentilstair.example/lentilstair/internal/lentilevent"
 	"lentilstair.example/lentilstair/internal/lentilexit"
+	"lentilstair.example/lentilstair/internal/lentilfinding"
 	"lentilstair.example/lentilstair/internal/lentilmetric"
 	"lentilstair.example/lentilstair/internal/lentilsetting"
 )
@@ -41,6 +42,8 @@
 		"process exits with 0 after a completed graceful stop, and with 1 if a second signal stopped it immediately.", codesWriter(lentilexit.Codes)},
 	{"metrics.md", "Metrics", "Processes of `lentilstair` serve their metrics at `/metrics` of their `adminAddress`, processes of `lentilpacket` at that of their `metricsAddress`, if it is set. The format is the text format of Prometheus. " +
 		"All of them have the label `role`. Counters start at 0 with the process. A metric appears when it is first recorded.", codesWriter(lentilmetric.Codes)},
+	{"configuration-findings.md", "Findings in configurations", "What `lentilstair check-config` and `lentilpacket check-config` report. Errors make a configuration invalid: processes " +
+		"refuse it. Warnings don't. operating/check-config.md describes the commands.", codesWriter(lentilfinding.Codes)},
 	{"commands.md", "Commands", "All commands of `lentilstair`. Results go to standard output, everything else to standard error. " +
 		"The exit codes are listed in exit-codes.md.", writeCommands},
 }
--- a/internal/lentilexit/code_string.go
+++ b/internal/lentilexit/code_string.go
@@ -18,11 +18,14 @@
 	_ = x[Unavailable-7]
 	_ = x[Unknown-8]
 	_ = x[Promise-9]
+	_ = x[Warnings-10]
+	_ = x[Configuration-11]
+	_ = x[Unreadable-12]
 }
 
-const _Code_name = "OKFailureUsageSettingsNoteConflictPendingUnavailableUnknownPromise"
+const _Code_name = "OKFailureUsageSettingsNoteConflictPendingUnavailableUnknownPromiseWarningsConfigurationUnreadable"
 
-var _Code_index = [...]uint8{0, 2, 9, 14, 22, 26, 34, 41, 52, 59, 66}
+var _Code_index = [...]uint8{0, 2, 9, 14, 22, 26, 34, 41, 52, 59, 66, 74, 87, 97}
 
 func (i Code) String() string {
 	idx := int(i) - 0
--- a/internal/lentilexit/exit.go
+++ b/internal/lentilexit/exit.go
@@ -26,6 +26,9 @@
 	Unavailable
 	Unknown
 	Promise
+	Warnings
+	Configuration
+	Unreadable
 )
 
 var docs = []lentilcode.Doc{
@@ -48,6 +51,12 @@
 		"read back. Apply the same release note again to determine the outcome."},
 	Promise: {Title: "a promise or bound was violated", Text: "A demo or measurement completed and found a " +
 		"violated promise or a missed bound. Its output names it."},
+	Warnings: {Title: "valid configuration with warnings", Text: "The checked configuration is valid, but it has entries that " +
+		"are probably not meant. The output of `check-config` lists them. Nothing was changed."},
+	Configuration: {Title: "invalid configuration", Text: "Processes would refuse the checked configuration. The output of " +
+		"`check-config` lists the errors with place, field and reason. Nothing was changed."},
+	Unreadable: {Title: "configuration can't be read", Text: "The file of the configuration can't be read or is too large, or the " +
+		"one to compare with can't be read or decoded. Nothing was checked or changed."},
 }
 
 // Codes returns the documentation of each exit code, in the order of the codes.
