--- a/internal/lentilcommand/operator_test.go
+++ b/internal/lentilcommand/operator_test.go
@@ -104,13 +104,15 @@
  "copies": {"added": [{"name": "iscrizioni-1", "service": "iscrizioni", "domain": "palermo"}, {"name": "iscrizioni-2", "service": "iscrizioni", "domain": "catania"}]}}`
 
 // TestOperatorCommands runs a sequence of an operator's commands against one platform and its
-// balancers. In some steps the platform loses answers or is down.
+// balancers. In some steps the platform loses answers or is down. Checks of a configuration must
+// leave the platform as it is.
 func TestOperatorCommands(t *testing.T) {
 	h := newHarness(t)
 	note := h.writeFile(t, "note.json", firstNote)
 	reused := h.writeFile(t, "reused.json", strings.Replace(firstNote, "palermo", "enna", 1))
 	invalidNote := h.writeFile(t, "faulty.json", `{"id": "Faulty", "author": "rosalia", "domains": {"out": ["palermo"]}}`)
 	unknownDomain := h.writeFile(t, "unfit.json", `{"id": "unfit", "author": "rosalia", "domains": {"out": ["enna"]}}`)
+	config := h.writeFile(t, "config.json", `{"version": 2, "services": [{"name": "orario", "number": 2, "address": "192.0.2.10:8444", "slots": 2, "connections": 2000}]}`)
 	noFaults := platform.FaultsDoc{}
 	steps := []struct {
 		name   string
@@ -126,6 +128,8 @@
 		{"same note again", noFaults, []string{"apply", "--json", note}, lentilexit.OK, `"outcome": "already accepted"`, ""},
 		{"different note with the same id", noFaults, []string{"apply", reused}, lentilexit.Note, "refused", "another note has the same id"},
 		{"note about an unknown domain", noFaults, []string{"plan", unknownDomain}, lentilexit.Note, "", "the configuration doesn't hold it"},
+		{"check against the platform", noFaults, []string{"check-config", "--in-force", config}, lentilexit.Warnings, "differences from version 1 on the platform: 7\n  changed configuration: version from 1 to 2", "valid with warnings"},
+		{"check while the platform is down", platform.FaultsDoc{Down: true}, []string{"check-config", "--in-force", config}, lentilexit.Unavailable, "", "unavailable"},
 		{"drain", noFaults, []string{"drain", "--reason", "fire drill", "domain", "catania"}, lentilexit.OK, "out     domain  catania", ""},
 		{"drain again", noFaults, []string{"drain", "domain", "catania"}, lentilexit.OK, "nothing to change, version 2", ""},
 		{"status", noFaults, []string{"status", "--json"}, lentilexit.OK, `"inForce": true`, ""},
@@ -140,7 +144,11 @@
 	for _, step := range steps {
 		h.platform.SetFaults(step.faults)
 		args := append([]string{step.args[0], "--settings", h.settingsPath}, step.args[1:]...)
+		writesBefore := h.platform.Calls().Writes
 		code, stdout, stderr := run(args...)
+		if writes := h.platform.Calls().Writes - writesBefore; step.args[0] == "check-config" && writes > 0 {
+			t.Errorf("%s: %d writes to the platform", step.name, writes)
+		}
 		if step.name == "audit" {
 			checkAudit(t, stdout)
 			step.stdout = "founding"
