lentilconntrack: copies that fail requests fast don't look fast

Ruled out: the breaker, which sees only requests that end without an answer; agents can't read answers. Change: a service time below that of the last half minute isn't believed until it lasts, and the utilization is reported for the usual one. Before: TestFastFailuresDoNotLookFast got 14.1 ms and 17 hundredths after 20 ms and 25; after: at least .85 of both.

--- a/pkg/lentilconntrack/meter.go
+++ b/pkg/lentilconntrack/meter.go
@@ -15,6 +15,9 @@
 	// serviceTimeWeight is the weight of a new measurement in the mean service time. At the usual 30 requests a second of
 	// a copy with two slots, this covers about two seconds.
 	serviceTimeWeight = 1.0 / 128
+	// usualServiceTimeWeight is the weight of a new measurement in the service time that is usual for the upstream. It covers
+	// half a minute, which is longer than upstreams usually fail.
+	usualServiceTimeWeight = 1.0 / 1024
 	// minMeasurements is the number of measurements from which the mean service time is reported. Fewer of them would make
 	// copies of the same speed look up to several times faster than others.
 	minMeasurements = 32
@@ -28,8 +31,11 @@
 	occupied  float64
 	updatedAt time.Time
 	// serviceTime is the mean of all measurements until there are 1/serviceTimeWeight of them, then a moving one.
-	serviceTime  time.Duration
-	measurements int
+	serviceTime time.Duration
+	// usualServiceTime is the same over a longer time. An upstream that fails requests answers them sooner; as its answers
+	// can't be read, a service time below the usual one isn't believed until it lasts.
+	usualServiceTime time.Duration
+	measurements     int
 }
 
 // advance smooths the number of requests, which hasn't changed since the last event.
@@ -54,12 +60,13 @@
 // recordServiceTime records how long a request took that found a free slot.
 func (m *meter) recordServiceTime(took time.Duration) {
 	m.measurements++
-	weight := max(1/float64(m.measurements), serviceTimeWeight)
-	m.serviceTime += time.Duration(weight * float64(took-m.serviceTime))
+	first := 1 / float64(m.measurements)
+	m.serviceTime += time.Duration(max(first, serviceTimeWeight) * float64(took-m.serviceTime))
+	m.usualServiceTime += time.Duration(max(first, usualServiceTimeWeight) * float64(took-m.usualServiceTime))
 }
 
 // forgetServiceTime starts the mean service time anew for another run of the upstream.
-func (m *meter) forgetServiceTime() { m.serviceTime, m.measurements = 0, 0 }
+func (m *meter) forgetServiceTime() { m.serviceTime, m.usualServiceTime, m.measurements = 0, 0, 0 }
 
 // addTo adds the measurements to a load. Nothing is added before the first request was answered.
 func (m *meter) addTo(load *lentilflow.Load, requests int, routesOccupancy float64) {
@@ -68,8 +75,10 @@
 	}
 	const hundredths = 100
 	slots := int(load.Slots)
-	load.Utilization = saturate(max(0, m.occupied+routesOccupancy) / float64(slots) * hundredths)
-	load.ServiceTime = max(1, saturate(float64(m.serviceTime)/float64(serviceTimeUnit)))
+	serviceTime := max(m.serviceTime, m.usualServiceTime, 1)
+	occupied := m.occupied * float64(serviceTime) / float64(max(m.serviceTime, 1))
+	load.Utilization = saturate(max(0, occupied+routesOccupancy) / float64(slots) * hundredths)
+	load.ServiceTime = max(1, saturate(float64(serviceTime)/float64(serviceTimeUnit)))
 	load.Waiting = saturate(float64(max(0, requests-slots)))
 }
 
--- a/pkg/lentilconntrack/meter_test.go
+++ b/pkg/lentilconntrack/meter_test.go
@@ -36,6 +36,32 @@
 	}
 }
 
+// TestFastFailuresDoNotLookFast lets every second request of a copy that takes 20 ms end after 1 ms for five seconds, as a
+// copy does that answers with errors. Agents can't read answers. If the copy looked faster and less used for that,
+// balancers would send it more requests than the others.
+func TestFastFailuresDoNotLookFast(t *testing.T) {
+	h := newHarness(t)
+	h.register("u")
+	n := 0
+	serveFor := func(duration time.Duration, times ...time.Duration) {
+		const interval = 40 * time.Millisecond
+		for range duration / interval {
+			took := times[n%len(times)]
+			h.serve(n, took)
+			h.clock.Advance(interval - took)
+			n++
+		}
+	}
+	const took = 20 * time.Millisecond
+	serveFor(30*time.Second, took)
+	before := h.Load()
+	serveFor(5*time.Second, took, time.Millisecond)
+	const least = 0.85
+	if load := h.Load(); float64(load.ServiceTime) < least*float64(before.ServiceTime) || float64(load.Utilization) < least*float64(before.Utilization) {
+		t.Errorf("got %+v after %+v, want at least %g of service time and utilization", load, before, least)
+	}
+}
+
 // TestUploadOccupiesNoSlot sends requests in 34 packets over 340 ms each, of which the upstream can't begin any before the
 // last packet. They used to count as occupying a slot all the time.
 func TestUploadOccupiesNoSlot(t *testing.T) {
