--- a/pkg/lentilconntrack/admission.go
+++ b/pkg/lentilconntrack/admission.go
@@ -35,10 +35,9 @@
 	}
 	blocked := t.upstream.cold(now) && t.coldLimitReached(now)
 	offer := lentilflowqueue.Offer{
-		Key: packet.Key, Age: max(packet.OpeningAge, m.Age), Terms: m.Terms,
+		Key: packet.Key, Age: max(packet.OpeningAge, m.Age), Terms: m.Terms, MayQueue: m.MayQueue,
 		// Balancers of earlier releases neither send terms nor allow flows to wait.
-		MayQueue: m.MayQueue,
-		MayWait:  m.MayWait || m.Terms == lentilflow.Terms{} && !blocked,
+		MayWait: m.MayWait || m.Terms == lentilflow.Terms{} && !blocked,
 	}
 	switch verdict := t.queue.Offer(offer, t.requestsInFlight, blocked); {
 	case verdict == lentilflowqueue.Admit:
--- a/pkg/lentilplacement/placement.go
+++ b/pkg/lentilplacement/placement.go
@@ -1,7 +1,8 @@
 // Package lentilplacement decides what a balancer does with the packets of flows that don't identify
 // their upstream: which agent gets a new flow, and how the agent that holds an open flow is found again.
 //
-// A new flow goes to the least loaded of a few candidate agents of its service. The candidates follow from
+// A new flow goes to the least loaded of a few candidate agents of its service, or to one drawn by the time that a request is
+// expected to take there (ByExpectedWait). The candidates follow from
 // the flow's key. A balancer caches which agent holds a flow. If the cache has no entry, because it expired
 // or because another balancer placed the flow, the balancer asks the candidates, and then all agents.
 // Agents know exactly which flows they hold, and only the one that holds a flow forwards its packets.
