Lookups that find the earlier flow of a port

Cause: an agent that knew a flow as open or lost answered for every packet with the same two ends. When a client had opened another flow from that port at another copy, and routers moved it to a balancer that didn't know it, the lookup's packet was claimed by the earlier flow's agent, or reset with the new flow's own acknowledgement number if the earlier one was lost.

Ruled out: flows that are closed; their packets go to the copy, which returns them, and nothing is said to the balancer.

Change: the agent compares the packet's acknowledgement with the last one that it knows. If they are more than 1 MiB apart, a lost flow is denied, and an open one that this run of the agent has seen open is denied as unsure, since the packet may also be a late one. An open flow from a ledger is taken as before: its acknowledgement in the ledger may be old.

Before: TestDecisions failed in "... looked up while the earlier one is open" ("SendTaken open=true, ToUpstream") and "... after the earlier one was lost" ("ResetClient FlowUnknown"); the case of the ledger passed. After: lentilconntrack passes with -race, lentilpacketmodel without.

--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -242,6 +242,9 @@
 	if f == nil {
 		return t.handleUnknown(now, from, m, packet, actions)
 	}
+	if f.state == lost && f.differsFrom(packet) {
+		return append(actions, Action{Kind: SendDenied, To: from, Keys: []lentilflow.Key{packet.Key}})
+	}
 	if f.state == lost {
 		return append(actions, Action{Kind: ResetClient, Cause: FlowUnknown, Key: packet.Key, Sequence: packet.Acknowledged})
 	}
@@ -250,6 +253,10 @@
 		// ones would be lost.
 		return append(actions, Action{Kind: SendDenied, To: from, Keys: []lentilflow.Key{packet.Key}, Unsure: true})
 	}
+	if f.state == open && m.Purpose == lentilflow.Lookup && f.firstSeen && f.differsFrom(packet) {
+		// It may also be a late packet of an earlier flow, so this doesn't show that the upstream lost its own.
+		return append(actions, Action{Kind: SendDenied, To: from, Keys: []lentilflow.Key{packet.Key}, Unsure: true})
+	}
 	if f.state == halfOpen && packet.Flags.Has(lentilflow.Acknowledge) {
 		if !f.upstreamAccepted || packet.Acknowledged-f.initialSequence > maxFirstAckOffset {
 			// The acknowledgement is for another upstream, whose accept packet the client has used.
@@ -269,9 +276,10 @@
 // upstream that accepted the flow. It is the window of a flow, 16 packets of 1,200 bytes, plus one.
 const maxFirstAckOffset = 16*1200 + 1
 
-// maxFirstAnswerOffset is how far the upstream may have acknowledged beyond the first packet of a half-open flow. It is more than a
-// flow carries in the second in which clients repeat its first packet, and makes one in 4,000 packets of earlier flows pass.
-const maxFirstAnswerOffset = 1 << 20
+// maxSameFlowOffset is how far acknowledgements of one flow may be apart: from the client's first packet while the flow is
+// half-open, and from one packet of the client to the next. It is far more than the window of a flow, and one in 4,000 packets of
+// other flows is within it on each side.
+const maxSameFlowOffset = 1 << 20
 
 // openedBy reports whether packet may be a copy of the packet that opened the flow. Otherwise, the client uses its port for
 // another flow.
@@ -279,6 +287,14 @@
 	return !f.firstSeen || f.firstSequence == packet.Sequence
 }
 
+// differsFrom reports whether a client's packet belongs to another flow from the same port, which another upstream holds. The
+// client's acknowledgements of a flow follow each other within its window; those of another flow start at a random number.
+func (f *flow) differsFrom(packet lentilflow.Packet) bool {
+	known := cmp.Or(f.acknowledged, f.initialSequence)
+	offset := packet.Acknowledged - known
+	return known != 0 && packet.Flags.Has(lentilflow.Acknowledge) && min(offset, -offset) > maxSameFlowOffset
+}
+
 // ofEarlierFlow reports whether a packet of the upstream belongs to an earlier flow from the same port of the client, of which
 // the upstream has still sent it. Its answer must not reach the client of the flow that is opening.
 func (f *flow) ofEarlierFlow(packet lentilflow.Packet) bool {
@@ -288,7 +304,7 @@
 	if !packet.Flags.Has(lentilflow.Acknowledge) {
 		return f.waiting
 	}
-	return packet.Acknowledged-f.firstSequence > maxFirstAnswerOffset
+	return packet.Acknowledged-f.firstSequence > maxSameFlowOffset
 }
 
 // trackClientPacket updates a flow for a client's packet that is forwarded to the upstream.
--- a/pkg/lentilconntrack/tracker_test.go
+++ b/pkg/lentilconntrack/tracker_test.go
@@ -408,6 +408,28 @@
 			{carry(lentilflow.Owned, dataPacket(flowKey(5), 501)), "ToUpstream"},
 			{upstream(dataPacket(flowKey(10), 110)), "ToClient"},
 		}},
+		{"a client's port is used again for a flow at another upstream, which is looked up while the earlier one is open", true, []step{
+			{register("u"), "ReportStateChange UpstreamRegistered"},
+			{func(h *harness) string { h.openFlow(key); return "" }, ""},
+			{carry(lentilflow.Lookup, dataPacket(key, 80000000)), "SendDenied unsure=true"},
+			{carry(lentilflow.Lookup, dataPacket(key, 501)), "SendTaken open=true, ToUpstream"},
+		}},
+		{"a client's port is used again for a flow at another upstream, which is looked up after the earlier one was lost", true, []step{
+			{register("u"), "ReportStateChange UpstreamRegistered"},
+			{func(h *harness) string { h.openFlow(key); return "" }, ""},
+			{register("v", func(r *Registration) { r.Incarnation = 2 }), "ResetClient UpstreamReplaced 501, ReportStateChange UpstreamRegistered"},
+			{carry(lentilflow.Lookup, dataPacket(key, 80000000)), "SendDenied unsure=false"},
+			{carry(lentilflow.Lookup, dataPacket(key, 511)), "ResetClient FlowUnknown 511"},
+		}},
+		{"a flow that a ledger lists is taken whatever its client has acknowledged since", false, []step{
+			{func(h *harness) string {
+				h.Address = peer1
+				ledger := Ledger{Service: "a", Address: peer1, UpstreamID: "u", UpstreamIncarnation: h.createdAt.UnixMilli() + 1, Flows: []LedgerFlow{{Key: key, Acknowledged: 7}}}
+				return formatActions(h.Restore(ledger, 0, nil))
+			}, ""},
+			{register("u", func(r *Registration) { r.Sequence = 9 }), "ReportStateChange UpstreamRegistered"},
+			{carry(lentilflow.Lookup, dataPacket(key, 80000000)), "SendTaken open=true, ToUpstream"},
+		}},
 		{"a client tries again from the same port while its flow waits", true, []step{
 			{register("u"), "ReportStateChange UpstreamRegistered"},
 			{func(h *harness) string {
