Requests that arrive while an agent closes

Cause: at the end of a planned stop an agent that had been idle for a second closed its connections at once. A request that had just arrived, or was on its way, was cut off with H3_NO_ERROR, which says nothing about whether it has run.

Ruled out: requests in progress; the stop waits for them up to the drain limit.

Change: the agent refuses new connections, sends GOAWAY on the open ones, and waits until it has been idle for another 300 ms, within the drain limit.

--- a/internal/lentilagent/frontend.go
+++ b/internal/lentilagent/frontend.go
@@ -166,6 +166,14 @@
 	return f.server
 }
 
+// closeListener refuses new connections, including those in their handshake. Open ones go on.
+func (f *frontend) closeListener() {
+	f.mu.Lock()
+	listener := f.listener
+	f.mu.Unlock()
+	_ = listener.Close()
+}
+
 // closeAll closes all connections at once, including those in their handshake. It accepts no
 // new connection until listen is called.
 func (f *frontend) closeAll() {
--- a/internal/lentilagent/stop.go
+++ b/internal/lentilagent/stop.go
@@ -11,6 +11,9 @@
 	// idleLinger is how long connections stay open after the last request, so that the end of
 	// the last answer arrives even if its packets are lost a few times.
 	idleLinger = time.Second
+	// closingLinger is how long rejections and the answers to the last requests have to arrive
+	// before the connections are closed.
+	closingLinger = 300 * time.Millisecond
 	// closeTimeout bounds the graceful shutdown of the control server.
 	closeTimeout = 2 * time.Second
 )
@@ -55,29 +58,36 @@
 func (a *Agent) Run(ctx, kill context.Context) {
 	<-ctx.Done()
 	a.setDraining(true)
-	a.awaitIdle(kill)
+	limited, cancel := context.WithTimeout(kill, a.options.DrainLimit)
+	defer cancel()
+	a.awaitIdle(limited, idleLinger)
+	a.closeIdle(limited)
+}
+
+// closeIdle closes an idle agent. It first refuses new connections and rejects new requests on
+// open ones, so that their callers know that they haven't run, and then waits for requests that
+// arrived before.
+func (a *Agent) closeIdle(ctx context.Context) {
+	a.frontend.closeListener()
+	a.sendGoAway()
+	a.awaitIdle(ctx, closingLinger)
 	a.Close()
 }
 
-// awaitIdle returns when the agent has been idle for idleLinger, the drain limit is reached or
-// kill ends.
-func (a *Agent) awaitIdle(kill context.Context) {
-	limit := time.NewTimer(a.options.DrainLimit)
-	defer limit.Stop()
+// awaitIdle returns when the agent has been idle for the time linger, or when ctx ends.
+func (a *Agent) awaitIdle(ctx context.Context, linger time.Duration) {
 	poll := time.NewTicker(idlePollInterval)
 	defer poll.Stop()
 	idleSince := time.Now()
 	for {
 		select {
-		case <-kill.Done():
-			return
-		case <-limit.C:
+		case <-ctx.Done():
 			return
 		case <-poll.C:
 			if !a.Idle() {
 				idleSince = time.Now()
 			}
-			if time.Since(idleSince) >= idleLinger {
+			if time.Since(idleSince) >= linger {
 				return
 			}
 		}
