Flows that open while their agent stops

Cause: once an agent had taken a flow, its balancer sent every further copy of the first packet to that agent, also when it was stopping or no longer known. If the copy's accept found no agent to forward it, the client's attempt was lost.

Ruled out: flows that wait in the agent's queue, and first packets that come after the stop; the agent returns both (TestStopReturnsWaitingFlows). An agent whose copy drains still forwards.

Change: the next copy of the first packet is offered to another agent. Both may hold the flow then; the client's acknowledgement decides, as after a second offer.

--- a/pkg/lentilplacement/placement.go
+++ b/pkg/lentilplacement/placement.go
@@ -300,7 +300,7 @@
 		return p.place(now, packet.Key, f, Chosen, actions)
 	case p.heldPlacements[packet.Key] == f:
 		return actions
-	case f.state == statePlacing && now.Sub(f.sentAt) >= placeTimeout:
+	case f.state == statePlacing && now.Sub(f.sentAt) >= placeTimeout, f.state == statePlaced && p.leaves(f.agent):
 		return p.place(now, packet.Key, f, ChosenAgain, actions)
 	default:
 		// Retransmissions go to the same agent, since the client may already have its upstream's reply.
@@ -308,6 +308,13 @@
 	}
 }
 
+// leaves reports whether an agent is stopping, or isn't known any more. The answer of its upstream to a first packet may then
+// find nobody to forward it.
+func (p *Placer) leaves(addr lentilflow.Endpoint) bool {
+	a := p.agents[addr]
+	return a == nil || a.status.Stopping
+}
+
 // HandleTaken records that an agent holds a flow. If the agent was asked for the flow without a packet,
 // it gets the held one.
 func (p *Placer) HandleTaken(from lentilflow.Endpoint, m lentilflow.Taken, actions []Action) []Action {
--- a/pkg/lentilplacement/placement_test.go
+++ b/pkg/lentilplacement/placement_test.go
@@ -433,3 +433,39 @@
 		t.Errorf("got %q, want it placed at agent 2", got)
 	}
 }
+
+// TestOpeningFlowOfStoppingAgent guards against a flow whose agent has taken it and is then asked to stop, or ends, before its client
+// has the copy's answer: the client's next copy of the first packet must be offered to another agent.
+func TestOpeningFlowOfStoppingAgent(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(h *harness)
+		want string
+	}{
+		{"runs on", func(h *harness) { h.advance(100*time.Millisecond, 1, 2, 3, 4) }, "place to 1"},
+		{"drains", func(h *harness) {
+			h.sendStatus(1, func(m *lentilflow.Status) { m.Phase = lentilflow.Draining })
+		}, "place to 1"},
+		{"stops", func(h *harness) { h.sendStatus(1, func(m *lentilflow.Status) { m.Stopping = true }) }, "place to 2"},
+		{"has ended with its upstream", func(h *harness) {
+			h.sendStatus(1, func(m *lentilflow.Status) { m.Stopping, m.UpstreamEnded = true, true })
+		}, "place to 2"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.sendPacket(firstPacket(testFlow))
+			h.answerTaken(1, false)
+			c.end(h)
+			if got := h.sendPacket(firstPacket(testFlow)); got != c.want {
+				t.Fatalf("a copy of the first packet: got %q, want %q", got, c.want)
+			}
+			if c.want == "place to 1" {
+				return
+			}
+			h.answerTaken(2, false)
+			if got, want := h.sendPacket(laterPacket(testFlow)), "lookup to 1, lookup to 2"; got != want {
+				t.Errorf("the client's next packet: got %q, want %q", got, want)
+			}
+		})
+	}
+}
