--- a/pkg/lentilplacement/placement_test.go
+++ b/pkg/lentilplacement/placement_test.go
@@ -469,3 +469,22 @@
 		})
 	}
 }
+
+// TestStaleListOfAgents guards against agents that have left, or belong to another service now, and are in use again because a balancer
+// has started with an old list of agents: no flow goes to one before its own status.
+func TestStaleListOfAgents(t *testing.T) {
+	h := newHarness(t)
+	h.Placer = &Placer{Clock: h.clock, Codec: codec(), Domain: "near"}
+	h.configure(1, "a")
+	for n := 1; n <= 3; n++ {
+		h.AddPeer(lentilflow.Node{Name: fmt.Sprint("agent-", n), Domain: "near", Address: agentAddress(n)}, "a", false, nil)
+	}
+	h.SetAgentsComplete()
+	h.sendStatus(2, func(m *lentilflow.Status) { m.Service = "b" })
+	h.sendStatus(3)
+	for n := range 20 {
+		if got := h.sendPacket(firstPacket(n)); got != "place to 3" {
+			t.Errorf("flow %d: got %q, want it placed at agent 3", n, got)
+		}
+	}
+}
