--- a/pkg/lentilplacement/placement_test.go
+++ b/pkg/lentilplacement/placement_test.go
@@ -433,3 +433,58 @@
 		t.Errorf("got %q, want it placed at agent 2", got)
 	}
 }
+
+// TestOpeningFlowOfStoppingAgent guards against a flow whose agent has taken it and is then asked to stop, or ends, before its client
+// has the copy's answer: the client's next copy of the first packet must be offered to another agent.
+func TestOpeningFlowOfStoppingAgent(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(h *harness)
+		want string
+	}{
+		{"runs on", func(h *harness) { h.advance(100*time.Millisecond, 1, 2, 3, 4) }, "place to 1"},
+		{"drains", func(h *harness) {
+			h.sendStatus(1, func(m *lentilflow.Status) { m.Phase = lentilflow.Draining })
+		}, "place to 1"},
+		{"stops", func(h *harness) { h.sendStatus(1, func(m *lentilflow.Status) { m.Stopping = true }) }, "place to 2"},
+		{"has ended with its upstream", func(h *harness) {
+			h.sendStatus(1, func(m *lentilflow.Status) { m.Stopping, m.UpstreamEnded = true, true })
+		}, "place to 2"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.sendPacket(firstPacket(testFlow))
+			h.answerTaken(1, false)
+			c.end(h)
+			if got := h.sendPacket(firstPacket(testFlow)); got != c.want {
+				t.Fatalf("a copy of the first packet: got %q, want %q", got, c.want)
+			}
+			if c.want == "place to 1" {
+				return
+			}
+			h.answerTaken(2, false)
+			if got, want := h.sendPacket(laterPacket(testFlow)), "lookup to 1, lookup to 2"; got != want {
+				t.Errorf("the client's next packet: got %q, want %q", got, want)
+			}
+		})
+	}
+}
+
+// TestStaleListOfAgents guards against agents that have left, or belong to another service now, and are in use again because a balancer
+// has started with an old list of agents: no flow goes to one before its own status.
+func TestStaleListOfAgents(t *testing.T) {
+	h := newHarness(t)
+	h.Placer = &Placer{Clock: h.clock, Codec: codec(), Domain: "near"}
+	h.configure(1, "a")
+	for n := 1; n <= 3; n++ {
+		h.AddPeer(lentilflow.Node{Name: fmt.Sprint("agent-", n), Domain: "near", Address: agentAddress(n)}, "a", false, nil)
+	}
+	h.SetAgentsComplete()
+	h.sendStatus(2, func(m *lentilflow.Status) { m.Service = "b" })
+	h.sendStatus(3)
+	for n := range 20 {
+		if got := h.sendPacket(firstPacket(n)); got != "place to 3" {
+			t.Errorf("flow %d: got %q, want it placed at agent 3", n, got)
+		}
+	}
+}
