lentilplacement: counts decide while all agents are full

Few agents have measured a service time by then, and a backlog outlasts the service time with which reported waits decay, so draws spread flows over agents that had no room. Ruled out: drawing the best one only, which floods it at calm times (TestDrawsSpreadFlows). Change: flows go by counts while all candidates were full when last heard, or fewer than a quarter report what expected times follow from.

--- a/pkg/lentilplacement/wait.go
+++ b/pkg/lentilplacement/wait.go
@@ -41,6 +41,9 @@
 	serviceTimeUnit = 0.0001
 )
 
+// minMeasuredShare is the share of the agents, one in so many, that must report what expected times follow from.
+const minMeasuredShare = 4
+
 // estimate is what a request is expected to cost at an agent.
 type estimate struct {
 	addr lentilflow.Endpoint
@@ -50,14 +53,16 @@
 }
 
 // drawAgent draws an agent for a new flow of those that accept flows and aren't in tried. The shorter a request is
-// expected to take at an agent, the more likely it is drawn. It returns nil if no agent accepts flows, or none reports what
-// its expected time follows from.
+// expected to take at an agent, the more likely it is drawn. It returns nil if no agent accepts flows, if too few of them
+// report what their expected time follows from, or if all were full when last heard. In the seconds after all upstreams have
+// restarted, both is so; requests then wait for longer than the reports are old, and their counts tell where for least time.
 //
 // Always taking the best agent would be worse: reports are up to 3 s old on large sites and reach all balancers at once,
 // so all of them would send their flows to the same agents until the next report.
 func (p *Placer) drawAgent(now time.Time, addresses, tried []lentilflow.Endpoint) (addr lentilflow.Endpoint, a *agent) {
 	p.estimates = p.estimates[:0]
 	var utilization, serviceTime mean
+	measured, full := 0, 0
 	for _, next := range addresses {
 		candidate := p.agents[next]
 		if slices.Contains(tried, next) || !p.acceptsFlows(candidate) {
@@ -65,11 +70,17 @@
 		}
 		p.estimates = append(p.estimates, estimate{addr: next, a: candidate})
 		if load := candidate.status.Load; load.ReportsWait() {
+			measured++
 			utilization.add(float64(load.Utilization)*utilizationUnit, candidate.utilizationWeight(now))
 			serviceTime.add(float64(load.ServiceTime)*serviceTimeUnit, 1)
 		}
 	}
-	if serviceTime.weights == 0 {
+	for _, e := range p.estimates {
+		if load := e.a.status.Load; e.a.full || load.InFlight >= load.Slots {
+			full++
+		}
+	}
+	if minMeasuredShare*measured < len(p.estimates) || full == len(p.estimates) {
 		return addr, nil
 	}
 	best := 0
--- a/pkg/lentilplacement/wait_test.go
+++ b/pkg/lentilplacement/wait_test.go
@@ -55,6 +55,12 @@
 			"an agent of an earlier release by its counts", [3]lentilflow.Load{{Slots: 2, InFlight: 5}, waitLoad(60, 300, 1), {Slots: 2, InFlight: 1}},
 			0, 3,
 		},
+		{
+			"the least loaded by counts if all are full", [3]lentilflow.Load{
+				{Slots: 2, InFlight: 6, Utilization: 100, ServiceTime: 200, Waiting: 4}, {Slots: 2, InFlight: 4, Utilization: 200, ServiceTime: 400, Waiting: 2},
+				{Slots: 2, InFlight: 5, Utilization: 100, ServiceTime: 200, Waiting: 3},
+			}, 100 * time.Millisecond, 2,
+		},
 		{"only agents of an earlier release", [3]lentilflow.Load{{Slots: 2, Flows: 2}, {Slots: 2, Flows: 4, InFlight: 1}, {Slots: 2, Flows: 1}}, 0, 3},
 	} {
 		t.Run(c.name, func(t *testing.T) {
