--- a/internal/lentilevent/catalogue.go
+++ b/internal/lentilevent/catalogue.go
@@ -98,6 +98,8 @@
 	LinkFree: {Info, "link free", "For two seconds, less than 50 ms of datagrams have waited for the balancer's link. The event says for how long it was full, what was sent " +
 		"meanwhile, and how many datagrams of each class were lost.",
 		[]string{"fullMillis", "bytes", "droppedControl", "droppedOpening", "droppedShort", "droppedBulk"}},
+	QueueHeld: {Warn, "caller holds the queue", "A flow was refused because too many wait at the agent, whose queue is fair between callers. `caller` held most of the queue: `flows` of `waiting`. " +
+		"At most one line in a second.", []string{"flow", "caller", "flows", "waiting"}},
 	RegistrationRefused: {Warn, "registration rejected", "An upstream's registration is malformed or for another service, and was ignored.",
 		[]string{"id", "error"}},
 }
--- a/internal/lentilmetric/metric.go
+++ b/internal/lentilmetric/metric.go
@@ -57,6 +57,8 @@
 	LinkQueuedBytes
 	LinkUtilization
 	LinkFullSeconds
+	QueueCallers
+	QueueOutOfOrder
 )
 
 type metricDoc struct {
@@ -90,6 +92,8 @@
 	PlacingTime:          {"placing_seconds", Histogram, "seconds", nil, "Time from the first packet of a flow that a balancer sends to an agent until the agent reports that it accepted the flow."},
 	AnswerTime:           {"answer_seconds", Histogram, "seconds", nil, "Time from the arrival of a request's data at an agent until the first data of the upstream's answer."},
 	FlowsReset:           {"flows_reset", Counter, "flows", nil, "Packet flows whose clients were sent a reset."},
+	QueueCallers:         {"queue_callers", Gauge, "callers", nil, "Client IP addresses with new flows that wait at an agent of packet flows. Zero unless its queue is fair between callers."},
+	QueueOutOfOrder:      {"queue_out_of_order", Counter, "flows", nil, "New flows that opened before an older one of the same urgency, because the queue is fair between callers."},
 	FlowsRefused:         {"flows_refused", Counter, "flows", nil, "First packets of flows that an agent returned to a balancer."},
 	LinkWaited:           {"link_waited", Counter, "datagrams", []string{"class"}, "Datagrams that a balancer sent after they had waited for its link. The class is control, opening (first packets), short or bulk. Recorded only if `link` is set."},
 	LinkDropped:          {"link_dropped", Counter, "datagrams", []string{"class", "reason"}, "Datagrams that a balancer dropped because its link was full. The reason is overflow (the queue was full), late (the datagram had waited 400 ms) or duplicate (the same packet was still queued, so nothing is lost)."},
--- a/internal/lentilpacket/agent.go
+++ b/internal/lentilpacket/agent.go
@@ -109,6 +109,7 @@
 	a.tracker.Name, a.tracker.Domain, a.tracker.Service = a.Settings.Name(), a.Settings.Domain(), a.Settings.Service()
 	a.tracker.Address = lentilflow.EndpointOf(a.Settings.PeerAddress())
 	a.tracker.FlowsComplete, a.tracker.RenewInterval, a.tracker.IdleTimeout = a.Settings.FirstStart(), a.Settings.RenewInterval(), a.Settings.FlowIdleTimeout()
+	a.tracker.FairQueue = a.Settings.FairQueue()
 	a.tracker.ColdFactor, a.tracker.ColdSlack = a.Settings.ColdFactor(), a.Settings.ColdSlack()
 	a.tracker.MaxUnlisted = a.Settings.MaxUnlisted()
 	defer func() {
@@ -245,6 +246,7 @@
 // status returns the status for a balancer.
 func (a *Agent) status(balancer lentilflow.Endpoint) lentilflow.Status {
 	status := a.tracker.Status()
+	status.Load = a.tracker.LoadFor(balancer)
 	status.Store = a.storeState
 	status.Store.CheckedAgo = time.Since(a.storeCheckedAt)
 	status.ConfiguredBalancer = a.tracker.ConfiguredBalancer(balancer)
@@ -320,10 +322,10 @@
 			a.frameBuffer = a.Codec.AppendReset(a.frameBuffer[:0], action.Key, action.Sequence)
 			a.write(a.frameBuffer, a.clientAddress(action.Key))
 		case lentilconntrack.SendTaken:
-			a.send(lentilframe.AppendTaken(a.frameBuffer[:0], lentilflow.Taken{Key: action.Key, Open: action.Open, Load: a.tracker.Load()}), action.To)
+			a.send(lentilframe.AppendTaken(a.frameBuffer[:0], lentilflow.Taken{Key: action.Key, Open: action.Open, Load: a.tracker.LoadFor(action.To)}), action.To)
 		case lentilconntrack.SendRefused:
 			a.Counts.Refused.Add(1)
-			a.send(lentilframe.AppendRefused(a.frameBuffer[:0], lentilflow.Refused{Reason: action.Refusal, Load: a.tracker.Load(), Packet: action.Packet}), action.To)
+			a.send(lentilframe.AppendRefused(a.frameBuffer[:0], lentilflow.Refused{Reason: action.Refusal, Load: a.tracker.LoadFor(action.To), Packet: action.Packet}), action.To)
 		case lentilconntrack.SendDenied:
 			a.send(lentilframe.AppendDenied(a.frameBuffer[:0], lentilflow.Denied{Keys: action.Keys, Unsure: action.Unsure}), action.To)
 		case lentilconntrack.SendStatus:
@@ -332,10 +334,12 @@
 			a.workers.Go(a.probeUpstream)
 		case lentilconntrack.Rediscover:
 			a.workers.Go(a.rediscover)
-		case lentilconntrack.ReportStateChange:
+		case lentilconntrack.ReportStateChange, lentilconntrack.ReportQueueShare:
 		}
 		a.logAction(action)
 	}
+	a.Counts.CallersWaiting.Store(uint64(a.tracker.CallersWaiting()))
+	a.Counts.ServedOutOfOrder.Store(a.tracker.ServedOutOfOrder())
 	if a.tracker.RunMarkerDue() {
 		select {
 		case a.markerDue <- struct{}{}:
--- a/pkg/lentilconntrack/admission.go
+++ b/pkg/lentilconntrack/admission.go
@@ -35,7 +35,7 @@
 	}
 	blocked := t.upstream.cold(now) && t.coldLimitReached(now)
 	offer := lentilflowqueue.Offer{
-		Key: packet.Key, Age: max(packet.OpeningAge, m.Age), Terms: m.Terms,
+		Key: packet.Key, Age: max(packet.OpeningAge, m.Age), Terms: m.Terms, MayQueue: m.MayQueue,
 		// Balancers of earlier releases neither send terms nor allow flows to wait.
 		MayWait: m.MayWait || m.Terms == lentilflow.Terms{} && !blocked,
 	}
--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -95,6 +95,8 @@
 	ColdFactor, ColdSlack float64
 	// MaxFlows bounds the flows in the table; zero is lentilflow.DefaultMaxFlows.
 	MaxFlows int
+	// FairQueue makes the queue of new flows fair between callers.
+	FairQueue bool
 	// IdleTimeout is how long an open flow without packets stays in the table; zero is
 	// lentilflow.DefaultIdleTimeout.
 	IdleTimeout time.Duration
@@ -110,8 +112,11 @@
 	// denied holds the time at which the upstream was found not to hold a flow.
 	denied           lentilflow.Table[time.Time]
 	requestsInFlight int
-	openFlows        int
-	halfOpenFlows    int
+	meter            meter
+	// routes measures the flows by the address that they are for.
+	routes        map[lentilflow.Endpoint]*route
+	openFlows     int
+	halfOpenFlows int
 	// idleFlows is the number of open flows that were unused for idleFlowAge at the last sweep.
 	idleFlows int
 	out       bool
@@ -165,13 +170,28 @@
 // OpenFlows returns the number of open flows.
 func (t *Tracker) OpenFlows() int { return t.openFlows }
 
-// Load returns the upstream's load: its open and half-open flows without the idle ones, requests in flight and slots.
+// Load returns the upstream's load: its open and half-open flows without the idle ones, requests in flight, slots, and
+// the measurements from which balancers estimate waits.
 func (t *Tracker) Load() lentilflow.Load {
-	return lentilflow.Load{
-		Flows: uint32(max(0, t.openFlows+t.halfOpenFlows-t.idleFlows)), InFlight: uint16(t.requestsInFlight), Slots: uint16(cmp.Or(t.upstream.slots, defaultSlots)),
+	slots := t.slots()
+	load := lentilflow.Load{
+		Flows: uint32(max(0, t.openFlows+t.halfOpenFlows-t.idleFlows)), InFlight: uint16(t.requestsInFlight), Slots: uint16(slots),
 	}
+	now := t.now()
+	t.meter.addTo(&load, t.queue.Ahead(t.requestsInFlight), t.routesOccupancy(now))
+	return load
 }
 
+// slots returns the number of requests that the upstream processes at once.
+func (t *Tracker) slots() int { return cmp.Or(t.upstream.slots, defaultSlots) }
+
+// CallersWaiting returns the number of callers with waiting flows, if the queue is fair between callers.
+func (t *Tracker) CallersWaiting() int { return t.queue.CallersWaiting() }
+
+// ServedOutOfOrder returns the number of flows that opened before an older one of the same urgency, because the queue is
+// fair between callers.
+func (t *Tracker) ServedOutOfOrder() uint64 { return t.queue.ServedOutOfOrder() }
+
 // Phase returns the phase of the upstream.
 func (t *Tracker) Phase() lentilflow.Phase { return t.upstream.phase }
 
@@ -189,7 +209,7 @@
 	now = lentilclock.OrSystem(t.Clock).Now()
 	if t.startedAt.IsZero() {
 		t.startedAt = now
-		t.breaker.Clock, t.queue.Clock = t.Clock, t.Clock
+		t.breaker.Clock, t.queue.Clock, t.queue.Fair = t.Clock, t.Clock, t.FairQueue
 	}
 	return now
 }
@@ -205,6 +225,7 @@
 	}
 	now := t.now()
 	t.observePause(now)
+	t.meter.advance(now, t.requestsInFlight+t.queue.Waiting())
 	if packet.OpensFlow() {
 		return t.handleFirst(now, from, m, packet, actions), nil
 	}
@@ -227,6 +248,9 @@
 	}
 	t.removeFlow(packet.Key)
 	refusal, wait := t.admission(now, m, packet)
+	if share, ok := t.queue.TakeShare(); ok {
+		actions = append(actions, Action{Kind: ReportQueueShare, Key: packet.Key, Share: share})
+	}
 	if refusal != lentilflow.NotRefused {
 		return append(actions, Action{Kind: SendRefused, To: from, Key: packet.Key, Refusal: refusal, Packet: m.Packet})
 	}
@@ -248,6 +272,9 @@
 	if f == nil {
 		return t.handleUnknown(now, from, m, packet, actions)
 	}
+	if f.state == lost && f.differsFrom(packet) {
+		return append(actions, Action{Kind: SendDenied, To: from, Keys: []lentilflow.Key{packet.Key}})
+	}
 	if f.state == lost {
 		return append(actions, Action{Kind: ResetClient, Cause: FlowUnknown, Key: packet.Key, Sequence: packet.Acknowledged})
 	}
@@ -256,6 +283,10 @@
 		// ones would be lost.
 		return append(actions, Action{Kind: SendDenied, To: from, Keys: []lentilflow.Key{packet.Key}, Unsure: true})
 	}
+	if f.state == open && m.Purpose == lentilflow.Lookup && f.firstSeen && f.differsFrom(packet) {
+		// It may also be a late packet of an earlier flow, so this doesn't show that the upstream lost its own.
+		return append(actions, Action{Kind: SendDenied, To: from, Keys: []lentilflow.Key{packet.Key}, Unsure: true})
+	}
 	if f.state == halfOpen && packet.Flags.Has(lentilflow.Acknowledge) {
 		if !f.upstreamAccepted || packet.Acknowledged-f.initialSequence > maxFirstAckOffset {
 			// The acknowledgement is for another upstream, whose accept packet the client has used.
@@ -275,9 +306,10 @@
 // upstream that accepted the flow. It is the window of a flow, 16 packets of 1,200 bytes, plus one.
 const maxFirstAckOffset = 16*1200 + 1
 
-// maxFirstAnswerOffset is how far the upstream may have acknowledged beyond the first packet of a half-open flow. It is more than a
-// flow carries in the second in which clients repeat its first packet, and makes one in 4,000 packets of earlier flows pass.
-const maxFirstAnswerOffset = 1 << 20
+// maxSameFlowOffset is how far acknowledgements of one flow may be apart: from the client's first packet while the flow is
+// half-open, and from one packet of the client to the next. It is far more than the window of a flow, and one in 4,000 packets of
+// other flows is within it on each side.
+const maxSameFlowOffset = 1 << 20
 
 // openedBy reports whether packet may be a copy of the packet that opened the flow. Otherwise, the client uses its port for
 // another flow.
@@ -285,6 +317,14 @@
 	return !f.firstSeen || f.firstSequence == packet.Sequence
 }
 
+// differsFrom reports whether a client's packet belongs to another flow from the same port, which another upstream holds. The
+// client's acknowledgements of a flow follow each other within its window; those of another flow start at a random number.
+func (f *flow) differsFrom(packet lentilflow.Packet) bool {
+	known := cmp.Or(f.acknowledged, f.initialSequence)
+	offset := packet.Acknowledged - known
+	return known != 0 && packet.Flags.Has(lentilflow.Acknowledge) && min(offset, -offset) > maxSameFlowOffset
+}
+
 // ofEarlierFlow reports whether a packet of the upstream belongs to an earlier flow from the same port of the client, of which
 // the upstream has still sent it. Its answer must not reach the client of the flow that is opening.
 func (f *flow) ofEarlierFlow(packet lentilflow.Packet) bool {
@@ -294,7 +334,7 @@
 	if !packet.Flags.Has(lentilflow.Acknowledge) {
 		return f.waiting
 	}
-	return packet.Acknowledged-f.firstSequence > maxFirstAnswerOffset
+	return packet.Acknowledged-f.firstSequence > maxSameFlowOffset
 }
 
 // trackClientPacket updates a flow for a client's packet that is forwarded to the upstream.
@@ -302,9 +342,13 @@
 	if packet.Flags.Has(lentilflow.Acknowledge) {
 		f.acknowledged = packet.Acknowledged
 	}
+	if packet.Length > 0 {
+		t.trackRequestData(now, f, packet.Sequence)
+	}
 	if packet.Length > 0 && !f.requestInFlight {
 		f.requestAt, f.requestLoad = now, t.requestsInFlight
 		t.setRequestInFlight(f, true)
+		f.countRequest(now)
 		t.queue.Remove(packet.Key)
 	}
 	if packet.Length > 0 || packet.Flags.Has(lentilflow.Close) {
@@ -325,6 +369,7 @@
 		return actions, err
 	}
 	now := t.now()
+	t.meter.advance(now, t.requestsInFlight+t.queue.Waiting())
 	t.clearUnanswered()
 	if packet.Flags.Has(lentilflow.Returned) {
 		return t.handleReturned(now, packet, data, actions), nil
@@ -365,6 +410,9 @@
 	case !f.requestInFlight:
 	case packet.Length > 0:
 		responseTime = now.Sub(f.requestAt)
+		if f.foundSlot {
+			t.meter.recordServiceTime(now.Sub(f.dataAt))
+		}
 		t.setRequestInFlight(f, false)
 		t.queue.RecordResponse(responseTime, f.requestLoad+1)
 		if t.breaker.RecordSuccess() {
--- a/pkg/lentilplacement/agent.go
+++ b/pkg/lentilplacement/agent.go
@@ -27,6 +27,13 @@
 	machineSeenAt, probedAt time.Time
 	// flowsSent counts the flows sent to the agent since it last reported its load.
 	flowsSent int
+	// loadAt is when the agent last reported its load.
+	loadAt time.Time
+	// full is set if the agent then refused a flow because its upstream had no free slot.
+	full bool
+	// work is the expected work of the flows sent to the agent, in requests, as of workAt.
+	work   float64
+	workAt time.Time
 	// suspected is set when the agent misses placeTimeout, until it is seen again.
 	suspected bool
 	// failingAt is when the agent last refused a flow because its upstream fails.
@@ -97,7 +104,8 @@
 	appeared := !a.seen() || a.unresponsiveLogged
 	p.heldPlacementsDue = true
 	a.recordHeard(p.now())
-	a.status, a.flowsSent, a.unresponsiveLogged = m, 0, false
+	a.recordLoad(a.lastSeen, m.Load, false)
+	a.status, a.unresponsiveLogged = m, false
 	if previous.Service != m.Service || previous.Domain != m.Domain {
 		p.agentsByService = nil
 	}
@@ -133,7 +141,7 @@
 func (p *Placer) updateLoad(from lentilflow.Endpoint, load lentilflow.Load) {
 	if a := p.agents[from]; a != nil {
 		a.recordHeard(p.now())
-		a.status.Load, a.flowsSent = load, 0
+		a.recordLoad(a.lastSeen, load, false)
 	}
 }
 
@@ -144,7 +152,8 @@
 		return
 	}
 	a.recordHeard(now)
-	a.status.Load, a.flowsSent = m.Load, 0
+	a.recordLoad(now, m.Load, m.Reason == lentilflow.UpstreamBusy || m.Reason == lentilflow.UpstreamFull || m.Reason == lentilflow.UpstreamOverloaded)
+	a.recordReturned(now)
 	switch m.Reason {
 	case lentilflow.DomainOut:
 		a.status.Out = true
@@ -162,6 +171,12 @@
 	}
 }
 
+// recordLoad records a load that the agent has reported. full is set if it refused a flow because its upstream had no
+// free slot.
+func (a *agent) recordLoad(now time.Time, load lentilflow.Load, full bool) {
+	a.status.Load, a.flowsSent, a.loadAt, a.full = load, 0, now, full
+}
+
 // sortedAddresses returns the addresses of all agents, sorted to make tests reproducible.
 func (p *Placer) sortedAddresses() []lentilflow.Endpoint {
 	addresses := make([]lentilflow.Endpoint, 0, len(p.agents))
--- a/pkg/lentilplacement/place.go
+++ b/pkg/lentilplacement/place.go
@@ -40,6 +40,7 @@
 	}
 	p.pendingPlacements[key] = f
 	a.flowsSent++
+	a.recordSent(now)
 	action := p.placeAction(now, addr, key, f, f.firstPacket, cause, mayWait)
 	action.Load, action.AgeMillis, action.Refusal = a.status.Load, now.Sub(a.lastSeen).Milliseconds(), f.lastRefusal
 	return append(actions, action)
@@ -99,6 +100,7 @@
 		c.ColdRate = float32(p.configuration.ColdRate(c.Service))
 		if a.status.UnderstandsTerms {
 			c.Terms, c.Age, c.MayWait, c.LastResort = p.configuration.Terms(key.Service()), now.Sub(f.since), mayWait, f.lastResort
+			c.MayQueue = p.ChooseBy == ByExpectedWait
 		}
 	}
 	return Action{Kind: SendCarry, Cause: cause, To: to, Key: key, Carry: c}
--- a/pkg/lentilplacement/placement.go
+++ b/pkg/lentilplacement/placement.go
@@ -1,7 +1,8 @@
 // Package lentilplacement decides what a balancer does with the packets of flows that don't identify
 // their upstream: which agent gets a new flow, and how the agent that holds an open flow is found again.
 //
-// A new flow goes to the least loaded of a few candidate agents of its service. The candidates follow from
+// A new flow goes to the least loaded of a few candidate agents of its service, or to one drawn by the time that a request is
+// expected to take there (ByExpectedWait). The candidates follow from
 // the flow's key. A balancer caches which agent holds a flow. If the cache has no entry, because it expired
 // or because another balancer placed the flow, the balancer asks the candidates, and then all agents.
 // Agents know exactly which flows they hold, and only the one that holds a flow forwards its packets.
@@ -102,6 +103,8 @@
 	Random func() float64
 	// Domain is the balancer's own failure domain, preferred among equally loaded agents.
 	Domain string
+	// ChooseBy is what agents are compared by for a new flow.
+	ChooseBy Criterion
 	// MaxFlows bounds the number of cached flows; zero is lentilflow.DefaultMaxFlows.
 	MaxFlows int
 
@@ -125,7 +128,9 @@
 	lastAskAt time.Time
 	// heldPackets is the number of flows with a heldPacket.
 	heldPackets int
-	flows       lentilflow.Table[flow]
+	// estimates is reused by every choice by expected wait.
+	estimates []estimate
+	flows     lentilflow.Table[flow]
 	// pendingPlacements has the new flows whose agent hasn't answered yet.
 	pendingPlacements map[lentilflow.Key]*flow
 	// heldPlacements has the new flows for which no agent is known yet. heldPlacementsDue is set when one may have
@@ -300,7 +305,7 @@
 		return p.place(now, packet.Key, f, Chosen, actions)
 	case p.heldPlacements[packet.Key] == f:
 		return actions
-	case f.state == statePlacing && now.Sub(f.sentAt) >= placeTimeout:
+	case f.state == statePlacing && now.Sub(f.sentAt) >= placeTimeout, f.state == statePlaced && p.leaves(f.agent):
 		return p.place(now, packet.Key, f, ChosenAgain, actions)
 	default:
 		// Retransmissions go to the same agent, since the client may already have its upstream's reply.
@@ -308,6 +313,13 @@
 	}
 }
 
+// leaves reports whether an agent is stopping, or isn't known any more. The answer of its upstream to a first packet may then
+// find nobody to forward it.
+func (p *Placer) leaves(addr lentilflow.Endpoint) bool {
+	a := p.agents[addr]
+	return a == nil || a.status.Stopping
+}
+
 // HandleTaken records that an agent holds a flow. If the agent was asked for the flow without a packet,
 // it gets the held one.
 func (p *Placer) HandleTaken(from lentilflow.Endpoint, m lentilflow.Taken, actions []Action) []Action {
