Lookups and second offers that don't flood a small link

Cause: after a balancer has been killed, it and its neighbours get flows whose agent they don't know. Each packet of such a flow went to every agent that may hold it, and new flows were offered to a second agent after 120 ms, whose packets then went to both. On a link of 10 Mbit/s the copies made agents' answers later than 120 ms, which made more copies, and the link stayed full.

Change: with Placer.LinkBytesPerSecond (0: as before), copies of clients' packets are charged to a tenth of the link. Beyond it the agents that may hold the flow are asked by its key, and its packets are buffered, 16 a flow and 256 KB in all, until one answers. Agents that are unsure get the first of them at once, one at a time beyond the budget. Data of a flow that was offered to several agents is buffered until one says that it is open there. The time for a second offer follows the round-trip time, 120 to 400 ms. Event LE2426 and the metric lookups_by_key tell of lookups by key. The packet model gets links of balancers (FIFO of half a second, tail drop), uploads with windows of 16 packets, the size of other requests, results by kind of request, and balancers that stay down for a given time.

--- a/internal/lentilevent/catalogue.go
+++ b/internal/lentilevent/catalogue.go
@@ -93,6 +93,9 @@
 		"out of service. This may be missing from the copy, so it counts for two more seconds.", []string{"domain", "era"}},
 	FlowRelayed: {Info, "packet relayed", "A balancer without a configuration passed a client's packet to one that has a configuration.",
 		[]string{"flow", "cause", "balancer"}},
+	FlowSoughtByKey: {Info, "flow looked up by key", "The balancer's link has no room for copies of the packets of a flow whose agent isn't known. The balancer buffers them and asks the agents that may hold the flow by its key. " +
+		"The field `buffered` is the number of bytes buffered for all flows. Many such lines show that the link is small for the traffic, as after other balancers have ended.",
+		[]string{"flow", "buffered", "agents", "heard"}},
 	RegistrationRefused: {Warn, "registration rejected", "An upstream's registration is malformed or for another service, and was ignored.",
 		[]string{"id", "error"}},
 }
--- a/internal/lentilevent/event.go
+++ b/internal/lentilevent/event.go
@@ -120,6 +120,8 @@
 	EntryRenewed
 	DomainKeptOut
 	FlowRelayed
+
+	FlowSoughtByKey Event = 2426
 )
 
 // Code returns the code under which the event is documented, such as LE2001.
--- a/internal/lentilmetric/metric.go
+++ b/internal/lentilmetric/metric.go
@@ -52,6 +52,7 @@
 	FlowsRefused
 	PlacingTime
 	AnswerTime
+	LookupsByKey
 )
 
 type metricDoc struct {
@@ -86,6 +87,7 @@
 	AnswerTime:           {"answer_seconds", Histogram, "seconds", nil, "Time from the arrival of a request's data at an agent until the first data of the upstream's answer."},
 	FlowsReset:           {"flows_reset", Counter, "flows", nil, "Packet flows whose clients were sent a reset."},
 	FlowsRefused:         {"flows_refused", Counter, "flows", nil, "First packets of flows that an agent returned to a balancer."},
+	LookupsByKey:         {"lookups_by_key", Counter, "flows", nil, "Lookups of packet flows for which a balancer buffered the packets and asked agents by the flow's key, because its link had no room for copies of the packets."},
 }
 
 // namePrefix is the prefix of all metric names in a scrape.
--- a/internal/lentilmetric/metric_string.go
+++ b/internal/lentilmetric/metric_string.go
@@ -31,11 +31,12 @@
 	_ = x[FlowsRefused-20]
 	_ = x[PlacingTime-21]
 	_ = x[AnswerTime-22]
+	_ = x[LookupsByKey-23]
 }
 
-const _Metric_name = "PacketsForwardedPacketsDroppedPacketsReturnedPacketsHandedOnTunnelRefusedRequestsAnsweredRequestsRefusedOutcomesUnknownRequestsInFlightRequestsQueuedStreamsOpenCopyBearsCopyPhaseConfigurationVersionRecordsKnownControlBytesControlRefusedPlatformCallsPlatformFailuresFlowsResetFlowsRefusedPlacingTimeAnswerTime"
+const _Metric_name = "PacketsForwardedPacketsDroppedPacketsReturnedPacketsHandedOnTunnelRefusedRequestsAnsweredRequestsRefusedOutcomesUnknownRequestsInFlightRequestsQueuedStreamsOpenCopyBearsCopyPhaseConfigurationVersionRecordsKnownControlBytesControlRefusedPlatformCallsPlatformFailuresFlowsResetFlowsRefusedPlacingTimeAnswerTimeLookupsByKey"
 
-var _Metric_index = [...]uint16{0, 16, 30, 45, 60, 73, 89, 104, 119, 135, 149, 160, 169, 178, 198, 210, 222, 236, 249, 265, 275, 287, 298, 308}
+var _Metric_index = [...]uint16{0, 16, 30, 45, 60, 73, 89, 104, 119, 135, 149, 160, 169, 178, 198, 210, 222, 236, 249, 265, 275, 287, 298, 308, 320}
 
 func (i Metric) String() string {
 	idx := int(i) - 0
--- a/internal/lentilpacket/balancer.go
+++ b/internal/lentilpacket/balancer.go
@@ -252,7 +252,11 @@
 			b.probeMachine(a.To)
 		case lentilplacement.ReportPlaced:
 			b.Counts.recordPlacing(a.Latency)
-		case lentilplacement.Hold, lentilplacement.ReportLookup, lentilplacement.ReportAgent:
+		case lentilplacement.ReportLookup:
+			if a.Cause == lentilplacement.SoughtByKey {
+				b.Counts.SoughtByKey.Add(1)
+			}
+		case lentilplacement.Hold, lentilplacement.ReportAgent:
 		}
 		b.logAction(a)
 	}
--- a/internal/lentilpacket/count.go
+++ b/internal/lentilpacket/count.go
@@ -18,6 +18,9 @@
 	// Resets counts flows that were reset, and Refused first packets that an agent returned to the balancer.
 	Resets, Refused atomic.Uint64
 
+	// SoughtByKey counts lookups by Ask in place of copies of packets.
+	SoughtByKey atomic.Uint64
+
 	// The histograms are nil until Export is called.
 	placingTime, answerTime tally.Histogram
 }
@@ -42,4 +45,5 @@
 	poller.AddCounter(registry.Counter(lentilmetric.PacketsDropped, "unsent"), c.Unsent.Load, nil)
 	poller.AddCounter(registry.Counter(lentilmetric.FlowsReset), c.Resets.Load, nil)
 	poller.AddCounter(registry.Counter(lentilmetric.FlowsRefused), c.Refused.Load, nil)
+	poller.AddCounter(registry.Counter(lentilmetric.LookupsByKey), c.SoughtByKey.Load, nil)
 }
--- a/internal/lentilpacket/log.go
+++ b/internal/lentilpacket/log.go
@@ -54,6 +54,10 @@
 			lentilevent.Uint("version", a.Carry.Version), lentilevent.Int("agentFlows", int(a.Load.Flows)),
 			lentilevent.Int("agentBusy", int(a.Load.InFlight)), lentilevent.Int("ageMillis", int(a.AgeMillis)),
 			lentilevent.Str("refusal", a.Refusal.String()))
+	case a.Kind == lentilplacement.ReportLookup && a.Cause == lentilplacement.SoughtByKey:
+		known, responsive := b.placer.AgentCounts()
+		b.logLimiter.write(b.Logger, lentilevent.FlowSoughtByKey, flow, lentilevent.Int("buffered", b.placer.BufferedBytes()),
+			lentilevent.Int("agents", known), lentilevent.Int("heard", responsive))
 	case a.Kind == lentilplacement.ReportLookup:
 		known, responsive := b.placer.AgentCounts()
 		b.logLimiter.write(b.Logger, lentilevent.FlowSought, flow, cause, lentilevent.Int("agents", known), lentilevent.Int("heard", responsive))
--- a/internal/lentilpacketmodel/client.go
+++ b/internal/lentilpacketmodel/client.go
@@ -47,6 +47,8 @@
 	// misdeliveries are the times when packets of the flow reached other upstreams, since one last reached
 	// flowUpstream.
 	misdeliveries []time.Time
+	// uploadSent and uploadAcked are the numbers of bytes of an upload that were sent and that are acknowledged.
+	uploadSent, uploadAcked int
 }
 
 type clientState uint8
@@ -94,6 +96,7 @@
 		c.endAttempt(true)
 		return
 	}
+	c.recordEnd(false)
 	c.state = noFlow
 	c.attempt++
 	c.sim.After(c.sim.randomThinkTime(), c.openFlow)
@@ -106,6 +109,10 @@
 	}
 	c.sim.Stats.Requests++
 	c.requestedAt = c.sim.Clock.Now()
+	if c.uploads() {
+		c.startUpload()
+		return
+	}
 	c.sendRequest()
 }
 
@@ -124,7 +131,7 @@
 			c.expire()
 			return
 		}
-		c.send(lentilflow.Packet{Key: c.key, Flags: lentilflow.Acknowledge, Sequence: c.sequence, Acknowledged: c.upstreamSequence + 1, Length: 1})
+		c.send(lentilflow.Packet{Key: c.key, Flags: lentilflow.Acknowledge, Sequence: c.sequence, Acknowledged: c.upstreamSequence + 1, Length: max(1, c.sim.Setup.RequestBytes)})
 		c.sim.After(delay, func() { send(min(2*delay, maxResendDelay)) })
 	}
 	send(initialResendDelay)
@@ -143,7 +150,7 @@
 	data := encodePacket(packet)
 	c.sim.After(clientDelay, func() {
 		if b.up {
-			b.receive(func() { b.handleClientPacket(data) })
+			b.arrive(len(data), func() { b.handleClientPacket(data) })
 		}
 	})
 }
@@ -221,21 +228,34 @@
 			c.endAttempt(c.state == opening || c.arrival.repeatable)
 			return
 		}
+		if c.state != thinking {
+			c.recordEnd(false)
+		}
 		c.state = noFlow
 		c.attempt++
 		sim.After(sim.randomThinkTime(), c.openFlow)
 	case packet.Flags.Has(lentilflow.Open):
 		if c.state == opening {
 			c.upstreamSequence = packet.Sequence
+			if c.uploads() {
+				c.startUpload()
+				return
+			}
 			c.sendRequest()
 		}
-	case packet.Length > 0 && c.state == awaitingAnswer && packet.Acknowledged == c.sequence:
+	case packet.Length == 0 && c.uploads() && c.state == awaitingAnswer:
+		c.handleUploadAck(packet)
+	case packet.Length > 0 && c.state == awaitingAnswer && c.isAnswer(packet):
 		sim.Stats.Answered++
+		c.recordEnd(true)
 		sim.Stats.Latencies = append(sim.Stats.Latencies, sim.Clock.Now().Sub(c.requestedAt))
 		if c.arrival != nil {
 			c.finishArrival()
 			return
 		}
+		if c.uploads() {
+			c.sequence += uint32(sim.Setup.UploadBytes)
+		}
 		if c.requestsPerFlow > 0 && c.requestsMade >= c.requestsPerFlow {
 			c.state = noFlow
 			c.attempt++
--- a/internal/lentilpacketmodel/fault.go
+++ b/internal/lentilpacketmodel/fault.go
@@ -9,11 +9,18 @@
 // domain by a number, taken modulo how many exist.
 
 // KillBalancer kills a balancer's process, which restarts after restartDelay without its previous state.
-func (s *Simulation) KillBalancer(number int) { s.killBalancer(s.balancers[number%len(s.balancers)]) }
+func (s *Simulation) KillBalancer(number int) {
+	s.killBalancer(s.balancers[number%len(s.balancers)], restartDelay)
+}
+
+// KillBalancerFor kills a balancer's process, which restarts after the given time without its previous state.
+func (s *Simulation) KillBalancerFor(number int, down time.Duration) {
+	s.killBalancer(s.balancers[number%len(s.balancers)], down)
+}
 
-func (s *Simulation) killBalancer(b *balancer) {
+func (s *Simulation) killBalancer(b *balancer, down time.Duration) {
 	b.up, b.lastFaultAt = false, s.Clock.Now()
-	s.After(restartDelay, func() {
+	s.After(down, func() {
 		b.lastFaultAt = s.Clock.Now()
 		b.start()
 	})
@@ -178,7 +185,7 @@
 // KillAll kills all balancers and agents at once. Upstreams keep running.
 func (s *Simulation) KillAll() {
 	for _, b := range s.balancers {
-		s.killBalancer(b)
+		s.killBalancer(b, restartDelay)
 	}
 	for _, a := range s.agents {
 		s.killAgent(a)
--- a/internal/lentilpacketmodel/process.go
+++ b/internal/lentilpacketmodel/process.go
@@ -22,11 +22,27 @@
 	// domainsAsOf is the position of the state of the failure domains that the balancer knows.
 	domainsAsOf lentilera.Position
 	survivors   lentilera.Survivors
+	// linkRate is the rate of the balancer's link in bytes a second; 0 is unlimited.
+	linkRate int
+}
+
+// balancersIn returns the number of balancers in a failure domain.
+func (s *Simulation) balancersIn(domain int) (count int) {
+	for _, b := range s.balancers {
+		if b.domain == domain {
+			count++
+		}
+	}
+	return count
 }
 
 func (s *Simulation) addBalancer(domain int) {
 	b := &balancer{process: s.newProcess(domain)}
 	b.receiveTime = s.Setup.ReceiveTime
+	if s.Setup.BalancerLinkRates != nil {
+		b.linkRate = s.Setup.BalancerLinkRates(domain, s.balancersIn(domain))
+		b.linkOut, b.linkIn = newLink(b.linkRate), newLink(b.linkRate)
+	}
 	s.balancers = append(s.balancers, b)
 	b.start()
 	s.After(time.Duration(s.Random.Float64()*float64(probeInterval)), b.probe)
@@ -38,6 +54,9 @@
 	b.up, b.runNumber, b.ready, b.stopping = true, b.runNumber+1, false, false
 	b.survivors = lentilera.Survivors{Clock: sim.Clock}
 	b.placer = lentilplacement.Placer{Clock: sim.Clock, Codec: codec(), Random: sim.Random.Float64, Domain: domainName(b.domain)}
+	if !sim.Setup.LinksUnset {
+		b.placer.LinkBytesPerSecond = b.linkRate
+	}
 	b.schedule(storeDelay/10, func() {
 		b.placer.Configure(sim.configuration())
 		b.readDomains()
@@ -59,7 +78,7 @@
 	if out, known := b.placer.DomainOutOf(to); known {
 		m.DomainState = lentilflow.DomainState{AsOf: b.domainsAsOf.Revision, Out: out}
 	}
-	b.sim.sendDatagram(b.process, to, b.agentHandler(func(g *agent) { g.handleHello(b.endpoint, m) }))
+	b.sim.sendDatagram(b.process, to, messageBytes, b.agentHandler(func(g *agent) { g.handleHello(b.endpoint, m) }))
 }
 
 func (b *balancer) tick() {
@@ -107,10 +126,10 @@
 				sim.Stats.Offers++
 				sim.periodAt(sim.Clock.Now()).Offers++
 			}
-			b.sendToAgent(action.To, func(g *agent) { g.handleCarry(b.endpoint, m) })
+			b.sendToAgent(action.To, carryBytes+len(m.Packet), func(g *agent) { g.handleCarry(b.endpoint, m) })
 		case lentilplacement.SendAsk:
 			m := lentilflow.Ask{Keys: action.Keys}
-			b.sendToAgent(action.To, func(g *agent) { g.perform(g.tracker.HandleAsk(b.endpoint, m, nil)) })
+			b.sendToAgent(action.To, keyBytes*len(m.Keys), func(g *agent) { g.perform(g.tracker.HandleAsk(b.endpoint, m, nil)) })
 		case lentilplacement.SendHello:
 			b.sendHello(action.To)
 		case lentilplacement.ResetClient:
@@ -118,7 +137,11 @@
 		case lentilplacement.SendRelay: // All simulated balancers have a configuration.
 		case lentilplacement.ProbeMachine:
 			b.probeMachine(action.To)
-		case lentilplacement.Drop, lentilplacement.Hold, lentilplacement.ReportAgent, lentilplacement.ReportPlaced, lentilplacement.ReportLookup:
+		case lentilplacement.ReportLookup:
+			if action.Cause == lentilplacement.SoughtByKey {
+				sim.Stats.LookupsByKey++
+			}
+		case lentilplacement.Drop, lentilplacement.Hold, lentilplacement.ReportAgent, lentilplacement.ReportPlaced:
 		}
 	}
 }
@@ -132,8 +155,8 @@
 	b.schedule(2*crossDomainDelay, func() { b.perform(b.placer.HandleProbeResult(agent, answers(), nil)) })
 }
 
-func (b *balancer) sendToAgent(to lentilflow.Endpoint, handle func(g *agent)) {
-	b.sim.sendFlowDatagram(b.process, to, b.agentHandler(handle))
+func (b *balancer) sendToAgent(to lentilflow.Endpoint, bytes int, handle func(g *agent)) {
+	b.sim.sendFlowDatagram(b.process, to, bytes, b.agentHandler(handle))
 }
 
 // agentHandler returns a function that calls handle with the agent of a process, if it is one.
@@ -236,20 +259,20 @@
 			sim.sendToClient(a.process, codec().AppendReset(nil, action.Key, action.Sequence), action.Cause.String())
 		case lentilconntrack.SendTaken:
 			m := lentilflow.Taken{Key: action.Key, Open: action.Open, Load: a.tracker.Load()}
-			a.sendToBalancer(action.To, func(b *balancer) { b.perform(b.placer.HandleTaken(a.endpoint, m, nil)) })
+			a.sendToBalancer(action.To, messageBytes, func(b *balancer) { b.perform(b.placer.HandleTaken(a.endpoint, m, nil)) })
 		case lentilconntrack.SendRefused:
 			m := lentilflow.Refused{Reason: action.Refusal, Load: a.tracker.Load(), Packet: slices.Clone(action.Packet)}
-			a.sendToBalancer(action.To, func(b *balancer) {
+			a.sendToBalancer(action.To, carryBytes+len(m.Packet), func(b *balancer) {
 				if actions, err := b.placer.HandleRefused(a.endpoint, m, nil); err == nil {
 					b.perform(actions)
 				}
 			})
 		case lentilconntrack.SendDenied:
 			m := lentilflow.Denied{Keys: action.Keys, Unsure: action.Unsure}
-			a.sendToBalancer(action.To, func(b *balancer) { b.perform(b.placer.HandleDenied(a.endpoint, m, nil)) })
+			a.sendToBalancer(action.To, keyBytes*len(m.Keys), func(b *balancer) { b.perform(b.placer.HandleDenied(a.endpoint, m, nil)) })
 		case lentilconntrack.SendStatus:
 			m := a.tracker.Status()
-			a.sim.sendDatagram(a.process, action.To, a.balancerHandler(func(b *balancer) { b.perform(b.placer.HandleStatus(a.endpoint, m, nil)) }))
+			a.sim.sendDatagram(a.process, action.To, messageBytes, a.balancerHandler(func(b *balancer) { b.perform(b.placer.HandleStatus(a.endpoint, m, nil)) }))
 		case lentilconntrack.ProbeUpstream:
 			a.schedule(sameDomainDelay, a.probeUpstream)
 		case lentilconntrack.Rediscover, lentilconntrack.ReportStateChange:
@@ -257,8 +280,8 @@
 	}
 }
 
-func (a *agent) sendToBalancer(to lentilflow.Endpoint, handle func(b *balancer)) {
-	a.sim.sendFlowDatagram(a.process, to, a.balancerHandler(handle))
+func (a *agent) sendToBalancer(to lentilflow.Endpoint, bytes int, handle func(b *balancer)) {
+	a.sim.sendFlowDatagram(a.process, to, bytes, a.balancerHandler(handle))
 }
 
 // balancerHandler returns a function that calls handle with the balancer of a process, if it is one.
--- a/internal/lentilpacketmodel/simulation.go
+++ b/internal/lentilpacketmodel/simulation.go
@@ -55,6 +55,17 @@
 	// ReceiveTime is how long a balancer takes to handle a datagram, as on a VM with a small share of a core; zero is
 	// no time. Datagrams that arrive meanwhile wait, up to the limit of the socket's buffer.
 	ReceiveTime time.Duration
+	// BalancerLinkRates returns the rate of a balancer's link in each direction, given its failure domain and its number
+	// in it. Nil, and a rate of 0, is a link that takes no time. LinksUnset leaves the rates unknown to the balancers, as
+	// without the setting.
+	BalancerLinkRates func(domain, number int) (bytesPerSecond int)
+	LinksUnset        bool
+	// RequestBytes is the size of other requests; 0 is one byte. It is at most 1,200.
+	RequestBytes int
+	// UploadBytes is the size of the uploads that every fourth arrival makes; 0 is no uploads. UploadTarget is their
+	// latency objective.
+	UploadBytes  int
+	UploadTarget time.Duration
 	// ChooseAgent replaces the balancers' choice of an agent for new flows, for comparison. Nil keeps it.
 	ChooseAgent func(sim *Simulation, key lentilflow.Key) (agent int)
 }
@@ -237,6 +248,8 @@
 	// that have arrived.
 	receiveTime time.Duration
 	busyUntil   time.Time
+	// linkOut and linkIn are the directions of the process's network link; nil takes no time.
+	linkOut, linkIn *link
 }
 
 // stable reports whether the process has had no unplanned fault for the stability window of the platform's
@@ -289,11 +302,11 @@
 // ApplyDeliveryOutcomes makes Setup.DeliveryOutcome decide about all later datagrams about flows.
 func (s *Simulation) ApplyDeliveryOutcomes() { s.applyOutcomes = true }
 
-// sendFlowDatagram sends a datagram about a flow with the outcome that Setup.DeliveryOutcome decides, if that
+// sendFlowDatagram sends a datagram of the given size about a flow with the outcome that Setup.DeliveryOutcome decides, if that
 // is applied.
-func (s *Simulation) sendFlowDatagram(from *process, to lentilflow.Endpoint, receive func(p *process)) {
+func (s *Simulation) sendFlowDatagram(from *process, to lentilflow.Endpoint, bytes int, receive func(p *process)) {
 	if !s.applyOutcomes || s.Setup.DeliveryOutcome == nil {
-		s.sendDatagram(from, to, receive)
+		s.sendDatagram(from, to, bytes, receive)
 		return
 	}
 	extraDelay, lost := s.Setup.DeliveryOutcome(s.outcomesDecided)
@@ -304,13 +317,13 @@
 	run := from.runNumber
 	s.After(extraDelay, func() {
 		if from.runNumber == run {
-			s.sendDatagram(from, to, receive)
+			s.sendDatagram(from, to, bytes, receive)
 		}
 	})
 }
 
-// sendDatagram delivers a datagram from one process to another, unless the network loses it.
-func (s *Simulation) sendDatagram(from *process, to lentilflow.Endpoint, receive func(p *process)) {
+// sendDatagram delivers a datagram of the given size from one process to another, unless the network loses it.
+func (s *Simulation) sendDatagram(from *process, to lentilflow.Endpoint, bytes int, receive func(p *process)) {
 	p := s.processes[to]
 	if p == nil || from.isolated || p.isolated || s.partitions[domainPair(from.domain, p.domain)] || s.Random.Float64() < s.loss {
 		return
@@ -319,11 +332,16 @@
 	if from.domain == p.domain {
 		delay = sameDomainDelay
 	}
-	s.After(delay, func() {
+	queued, ok := from.linkOut.transmit(s.Clock.Now(), bytes)
+	if !ok {
+		s.Stats.LinkLosses++
+		return
+	}
+	s.After(delay+queued, func() {
 		if !p.up || p.isolated {
 			return
 		}
-		p.receive(func() { receive(p) })
+		p.arrive(bytes, func() { receive(p) })
 	})
 }
 
--- a/internal/lentilpacketmodel/upstream.go
+++ b/internal/lentilpacketmodel/upstream.go
@@ -44,6 +44,11 @@
 	// once it was answered.
 	requestSequence     uint32
 	requested, answered bool
+	// clientSequence is the client's first sequence number. uploaded has the lengths of the packets of an upload by their
+	// offset, and uploadedBytes is how much of it has arrived without a gap.
+	clientSequence uint32
+	uploaded       map[int]int
+	uploadedBytes  int
 }
 
 func (s *Simulation) newUpstream(a *agent) *upstream {
@@ -116,7 +121,7 @@
 // handleOpening answers the first packet of a flow, which may be a retransmission.
 func (u *upstream) handleOpening(packet lentilflow.Packet, flow *flowState) {
 	if flow == nil {
-		flow = &flowState{sequence: u.sim.Random.Uint32(), lastPacketAt: u.sim.Clock.Now()}
+		flow = &flowState{sequence: u.sim.Random.Uint32(), clientSequence: packet.Sequence, lastPacketAt: u.sim.Clock.Now()}
 		u.flows[packet.Key] = flow
 		u.checkNewFlow()
 	}
@@ -126,6 +131,13 @@
 // handleRequest works on a request, queues it or sheds it.
 func (u *upstream) handleRequest(packet lentilflow.Packet, flow *flowState) {
 	sim := u.sim
+	if c := sim.clientOf(packet.Key); c != nil && c.uploads() {
+		first, complete := u.receiveUpload(packet, flow)
+		if !complete {
+			return
+		}
+		packet.Sequence = first
+	}
 	if flow.requested && flow.requestSequence == packet.Sequence {
 		// The client has sent the request again.
 		if flow.answered {
--- a/pkg/lentilbudget/budget.go
+++ b/pkg/lentilbudget/budget.go
@@ -40,6 +40,12 @@
 	b.limiter.ReserveN(now, min(n, b.Burst))
 }
 
+// Tokens returns the number of tokens in the bucket. It is negative after more was spent than it held.
+func (b *Bucket) Tokens(now time.Time) float64 {
+	b.initialize()
+	return b.limiter.TokensAt(now)
+}
+
 // HasTokens reports whether the bucket holds at least one token.
 func (b *Bucket) HasTokens(now time.Time) (ok bool) {
 	b.initialize()
--- a/pkg/lentilplacement/action.go
+++ b/pkg/lentilplacement/action.go
@@ -82,6 +82,12 @@
 	MachineAnswered
 	// AgentChanged means that an agent has restarted, or that its phase or a flag of its status has changed.
 	AgentChanged
+	// SoughtByKey means that the link has no room for copies of the flow's packets, and the agents that may hold it are asked by
+	// its key.
+	SoughtByKey
+	// BufferFull means that the packet was buffered until its flow is found, and was dropped since it waited too long, its flow
+	// has ended, or newer packets needed the room.
+	BufferFull
 )
 
 // Action is one thing for the balancer to do.
--- a/pkg/lentilplacement/agent.go
+++ b/pkg/lentilplacement/agent.go
@@ -27,7 +27,7 @@
 	machineSeenAt, probedAt time.Time
 	// flowsSent counts the flows sent to the agent since it last reported its load.
 	flowsSent int
-	// suspected is set when the agent misses placeTimeout, until it is seen again.
+	// suspected is set when a flow is offered to another agent since this one hasn't answered, until it is seen again.
 	suspected bool
 	// failingAt is when the agent last refused a flow because its upstream fails.
 	failingAt time.Time
--- a/pkg/lentilplacement/enum_string.go
+++ b/pkg/lentilplacement/enum_string.go
@@ -56,11 +56,13 @@
 	_ = x[AgentSilent-17]
 	_ = x[MachineAnswered-18]
 	_ = x[AgentChanged-19]
+	_ = x[SoughtByKey-20]
+	_ = x[BufferFull-21]
 }
 
-const _Cause_name = "NoCauseChosenChosenAgainSoughtSoughtWidelyFoundNoRouteNoConfigurationNoAgentAllRefusedAllDeniedHolderGoneClientGoneHolderDeniedAskedAlreadyTooManyAskedAgentHeardAgentSilentMachineAnsweredAgentChanged"
+const _Cause_name = "NoCauseChosenChosenAgainSoughtSoughtWidelyFoundNoRouteNoConfigurationNoAgentAllRefusedAllDeniedHolderGoneClientGoneHolderDeniedAskedAlreadyTooManyAskedAgentHeardAgentSilentMachineAnsweredAgentChangedSoughtByKeyBufferFull"
 
-var _Cause_index = [...]uint8{0, 7, 13, 24, 30, 42, 47, 54, 69, 76, 86, 95, 105, 115, 127, 139, 151, 161, 172, 187, 199}
+var _Cause_index = [...]uint8{0, 7, 13, 24, 30, 42, 47, 54, 69, 76, 86, 95, 105, 115, 127, 139, 151, 161, 172, 187, 199, 210, 220}
 
 func (i Cause) String() string {
 	idx := int(i) - 0
--- a/pkg/lentilplacement/lookup.go
+++ b/pkg/lentilplacement/lookup.go
@@ -23,14 +23,14 @@
 	case f.state == stateKnown, f.state == statePlaced && len(f.possibleHolders) == 1:
 		return append(actions, p.forwardAction(f.agent, packet.Key, lentilflow.Owned, data))
 	case f.state == stateLookup:
-		return p.lookUp(packet.Key, f, data, actions)
+		return p.lookUp(packet, f, data, actions)
 	}
 	// Several upstreams may have accepted the flow. The client uses one of them, and only the agent of that
 	// one forwards the packet.
-	for _, addr := range f.possibleHolders {
-		actions = append(actions, p.forwardAction(addr, packet.Key, lentilflow.Lookup, data))
+	if p.LinkBytesPerSecond > 0 && len(f.possibleHolders) > 1 {
+		return p.forwardToHolders(now, packet, f, data, actions)
 	}
-	return actions
+	return p.forwardToAll(packet.Key, f, data, actions)
 }
 
 // endedWithAgent reports whether the flows of an agent have ended with it and its upstream.
@@ -52,13 +52,17 @@
 // lookUp sends a packet of a flow whose holder isn't known to its preferred agents and to those that need
 // a packet to decide, unless they have denied the flow. If that isn't enough, all agents are asked. A flow
 // that every agent has denied is reset.
-func (p *Placer) lookUp(key lentilflow.Key, f *flow, data []byte, actions []Action) []Action {
-	now := p.now()
+func (p *Placer) lookUp(packet lentilflow.Packet, f *flow, data []byte, actions []Action) []Action {
+	now, key := p.now(), packet.Key
 	f.expireDenials(now)
 	if p.deniedByAll(now, f) {
 		return p.resetFlow(key, f, actions)
 	}
-	p.recordLookup(now, key, f, data)
+	if p.LinkBytesPerSecond > 0 {
+		return p.lookUpOnLink(now, packet, f, data, actions)
+	}
+	p.recordLookup(now, key, f)
+	p.holdPacket(f, data)
 	before := len(actions)
 	for _, addr := range p.preferredAgents(key) {
 		if !slices.Contains(f.deniedBy, addr) {
@@ -74,8 +78,7 @@
 	if preferred > 0 {
 		actions = append(actions, Action{Kind: ReportLookup, Cause: Sought, Key: key})
 	}
-	if now.Sub(f.askedAllAt) >= askRetryInterval && (preferred == 0 || now.Sub(f.lookupStartedAt) >= placeTimeout) {
-		// An agent that forwarded the packet may get no reply from its upstream, and then never answers.
+	if p.askAllDue(now, f, preferred) {
 		return p.queueAsk(now, key, f, actions)
 	}
 	if len(actions) == before {
@@ -84,12 +87,22 @@
 	return actions
 }
 
-// recordLookup records that a flow is being looked up, and holds a packet until the flow is found.
-func (p *Placer) recordLookup(now time.Time, key lentilflow.Key, f *flow, data []byte) {
+// askAllDue reports whether all agents have to be asked for a flow, given how many preferred agents haven't denied it. An agent
+// that forwarded the packet may get no reply from its upstream, and then never answers.
+func (p *Placer) askAllDue(now time.Time, f *flow, preferred int) bool {
+	return now.Sub(f.askedAllAt) >= askRetryInterval && (preferred == 0 || now.Sub(f.lookupStartedAt) >= p.offerTimeout())
+}
+
+// holdPacket holds a packet of a flow until the flow is found.
+func (p *Placer) holdPacket(f *flow, data []byte) {
 	if f.heldPacket == nil && p.heldPackets < maxHeldPackets {
 		f.heldPacket = slices.Clone(data)
 		p.heldPackets++
 	}
+}
+
+// recordLookup records that a flow is being looked up.
+func (p *Placer) recordLookup(now time.Time, key lentilflow.Key, f *flow) {
 	if f.lookupStartedAt.IsZero() {
 		f.lookupStartedAt = now
 	}
@@ -116,6 +129,7 @@
 // resetEndedFlow resets the client of a flow that has ended, and forgets the flow.
 func (p *Placer) resetEndedFlow(key lentilflow.Key, f *flow, cause Cause, actions []Action) []Action {
 	p.releaseHeldPacket(f)
+	p.takeBuffered(f)
 	p.flows.Delete(key)
 	delete(p.lookups, key)
 	return append(actions, Action{Kind: ResetClient, Cause: cause, Key: key, Sequence: f.acknowledged})
@@ -143,7 +157,7 @@
 			delete(p.lookups, key)
 		case moreGone && p.deniedByAll(now, f):
 			actions = p.resetFlow(key, f, actions)
-		case now.Sub(f.askedAllAt) >= askRetryInterval && now.Sub(f.lookupStartedAt) >= placeTimeout && now.Sub(f.lookupStartedAt) < askAgainFor:
+		case now.Sub(f.askedAllAt) >= askRetryInterval && now.Sub(f.lookupStartedAt) >= p.offerTimeout() && now.Sub(f.lookupStartedAt) < askAgainFor:
 			// The client may send its next packet only after its deadline.
 			actions = p.queueAsk(now, key, f, actions)
 		}
@@ -249,15 +263,24 @@
 			actions = p.resetEndedFlow(key, f, HolderDenied, actions)
 			continue
 		}
+		if m.Unsure && len(f.buffered) > 0 && f.state != stateLookup && slices.Contains(f.possibleHolders, from) {
+			// The agent has taken the flow, and the client's acknowledgement hasn't reached it.
+			actions = p.handleUnsureOnLink(now, from, key, f, actions)
+			continue
+		}
 		f.possibleHolders = slices.DeleteFunc(f.possibleHolders, func(holder lentilflow.Endpoint) bool { return holder == from })
 		if f.state == stateKnown || (f.state != stateLookup && len(f.possibleHolders) == 0) {
 			f.state = stateLookup
 			delete(p.pendingPlacements, key)
 		}
 		f.expireDenials(now)
-		if m.Unsure {
+		actions = p.handleHoldersChanged(now, key, f, actions)
+		switch {
+		case m.Unsure && len(f.buffered) > 0:
+			actions = p.handleUnsureOnLink(now, from, key, f, actions)
+		case m.Unsure:
 			actions = p.handleUnsure(from, key, f, actions)
-		} else {
+		default:
 			actions = p.handleDenial(now, from, key, f, actions)
 		}
 	}
@@ -295,6 +318,7 @@
 			// The next one gets the packet now.
 			actions = append(actions, p.forwardAction(f.unsureAgents[maxUnsureAgents-1], key, lentilflow.Lookup, f.heldPacket))
 		}
+		actions = p.probeNext(now, key, f, actions)
 	}
 	switch {
 	case f.state != stateLookup:
--- a/pkg/lentilplacement/place.go
+++ b/pkg/lentilplacement/place.go
@@ -34,6 +34,9 @@
 	}
 	delete(p.heldPlacements, key)
 	f.state, f.agent, f.sentAt = statePlacing, addr, now
+	if len(f.triedAgents)+len(f.busyAgents) == 0 {
+		f.firstOfferTo, f.firstOfferAt = addr, now
+	}
 	f.triedAgents, f.possibleHolders = append(f.triedAgents, addr), append(f.possibleHolders, addr)
 	if p.pendingPlacements == nil {
 		p.pendingPlacements = make(map[lentilflow.Key]*flow)
--- a/pkg/lentilplacement/placement.go
+++ b/pkg/lentilplacement/placement.go
@@ -14,6 +14,7 @@
 
 import (
 	"cmp"
+	"container/list"
 	"slices"
 	"time"
 
@@ -104,6 +105,9 @@
 	Domain string
 	// MaxFlows bounds the number of cached flows; zero is lentilflow.DefaultMaxFlows.
 	MaxFlows int
+	// LinkBytesPerSecond is the rate of the balancer's link. Copies of clients' packets, which lookups and second offers
+	// send, then take at most a tenth of it. Zero means that they are not limited.
+	LinkBytesPerSecond int
 
 	configuration lentilflow.Configuration
 	// previousServices has the services that an address had in earlier configurations and lost. Their
@@ -141,6 +145,16 @@
 	lastTick       time.Time
 	// relays has the balancers that have a configuration, with the time when an agent last named them.
 	relays map[lentilflow.Endpoint]time.Time
+	// copyBudget limits the copies of clients' packets if LinkBytesPerSecond is set.
+	copyBudget lentilbudget.Bucket
+	buffer     buffer
+	// preferredAskQueue has the flows for which their most likely agents have still to be asked by key, and
+	// lastPreferredAskAt is when such Asks were last sent.
+	preferredAskQueue  []lentilflow.Key
+	lastPreferredAskAt time.Time
+	preferredAskBudget lentilbudget.Bucket
+	// smoothedRTT is the smoothed time that agents take to answer an offer.
+	smoothedRTT time.Duration
 }
 
 // flow is the cached state of a flow.
@@ -181,6 +195,15 @@
 	heldPacket []byte
 	// acknowledged is the sequence that the client has acknowledged last.
 	acknowledged uint32
+	// buffered has the flow's packets in Placer.buffer, in order.
+	buffered []*list.Element
+	// askedPreferredAt is when the agents that most likely hold the flow were last asked for it, and probedAt when an agent was
+	// last sent a buffered packet of it to decide.
+	askedPreferredAt, probedAt time.Time
+	// firstOfferTo and firstOfferAt are the agent to which the flow was offered first, and when; the time is zero once
+	// it has answered.
+	firstOfferTo lentilflow.Endpoint
+	firstOfferAt time.Time
 }
 
 // flowState is what the balancer assumes about a flow.
@@ -243,6 +266,9 @@
 // Until then, no flow is reset on the ground that all known agents denied it or that there is no agent to try.
 func (p *Placer) SetAgentsComplete() { p.agentsComplete, p.heldPlacementsDue = true, true }
 
+// BufferedBytes returns how many bytes of clients' packets are buffered until their flows are found.
+func (p *Placer) BufferedBytes() int { return p.buffer.bytes }
+
 // Flows returns the number of cached flows.
 func (p *Placer) Flows() int { return p.flows.Len() }
 
@@ -300,7 +326,7 @@
 		return p.place(now, packet.Key, f, Chosen, actions)
 	case p.heldPlacements[packet.Key] == f:
 		return actions
-	case f.state == statePlacing && now.Sub(f.sentAt) >= placeTimeout:
+	case f.state == statePlacing && now.Sub(f.sentAt) >= p.offerTimeout() && p.mayOfferAgain(now, f):
 		return p.place(now, packet.Key, f, ChosenAgain, actions)
 	default:
 		// Retransmissions go to the same agent, since the client may already have its upstream's reply.
@@ -321,6 +347,7 @@
 		f = &flow{}
 		p.flows.Put(now, m.Key, f)
 	}
+	p.recordOfferAnswer(now, from, f)
 	delete(p.pendingPlacements, m.Key)
 	held := p.releaseHeldPacket(f)
 	switch {
@@ -328,6 +355,7 @@
 		if held != nil && !f.askedAllAt.IsZero() {
 			actions = append(actions, p.forwardAction(from, m.Key, lentilflow.Owned, held))
 		}
+		actions = p.releaseBuffered(from, m.Key, f, lentilflow.Owned, actions)
 		delete(p.lookups, m.Key)
 		*f = flow{state: stateKnown, agent: from}
 	case f.state == statePlacing:
@@ -350,6 +378,7 @@
 		return actions, nil
 	}
 	f.lastRefusal = m.Reason
+	p.recordOfferAnswer(now, from, f)
 	switch m.Reason {
 	case lentilflow.UpstreamBusy:
 		f.triedAgents = slices.DeleteFunc(f.triedAgents, func(tried lentilflow.Endpoint) bool { return tried == from })
@@ -361,20 +390,20 @@
 		f.failingSeen = true
 	}
 	f.possibleHolders = slices.DeleteFunc(f.possibleHolders, func(holder lentilflow.Endpoint) bool { return holder == from })
-	return p.place(now, packet.Key, f, ChosenAgain, actions), nil
+	return p.handleHoldersChanged(now, packet.Key, f, p.place(now, packet.Key, f, ChosenAgain, actions)), nil
 }
 
 // Tick handles timeouts and sends what is due. Call it several times a second.
 func (p *Placer) Tick(actions []Action) []Action {
 	now := p.now()
 	for key, f := range p.pendingPlacements {
-		if now.Sub(f.sentAt) >= placeTimeout {
+		if now.Sub(f.sentAt) >= p.offerTimeout() && p.mayOfferAgain(now, f) {
 			if a := p.agents[f.agent]; a != nil {
 				a.suspected = true
 			}
 			actions = p.place(now, key, f, ChosenAgain, actions)
 		}
 	}
-	actions = p.tickHeldPlacements(now, actions)
+	actions = p.tickHeldPlacements(now, p.tickBuffer(now, actions))
 	return p.tickLookups(now, p.tickAgents(now, p.sendQueuedAsks(now, actions)))
 }
