--- a/internal/lentilevent/catalogue.go
+++ b/internal/lentilevent/catalogue.go
@@ -100,6 +100,9 @@
 		[]string{"fullMillis", "bytes", "droppedControl", "droppedOpening", "droppedShort", "droppedBulk"}},
 	QueueHeld: {Warn, "caller holds the queue", "A flow was refused because too many wait at the agent, whose queue is fair between callers. `caller` held most of the queue: `flows` of `waiting`. " +
 		"At most one line in a second.", []string{"flow", "caller", "flows", "waiting"}},
+	FlowSoughtByKey: {Info, "flow looked up by key", "The balancer's link has no room for copies of the packets of a flow whose agent isn't known. The balancer buffers them and asks the agents that may hold the flow by its key. " +
+		"The field `buffered` is the number of bytes buffered for all flows. Many such lines show that the link is small for the traffic, as after other balancers have ended.",
+		[]string{"flow", "buffered", "agents", "heard"}},
 	RegistrationRefused: {Warn, "registration rejected", "An upstream's registration is malformed or for another service, and was ignored.",
 		[]string{"id", "error"}},
 }
--- a/internal/lentilevent/event_string.go
+++ b/internal/lentilevent/event_string.go
@@ -62,6 +62,7 @@
 	_ = x[LinkFull-2422]
 	_ = x[LinkFree-2423]
 	_ = x[QueueHeld-2424]
+	_ = x[FlowSoughtByKey-2426]
 }
 
 const (
@@ -70,6 +71,7 @@
 	_Event_name_2 = "ConfigurationInForceConfigurationRefusedPlatformDownPlatformBackDomainOutDomainBackControlFailedCopyUnlisted"
 	_Event_name_3 = "CopyWarmingCopyReadyCopyColdCopyDrainingOutcomeUnknown"
 	_Event_name_4 = "FlowPlacedFlowSoughtFlowTakenFlowOpenFlowRefusedFlowDeniedFlowResetFlowDroppedAgentNotedUpstreamNotedPeersReadStoreLostStoreRegainedRegistrationRefusedPeerForgottenFlowHeldStoreReturnedStoreEraIgnoredEntryRenewedDomainKeptOutFlowRelayedLinkFullLinkFreeQueueHeld"
+	_Event_name_5 = "FlowSoughtByKey"
 )
 
 var (
@@ -97,6 +99,8 @@
 	case 2401 <= i && i <= 2424:
 		i -= 2401
 		return _Event_name_4[_Event_index_4[i]:_Event_index_4[i+1]]
+	case i == 2426:
+		return _Event_name_5
 	default:
 		return "Event(" + strconv.FormatInt(int64(i), 10) + ")"
 	}
--- a/internal/lentilpacket/balancer.go
+++ b/internal/lentilpacket/balancer.go
@@ -131,6 +131,7 @@
 	b.runID = rand.Uint64()
 	b.pollSchedule.Random = rand.Float64
 	b.link.BytesPerSecond, b.linkQueued = b.Settings.LinkBytesPerSecond(), make(chan struct{}, 1)
+	b.placer.LinkBytesPerSecond = b.Settings.LinkBytesPerSecond()
 	b.prepareReaders()
 	b.placer.Codec, b.placer.Random, b.placer.Domain = b.Codec, rand.Float64, b.Settings.Domain()
 	if b.Settings.ByExpectedWait() {
@@ -268,7 +269,11 @@
 			b.probeMachine(a.To)
 		case lentilplacement.ReportPlaced:
 			b.Counts.recordPlacing(a.Latency)
-		case lentilplacement.Hold, lentilplacement.ReportLookup, lentilplacement.ReportAgent:
+		case lentilplacement.ReportLookup:
+			if a.Cause == lentilplacement.SoughtByKey {
+				b.Counts.SoughtByKey.Add(1)
+			}
+		case lentilplacement.Hold, lentilplacement.ReportAgent:
 		}
 		b.logAction(a)
 	}
--- a/pkg/lentilplacement/agent.go
+++ b/pkg/lentilplacement/agent.go
@@ -34,7 +34,7 @@
 	// work is the expected work of the flows sent to the agent, in requests, as of workAt.
 	work   float64
 	workAt time.Time
-	// suspected is set when the agent misses placeTimeout, until it is seen again.
+	// suspected is set when a flow is offered to another agent since this one hasn't answered, until it is seen again.
 	suspected bool
 	// failingAt is when the agent last refused a flow because its upstream fails.
 	failingAt time.Time
