--- a/internal/lentilevent/event.go
+++ b/internal/lentilevent/event.go
@@ -123,6 +123,8 @@
 	LinkFull
 	LinkFree
 	QueueHeld
+
+	FlowSoughtByKey Event = 2426
 )
 
 // Code returns the code under which the event is documented, such as LE2001.
--- a/internal/lentilmetric/metric_string.go
+++ b/internal/lentilmetric/metric_string.go
@@ -38,11 +38,12 @@
 	_ = x[LinkFullSeconds-27]
 	_ = x[QueueCallers-28]
 	_ = x[QueueOutOfOrder-29]
+	_ = x[LookupsByKey-30]
 }
 
-const _Metric_name = "PacketsForwardedPacketsDroppedPacketsReturnedPacketsHandedOnTunnelRefusedRequestsAnsweredRequestsRefusedOutcomesUnknownRequestsInFlightRequestsQueuedStreamsOpenCopyBearsCopyPhaseConfigurationVersionRecordsKnownControlBytesControlRefusedPlatformCallsPlatformFailuresFlowsResetFlowsRefusedPlacingTimeAnswerTimeLinkWaitedLinkDroppedLinkQueuedBytesLinkUtilizationLinkFullSecondsQueueCallersQueueOutOfOrder"
+const _Metric_name = "PacketsForwardedPacketsDroppedPacketsReturnedPacketsHandedOnTunnelRefusedRequestsAnsweredRequestsRefusedOutcomesUnknownRequestsInFlightRequestsQueuedStreamsOpenCopyBearsCopyPhaseConfigurationVersionRecordsKnownControlBytesControlRefusedPlatformCallsPlatformFailuresFlowsResetFlowsRefusedPlacingTimeAnswerTimeLinkWaitedLinkDroppedLinkQueuedBytesLinkUtilizationLinkFullSecondsQueueCallersQueueOutOfOrderLookupsByKey"
 
-var _Metric_index = [...]uint16{0, 16, 30, 45, 60, 73, 89, 104, 119, 135, 149, 160, 169, 178, 198, 210, 222, 236, 249, 265, 275, 287, 298, 308, 318, 329, 344, 359, 374, 386, 401}
+var _Metric_index = [...]uint16{0, 16, 30, 45, 60, 73, 89, 104, 119, 135, 149, 160, 169, 178, 198, 210, 222, 236, 249, 265, 275, 287, 298, 308, 318, 329, 344, 359, 374, 386, 401, 413}
 
 func (i Metric) String() string {
 	idx := int(i) - 0
--- a/internal/lentilpacket/count.go
+++ b/internal/lentilpacket/count.go
@@ -23,6 +23,8 @@
 	// CallersWaiting is the number of callers with flows in the queue of an agent, and ServedOutOfOrder counts the flows that
 	// opened before an older one. They stay zero unless the queue is fair between callers.
 	CallersWaiting, ServedOutOfOrder atomic.Uint64
+	// SoughtByKey counts lookups by Ask in place of copies of packets.
+	SoughtByKey atomic.Uint64
 
 	// The histograms are nil until Export is called.
 	placingTime, answerTime tally.Histogram
@@ -53,4 +55,5 @@
 	}
 	poller.AddCounter(registry.Counter(lentilmetric.QueueOutOfOrder), c.ServedOutOfOrder.Load, nil)
 	poller.AddGauge(registry.Gauge(lentilmetric.QueueCallers), func() float64 { return float64(c.CallersWaiting.Load()) })
+	poller.AddCounter(registry.Counter(lentilmetric.LookupsByKey), c.SoughtByKey.Load, nil)
 }
