Hedge slow HTTP/3 requests within a budget

One slow copy, or a pause of some hundred milliseconds, decides how long the slowest requests of a service take, although other copies are idle. The new package lentilhedge learns the .95 quantile of recent durations for each route and keeps extra attempts and retries to a percentage of the attempts begun in the last second. With the setting "hedge" of agents, an agent relays one extra attempt at a slow repeatable request to a peer; the first success wins and the other attempt is cancelled. Without the setting nothing changes.

An attempt that was overtaken counts for the limiter with its time so far, so that extra attempts don't hide a slow copy. Over HTTP/3, requests without Content-Length have an unknown body length and were treated as streamed, also GETs without a body; with the setting, GET, HEAD and OPTIONS are buffered.

--- a/internal/lentilagent/agent.go
+++ b/internal/lentilagent/agent.go
@@ -63,6 +63,11 @@
 	// DisableHandOff keeps new flows and requests here even if a peer has more room. A
 	// draining agent hands them off nevertheless.
 	DisableHandOff bool
+	// HedgePercent is the highest number of extra attempts at slow repeatable requests per
+	// hundred requests; zero means none.
+	HedgePercent int
+	// OnHedge is called at the end of each request with an extra attempt. It may be nil.
+	OnHedge func(HedgeReport)
 	// WarmupTime is the minimum time in which a cold copy grows to all its slots; zero is
 	// lentillimit's default.
 	WarmupTime time.Duration
@@ -163,6 +168,9 @@
 	if o.OnCertificate == nil {
 		o.OnCertificate = func(error) {}
 	}
+	if o.OnHedge == nil {
+		o.OnHedge = func(HedgeReport) {}
+	}
 	if o.ControlHandler == nil {
 		o.ControlHandler = http.NotFoundHandler()
 	}
--- a/internal/lentilagent/cancel.go
+++ b/internal/lentilagent/cancel.go
@@ -19,6 +19,10 @@
 		x = m.exchange
 	case peerTicketAnswer:
 		x = m.exchange
+	case firstFailed:
+		x = m.exchange
+	case hedgeEnded:
+		x = m.exchange
 	default:
 		return
 	}
--- a/internal/lentilagent/coordinator.go
+++ b/internal/lentilagent/coordinator.go
@@ -8,6 +8,7 @@
 	"lentilstair.example/lentilstair/pkg/lentiladmit"
 	"lentilstair.example/lentilstair/pkg/lentilclock"
 	"lentilstair.example/lentilstair/pkg/lentilhandoff"
+	"lentilstair.example/lentilstair/pkg/lentilhedge"
 	"lentilstair.example/lentilstair/pkg/lentillimit"
 	"lentilstair.example/lentilstair/pkg/lentilrecord"
 	"lentilstair.example/lentilstair/pkg/lentilticket"
@@ -26,6 +27,8 @@
 	inFlight int
 	streams  int
 	queued   int
+	// hedgeShare is the number of extra attempts and retries per first attempt of the last second.
+	hedgeShare float64
 }
 
 // coordinator is the actor that makes all decisions about requests: whether a request runs
@@ -35,6 +38,7 @@
 	ledger   lentilticket.Ledger
 	issuer   lentilticket.Issuer
 	chooser  lentilhandoff.Chooser
+	hedge    lentilhedge.Policy
 
 	// exchanges holds the requests that the admitter decides about, by exchange ID.
 	exchanges map[uint64]*exchange
@@ -59,6 +63,7 @@
 	}
 	c.chooser = lentilhandoff.Chooser{Clock: o.Clock, Random: o.Random, Self: lentilrecord.Owner{Copy: o.Copy, Incarnation: o.Incarnation}}
 	c.admitter = newAdmitter(o.Clock, o.Random)
+	c.hedge = lentilhedge.Policy{Clock: o.Clock, Percent: o.HedgePercent}
 	c.admitter.ChoosePeer = c.choosePeer
 	c.admitter.Limiter.WarmupTime = o.WarmupTime
 	c.publishSnapshot()
@@ -71,8 +76,11 @@
 }
 
 // Receive implements actor.Actor.
-func (c *coordinator) Receive(ctx actor.Context) {
-	switch m := ctx.Message().(type) {
+func (c *coordinator) Receive(ctx actor.Context) { c.handle(ctx.Message()) }
+
+// handle handles one message.
+func (c *coordinator) handle(message any) {
+	switch m := message.(type) {
 	case requestArrived:
 		c.admit(m.exchange)
 	case ticketRequested:
@@ -80,6 +88,7 @@
 	case ticketPresented:
 		c.presentTicket(m)
 	case callFinished:
+		c.recordDuration(m.exchange, m.outcome)
 		c.perform(c.admitter.Finished(m.exchange.id, m.outcome))
 	case callNotRun:
 		c.perform(c.admitter.NotRun(m.exchange.id, m.outcome))
@@ -92,6 +101,12 @@
 		c.handleRelayEnded(m)
 	case peerTicketAnswer:
 		c.handlePeerTicket(m)
+	case hedgeDue:
+		c.decideHedge(m.exchange)
+	case firstFailed:
+		c.perform(c.admitter.FirstFailed(m.exchange.id, m.outcome, m.mayHaveRun))
+	case hedgeEnded:
+		c.handleHedgeEnded(m)
 	case requestCancelled:
 		c.cancel(m.exchange)
 	case tick:
@@ -107,7 +122,7 @@
 	default:
 		return
 	}
-	c.removeFinished(ctx.Message())
+	c.removeFinished(message)
 	c.publishSnapshot()
 }
 
@@ -230,10 +245,13 @@
 		}
 		switch a.Kind() {
 		case lentiladmit.ActionDispatch:
-			x.sendReply(reply{order: orderRun})
+			c.recordBegin(x)
+			x.sendReply(reply{order: orderRun, hedgeAfter: c.hedgeDelay(x)})
 		case lentiladmit.ActionRelay:
+			c.recordBegin(x)
 			c.relayToPeer(x, a.Peer())
 		case lentiladmit.ActionRefuse:
+			c.hedge.RecordRefusal()
 			c.refuse(x, reply{order: orderRefuse, reason: a.Reason(), retryAfter: a.RetryAfter()})
 		case lentiladmit.ActionReportUnknown:
 			x.sendReply(reply{order: orderReportUnknown})
@@ -343,5 +361,7 @@
 		inFlight: c.admitter.InFlight(),
 		streams:  c.admitter.Streams(),
 		queued:   c.admitter.Queued(),
+
+		hedgeShare: c.hedge.Share(),
 	})
 }
--- a/internal/lentilagent/counter.go
+++ b/internal/lentilagent/counter.go
@@ -47,6 +47,14 @@
 	RequestsRefused
 	// OutcomesUnknown counts callers' requests that may or may not have run.
 	OutcomesUnknown
+	// HedgesSent counts extra attempts at callers' requests that were sent to peers.
+	HedgesSent
+	// HedgesWon counts extra attempts whose answer the caller got.
+	HedgesWon
+	// HedgesCancelled counts extra attempts that were cancelled since the first one succeeded.
+	HedgesCancelled
+	// HedgesOverBudget counts extra attempts that were not made because of the percentage.
+	HedgesOverBudget
 	counterCount int = iota
 )
 
--- a/internal/lentilagent/counter_string.go
+++ b/internal/lentilagent/counter_string.go
@@ -26,11 +26,15 @@
 	_ = x[RequestsAnswered-15]
 	_ = x[RequestsRefused-16]
 	_ = x[OutcomesUnknown-17]
+	_ = x[HedgesSent-18]
+	_ = x[HedgesWon-19]
+	_ = x[HedgesCancelled-20]
+	_ = x[HedgesOverBudget-21]
 }
 
-const _Counter_name = "ReceivedAnsweredHandedOnDroppedMalformedUnknownKeyForgedMisdirectedStaleRefusedNoticedDomainOutOversizedWaylessUnsentRequestsAnsweredRequestsRefusedOutcomesUnknown"
+const _Counter_name = "ReceivedAnsweredHandedOnDroppedMalformedUnknownKeyForgedMisdirectedStaleRefusedNoticedDomainOutOversizedWaylessUnsentRequestsAnsweredRequestsRefusedOutcomesUnknownHedgesSentHedgesWonHedgesCancelledHedgesOverBudget"
 
-var _Counter_index = [...]uint8{0, 8, 16, 24, 31, 40, 50, 56, 67, 72, 79, 86, 95, 104, 111, 117, 133, 148, 163}
+var _Counter_index = [...]uint8{0, 8, 16, 24, 31, 40, 50, 56, 67, 72, 79, 86, 95, 104, 111, 117, 133, 148, 163, 173, 182, 197, 213}
 
 func (i Counter) String() string {
 	idx := int(i) - 0
--- a/internal/lentilagent/handler.go
+++ b/internal/lentilagent/handler.go
@@ -49,7 +49,8 @@
 		a.serveOnce(w, in, relayed)
 		return
 	}
-	a.serveRepeatable(w, in, kind, relayed)
+	route := xxhash.Sum64String(r.Method + " " + service.RoutePrefix(r.URL.Path))
+	a.serveRepeatable(w, in, kind, route, relayed)
 }
 
 // newExchange returns the exchange of one attempt at a request.
@@ -62,16 +63,25 @@
 		callerHash: xxhash.Sum64String(in.request.RemoteAddr),
 		localOnly:  in.streamed,
 		replies:    make(chan reply, replyQueueSize),
+		// There is at most one extra attempt.
+		hedgeGrants: make(chan hedgeGrant, 1),
 	}
 }
 
 // serveRepeatable serves a stream or a request that may be repeated.
-func (a *Agent) serveRepeatable(w http.ResponseWriter, in *callerRequest, kind lentilconfig.RequestKind, relayed bool) {
+func (a *Agent) serveRepeatable(w http.ResponseWriter, in *callerRequest, kind lentilconfig.RequestKind, route uint64, relayed bool) {
 	if err := in.bufferBody(); err != nil {
 		writeNotRun(w, http.StatusBadRequest, reasonBodyBroken)
 		return
 	}
+	if a.options.HedgePercent > 0 && kind == lentilconfig.KindRepeatable {
+		if err := in.bufferUnsizedBody(); err != nil {
+			writeNotRun(w, http.StatusBadRequest, reasonBodyBroken)
+			return
+		}
+	}
 	x := a.newExchange(in, kind, relayed)
+	x.route = route
 	a.notify(requestArrived{x})
 	a.followOrders(w, in, x)
 }
@@ -88,7 +98,7 @@
 		case r := <-x.replies:
 			switch r.order {
 			case orderRun:
-				done = a.proxyToCopy(w, in, x)
+				done = a.proxyToCopy(w, in, x, r.hedgeAfter)
 			case orderRelay:
 				done = a.relayToPeer(w, in, x, r.peer)
 			case orderRefuse:
--- a/internal/lentilagent/harness_test.go
+++ b/internal/lentilagent/harness_test.go
@@ -12,12 +12,14 @@
 	"math/big"
 	mathrand "math/rand/v2"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"net/url"
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -46,6 +48,8 @@
 	servers   []*httptest.Server
 	roots     *x509.CertPool
 	stopping  sync.WaitGroup
+	// hedgePercent is that of the agents.
+	hedgePercent int
 	// clock is the time of agents and callers.
 	clock *runClock
 
@@ -59,12 +63,19 @@
 
 // newHarness starts a harness. adapt may change the options of the copies; it may be nil.
 func newHarness(t *testing.T, balancers, copies int, adapt func(*upstream.Options)) (h *harness) {
+	t.Helper()
+	return newHedgingHarness(t, balancers, copies, 0, adapt)
+}
+
+// newHedgingHarness starts a harness whose agents hedge the given percentage of requests. Unless
+// it is zero, the copies delay some requests that may be repeated.
+func newHedgingHarness(t *testing.T, balancers, copies, hedgePercent int, adapt func(*upstream.Options)) (h *harness) {
 	t.Helper()
 	ring, err := lentilkey.New([]lentilkey.KeyDoc{{ID: 1, Secret: []byte("a secret for the agent's tests")}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	h = &harness{t: t, ring: ring, clock: newRunClock(t), records: make(map[lentilrecord.Owner]lentilrecord.Record)}
+	h = &harness{t: t, ring: ring, hedgePercent: hedgePercent, clock: newRunClock(t), records: make(map[lentilrecord.Owner]lentilrecord.Record)}
 	var fabricBalancers []fabric.Balancer
 	for i := range balancers {
 		fabricBalancers = append(fabricBalancers, fabric.Balancer{Address: netip.AddrFrom4([4]byte{127, 0, 13, byte(i + 1)})})
@@ -125,7 +136,11 @@
 
 func (h *harness) startCopy(options upstream.Options, certificate, key string) {
 	upstreamCopy := upstream.NewCopy(options)
-	server := httptest.NewServer(upstreamCopy.Handler())
+	handler := upstreamCopy.Handler()
+	if h.hedgePercent > 0 {
+		handler = delaySome(handler)
+	}
+	server := httptest.NewServer(handler)
 	h.t.Cleanup(server.CloseClientConnections)
 	target, err := url.Parse(server.URL)
 	if err != nil {
@@ -138,9 +153,9 @@
 		Copy: options.Name, Service: testService, Domain: lentilid.Domain(index%2 + 1), Incarnation: lentilid.Incarnation(index + 100),
 		Tunnel: netip.MustParseAddrPort("127.0.0.1:0"), Control: netip.MustParseAddrPort("127.0.0.1:0"),
 		Upstream: target, CertificateFile: certificate, KeyFile: key, Ring: h.ring, DrainLimit: 5 * time.Second,
-		WarmupTime: 100 * time.Millisecond,
-		Announce:   h.announce,
-		Clock:      h.clock, WithTimeout: h.clock.WithTimeout,
+		WarmupTime: 100 * time.Millisecond, HedgePercent: h.hedgePercent,
+		Announce: h.announce,
+		Clock:    h.clock, WithTimeout: h.clock.WithTimeout,
 		Random: func() float64 {
 			randomMu.Lock()
 			defer randomMu.Unlock()
@@ -157,6 +172,22 @@
 	h.servers = append(h.servers, server)
 }
 
+// delaySome delays every 25th request with the method GET by 150 ms.
+func delaySome(next http.Handler) http.Handler {
+	const period, delay = 25, 150 * time.Millisecond
+	var count atomic.Int64
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet && count.Add(1)%period == 0 {
+			select {
+			case <-r.Context().Done():
+				return
+			case <-time.After(delay):
+			}
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // fabricBalancers returns the addresses at which the balancers receive datagrams.
 func (h *harness) fabricBalancers() (all []fabric.Balancer) {
 	for i := range h.balancers {
--- a/internal/lentilagent/message.go
+++ b/internal/lentilagent/message.go
@@ -48,6 +48,8 @@
 	reason     lentiladmit.Reason
 	answer     lentilticket.Answer
 	ticket     lentilticket.Ticket
+	// hedgeAfter is the time after which a peer may get an extra attempt, or zero.
+	hedgeAfter time.Duration
 }
 
 // replyQueueSize is more than the number of replies to one exchange.
@@ -65,10 +67,19 @@
 	// localOnly is true if the request can't be relayed to a peer. A streamed body, for
 	// example, can be read only once.
 	localOnly bool
-	replies   chan reply
+	// route identifies the requests whose durations are compared.
+	route       uint64
+	replies     chan reply
+	hedgeGrants chan hedgeGrant
+	// answeredAt is when the copy's answer began. The handler sets it before the message that
+	// ends the call.
+	answeredAt time.Time
 
-	// ticket is set and read by the coordinator only.
-	ticket lentilticket.Ticket
+	// ticket, begun and dispatchedAt are set and read by the coordinator only. begun is true
+	// once the first attempt has begun.
+	ticket       lentilticket.Ticket
+	begun        bool
+	dispatchedAt time.Time
 
 	mu         sync.Mutex
 	cancelCall context.CancelFunc
--- a/internal/lentilagent/request.go
+++ b/internal/lentilagent/request.go
@@ -105,6 +105,30 @@
 	return in.readBody(maxBufferedBody)
 }
 
+// bufferUnsizedBody reads the body of a GET, HEAD or OPTIONS request without Content-Length, up to
+// maxBufferedBody. Over HTTP/3 such a request has an unknown length even if it has no body.
+func (in *callerRequest) bufferUnsizedBody() (err error) {
+	switch in.request.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+	default:
+		return nil
+	}
+	if !in.streamed || in.request.ContentLength >= 0 {
+		return nil
+	}
+	rest := in.request.Body
+	begin, err := io.ReadAll(io.LimitReader(rest, maxBufferedBody+1))
+	switch {
+	case err != nil:
+		return err
+	case len(begin) > maxBufferedBody:
+		in.request.Body = io.NopCloser(io.MultiReader(bytes.NewReader(begin), rest))
+		return nil
+	}
+	in.body, in.streamed = begin, false
+	return nil
+}
+
 // readBody reads the complete body. It returns errTooLarge for a body of more than limit
 // bytes.
 func (in *callerRequest) readBody(limit int64) (err error) {
--- a/internal/lentilagent/status.go
+++ b/internal/lentilagent/status.go
@@ -9,6 +9,10 @@
 // Queued returns the number of requests that wait for a slot.
 func (a *Agent) Queued() int { return a.snapshot.Load().queued }
 
+// HedgeShare returns the number of extra attempts and retries of the last second per first
+// attempt.
+func (a *Agent) HedgeShare() float64 { return a.snapshot.Load().hedgeShare }
+
 // Capacity returns the copy's current capacity, in hundredths of a slot.
 func (a *Agent) Capacity() uint16 { return a.snapshot.Load().capacity }
 
--- a/internal/lentilagent/upstream.go
+++ b/internal/lentilagent/upstream.go
@@ -103,23 +103,35 @@
 	return ctx, cancel
 }
 
-// proxyToCopy sends a request to the copy and streams the answer to the caller. done is false
-// if the caller has received nothing; the coordinator then sends another order.
-func (a *Agent) proxyToCopy(w http.ResponseWriter, in *callerRequest, x *exchange) (done bool) {
+// proxyToCopy sends a request to the copy and streams the answer to the caller. If hedgeAfter
+// isn't zero, a peer may get an extra attempt after that time. done is false if the caller has
+// received nothing; the coordinator then sends another order.
+func (a *Agent) proxyToCopy(w http.ResponseWriter, in *callerRequest, x *exchange, hedgeAfter time.Duration) (done bool) {
 	ctx, cancel := a.callContext(in.request.Context(), in, x)
 	defer cancel()
-	response, sent, err := a.callCopy(ctx, a.pooledTransport, in)
-	if err != nil {
-		a.reportFailedCall(in, x, failedCallOutcome(ctx, x), sent)
+	if hedgeAfter > 0 {
+		return a.proxyHedged(ctx, w, in, x, hedgeAfter)
+	}
+	response, sent, err := a.callCopy(ctx, a.pooledTransport, in) //nolint:bodyclose // concludeCall closes it
+	return a.concludeCall(ctx, w, in, x, callResult{response, sent, err})
+}
+
+// concludeCall streams the copy's answer to the caller, or reports the failed call. done is as
+// that of proxyToCopy.
+func (a *Agent) concludeCall(ctx context.Context, w http.ResponseWriter, in *callerRequest, x *exchange, r callResult) (done bool) {
+	if r.err != nil {
+		a.reportFailedCall(in, x, failedCallOutcome(ctx, x), r.sent)
 		return false
 	}
+	response := r.response
 	defer func() { _ = response.Body.Close() }()
 	if !in.streamed && (isShedStatus(response.StatusCode) || claimsNotRun(response)) {
 		// The copy has shed the request, so it can safely be sent again, here or to a peer.
 		a.notify(callNotRun{x, lentillimit.OutcomeShed})
 		return false
 	}
-	if err = a.copyAnswer(w, response); err != nil {
+	x.answeredAt = a.options.Clock.Now()
+	if a.copyAnswer(w, response) != nil {
 		a.notify(callFinished{x, failedCallOutcome(ctx, x)})
 		// Resets the stream, so that the caller doesn't take a truncated answer for a
 		// complete one.
--- a/internal/lentilcommand/lentilagentcommand/export.go
+++ b/internal/lentilcommand/lentilagentcommand/export.go
@@ -35,6 +35,14 @@
 	poller.AddCounter(registry.Counter(lentilmetric.OutcomesUnknown), p.counterReader(lentilagent.OutcomesUnknown), func(increase uint64) {
 		p.common.Logger.WriteLimited(&p.common.EventLimiter, lentilevent.OutcomeUnknown, lentilevent.Uint("requests", increase))
 	})
+	for metric, counter := range map[lentilmetric.Metric]lentilagent.Counter{
+		lentilmetric.HedgesSent:       lentilagent.HedgesSent,
+		lentilmetric.HedgesWon:        lentilagent.HedgesWon,
+		lentilmetric.HedgesCancelled:  lentilagent.HedgesCancelled,
+		lentilmetric.HedgesOverBudget: lentilagent.HedgesOverBudget,
+	} {
+		poller.AddCounter(registry.Counter(metric), p.counterReader(counter), nil)
+	}
 	for counter, refusal := range refusalsByCounter {
 		refusal.Reason = counter.String()
 		p.common.ExportRefusals(refusal, p.counterReader(counter))
@@ -47,11 +55,19 @@
 		lentilmetric.StreamsOpen:      func(a *lentilagent.Agent) float64 { return float64(a.Streams()) },
 		lentilmetric.CopyBears:        func(a *lentilagent.Agent) float64 { return float64(a.Capacity()) },
 		lentilmetric.CopyPhase:        phaseNumber,
+		lentilmetric.HedgeShare:       (*lentilagent.Agent).HedgeShare,
 	} {
 		poller.AddGauge(registry.Gauge(metric), p.gaugeReader(read))
 	}
 }
 
+// logHedge logs an extra attempt at a request. Only some of many are logged.
+func (p *process) logHedge(report lentilagent.HedgeReport) {
+	p.common.Logger.WriteLimited(&p.common.EventLimiter, lentilevent.RequestHedged,
+		lentilevent.Uint("id", report.ID()), lentilevent.Str("copy", report.First()), lentilevent.Str("peer", report.Extra()),
+		lentilevent.Uint("delayMicros", uint64(report.Delay().Microseconds())), lentilevent.Str("winner", report.Winner()))
+}
+
 // logPhaseChange logs the copy's phase if it has changed since it was last logged. A
 // ready copy that is cold again is logged as CopyCold.
 func (p *process) logPhaseChange() {
--- a/internal/lentilcommand/lentilagentcommand/process.go
+++ b/internal/lentilcommand/lentilagentcommand/process.go
@@ -151,6 +151,8 @@
 		Ring:            p.common.Ring,
 		DrainLimit:      p.settings.DrainLimit(),
 		DisableHandOff:  !p.settings.HandOff(),
+		HedgePercent:    p.settings.HedgePercent(),
+		OnHedge:         p.logHedge,
 		Announce:        p.control.Announce,
 		OnCertificate:   p.logCertificate,
 	})
--- a/internal/lentilevent/catalogue.go
+++ b/internal/lentilevent/catalogue.go
@@ -56,6 +56,8 @@
 	CopyDraining: {Info, "copy draining", "The copy gets no new work. Its open flows continue.", []string{"bears"}},
 	OutcomeUnknown: {Warn, "outcome unknown", "It is unknown whether some requests have run, although each may run only once. Their callers were informed. A copy, an agent or a failure domain was lost while it processed them.",
 		[]string{"requests", "suppressed"}},
+	RequestHedged: {Info, "extra attempt at a slow request", "The copy took longer for a request than for nearly all recent ones of the same route, so a peer got an extra attempt. " +
+		"The winner is the copy whose answer the caller got. See docs/operating/hedging.md.", []string{"id", "copy", "peer", "delayMicros", "winner", "suppressed"}},
 
 	FlowPlaced: {Info, "flow placed", "A balancer sent the first packet of a flow to an agent. The cause ChosenAgain means that another agent refused the flow " +
 		"or did not answer. The load (agentFlows, agentBusy) is the last that the balancer received from the agent, ageMillis ago.",
--- a/internal/lentilevent/event.go
+++ b/internal/lentilevent/event.go
@@ -95,6 +95,7 @@
 	CopyCold
 	CopyDraining
 	OutcomeUnknown
+	RequestHedged
 )
 
 // Events about packet flows.
--- a/internal/lentilevent/event_string.go
+++ b/internal/lentilevent/event_string.go
@@ -38,6 +38,7 @@
 	_ = x[CopyCold-2303]
 	_ = x[CopyDraining-2304]
 	_ = x[OutcomeUnknown-2305]
+	_ = x[RequestHedged-2306]
 	_ = x[FlowPlaced-2401]
 	_ = x[FlowSought-2402]
 	_ = x[FlowTaken-2403]
@@ -65,7 +66,7 @@
 	_Event_name_0 = "StartedReadyNotReadyStopAskedStopForcedStoppedStopFailedCertificateLoadedCertificateRefusedAdminFailedSettingsCheckedSettingsRefused"
 	_Event_name_1 = "PacketRefusedTunnelRefusedPlaceRefusedServiceMismatchSocketFailed"
 	_Event_name_2 = "ConfigurationInForceConfigurationRefusedPlatformDownPlatformBackDomainOutDomainBackControlFailedCopyUnlisted"
-	_Event_name_3 = "CopyWarmingCopyReadyCopyColdCopyDrainingOutcomeUnknown"
+	_Event_name_3 = "CopyWarmingCopyReadyCopyColdCopyDrainingOutcomeUnknownRequestHedged"
 	_Event_name_4 = "FlowPlacedFlowSoughtFlowTakenFlowOpenFlowRefusedFlowDeniedFlowResetFlowDroppedAgentNotedUpstreamNotedPeersReadStoreLostStoreRegainedRegistrationRefusedPeerForgottenFlowHeldStoreReturnedStoreEraIgnoredEntryRenewedDomainKeptOutFlowRelayed"
 )
 
@@ -73,7 +74,7 @@
 	_Event_index_0 = [...]uint8{0, 7, 12, 20, 29, 39, 46, 56, 73, 91, 102, 117, 132}
 	_Event_index_1 = [...]uint8{0, 13, 26, 38, 53, 65}
 	_Event_index_2 = [...]uint8{0, 20, 40, 52, 64, 73, 83, 96, 108}
-	_Event_index_3 = [...]uint8{0, 11, 20, 28, 40, 54}
+	_Event_index_3 = [...]uint8{0, 11, 20, 28, 40, 54, 67}
 	_Event_index_4 = [...]uint8{0, 10, 20, 29, 37, 48, 58, 67, 78, 88, 101, 110, 119, 132, 151, 164, 172, 185, 200, 212, 225, 236}
 )
 
@@ -88,7 +89,7 @@
 	case 2201 <= i && i <= 2208:
 		i -= 2201
 		return _Event_name_2[_Event_index_2[i]:_Event_index_2[i+1]]
-	case 2301 <= i && i <= 2305:
+	case 2301 <= i && i <= 2306:
 		i -= 2301
 		return _Event_name_3[_Event_index_3[i]:_Event_index_3[i+1]]
 	case 2401 <= i && i <= 2421:
--- a/internal/lentilmetric/metric.go
+++ b/internal/lentilmetric/metric.go
@@ -52,6 +52,11 @@
 	FlowsRefused
 	PlacingTime
 	AnswerTime
+	HedgesSent
+	HedgesWon
+	HedgesCancelled
+	HedgesOverBudget
+	HedgeShare
 )
 
 type metricDoc struct {
@@ -85,6 +90,11 @@
 	PlacingTime:          {"placing_seconds", Histogram, "seconds", nil, "Time from the first packet of a flow that a balancer sends to an agent until the agent reports that it accepted the flow."},
 	AnswerTime:           {"answer_seconds", Histogram, "seconds", nil, "Time from the arrival of a request's data at an agent until the first data of the upstream's answer."},
 	FlowsReset:           {"flows_reset", Counter, "flows", nil, "Packet flows whose clients were sent a reset."},
+	HedgesSent:           {"hedges_sent", Counter, "attempts", nil, "Extra attempts at slow requests."},
+	HedgesWon:            {"hedges_won", Counter, "attempts", nil, "Extra attempts whose answer the caller got."},
+	HedgesCancelled:      {"hedges_cancelled", Counter, "attempts", nil, "Extra attempts that were cancelled in time, since the first attempt succeeded before them."},
+	HedgesOverBudget:     {"hedges_over_budget", Counter, "attempts", nil, "Extra attempts that were not made, since they would have exceeded the percentage in the settings."},
+	HedgeShare:           {"hedge_share", Gauge, "per attempt", nil, "Extra attempts and retries per first attempt in the last second."},
 	FlowsRefused:         {"flows_refused", Counter, "flows", nil, "First packets of flows that an agent returned to a balancer."},
 }
 
--- a/internal/lentilmetric/metric_string.go
+++ b/internal/lentilmetric/metric_string.go
@@ -31,11 +31,16 @@
 	_ = x[FlowsRefused-20]
 	_ = x[PlacingTime-21]
 	_ = x[AnswerTime-22]
+	_ = x[HedgesSent-23]
+	_ = x[HedgesWon-24]
+	_ = x[HedgesCancelled-25]
+	_ = x[HedgesOverBudget-26]
+	_ = x[HedgeShare-27]
 }
 
-const _Metric_name = "PacketsForwardedPacketsDroppedPacketsReturnedPacketsHandedOnTunnelRefusedRequestsAnsweredRequestsRefusedOutcomesUnknownRequestsInFlightRequestsQueuedStreamsOpenCopyBearsCopyPhaseConfigurationVersionRecordsKnownControlBytesControlRefusedPlatformCallsPlatformFailuresFlowsResetFlowsRefusedPlacingTimeAnswerTime"
+const _Metric_name = "PacketsForwardedPacketsDroppedPacketsReturnedPacketsHandedOnTunnelRefusedRequestsAnsweredRequestsRefusedOutcomesUnknownRequestsInFlightRequestsQueuedStreamsOpenCopyBearsCopyPhaseConfigurationVersionRecordsKnownControlBytesControlRefusedPlatformCallsPlatformFailuresFlowsResetFlowsRefusedPlacingTimeAnswerTimeHedgesSentHedgesWonHedgesCancelledHedgesOverBudgetHedgeShare"
 
-var _Metric_index = [...]uint16{0, 16, 30, 45, 60, 73, 89, 104, 119, 135, 149, 160, 169, 178, 198, 210, 222, 236, 249, 265, 275, 287, 298, 308}
+var _Metric_index = [...]uint16{0, 16, 30, 45, 60, 73, 89, 104, 119, 135, 149, 160, 169, 178, 198, 210, 222, 236, 249, 265, 275, 287, 298, 308, 318, 327, 342, 358, 368}
 
 func (i Metric) String() string {
 	idx := int(i) - 0
--- a/internal/lentilsetting/fields.go
+++ b/internal/lentilsetting/fields.go
@@ -74,6 +74,7 @@
 		defaultText: `"10m"`, check: checkDuration},
 	{name: "handOff", description: "Whether new flows, and requests that have not started, are passed to a peer with more free capacity: \"on\" or \"off\".", example: `"on"`,
 		defaultText: `"on"`, check: checkHandOff},
+	hedgeField,
 	logField,
 }
 
--- a/internal/lentilsetting/load.go
+++ b/internal/lentilsetting/load.go
@@ -72,6 +72,7 @@
 		tls:            tlsFiles,
 		drainLimit:     durationOrDefault(doc.DrainLimit, defaultDrainLimit),
 		handOff:        doc.HandOff != handOffOff,
+		hedge:          doc.Hedge.Percent,
 	}, nil
 }
 
--- a/internal/lentilsetting/setting.go
+++ b/internal/lentilsetting/setting.go
@@ -47,6 +47,7 @@
 	TLS            TLSDoc   `json:"tls"`
 	DrainLimit     string   `json:"drainLimit,omitempty"`
 	HandOff        string   `json:"handOff,omitempty"`
+	Hedge          HedgeDoc `json:"hedge,omitzero"`
 	Log            LogDoc   `json:"log,omitzero"`
 }
 
@@ -169,6 +170,7 @@
 	tls        TLSDoc
 	drainLimit time.Duration
 	handOff    bool
+	hedge      int
 }
 
 // Copy returns the name of the copy that the agent serves.
@@ -196,6 +198,9 @@
 // started, to peers with more free capacity.
 func (a Agent) HandOff() bool { return a.handOff }
 
+// HedgePercent returns the highest number of extra attempts per hundred attempts, or zero.
+func (a Agent) HedgePercent() int { return a.hedge }
+
 // Operator holds the validated settings of an operator's commands.
 type Operator struct {
 	author    string
--- a/internal/lentilsetting/setting_test.go
+++ b/internal/lentilsetting/setting_test.go
@@ -56,6 +56,14 @@
 		pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: pkcs8})
 }
 
+// describeHedge returns the percentage of extra attempts if it is set.
+func describeHedge(percent int) string {
+	if percent == 0 {
+		return ""
+	}
+	return fmt.Sprintf("hedge %d\n", percent)
+}
+
 // describe returns all values of valid settings, or the error message.
 func describe(settings any, err error) string {
 	if err != nil {
@@ -66,7 +74,7 @@
 		return fmt.Sprintf("name %s\nlisten %s\nplatform %s token %q\npeers %s\nstop grace %s\n%s",
 			s.Name(), s.ListenAddress(), s.Platform().URL(), s.Platform().Token(), s.Peers(), s.StopGrace(), describeCommon(s.commonSettings))
 	case Agent:
-		return fmt.Sprintf("copy %s of %s\nupstream %s\nbalancers %s\ncertificate %s key %s\ndrain limit %s hand-off %t\n%s",
+		return describeHedge(s.HedgePercent()) + fmt.Sprintf("copy %s of %s\nupstream %s\nbalancers %s\ncertificate %s key %s\ndrain limit %s hand-off %t\n%s",
 			s.Copy(), s.Service(), s.Upstream(), s.Balancers(), s.CertificateFile(), s.KeyFile(), s.DrainLimit(), s.HandOff(), describeCommon(s.commonSettings))
 	case PacketBalancer:
 		return fmt.Sprintf("ingress %s\n%s", s.IngressAddress(), describePacket(s.commonPacketSettings))
--- a/pkg/lentiladmit/admit.go
+++ b/pkg/lentiladmit/admit.go
@@ -117,6 +117,7 @@
 // request was dropped, and closes the entry of its ticket.
 func (a *Admitter) NotRun(id uint64, outcome lentillimit.Outcome) (actions []Action) {
 	if r := a.release(id, outcome); r != nil {
+		r.dropUnsentHedge()
 		a.retryNotRun(r)
 	}
 	a.processQueue()
@@ -128,6 +129,7 @@
 // retry budget allows. Otherwise its outcome is unknown.
 func (a *Admitter) AnswerLost(id uint64, outcome lentillimit.Outcome) (actions []Action) {
 	if r := a.release(id, outcome); r != nil {
+		r.dropUnsentHedge()
 		a.retryAnswerLost(r)
 	}
 	a.processQueue()
--- a/pkg/lentiladmit/property_test.go
+++ b/pkg/lentiladmit/property_test.go
@@ -17,6 +17,10 @@
 	arrival      Arrival
 	atCopy       bool
 	atPeer       bool
+	extraAtPeer  bool
+	extras       int
+	extraLost    bool // the extra attempt ended and may have run
+	firstRun     bool // the first attempt may have run
 	mayHaveRun   bool
 	finalAnswers int
 	done         bool
@@ -37,7 +41,7 @@
 		r := m.requests[a.ID()]
 		switch a.Kind() {
 		case ActionDispatch:
-			if r.atCopy || r.atPeer || (r.mayHaveRun && r.arrival.Kind != lentilconfig.KindRepeatable) {
+			if r.atCopy || r.atPeer || r.extraAtPeer || (r.mayHaveRun && r.arrival.Kind != lentilconfig.KindRepeatable) {
 				t.Fatalf("request %d is dispatched again: %+v", a.ID(), r)
 			}
 			r.atCopy, r.mayHaveRun = true, true
@@ -45,7 +49,7 @@
 				t.Fatalf("%d requests in flight at a copy with capacity %d", m.admitter.InFlight(), m.admitter.Limiter.Capacity())
 			}
 		case ActionRelay:
-			if r.atCopy || r.atPeer || r.arrival.Relayed || r.arrival.LocalOnly || (r.mayHaveRun && r.arrival.Kind != lentilconfig.KindRepeatable) {
+			if r.atCopy || r.atPeer || r.extraAtPeer || r.arrival.Relayed || r.arrival.LocalOnly || (r.mayHaveRun && r.arrival.Kind != lentilconfig.KindRepeatable) {
 				t.Fatalf("request %d is relayed: %+v", a.ID(), r)
 			}
 			r.atPeer, r.mayHaveRun = true, true
@@ -61,7 +65,7 @@
 		case ActionReportUnknown:
 			r.finalAnswers++
 		case ActionAbort:
-			if !r.atCopy && !r.atPeer {
+			if !r.atCopy && !r.atPeer && !r.extraAtPeer {
 				t.Fatalf("request %d is aborted: %+v", a.ID(), r)
 			}
 		}
@@ -104,19 +108,61 @@
 func (m *admitModel) finish(t *rapid.T) {
 	id, r := m.pick(t, func(r *modelRequest) bool { return r.atCopy })
 	r.atCopy = false
+	// An extra attempt in progress is cancelled if the first one succeeds. NotRun and AnswerLost
+	// mean that it was never sent.
+	r.extraAtPeer = false
 	outcome := rapid.SampledFrom([]lentillimit.Outcome{lentillimit.OutcomeDone, lentillimit.OutcomeShed, lentillimit.OutcomeTimedOut, lentillimit.OutcomeCancelled}).Draw(t, "outcome")
 	switch rapid.IntRange(0, 2).Draw(t, "how") {
 	case 0:
 		r.done = true
 		m.checkActions(t, m.admitter.Finished(id, outcome))
 	case 1:
-		r.mayHaveRun = false
+		r.mayHaveRun = r.extraLost
 		m.checkActions(t, m.admitter.NotRun(id, outcome))
 	default:
 		m.checkActions(t, m.admitter.AnswerLost(id, outcome))
 	}
 }
 
+// hedge makes an extra attempt at a request for which one is allowed.
+func (m *admitModel) hedge(t *rapid.T) {
+	id, r := m.pick(t, func(r *modelRequest) bool { return r.atCopy && m.admitter.MayHedge(r.arrival.ID) })
+	if r.arrival.Kind != lentilconfig.KindRepeatable || r.arrival.Relayed || r.arrival.LocalOnly || r.extras > 0 {
+		t.Fatalf("an extra attempt at request %d is allowed: %+v", id, r)
+	}
+	m.admitter.Hedge(id)
+	r.extraAtPeer = true
+	r.extras++
+	r.firstRun = true
+	r.mayHaveRun = true
+}
+
+// failFirst lets the first attempt fail while the extra one is in progress.
+func (m *admitModel) failFirst(t *rapid.T) {
+	id, r := m.pick(t, func(r *modelRequest) bool { return r.atCopy && r.extraAtPeer })
+	r.atCopy = false
+	r.firstRun = rapid.Bool().Draw(t, "may have run")
+	m.checkActions(t, m.admitter.FirstFailed(id, lentillimit.OutcomeFailed, r.firstRun))
+}
+
+// endHedge ends an extra attempt. If it succeeds, the first one is cancelled.
+func (m *admitModel) endHedge(t *rapid.T) {
+	id, r := m.pick(t, func(r *modelRequest) bool { return r.extraAtPeer })
+	r.extraAtPeer = false
+	result := rapid.SampledFrom([]RelayResult{RelayAnswered, RelayNotRun, RelayAnswerLost}).Draw(t, "result")
+	switch result {
+	case RelayNotRun:
+		r.mayHaveRun = r.firstRun
+	case RelayAnswerLost:
+		r.extraLost = true
+	}
+	m.checkActions(t, m.admitter.HedgeEnded(id, result))
+	if result == RelayAnswered && r.atCopy {
+		r.atCopy = false
+		m.checkActions(t, m.admitter.Finished(id, lentillimit.OutcomeOvertaken))
+	}
+}
+
 func (m *admitModel) endRelay(t *rapid.T) {
 	id, r := m.pick(t, func(r *modelRequest) bool { return r.atPeer })
 	r.atPeer = false
@@ -135,9 +181,12 @@
 			return lentilrecord.Record{}, rapid.IntRange(0, 4).Draw(t, "peer") == 0
 		}
 		t.Repeat(map[string]func(*rapid.T){
-			"arrive": m.arrive,
-			"finish": m.finish,
-			"relay":  m.endRelay,
+			"arrive":     m.arrive,
+			"finish":     m.finish,
+			"relay":      m.endRelay,
+			"hedge":      m.hedge,
+			"fail first": m.failFirst,
+			"end hedge":  m.endHedge,
 			"cancel": func(t *rapid.T) {
 				id, _ := m.pick(t, func(*modelRequest) bool { return true })
 				m.checkActions(t, m.admitter.Cancelled(id))
@@ -179,6 +228,10 @@
 				r.atCopy = false
 				m.checkActions(t, m.admitter.Finished(id, lentillimit.OutcomeDone))
 			}
+			if r.extraAtPeer {
+				r.extraAtPeer = false
+				m.checkActions(t, m.admitter.HedgeEnded(id, RelayAnswered))
+			}
 			if r.atPeer {
 				r.atPeer = false
 				m.checkActions(t, m.admitter.RelayEnded(id, RelayAnswered))
--- a/pkg/lentiladmit/state.go
+++ b/pkg/lentiladmit/state.go
@@ -34,6 +34,8 @@
 	accepted      bool // has been queued, dispatched or relayed
 	aborted       bool
 	callerDone    bool // the caller is gone or has received its final answer
+	hedge         hedge
+	mayHaveRun    bool // the first attempt may have run; set when it fails before the extra one
 }
 
 // state is the state of an Admitter.
--- a/pkg/lentilconfig/kind.go
+++ b/pkg/lentilconfig/kind.go
@@ -41,6 +41,16 @@
 	return kind
 }
 
+// RoutePrefix returns the prefix of the rule that decides about a path, or "" if no rule matches.
+func (s *Service) RoutePrefix(requestPath string) (prefix string) {
+	for _, rule := range s.doc.Rules {
+		if len(rule.Prefix) > len(prefix) && matchesPrefix(requestPath, rule.Prefix) {
+			prefix = rule.Prefix
+		}
+	}
+	return prefix
+}
+
 // classifyPath returns the kind for the path as it is. The rule with the longest
 // matching prefix decides.
 func (s *Service) classifyPath(method, requestPath string) (kind RequestKind) {
--- a/pkg/lentilhandoff/choose.go
+++ b/pkg/lentilhandoff/choose.go
@@ -13,6 +13,9 @@
 	integralGain = 0.5
 	// maxRequestUtilization is the maximum utilization that one more request adds at a peer.
 	maxRequestUtilization = 0.5
+	// maxHedgeUtilization is the utilization of a peer above which it gets no extra attempts. A peer
+	// with two slots and this utilization is seldom without a free slot for long.
+	maxHedgeUtilization = 0.85
 	// minUtilization is the lower bound of the own utilization when the relative excess is
 	// computed. It keeps the excess of an idle copy finite.
 	minUtilization = 0.01
@@ -49,6 +52,14 @@
 	return c.recordOf(c.pickLessLoaded(eligible))
 }
 
+func (c *Chooser) chooseForHedge() (chosen lentilrecord.Record, ok bool) {
+	now := c.now()
+	return c.recordOf(c.pickLessLoaded(func(p *peer) bool {
+		return p.record.Phase() == lentilrecord.Ready && !now.Before(p.avoidUntil) &&
+			c.utilization(p) <= maxHedgeUtilization && p.queuedLoad < slot
+	}))
+}
+
 // mustQueue reports whether one more request would be queued.
 func (l Load) mustQueue() bool { return float64(l.Demand)+slot > float64(l.Capacity) }
 
--- a/pkg/lentilhandoff/handoff.go
+++ b/pkg/lentilhandoff/handoff.go
@@ -78,6 +78,10 @@
 	return c.chooseForRequest(own)
 }
 
+// ChooseForHedge chooses a peer for an extra attempt at a request that runs at the own copy. The
+// peer is warm, has room and no queue.
+func (c *Chooser) ChooseForHedge() (peer lentilrecord.Record, ok bool) { return c.chooseForHedge() }
+
 // RecordSentPacket records that a first packet was handed off to a peer.
 func (c *Chooser) RecordSentPacket(owner lentilrecord.Owner) { c.addPendingLoad(owner, packetCost) }
 
--- a/pkg/lentillimit/limit.go
+++ b/pkg/lentillimit/limit.go
@@ -37,6 +37,10 @@
 	OutcomeError
 	// OutcomeCancelled is a request that the caller abandoned. It does not affect the limit.
 	OutcomeCancelled
+	// OutcomeOvertaken is a request that the agent abandoned since an extra attempt at a peer
+	// had succeeded. Its time so far counts as its duration, so that the extra attempt doesn't
+	// hide a slow copy. It is no sign that the copy works.
+	OutcomeOvertaken
 )
 
 // Limiter computes the capacity of one copy: how many requests it may work on at once, in
--- a/pkg/lentillimit/outcome_string.go
+++ b/pkg/lentillimit/outcome_string.go
@@ -14,11 +14,12 @@
 	_ = x[OutcomeTimedOut-4]
 	_ = x[OutcomeError-5]
 	_ = x[OutcomeCancelled-6]
+	_ = x[OutcomeOvertaken-7]
 }
 
-const _Outcome_name = "DoneShedFailedTimedOutErrorCancelled"
+const _Outcome_name = "DoneShedFailedTimedOutErrorCancelledOvertaken"
 
-var _Outcome_index = [...]uint8{0, 4, 8, 14, 22, 27, 36}
+var _Outcome_index = [...]uint8{0, 4, 8, 14, 22, 27, 36, 45}
 
 func (i Outcome) String() string {
 	idx := int(i) - 1
--- a/pkg/lentillimit/state.go
+++ b/pkg/lentillimit/state.go
@@ -99,6 +99,8 @@
 		l.completed(now, now.Sub(start))
 	case OutcomeTimedOut:
 		l.timedOut(now, start)
+	case OutcomeOvertaken:
+		l.overtaken(now.Sub(start))
 	case OutcomeError:
 		l.addSuspicion(maxDeviation - slack)
 	default:
@@ -121,6 +123,14 @@
 	}
 }
 
+// overtaken handles a request that was abandoned after d. It would have taken at least that
+// long. The limit doesn't grow.
+func (l *Limiter) overtaken(d time.Duration) {
+	if !l.addSuspicion(l.excess(d)) {
+		l.durations.add(d)
+	}
+}
+
 // timedOut handles a request that was abandoned at its deadline. If another request completed
 // normally since its start, only its duration counts, since its deadline may have been short.
 // Otherwise it counts with the maximum deviation.
