Hedge the opening of packet flows within a budget

A new flow whose agent is slow to take it waited 120 ms for the fixed second offer. With the setting "hedge" of packet balancers, a flow of a route whose requests may be repeated is offered to a second agent once the first has taken longer than the .95 quantile of recent opening times of the route. Repeated offers are charged to the same budget, and no extra offer is made while more than the percentage of the service's agents refuse flows for lack of room. The extra offer takes the place of the fixed second one. Event LE2425, metrics.

--- a/internal/lentilevent/catalogue.go
+++ b/internal/lentilevent/catalogue.go
@@ -95,6 +95,8 @@
 		"out of service. This may be missing from the copy, so it counts for two more seconds.", []string{"domain", "era"}},
 	FlowRelayed: {Info, "packet relayed", "A balancer without a configuration passed a client's packet to one that has a configuration.",
 		[]string{"flow", "cause", "balancer"}},
+	FlowHedged: {Info, "extra offer of a new flow", "An agent took longer to take a new flow than nearly all agents take, so a second agent got the flow too. The winner is the agent " +
+		"at whose copy the flow opened. See docs/operating/hedging.md.", []string{"flow", "agent", "second", "delayMicros", "winner", "suppressed"}},
 	RegistrationRefused: {Warn, "registration rejected", "An upstream's registration is malformed or for another service, and was ignored.",
 		[]string{"id", "error"}},
 }
--- a/internal/lentilevent/event.go
+++ b/internal/lentilevent/event.go
@@ -123,6 +123,9 @@
 	FlowRelayed
 )
 
+// FlowHedged has an explicit number, since LE2422 to LE2424 are assigned to other events.
+const FlowHedged Event = 2425
+
 // Code returns the code under which the event is documented, such as LE2001.
 func (e Event) Code() string { return fmt.Sprintf("LE%d", uint16(e)) }
 
--- a/internal/lentilevent/event_string.go
+++ b/internal/lentilevent/event_string.go
@@ -60,6 +60,7 @@
 	_ = x[EntryRenewed-2419]
 	_ = x[DomainKeptOut-2420]
 	_ = x[FlowRelayed-2421]
+	_ = x[FlowHedged-2425]
 }
 
 const (
@@ -68,6 +69,7 @@
 	_Event_name_2 = "ConfigurationInForceConfigurationRefusedPlatformDownPlatformBackDomainOutDomainBackControlFailedCopyUnlisted"
 	_Event_name_3 = "CopyWarmingCopyReadyCopyColdCopyDrainingOutcomeUnknownRequestHedged"
 	_Event_name_4 = "FlowPlacedFlowSoughtFlowTakenFlowOpenFlowRefusedFlowDeniedFlowResetFlowDroppedAgentNotedUpstreamNotedPeersReadStoreLostStoreRegainedRegistrationRefusedPeerForgottenFlowHeldStoreReturnedStoreEraIgnoredEntryRenewedDomainKeptOutFlowRelayed"
+	_Event_name_5 = "FlowHedged"
 )
 
 var (
@@ -95,6 +97,8 @@
 	case 2401 <= i && i <= 2421:
 		i -= 2401
 		return _Event_name_4[_Event_index_4[i]:_Event_index_4[i+1]]
+	case i == 2425:
+		return _Event_name_5
 	default:
 		return "Event(" + strconv.FormatInt(int64(i), 10) + ")"
 	}
--- a/internal/lentilpacket/balancer.go
+++ b/internal/lentilpacket/balancer.go
@@ -67,6 +67,9 @@
 	// renewEntry writes the balancer's entry again, and reads the list of agents.
 	renewEntry func(era uint64, balancers int)
 	logLimiter logLimiter
+	// hedgeTimer runs tickHedges when a flow is due to be offered to a second agent; nil without
+	// the setting.
+	hedgeTimer *time.Timer
 }
 
 // Run serves until the stop grace period after graceful has passed, or until forced ends.
@@ -98,6 +101,11 @@
 			b.perform(b.placer.HandleProbeResult(agent, answered, b.actions[:0]))
 		})
 	}
+	if b.Settings.HedgePercent() > 0 {
+		b.placer.SetHedgePercent(b.Settings.HedgePercent())
+		b.hedgeTimer = time.AfterFunc(time.Hour, b.tickHedges)
+		defer b.hedgeTimer.Stop()
+	}
 	workers.Go(func() { lentilserver.ServeDatagrams(b.ingressConn, make([]byte, readBufferSize), b.handleClientPacket) })
 	workers.Go(func() { lentilserver.ServeDatagrams(b.peerConn, make([]byte, readBufferSize), b.handlePeerMessage) })
 	workers.Go(func() { b.tick(ctx) })
@@ -226,6 +234,27 @@
 	}
 }
 
+// tickHedges offers flows that are due to second agents.
+func (b *Balancer) tickHedges() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.leaving {
+		b.perform(b.placer.TickHedges(b.actions[:0]))
+	}
+}
+
+// scheduleHedges records the counts of extra offers, and sets the timer to the time at which the
+// next flow is due. The caller holds b.mu.
+func (b *Balancer) scheduleHedges() {
+	if b.hedgeTimer == nil {
+		return
+	}
+	b.Counts.recordHedges(b.placer.HedgeCounts(), b.placer.HedgeShare())
+	if at, ok := b.placer.NextHedge(); ok {
+		b.hedgeTimer.Reset(time.Until(at))
+	}
+}
+
 // perform executes the placer's actions. The caller holds b.mu.
 func (b *Balancer) perform(actions []lentilplacement.Action) {
 	b.actions = actions
@@ -252,10 +281,12 @@
 			b.probeMachine(a.To)
 		case lentilplacement.ReportPlaced:
 			b.Counts.recordPlacing(a.Latency)
+		case lentilplacement.ReportHedge:
 		case lentilplacement.Hold, lentilplacement.ReportLookup, lentilplacement.ReportAgent:
 		}
 		b.logAction(a)
 	}
+	b.scheduleHedges()
 }
 
 // hello returns the Hello for an agent.
--- a/internal/lentilpacket/count.go
+++ b/internal/lentilpacket/count.go
@@ -1,12 +1,14 @@
 package lentilpacket
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
 	"lentilstair.example/lentilstair/internal/lentilmetric"
+	"lentilstair.example/lentilstair/pkg/lentilplacement"
 )
 
 // Counts are the counters of a balancer or an agent of packet flows. The zero Counts are ready to use.
@@ -17,6 +19,10 @@
 	Malformed, Unsent atomic.Uint64
 	// Resets counts flows that were reset, and Refused first packets that an agent returned to the balancer.
 	Resets, Refused atomic.Uint64
+	// HedgesSent, HedgesWon and HedgesOverBudget are lentilplacement.HedgeCounts. hedgeShare holds the bits
+	// of the share of extra offers.
+	HedgesSent, HedgesWon, HedgesOverBudget atomic.Uint64
+	hedgeShare                              atomic.Uint64
 
 	// The histograms are nil until Export is called.
 	placingTime, answerTime tally.Histogram
@@ -33,6 +39,14 @@
 	}
 }
 
+// recordHedges records the counts of extra offers and their share.
+func (c *Counts) recordHedges(counts lentilplacement.HedgeCounts, share float64) {
+	c.HedgesSent.Store(counts.Sent)
+	c.HedgesWon.Store(counts.Won)
+	c.HedgesOverBudget.Store(counts.OverBudget)
+	c.hedgeShare.Store(math.Float64bits(share))
+}
+
 // Export publishes the counts as metrics. It must be called before the process starts to serve.
 func (c *Counts) Export(registry *lentilmetric.Registry, poller *lentilmetric.Poller) {
 	c.placingTime, c.answerTime = registry.Histogram(lentilmetric.PlacingTime), registry.Histogram(lentilmetric.AnswerTime)
@@ -40,6 +54,10 @@
 	poller.AddCounter(registry.Counter(lentilmetric.PacketsDropped, "nowhere"), c.Dropped.Load, nil)
 	poller.AddCounter(registry.Counter(lentilmetric.PacketsDropped, "malformed"), c.Malformed.Load, nil)
 	poller.AddCounter(registry.Counter(lentilmetric.PacketsDropped, "unsent"), c.Unsent.Load, nil)
+	poller.AddCounter(registry.Counter(lentilmetric.HedgesSent), c.HedgesSent.Load, nil)
+	poller.AddCounter(registry.Counter(lentilmetric.HedgesWon), c.HedgesWon.Load, nil)
+	poller.AddCounter(registry.Counter(lentilmetric.HedgesOverBudget), c.HedgesOverBudget.Load, nil)
+	poller.AddGauge(registry.Gauge(lentilmetric.HedgeShare), func() float64 { return math.Float64frombits(c.hedgeShare.Load()) })
 	poller.AddCounter(registry.Counter(lentilmetric.FlowsReset), c.Resets.Load, nil)
 	poller.AddCounter(registry.Counter(lentilmetric.FlowsRefused), c.Refused.Load, nil)
 }
--- a/internal/lentilpacket/log.go
+++ b/internal/lentilpacket/log.go
@@ -49,11 +49,15 @@
 func (b *Balancer) logAction(a *lentilplacement.Action) {
 	flow, cause := lentilevent.Str("flow", a.Key.String()), lentilevent.Str("cause", a.Cause.String())
 	switch {
-	case a.Kind == lentilplacement.SendCarry && (a.Cause == lentilplacement.Chosen || a.Cause == lentilplacement.ChosenAgain):
+	case a.Kind == lentilplacement.SendCarry && (a.Cause == lentilplacement.Chosen || a.Cause == lentilplacement.ChosenAgain || a.Cause == lentilplacement.Hedged):
 		b.logLimiter.write(b.Logger, lentilevent.FlowPlaced, flow, cause, lentilevent.Addr("agent", a.To.AddrPort()),
 			lentilevent.Uint("version", a.Carry.Version), lentilevent.Int("agentFlows", int(a.Load.Flows)),
 			lentilevent.Int("agentBusy", int(a.Load.InFlight)), lentilevent.Int("ageMillis", int(a.AgeMillis)),
 			lentilevent.Str("refusal", a.Refusal.String()))
+	case a.Kind == lentilplacement.ReportHedge:
+		b.logLimiter.write(b.Logger, lentilevent.FlowHedged, flow, lentilevent.Addr("agent", a.Hedge.First.AddrPort()),
+			lentilevent.Addr("second", a.Hedge.Extra.AddrPort()), lentilevent.Uint("delayMicros", uint64(a.Hedge.Delay.Microseconds())),
+			lentilevent.Addr("winner", a.To.AddrPort()))
 	case a.Kind == lentilplacement.ReportLookup:
 		known, responsive := b.placer.AgentCounts()
 		b.logLimiter.write(b.Logger, lentilevent.FlowSought, flow, cause, lentilevent.Int("agents", known), lentilevent.Int("heard", responsive))
--- a/internal/lentilsetting/packet.go
+++ b/internal/lentilsetting/packet.go
@@ -23,16 +23,17 @@
 
 // PacketBalancerDoc is the JSON form of the settings of a balancer of packet flows.
 type PacketBalancerDoc struct {
-	Name           string `json:"name"`
-	Domain         string `json:"domain"`
-	IngressAddress string `json:"ingressAddress"`
-	PeerAddress    string `json:"peerAddress"`
-	AdminAddress   string `json:"adminAddress"`
-	MetricsAddress string `json:"metricsAddress,omitempty"`
-	StoreAddress   string `json:"storeAddress"`
-	StopGrace      string `json:"stopGrace,omitempty"`
-	FlowLife       string `json:"flowLife,omitempty"`
-	Log            LogDoc `json:"log,omitzero"`
+	Name           string   `json:"name"`
+	Domain         string   `json:"domain"`
+	IngressAddress string   `json:"ingressAddress"`
+	PeerAddress    string   `json:"peerAddress"`
+	AdminAddress   string   `json:"adminAddress"`
+	MetricsAddress string   `json:"metricsAddress,omitempty"`
+	StoreAddress   string   `json:"storeAddress"`
+	StopGrace      string   `json:"stopGrace,omitempty"`
+	FlowLife       string   `json:"flowLife,omitempty"`
+	Hedge          HedgeDoc `json:"hedge,omitzero"`
+	Log            LogDoc   `json:"log,omitzero"`
 }
 
 // PacketAgentDoc is the JSON form of the settings of an agent of packet flows.
@@ -94,6 +95,7 @@
 	{name: "stopGrace", description: "How long the balancer keeps forwarding during a graceful stop. Choose a longer time than the fabric needs to detect that the balancer isn't ready.",
 		example: `"4s"`, defaultText: `"4s"`, check: checkDuration},
 	flowIdleTimeoutField,
+	hedgeField,
 	logField,
 }
 
@@ -210,11 +212,15 @@
 type PacketBalancer struct {
 	commonPacketSettings
 	ingress netip.AddrPort
+	hedge   int
 }
 
 // IngressAddress returns the address and UDP port at which clients' packets arrive.
 func (p PacketBalancer) IngressAddress() netip.AddrPort { return p.ingress }
 
+// HedgePercent returns the highest number of extra offers per hundred new flows, or zero.
+func (p PacketBalancer) HedgePercent() int { return p.hedge }
+
 // PacketAgent holds the validated settings of an agent of packet flows.
 type PacketAgent struct {
 	commonPacketSettings
@@ -272,6 +278,7 @@
 		commonPacketSettings: newCommonPacketSettings(doc.Name, doc.Domain, doc.PeerAddress, doc.AdminAddress, doc.MetricsAddress, doc.StoreAddress,
 			doc.StopGrace, doc.FlowLife, doc.Log),
 		ingress: netip.MustParseAddrPort(doc.IngressAddress),
+		hedge:   doc.Hedge.Percent,
 	}, nil
 }
 
--- a/internal/lentilsetting/setting_test.go
+++ b/internal/lentilsetting/setting_test.go
@@ -77,7 +77,7 @@
 		return describeHedge(s.HedgePercent()) + fmt.Sprintf("copy %s of %s\nupstream %s\nbalancers %s\ncertificate %s key %s\ndrain limit %s hand-off %t\n%s",
 			s.Copy(), s.Service(), s.Upstream(), s.Balancers(), s.CertificateFile(), s.KeyFile(), s.DrainLimit(), s.HandOff(), describeCommon(s.commonSettings))
 	case PacketBalancer:
-		return fmt.Sprintf("ingress %s\n%s", s.IngressAddress(), describePacket(s.commonPacketSettings))
+		return describeHedge(s.HedgePercent()) + fmt.Sprintf("ingress %s\n%s", s.IngressAddress(), describePacket(s.commonPacketSettings))
 	case PacketAgent:
 		return fmt.Sprintf("service %s upstream %s outbound %s registration %s\nclient port %d first start %t renewal %s cold %g + %g\n%s",
 			s.Service(), s.UpstreamAddress(), s.OutboundAddress(), s.RegistrationAddress(), s.ClientPort(), s.FirstStart(), s.RenewInterval(),
--- a/pkg/lentilplacement/action.go
+++ b/pkg/lentilplacement/action.go
@@ -35,6 +35,8 @@
 	ReportLookup
 	// ReportAgent reports that the state of the agent To has changed, as Cause says.
 	ReportAgent
+	// ReportHedge reports that a flow with an extra offer has opened at the agent To. Hedge says more.
+	ReportHedge
 )
 
 // Cause is the reason for an action.
@@ -82,6 +84,8 @@
 	MachineAnswered
 	// AgentChanged means that an agent has restarted, or that its phase or a flag of its status has changed.
 	AgentChanged
+	// Hedged means that the first agent took longer than nearly all agents take, and a second one gets the flow too.
+	Hedged
 )
 
 // Action is one thing for the balancer to do.
@@ -102,4 +106,6 @@
 	Phase     lentilflow.Phase
 	// Latency is the time between sending the first packet to the agent and its answer.
 	Latency time.Duration
+	// Hedge describes the extra offer of a ReportHedge.
+	Hedge *HedgeReport
 }
--- a/pkg/lentilplacement/enum_string.go
+++ b/pkg/lentilplacement/enum_string.go
@@ -19,11 +19,12 @@
 	_ = x[ReportPlaced-8]
 	_ = x[ReportLookup-9]
 	_ = x[ReportAgent-10]
+	_ = x[ReportHedge-11]
 }
 
-const _ActionKind_name = "SendCarrySendAskResetClientSendRelayDropHoldSendHelloProbeMachineReportPlacedReportLookupReportAgent"
+const _ActionKind_name = "SendCarrySendAskResetClientSendRelayDropHoldSendHelloProbeMachineReportPlacedReportLookupReportAgentReportHedge"
 
-var _ActionKind_index = [...]uint8{0, 9, 16, 27, 36, 40, 44, 53, 65, 77, 89, 100}
+var _ActionKind_index = [...]uint8{0, 9, 16, 27, 36, 40, 44, 53, 65, 77, 89, 100, 111}
 
 func (i ActionKind) String() string {
 	idx := int(i) - 0
@@ -56,11 +57,12 @@
 	_ = x[AgentSilent-17]
 	_ = x[MachineAnswered-18]
 	_ = x[AgentChanged-19]
+	_ = x[Hedged-20]
 }
 
-const _Cause_name = "NoCauseChosenChosenAgainSoughtSoughtWidelyFoundNoRouteNoConfigurationNoAgentAllRefusedAllDeniedHolderGoneClientGoneHolderDeniedAskedAlreadyTooManyAskedAgentHeardAgentSilentMachineAnsweredAgentChanged"
+const _Cause_name = "NoCauseChosenChosenAgainSoughtSoughtWidelyFoundNoRouteNoConfigurationNoAgentAllRefusedAllDeniedHolderGoneClientGoneHolderDeniedAskedAlreadyTooManyAskedAgentHeardAgentSilentMachineAnsweredAgentChangedHedged"
 
-var _Cause_index = [...]uint8{0, 7, 13, 24, 30, 42, 47, 54, 69, 76, 86, 95, 105, 115, 127, 139, 151, 161, 172, 187, 199}
+var _Cause_index = [...]uint8{0, 7, 13, 24, 30, 42, 47, 54, 69, 76, 86, 95, 105, 115, 127, 139, 151, 161, 172, 187, 199, 205}
 
 func (i Cause) String() string {
 	idx := int(i) - 0
--- a/pkg/lentilplacement/place.go
+++ b/pkg/lentilplacement/place.go
@@ -40,6 +40,7 @@
 	}
 	p.pendingPlacements[key] = f
 	a.flowsSent++
+	p.recordOffer(now, key, f)
 	action := p.placeAction(now, addr, key, f, f.firstPacket, cause, mayWait)
 	action.Load, action.AgeMillis, action.Refusal = a.status.Load, now.Sub(a.lastSeen).Milliseconds(), f.lastRefusal
 	return append(actions, action)
--- a/pkg/lentilplacement/placement.go
+++ b/pkg/lentilplacement/placement.go
@@ -141,6 +141,7 @@
 	lastTick       time.Time
 	// relays has the balancers that have a configuration, with the time when an agent last named them.
 	relays map[lentilflow.Endpoint]time.Time
+	hedger hedger
 }
 
 // flow is the cached state of a flow.
@@ -181,6 +182,9 @@
 	heldPacket []byte
 	// acknowledged is the sequence that the client has acknowledged last.
 	acknowledged uint32
+	// offered is set once the flow has been offered to an agent, and hedge if there was an extra offer.
+	offered bool
+	hedge   *hedgeOffer
 }
 
 // flowState is what the balancer assumes about a flow.
@@ -300,7 +304,7 @@
 		return p.place(now, packet.Key, f, Chosen, actions)
 	case p.heldPlacements[packet.Key] == f:
 		return actions
-	case f.state == statePlacing && now.Sub(f.sentAt) >= placeTimeout:
+	case f.state == statePlacing && now.Sub(f.sentAt) >= placeTimeout && !p.awaitsHedge(now, f):
 		return p.place(now, packet.Key, f, ChosenAgain, actions)
 	default:
 		// Retransmissions go to the same agent, since the client may already have its upstream's reply.
@@ -323,6 +327,7 @@
 	}
 	delete(p.pendingPlacements, m.Key)
 	held := p.releaseHeldPacket(f)
+	actions = p.recordHedgeTaken(now, from, m, f, actions)
 	switch {
 	case m.Open:
 		if held != nil && !f.askedAllAt.IsZero() {
@@ -346,6 +351,9 @@
 	now := p.now()
 	p.applyRefusal(now, from, m)
 	f := p.flows.Get(now, packet.Key)
+	if p.recordHedgeRefusal(now, from, f, m.Reason) {
+		return actions, nil
+	}
 	if f == nil || f.agent != from || f.state > statePlaced {
 		return actions, nil
 	}
@@ -372,6 +380,9 @@
 			if a := p.agents[f.agent]; a != nil {
 				a.suspected = true
 			}
+			if p.awaitsHedge(now, f) {
+				continue
+			}
 			actions = p.place(now, key, f, ChosenAgain, actions)
 		}
 	}
--- a/pkg/lentilplacement/placement_test.go
+++ b/pkg/lentilplacement/placement_test.go
@@ -158,6 +158,9 @@
 			lines = append(lines, "hold "+a.Cause.String())
 		case ReportAgent:
 			lines = append(lines, fmt.Sprintf("%s %d", a.Cause, to[3]))
+		case ReportHedge:
+			first, extra := a.Hedge.First.Address(), a.Hedge.Extra.Address()
+			lines = append(lines, fmt.Sprintf("hedge %d to %d won %t", first[3], extra[3], a.Hedge.Won))
 		case SendHello, ProbeMachine, ReportPlaced, ReportLookup:
 		}
 	}
