--- a/internal/lentilevent/catalogue.go
+++ b/internal/lentilevent/catalogue.go
@@ -21,7 +21,7 @@
 	CertificateRefused: {Error, "certificate rejected", "The TLS certificate or key can't be used. The pair loaded before stays " +
 		"in use. See docs/operating/keys-and-certificates.md.", []string{"file", "error"}},
 	AdminFailed:     {Error, "admin endpoint failed", "The endpoint of /ready, /live and /metrics, or another HTTP endpoint of the process, can't be served. The address tells which.", []string{"address", "error"}},
-	SettingsChecked: {Info, "settings checked", "The settings file was read again after a signal and is valid. It takes effect at the next start.", nil},
+	SettingsChecked: {Info, "settings checked", "The settings file was read again after a signal and is valid. It takes effect at the next start, and the percentage of extra offers of balancers of packet flows at once.", nil},
 	SettingsRefused: {Error, "settings rejected", "The settings file was read again after a signal and is invalid. The process continues with the settings of its start.", []string{"error"}},
 
 	PacketRefused: {Warn, "packet rejected", "A packet from the fabric is malformed and was dropped. The event is logged at a limited rate; " +
--- a/internal/lentilhedgemodel/model.go
+++ b/internal/lentilhedgemodel/model.go
@@ -39,7 +39,8 @@
 	// tickInterval is the period of the agents' ticks, recordInterval that of their records.
 	tickInterval   = 20 * time.Millisecond
 	recordInterval = time.Second
-	// warmupTime is that of the limiters, warmup the time before the measurement.
+	// warmupTime is that of the limiters, warmup the time before the measurement. After 3 s
+	// some copies were still cold.
 	warmupTime = 2 * time.Second
 	warmup     = 5 * time.Second
 )
--- a/internal/lentilmeasure/table.go
+++ b/internal/lentilmeasure/table.go
@@ -6,6 +6,7 @@
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilcontrolmeasure"
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentildomainmeasure"
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilflowmeasure"
+	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilhedgemeasure"
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentilimbalancemeasure"
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentillibrarymeasure"
 	"lentilstair.example/lentilstair/internal/lentilmeasure/lentiloverloadmeasure"
@@ -29,6 +30,7 @@
 	lentildomainmeasure.Experiment,
 	lentilpacketmeasure.Experiment,
 	lentilplacementmeasure.Experiment,
+	lentilhedgemeasure.Experiment,
 	lentilrecoverymeasure.Experiment,
 	lentilrestartmeasure.Experiment,
 	lentilsitemeasure.Experiment,
--- a/internal/lentilpacket/balancer.go
+++ b/internal/lentilpacket/balancer.go
@@ -67,8 +67,7 @@
 	// renewEntry writes the balancer's entry again, and reads the list of agents.
 	renewEntry func(era uint64, balancers int)
 	logLimiter logLimiter
-	// hedgeTimer runs tickHedges when a flow is due to be offered to a second agent; nil without
-	// the setting.
+	// hedgeTimer runs tickHedges when a flow is due to be offered to a second agent; nil before the first one.
 	hedgeTimer *time.Timer
 }
 
@@ -101,11 +100,7 @@
 			b.perform(b.placer.HandleProbeResult(agent, answered, b.actions[:0]))
 		})
 	}
-	if b.Settings.HedgePercent() > 0 {
-		b.placer.SetHedgePercent(b.Settings.HedgePercent())
-		b.hedgeTimer = time.AfterFunc(time.Hour, b.tickHedges)
-		defer b.hedgeTimer.Stop()
-	}
+	b.SetHedgePercent(b.Settings.HedgePercent())
 	workers.Go(func() { lentilserver.ServeDatagrams(b.ingressConn, make([]byte, readBufferSize), b.handleClientPacket) })
 	workers.Go(func() { lentilserver.ServeDatagrams(b.peerConn, make([]byte, readBufferSize), b.handlePeerMessage) })
 	workers.Go(func() { b.tick(ctx) })
@@ -234,10 +229,19 @@
 	}
 }
 
+// SetHedgePercent sets the highest number of extra offers per hundred new flows, as in the settings.
+func (b *Balancer) SetHedgePercent(percent int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.placer.SetHedgePercent(percent)
+	b.Counts.recordHedges(b.placer.HedgeCounts(), b.placer.HedgeShare())
+}
+
 // tickHedges offers flows that are due to second agents.
 func (b *Balancer) tickHedges() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	// After the grace period the socket is closed.
 	if !b.leaving {
 		b.perform(b.placer.TickHedges(b.actions[:0]))
 	}
@@ -246,11 +250,16 @@
 // scheduleHedges records the counts of extra offers, and sets the timer to the time at which the
 // next flow is due. The caller holds b.mu.
 func (b *Balancer) scheduleHedges() {
-	if b.hedgeTimer == nil {
+	if !b.placer.Hedging() {
 		return
 	}
 	b.Counts.recordHedges(b.placer.HedgeCounts(), b.placer.HedgeShare())
-	if at, ok := b.placer.NextHedge(); ok {
+	at, ok := b.placer.NextHedge()
+	switch {
+	case !ok:
+	case b.hedgeTimer == nil:
+		b.hedgeTimer = time.AfterFunc(time.Until(at), b.tickHedges)
+	default:
 		b.hedgeTimer.Reset(time.Until(at))
 	}
 }
--- a/internal/lentilpacketmodel/checks.go
+++ b/internal/lentilpacketmodel/checks.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lentilstair.example/lentilstair/pkg/lentilflow"
+	"lentilstair.example/lentilstair/pkg/lentilplacement"
 )
 
 // Bounds of the guarantees that are checked, as on the users' platform.
@@ -81,6 +82,35 @@
 	}
 }
 
+// requestID identifies a request of a flow.
+type requestID struct {
+	key      lentilflow.Key
+	sequence uint32
+}
+
+// checkRun checks that a request runs at one upstream only.
+func (s *Simulation) checkRun(u *upstream, packet lentilflow.Packet) {
+	if s.Setup.HedgePercent == 0 {
+		return
+	}
+	id := requestID{key: packet.Key, sequence: packet.Sequence}
+	if other, ran := s.requestRuns[id]; ran && other != u.id {
+		s.addViolation("a request of flow %s ran at %s and at %s", packet.Key, other, u.id)
+	}
+	s.requestRuns[id] = u.id
+}
+
+// HedgeCounts returns the sums of the balancers' extra offers.
+func (s *Simulation) HedgeCounts() (sum lentilplacement.HedgeCounts) {
+	for _, b := range s.balancers {
+		counts := b.placer.HedgeCounts()
+		sum.Sent += counts.Sent
+		sum.Won += counts.Won
+		sum.OverBudget += counts.OverBudget
+	}
+	return sum
+}
+
 // AnsweredShare returns the share of answered requests among those that have ended; it is 0 if none has.
 func (s Stats) AnsweredShare() float64 {
 	ended := s.Answered + s.Refused + s.InterruptedRequests + s.Expired
--- a/internal/lentilpacketmodel/simulation.go
+++ b/internal/lentilpacketmodel/simulation.go
@@ -55,6 +55,9 @@
 	// ReceiveTime is how long a balancer takes to handle a datagram, as on a VM with a small share of a core; zero is
 	// no time. Datagrams that arrive meanwhile wait, up to the limit of the socket's buffer.
 	ReceiveTime time.Duration
+	// HedgePercent is the balancers' budget of extra offers. If it isn't zero, the route's requests count as
+	// repeatable, and a request that runs at two upstreams is a violation.
+	HedgePercent int
 	// ChooseAgent replaces the balancers' choice of an agent for new flows, for comparison. Nil keeps it.
 	ChooseAgent func(sim *Simulation, key lentilflow.Key) (agent int)
 }
@@ -126,6 +129,8 @@
 	loss        float64
 	// applyOutcomes is set once ApplyDeliveryOutcomes was called.
 	applyOutcomes bool
+	// requestRuns has the upstreams at which requests ran; only with Setup.HedgePercent.
+	requestRuns map[requestID]string
 	// outcomesDecided is how many datagrams were passed to Setup.DeliveryOutcome.
 	outcomesDecided int
 }
@@ -162,6 +167,7 @@
 	sim = &Simulation{
 		Setup: setup, Clock: &lentilclock.Fake{}, Random: rand.New(rand.NewPCG(setup.Seed, 1)),
 		processes: make(map[lentilflow.Endpoint]*process), ledgers: make(map[string]savedLedger),
+		requestRuns:          make(map[requestID]string),
 		configurationVersion: 1, era: 1, outSince: make(map[int]time.Time), partitions: make(map[[2]int]bool), loss: setup.Loss,
 	}
 	sim.Clock.Advance(time.Hour)
--- a/internal/lentilpacketmodel/upstream.go
+++ b/internal/lentilpacketmodel/upstream.go
@@ -135,6 +135,7 @@
 	}
 	flow.requested, flow.requestSequence, flow.answered = true, packet.Sequence, false
 	sim.Stats.Arrivals[u.id]++
+	sim.checkRun(u, packet)
 	if u.failing {
 		u.sendToAgent(lentilflow.Packet{Key: packet.Key, Flags: lentilflow.Reset})
 		delete(u.flows, packet.Key)
--- a/pkg/lentilplacement/hedge.go
+++ b/pkg/lentilplacement/hedge.go
@@ -63,6 +63,9 @@
 // in one second. Zero, the default, means that there are no extra offers. Clock has to be set before.
 func (p *Placer) SetHedgePercent(percent int) {
 	p.hedger.policy.Percent, p.hedger.policy.Clock = percent, p.Clock
+	if percent == 0 {
+		p.hedger.due = nil
+	}
 }
 
 // HedgeCounts returns the counts of extra offers.
@@ -82,8 +85,8 @@
 	return at, ok
 }
 
-// hedging reports whether extra offers are enabled.
-func (p *Placer) hedging() bool { return p.hedger.policy.Percent > 0 }
+// Hedging reports whether extra offers are enabled.
+func (p *Placer) Hedging() bool { return p.hedger.policy.Percent > 0 }
 
 // routeKind identifies the flows of a route, whose opening times are compared.
 func routeKind(key lentilflow.Key) uint64 {
@@ -93,7 +96,7 @@
 // recordOffer charges an offer of a flow to the budget, and schedules the check whether a second
 // agent gets the flow.
 func (p *Placer) recordOffer(now time.Time, key lentilflow.Key, f *flow) {
-	if !p.hedging() {
+	if !p.Hedging() {
 		return
 	}
 	h := &p.hedger
@@ -187,7 +190,7 @@
 // recordHedgeRefusal records that an agent has refused a flow. It reports whether that ends the
 // matter: the agent had the extra offer, or the extra offer takes the place of the refused one.
 func (p *Placer) recordHedgeRefusal(now time.Time, from lentilflow.Endpoint, f *flow, reason lentilflow.Refusal) (done bool) {
-	if !p.hedging() {
+	if !p.Hedging() {
 		return false
 	}
 	switch reason {
@@ -233,7 +236,7 @@
 // recordHedgeTaken learns how long an agent took to take a flow, and reports an extra offer once
 // the flow is open.
 func (p *Placer) recordHedgeTaken(now time.Time, from lentilflow.Endpoint, m lentilflow.Taken, f *flow, actions []Action) []Action {
-	if !p.hedging() {
+	if !p.Hedging() {
 		return actions
 	}
 	if f.state == statePlacing && !m.Open {
