--- a/pkg/lentilconfig/check_test.go
+++ b/pkg/lentilconfig/check_test.go
@@ -70,6 +70,16 @@
 	return lines.String()
 }
 
+// TestRoutePrefix checks that requests are grouped by the longest rule that matches their path.
+func TestRoutePrefix(t *testing.T) {
+	service := &Service{doc: ServiceDoc{Rules: []RuleDoc{{Prefix: "/posti", Kind: "stream"}, {Prefix: "/posti/prenota", Kind: "once"}}}}
+	for path, want := range map[string]string{"/posti/7": "/posti", "/posti/prenota/7": "/posti/prenota", "/postino": "", "/": ""} {
+		if got := service.RoutePrefix(path); got != want {
+			t.Errorf("%s: %q, want %q", path, got, want)
+		}
+	}
+}
+
 func TestClassify(t *testing.T) {
 	service := &Service{doc: ServiceDoc{Rules: []RuleDoc{
 		{Prefix: "/posti", Kind: "stream"},
--- a/pkg/lentilhandoff/handoff_test.go
+++ b/pkg/lentilhandoff/handoff_test.go
@@ -165,3 +165,36 @@
 		t.Error("chose a peer that was removed")
 	}
 }
+
+// TestPeersForHedges guards against extra attempts at peers that would have to queue them: cold, busy,
+// or just out of room.
+func TestPeersForHedges(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(d *lentilrecord.Doc)
+		event  func(c *Chooser, peer lentilrecord.Owner)
+		want   bool
+	}{
+		{"idle", func(*lentilrecord.Doc) {}, nil, true},
+		{"warming", func(d *lentilrecord.Doc) { d.Phase = lentilrecord.Warming }, nil, false},
+		{"out of service", func(d *lentilrecord.Doc) { d.Domain = outDomain }, nil, false},
+		{"nearly full", func(d *lentilrecord.Doc) { d.Load = 180 }, nil, false},
+		{"just refused", func(*lentilrecord.Doc) {}, func(c *Chooser, peer lentilrecord.Owner) { c.RecordRefusal(peer) }, false},
+		{"requests queued", func(*lentilrecord.Doc) {}, func(c *Chooser, peer lentilrecord.Owner) {
+			c.UpdateLoad(peer, Load{Smoothed: 20, Demand: 400, Capacity: 200})
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var clock lentilclock.Fake
+			d := peerDoc("peer", 20)
+			c.change(&d)
+			chooser := newChooser(&clock, d)
+			if c.event != nil {
+				c.event(chooser, d.Owner)
+			}
+			if _, got := chooser.ChooseForHedge(); got != c.want {
+				t.Errorf("chosen: %t", got)
+			}
+		})
+	}
+}
