--- a/pkg/lentilplacement/hedge_test.go
+++ b/pkg/lentilplacement/hedge_test.go
@@ -95,3 +95,27 @@
 		t.Errorf("%+v of 200 new flows with 2 %%", got)
 	}
 }
+
+// TestNoExtraOffersInOverload guards against extra work while a share of the agents above the percentage
+// refuses flows for lack of room. One of three is above 20 %.
+func TestNoExtraOffersInOverload(t *testing.T) {
+	for _, c := range []struct {
+		reason lentilflow.Refusal
+		want   string
+	}{
+		{lentilflow.UpstreamBusy, ""}, {lentilflow.UpstreamFull, ""}, {lentilflow.UpstreamCold, ""}, {lentilflow.UpstreamOverloaded, ""},
+		{lentilflow.Stopping, "place to 2"},
+	} {
+		t.Run(c.reason.String(), func(t *testing.T) {
+			h := newHedgingHarness(t, 20, true)
+			_, err := h.HandleRefused(agentAddress(3), lentilflow.Refused{Reason: c.reason, Load: lentilflow.Load{Slots: 2}, Packet: firstPacket(9)}, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			h.sendPacket(firstPacket(testFlow))
+			if got := h.tickHedges(); got != c.want {
+				t.Errorf("%q, want %q", got, c.want)
+			}
+		})
+	}
+}
