--- a/internal/lentilevent/catalogue.go
+++ b/internal/lentilevent/catalogue.go
@@ -21,7 +21,7 @@
 	CertificateRefused: {Error, "certificate rejected", "The TLS certificate or key can't be used. The pair loaded before stays " +
 		"in use. See docs/operating/keys-and-certificates.md.", []string{"file", "error"}},
 	AdminFailed:     {Error, "admin endpoint failed", "The endpoint of /ready, /live and /metrics, or another HTTP endpoint of the process, can't be served. The address tells which.", []string{"address", "error"}},
-	SettingsChecked: {Info, "settings checked", "The settings file was read again after a signal and is valid. It takes effect at the next start.", nil},
+	SettingsChecked: {Info, "settings checked", "The settings file was read again after a signal and is valid. It takes effect at the next start, and the percentage of extra offers of balancers of packet flows at once.", nil},
 	SettingsRefused: {Error, "settings rejected", "The settings file was read again after a signal and is invalid. The process continues with the settings of its start.", []string{"error"}},
 
 	PacketRefused: {Warn, "packet rejected", "A packet from the fabric is malformed and was dropped. The event is logged at a limited rate; " +
@@ -56,6 +56,8 @@
 	CopyDraining: {Info, "copy draining", "The copy gets no new work. Its open flows continue.", []string{"bears"}},
 	OutcomeUnknown: {Warn, "outcome unknown", "It is unknown whether some requests have run, although each may run only once. Their callers were informed. A copy, an agent or a failure domain was lost while it processed them.",
 		[]string{"requests", "suppressed"}},
+	RequestHedged: {Info, "extra attempt at a slow request", "The copy took longer for a request than for nearly all recent ones of the same route, so a peer got an extra attempt. " +
+		"The winner is the copy whose answer the caller got. See docs/operating/hedging.md.", []string{"id", "copy", "peer", "delayMicros", "winner", "suppressed"}},
 
 	FlowPlaced: {Info, "flow placed", "A balancer sent the first packet of a flow to an agent. The cause ChosenAgain means that another agent refused the flow " +
 		"or did not answer. The load (agentFlows, agentBusy) is the last that the balancer received from the agent, ageMillis ago.",
@@ -103,6 +105,8 @@
 	FlowSoughtByKey: {Info, "flow looked up by key", "The balancer's link has no room for copies of the packets of a flow whose agent isn't known. The balancer buffers them and asks the agents that may hold the flow by its key. " +
 		"The field `buffered` is the number of bytes buffered for all flows. Many such lines show that the link is small for the traffic, as after other balancers have ended.",
 		[]string{"flow", "buffered", "agents", "heard"}},
+	FlowHedged: {Info, "extra offer of a new flow", "An agent took longer to take a new flow than nearly all agents take, so a second agent got the flow too. The winner is the agent " +
+		"at whose copy the flow opened. See docs/operating/hedging.md.", []string{"flow", "agent", "second", "delayMicros", "winner", "suppressed"}},
 	RegistrationRefused: {Warn, "registration rejected", "An upstream's registration is malformed or for another service, and was ignored.",
 		[]string{"id", "error"}},
 }
--- a/internal/lentilevent/event.go
+++ b/internal/lentilevent/event.go
@@ -95,6 +95,7 @@
 	CopyCold
 	CopyDraining
 	OutcomeUnknown
+	RequestHedged
 )
 
 // Events about packet flows.
@@ -123,8 +124,8 @@
 	LinkFull
 	LinkFree
 	QueueHeld
-
-	FlowSoughtByKey Event = 2426
+	FlowHedged
+	FlowSoughtByKey
 )
 
 // Code returns the code under which the event is documented, such as LE2001.
--- a/internal/lentilmetric/metric.go
+++ b/internal/lentilmetric/metric.go
@@ -60,6 +60,11 @@
 	QueueCallers
 	QueueOutOfOrder
 	LookupsByKey
+	HedgesSent
+	HedgesWon
+	HedgesCancelled
+	HedgesOverBudget
+	HedgeShare
 )
 
 type metricDoc struct {
@@ -95,6 +100,11 @@
 	FlowsReset:           {"flows_reset", Counter, "flows", nil, "Packet flows whose clients were sent a reset."},
 	QueueCallers:         {"queue_callers", Gauge, "callers", nil, "Client IP addresses with new flows that wait at an agent of packet flows. Zero unless its queue is fair between callers."},
 	QueueOutOfOrder:      {"queue_out_of_order", Counter, "flows", nil, "New flows that opened before an older one of the same urgency, because the queue is fair between callers."},
+	HedgesSent:           {"hedges_sent", Counter, "attempts", nil, "Extra attempts at slow requests."},
+	HedgesWon:            {"hedges_won", Counter, "attempts", nil, "Extra attempts whose answer the caller got."},
+	HedgesCancelled:      {"hedges_cancelled", Counter, "attempts", nil, "Extra attempts that were cancelled in time, since the first attempt succeeded before them."},
+	HedgesOverBudget:     {"hedges_over_budget", Counter, "attempts", nil, "Extra attempts that were not made, since they would have exceeded the percentage in the settings."},
+	HedgeShare:           {"hedge_share", Gauge, "per attempt", nil, "Extra attempts and retries per first attempt in the last second."},
 	FlowsRefused:         {"flows_refused", Counter, "flows", nil, "First packets of flows that an agent returned to a balancer."},
 	LinkWaited:           {"link_waited", Counter, "datagrams", []string{"class"}, "Datagrams that a balancer sent after they had waited for its link. The class is control, opening (first packets), short or bulk. Recorded only if `link` is set."},
 	LinkDropped:          {"link_dropped", Counter, "datagrams", []string{"class", "reason"}, "Datagrams that a balancer dropped because its link was full. The reason is overflow (the queue was full), late (the datagram had waited 400 ms) or duplicate (the same packet was still queued, so nothing is lost)."},
--- a/internal/lentilmetric/metric_string.go
+++ b/internal/lentilmetric/metric_string.go
@@ -39,11 +39,16 @@
 	_ = x[QueueCallers-28]
 	_ = x[QueueOutOfOrder-29]
 	_ = x[LookupsByKey-30]
+	_ = x[HedgesSent-31]
+	_ = x[HedgesWon-32]
+	_ = x[HedgesCancelled-33]
+	_ = x[HedgesOverBudget-34]
+	_ = x[HedgeShare-35]
 }
 
-const _Metric_name = "PacketsForwardedPacketsDroppedPacketsReturnedPacketsHandedOnTunnelRefusedRequestsAnsweredRequestsRefusedOutcomesUnknownRequestsInFlightRequestsQueuedStreamsOpenCopyBearsCopyPhaseConfigurationVersionRecordsKnownControlBytesControlRefusedPlatformCallsPlatformFailuresFlowsResetFlowsRefusedPlacingTimeAnswerTimeLinkWaitedLinkDroppedLinkQueuedBytesLinkUtilizationLinkFullSecondsQueueCallersQueueOutOfOrderLookupsByKey"
+const _Metric_name = "PacketsForwardedPacketsDroppedPacketsReturnedPacketsHandedOnTunnelRefusedRequestsAnsweredRequestsRefusedOutcomesUnknownRequestsInFlightRequestsQueuedStreamsOpenCopyBearsCopyPhaseConfigurationVersionRecordsKnownControlBytesControlRefusedPlatformCallsPlatformFailuresFlowsResetFlowsRefusedPlacingTimeAnswerTimeLinkWaitedLinkDroppedLinkQueuedBytesLinkUtilizationLinkFullSecondsQueueCallersQueueOutOfOrderLookupsByKeyHedgesSentHedgesWonHedgesCancelledHedgesOverBudgetHedgeShare"
 
-var _Metric_index = [...]uint16{0, 16, 30, 45, 60, 73, 89, 104, 119, 135, 149, 160, 169, 178, 198, 210, 222, 236, 249, 265, 275, 287, 298, 308, 318, 329, 344, 359, 374, 386, 401, 413}
+var _Metric_index = [...]uint16{0, 16, 30, 45, 60, 73, 89, 104, 119, 135, 149, 160, 169, 178, 198, 210, 222, 236, 249, 265, 275, 287, 298, 308, 318, 329, 344, 359, 374, 386, 401, 413, 423, 432, 447, 463, 473}
 
 func (i Metric) String() string {
 	idx := int(i) - 0
--- a/internal/lentilpacket/balancer.go
+++ b/internal/lentilpacket/balancer.go
@@ -72,6 +72,8 @@
 	link       lentillink.Scheduler
 	classifier lentillink.Classifier
 	linkQueued chan struct{}
+	// hedgeTimer runs tickHedges when a flow is due to be offered to a second agent; nil before the first one.
+	hedgeTimer *time.Timer
 }
 
 // Run serves until the stop grace period after graceful has passed, or until forced ends.
@@ -103,6 +105,7 @@
 			b.perform(b.placer.HandleProbeResult(agent, answered, b.actions[:0]))
 		})
 	}
+	b.SetHedgePercent(b.Settings.HedgePercent())
 	workers.Go(func() { lentilserver.ServeDatagrams(b.ingressConn, make([]byte, readBufferSize), b.handleClientPacket) })
 	workers.Go(func() { lentilserver.ServeDatagrams(b.peerConn, make([]byte, readBufferSize), b.handlePeerMessage) })
 	workers.Go(func() { b.tick(ctx) })
@@ -241,6 +244,41 @@
 	}
 }
 
+// SetHedgePercent sets the highest number of extra offers per hundred new flows, as in the settings.
+func (b *Balancer) SetHedgePercent(percent int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.placer.SetHedgePercent(percent)
+	b.Counts.recordHedges(b.placer.HedgeCounts(), b.placer.HedgeShare())
+}
+
+// tickHedges offers flows that are due to second agents.
+func (b *Balancer) tickHedges() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	// After the grace period the socket is closed.
+	if !b.leaving {
+		b.perform(b.placer.TickHedges(b.actions[:0]))
+	}
+}
+
+// scheduleHedges records the counts of extra offers, and sets the timer to the time at which the
+// next flow is due. The caller holds b.mu.
+func (b *Balancer) scheduleHedges() {
+	if !b.placer.Hedging() {
+		return
+	}
+	b.Counts.recordHedges(b.placer.HedgeCounts(), b.placer.HedgeShare())
+	at, ok := b.placer.NextHedge()
+	switch {
+	case !ok:
+	case b.hedgeTimer == nil:
+		b.hedgeTimer = time.AfterFunc(time.Until(at), b.tickHedges)
+	default:
+		b.hedgeTimer.Reset(time.Until(at))
+	}
+}
+
 // perform executes the placer's actions. The caller holds b.mu.
 func (b *Balancer) perform(actions []lentilplacement.Action) {
 	b.actions = actions
@@ -273,10 +311,11 @@
 			if a.Cause == lentilplacement.SoughtByKey {
 				b.Counts.SoughtByKey.Add(1)
 			}
-		case lentilplacement.Hold, lentilplacement.ReportAgent:
+		case lentilplacement.Hold, lentilplacement.ReportAgent, lentilplacement.ReportHedge:
 		}
 		b.logAction(a)
 	}
+	b.scheduleHedges()
 }
 
 // hello returns the Hello for an agent.
--- a/internal/lentilpacketmodel/process.go
+++ b/internal/lentilpacketmodel/process.go
@@ -24,6 +24,8 @@
 	survivors   lentilera.Survivors
 	// linkRate is the rate of the balancer's link in bytes a second; 0 is unlimited.
 	linkRate int
+	// hedgeAt is when the next extra offers are due; zero if none is scheduled.
+	hedgeAt time.Time
 }
 
 // balancersIn returns the number of balancers in a failure domain.
@@ -57,6 +59,8 @@
 	if !sim.Setup.LinksUnset {
 		b.placer.LinkBytesPerSecond = b.linkRate
 	}
+	b.placer.SetHedgePercent(sim.Setup.HedgePercent)
+	b.hedgeAt = time.Time{}
 	b.schedule(storeDelay/10, func() {
 		b.placer.Configure(sim.configuration())
 		b.readDomains()
@@ -100,7 +104,7 @@
 	return lentilflow.NewConfiguration(s.configurationVersion,
 		map[lentilflow.Endpoint][]lentilflow.Backend{Address: {{Service: ServiceName, Weight: 1}}},
 		map[string]float64{ServiceName: s.Setup.ColdRate}, time.Minute).
-		WithTerms(map[lentilflow.Endpoint]lentilflow.Terms{Address: {Target: s.Setup.Target}})
+		WithTerms(map[lentilflow.Endpoint]lentilflow.Terms{Address: {Target: s.Setup.Target, Repeatable: s.Setup.HedgePercent > 0}})
 }
 
 func (b *balancer) handleClientPacket(data []byte) {
@@ -141,9 +145,20 @@
 			if action.Cause == lentilplacement.SoughtByKey {
 				sim.Stats.LookupsByKey++
 			}
-		case lentilplacement.Drop, lentilplacement.Hold, lentilplacement.ReportAgent, lentilplacement.ReportPlaced:
+		case lentilplacement.Drop, lentilplacement.Hold, lentilplacement.ReportAgent, lentilplacement.ReportPlaced, lentilplacement.ReportHedge:
 		}
 	}
+	b.scheduleHedges()
+}
+
+// scheduleHedges schedules the next extra offers.
+func (b *balancer) scheduleHedges() {
+	at, ok := b.placer.NextHedge()
+	if !ok || at.Equal(b.hedgeAt) {
+		return
+	}
+	b.hedgeAt = at
+	b.schedule(max(at.Sub(b.sim.Clock.Now()), 0), func() { b.perform(b.placer.TickHedges(nil)) })
 }
 
 // probeMachine simulates a connection attempt to an agent's machine.
--- a/internal/lentilsetting/packet.go
+++ b/internal/lentilsetting/packet.go
@@ -38,6 +38,7 @@
 	FlowLife       string       `json:"flowLife,omitempty"`
 	Link           LinkDoc      `json:"link,omitzero"`
 	Placement      PlacementDoc `json:"placement,omitzero"`
+	Hedge          HedgeDoc     `json:"hedge,omitzero"`
 	Log            LogDoc       `json:"log,omitzero"`
 }
 
@@ -153,6 +154,7 @@
 	{name: "link", description: "The VM's link. If its rate is set, the balancer queues what the link can't take yet, sends it in turns between callers and first packets first. See docs/operating/scarce-capacity.md.",
 		example: `{"megabitsPerSecond": 10}`, defaultText: "not limited", members: linkFields},
 	{name: "placement", description: "How agents are chosen for new flows.", example: `{"by": "expectedWait"}`, defaultText: `{"by": "load"}`, members: placementFields},
+	hedgeField,
 	logField,
 }
 
@@ -280,6 +282,7 @@
 	ingress            netip.AddrPort
 	linkBytesPerSecond int
 	byExpectedWait     bool
+	hedge              int
 }
 
 // IngressAddress returns the address and UDP port at which clients' packets arrive.
@@ -291,6 +294,9 @@
 // ByExpectedWait reports whether agents are compared by the time that a request is expected to take there.
 func (p PacketBalancer) ByExpectedWait() bool { return p.byExpectedWait }
 
+// HedgePercent returns the highest number of extra offers per hundred new flows, or zero.
+func (p PacketBalancer) HedgePercent() int { return p.hedge }
+
 // PacketAgent holds the validated settings of an agent of packet flows.
 type PacketAgent struct {
 	commonPacketSettings
@@ -359,6 +365,7 @@
 		ingress:            netip.MustParseAddrPort(doc.IngressAddress),
 		linkBytesPerSecond: bytesPerSecond(doc.Link),
 		byExpectedWait:     doc.Placement.By == placementByExpectedWait,
+		hedge:              doc.Hedge.Percent,
 	}, nil
 }
 
--- a/pkg/lentilplacement/placement.go
+++ b/pkg/lentilplacement/placement.go
@@ -160,6 +160,7 @@
 	preferredAskBudget lentilbudget.Bucket
 	// smoothedRTT is the smoothed time that agents take to answer an offer.
 	smoothedRTT time.Duration
+	hedger      hedger
 }
 
 // flow is the cached state of a flow.
@@ -209,6 +210,9 @@
 	// it has answered.
 	firstOfferTo lentilflow.Endpoint
 	firstOfferAt time.Time
+	// offered is set once the flow has been offered to an agent, and hedge if there was an extra offer.
+	offered bool
+	hedge   *hedgeOffer
 }
 
 // flowState is what the balancer assumes about a flow.
@@ -331,7 +335,7 @@
 		return p.place(now, packet.Key, f, Chosen, actions)
 	case p.heldPlacements[packet.Key] == f:
 		return actions
-	case f.state == statePlacing && now.Sub(f.sentAt) >= p.offerTimeout() && p.mayOfferAgain(now, f),
+	case f.state == statePlacing && now.Sub(f.sentAt) >= p.offerTimeout() && p.mayOfferAgain(now, f) && !p.awaitsHedge(now, f),
 		f.state == statePlaced && p.leaves(f.agent):
 		return p.place(now, packet.Key, f, ChosenAgain, actions)
 	default:
@@ -363,6 +367,7 @@
 	p.recordOfferAnswer(now, from, f)
 	delete(p.pendingPlacements, m.Key)
 	held := p.releaseHeldPacket(f)
+	actions = p.recordHedgeTaken(now, from, m, f, actions)
 	switch {
 	case m.Open:
 		if held != nil && !f.askedAllAt.IsZero() {
@@ -387,6 +392,9 @@
 	now := p.now()
 	p.applyRefusal(now, from, m)
 	f := p.flows.Get(now, packet.Key)
+	if p.recordHedgeRefusal(now, from, f, m.Reason) {
+		return actions, nil
+	}
 	if f == nil || f.agent != from {
 		return actions, nil
 	}
@@ -419,6 +427,9 @@
 			if a := p.agents[f.agent]; a != nil {
 				a.suspected = true
 			}
+			if p.awaitsHedge(now, f) {
+				continue
+			}
 			actions = p.place(now, key, f, ChosenAgain, actions)
 		}
 	}
