lentilconntrack: only a sudden drop of the service time isn't believed

Cause: reporting the higher one of the recent and the usual service time biases both upwards by chance; TestCopiesOfThreeSpeeds failed (.00119 of the requests late, bound half of .00226). Change: the recent one counts unless it is below .85 of the usual one. After: the test passes, TestFastFailuresDoNotLookFast too.

--- a/pkg/lentilconntrack/meter.go
+++ b/pkg/lentilconntrack/meter.go
@@ -18,6 +18,9 @@
 	// usualServiceTimeWeight is the weight of a new measurement in the service time that is usual for the upstream. It covers
 	// half a minute, which is longer than upstreams usually fail.
 	usualServiceTimeWeight = 1.0 / 1024
+	// suddenServiceTimeShare is the share of the usual service time below which a shorter one isn't believed. Smaller
+	// differences occur by chance in the measurements of some seconds.
+	suddenServiceTimeShare = 0.85
 	// minMeasurements is the number of measurements from which the mean service time is reported. Fewer of them would make
 	// copies of the same speed look up to several times faster than others.
 	minMeasurements = 32
@@ -75,7 +78,10 @@
 	}
 	const hundredths = 100
 	slots := int(load.Slots)
-	serviceTime := max(m.serviceTime, m.usualServiceTime, 1)
+	serviceTime := max(m.serviceTime, 1)
+	if float64(serviceTime) < suddenServiceTimeShare*float64(m.usualServiceTime) {
+		serviceTime = m.usualServiceTime
+	}
 	occupied := m.occupied * float64(serviceTime) / float64(max(m.serviceTime, 1))
 	load.Utilization = saturate(max(0, occupied+routesOccupancy) / float64(slots) * hundredths)
 	load.ServiceTime = max(1, saturate(float64(serviceTime)/float64(serviceTimeUnit)))
