--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -15,7 +15,6 @@
 package lentilconntrack
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -167,43 +166,6 @@
 	resumedAt time.Time
 }
 
-// OpenFlows returns the number of open flows.
-func (t *Tracker) OpenFlows() int { return t.openFlows }
-
-// Load returns the upstream's load: its open and half-open flows without the idle ones, requests in flight, slots, and
-// the measurements from which balancers estimate waits.
-func (t *Tracker) Load() lentilflow.Load {
-	slots := t.slots()
-	load := lentilflow.Load{
-		Flows: uint32(max(0, t.openFlows+t.halfOpenFlows-t.idleFlows)), InFlight: uint16(t.requestsInFlight), Slots: uint16(slots),
-	}
-	now := t.now()
-	t.meter.addTo(&load, t.queue.Ahead(t.requestsInFlight), t.routesOccupancy(now))
-	return load
-}
-
-// slots returns the number of requests that the upstream processes at once.
-func (t *Tracker) slots() int { return cmp.Or(t.upstream.slots, defaultSlots) }
-
-// CallersWaiting returns the number of callers with waiting flows, if the queue is fair between callers.
-func (t *Tracker) CallersWaiting() int { return t.queue.CallersWaiting() }
-
-// ServedOutOfOrder returns the number of flows that opened before an older one of the same urgency, because the queue is
-// fair between callers.
-func (t *Tracker) ServedOutOfOrder() uint64 { return t.queue.ServedOutOfOrder() }
-
-// Phase returns the phase of the upstream.
-func (t *Tracker) Phase() lentilflow.Phase { return t.upstream.phase }
-
-// Out reports whether the failure domain is out of service.
-func (t *Tracker) Out() bool { return t.out }
-
-// Stopping reports whether the agent was asked to stop.
-func (t *Tracker) Stopping() bool { return t.stopping }
-
-// Cold reports whether the upstream has, or may have, less than its usual capacity.
-func (t *Tracker) Cold() bool { return t.upstream.cold(t.now()) }
-
 // now returns the time, and records the time of its first call as the start of the agent.
 func (t *Tracker) now() (now time.Time) {
 	now = lentilclock.OrSystem(t.Clock).Now()
@@ -306,37 +268,6 @@
 // upstream that accepted the flow. It is the window of a flow, 16 packets of 1,200 bytes, plus one.
 const maxFirstAckOffset = 16*1200 + 1
 
-// maxSameFlowOffset is how far acknowledgements of one flow may be apart: from the client's first packet while the flow is
-// half-open, and from one packet of the client to the next. It is far more than the window of a flow, and one in 4,000 packets of
-// other flows is within it on each side.
-const maxSameFlowOffset = 1 << 20
-
-// openedBy reports whether packet may be a copy of the packet that opened the flow. Otherwise, the client uses its port for
-// another flow.
-func (f *flow) openedBy(packet lentilflow.Packet) bool {
-	return !f.firstSeen || f.firstSequence == packet.Sequence
-}
-
-// differsFrom reports whether a client's packet belongs to another flow from the same port, which another upstream holds. The
-// client's acknowledgements of a flow follow each other within its window; those of another flow start at a random number.
-func (f *flow) differsFrom(packet lentilflow.Packet) bool {
-	known := cmp.Or(f.acknowledged, f.initialSequence)
-	offset := packet.Acknowledged - known
-	return known != 0 && packet.Flags.Has(lentilflow.Acknowledge) && min(offset, -offset) > maxSameFlowOffset
-}
-
-// ofEarlierFlow reports whether a packet of the upstream belongs to an earlier flow from the same port of the client, of which
-// the upstream has still sent it. Its answer must not reach the client of the flow that is opening.
-func (f *flow) ofEarlierFlow(packet lentilflow.Packet) bool {
-	if f.state != halfOpen || !f.firstSeen || packet.Flags.Has(lentilflow.Open) {
-		return false
-	}
-	if !packet.Flags.Has(lentilflow.Acknowledge) {
-		return f.waiting
-	}
-	return packet.Acknowledged-f.firstSequence > maxSameFlowOffset
-}
-
 // trackClientPacket updates a flow for a client's packet that is forwarded to the upstream.
 func (t *Tracker) trackClientPacket(now time.Time, f *flow, packet lentilflow.Packet) {
 	if packet.Flags.Has(lentilflow.Acknowledge) {
