lentildrain: a stopping balancer ends once it is out of rotation

Cause: every balancer of packet flows forwarded for a fixed 4 s after a stop request. In a roll of 6 of 24 balancers a second all were out of rotation at once, so routers sent packets to ones that had ended.

--- a/internal/lentilevent/catalogue.go
+++ b/internal/lentilevent/catalogue.go
@@ -107,6 +107,8 @@
 		[]string{"flow", "buffered", "agents", "heard"}},
 	FlowHedged: {Info, "extra offer of a new flow", "An agent took longer to take a new flow than nearly all agents take, so a second agent got the flow too. The winner is the agent " +
 		"at whose copy the flow opened. See docs/operating/hedging.md.", []string{"flow", "agent", "second", "delayMicros", "winner", "suppressed"}},
+	DrainAdvanced: {Info, "stop of a balancer advances", "A balancer that was asked to stop waits for its turn to leave the routers' rotation (`Waiting`), no longer reports that it is ready (`Draining`), or ends (`Ended`). " +
+		"The cause `GraceExpired` with `Ended` means that packets still arrived, or that no router has probed the balancer.", []string{"phase", "cause"}},
 	RegistrationRefused: {Warn, "registration rejected", "An upstream's registration is malformed or for another service, and was ignored.",
 		[]string{"id", "error"}},
 }
--- a/internal/lentilevent/event.go
+++ b/internal/lentilevent/event.go
@@ -126,6 +126,7 @@
 	QueueHeld
 	FlowHedged
 	FlowSoughtByKey
+	DrainAdvanced
 )
 
 // Code returns the code under which the event is documented, such as LE2001.
--- a/internal/lentilframe/frame.go
+++ b/internal/lentilframe/frame.go
@@ -32,6 +32,8 @@
 	Hello
 	Ask
 	Relay
+	StopRequest
+	StopAnswer
 )
 
 // magic is the first byte of every frame. It changes with the format.
@@ -313,3 +315,31 @@
 	}
 	return m, r.finish()
 }
+
+// AppendStopRequest appends a StopRequest frame. Agents of earlier releases ignore it.
+func AppendStopRequest(dst []byte, m lentilflow.StopRequest) []byte {
+	dst = appendText(append(dst, magic, byte(StopRequest)), m.Name)
+	return binary.BigEndian.AppendUint64(appendText(dst, m.Domain), m.RunID)
+}
+
+// ParseStopRequest parses a StopRequest frame.
+func ParseStopRequest(data []byte) (m lentilflow.StopRequest, err error) {
+	r := reader{data: data, kind: StopRequest}
+	m.Name = r.head().text()
+	m.Domain = r.text()
+	m.RunID = r.uint64()
+	return m, r.finish()
+}
+
+// AppendStopAnswer appends a StopAnswer frame.
+func AppendStopAnswer(dst []byte, m lentilflow.StopAnswer) []byte {
+	return append(binary.BigEndian.AppendUint64(append(dst, magic, byte(StopAnswer)), m.RunID), flagIf(m.Granted, 1))
+}
+
+// ParseStopAnswer parses a StopAnswer frame.
+func ParseStopAnswer(data []byte) (m lentilflow.StopAnswer, err error) {
+	r := reader{data: data, kind: StopAnswer}
+	m.RunID = r.head().uint64()
+	m.Granted = r.byte() != 0
+	return m, r.finish()
+}
--- a/internal/lentilframe/frame_test.go
+++ b/internal/lentilframe/frame_test.go
@@ -76,6 +76,14 @@
 				Terms: drawTerms.Draw(t, "terms"), Age: time.Duration(rapid.Uint16().Draw(t, "age")) * time.Millisecond, MayWait: rapid.Bool().Draw(t, "wait"), MayQueue: rapid.Bool().Draw(t, "queue"), LastResort: rapid.Bool().Draw(t, "last")}
 			checkRoundTrip(t, m, AppendCarry, ParseCarry, true)
 		},
+		"stop request": func(t *rapid.T) {
+			m := lentilflow.StopRequest{Name: drawName.Draw(t, "name"), Domain: drawName.Draw(t, "domain"), RunID: rapid.Uint64().Draw(t, "run")}
+			checkRoundTrip(t, m, AppendStopRequest, ParseStopRequest, false)
+		},
+		"stop answer": func(t *rapid.T) {
+			m := lentilflow.StopAnswer{RunID: rapid.Uint64().Draw(t, "run"), Granted: rapid.Bool().Draw(t, "granted")}
+			checkRoundTrip(t, m, AppendStopAnswer, ParseStopAnswer, false)
+		},
 		"taken": func(t *rapid.T) {
 			m := lentilflow.Taken{Key: drawKey.Draw(t, "key"), Open: rapid.Bool().Draw(t, "open"), Load: drawLoadWithWait.Draw(t, "load")}
 			checkRoundTrip(t, m, AppendTaken, ParseTaken, false)
--- a/internal/lentilframe/kind_string.go
+++ b/internal/lentilframe/kind_string.go
@@ -16,11 +16,13 @@
 	_ = x[Hello-6]
 	_ = x[Ask-7]
 	_ = x[Relay-8]
+	_ = x[StopRequest-9]
+	_ = x[StopAnswer-10]
 }
 
-const _Kind_name = "CarryTakenRefusedDeniedStatusHelloAskRelay"
+const _Kind_name = "CarryTakenRefusedDeniedStatusHelloAskRelayStopRequestStopAnswer"
 
-var _Kind_index = [...]uint8{0, 5, 10, 17, 23, 29, 34, 37, 42}
+var _Kind_index = [...]uint8{0, 5, 10, 17, 23, 29, 34, 37, 42, 53, 63}
 
 func (i Kind) String() string {
 	idx := int(i) - 1
--- a/internal/lentilpacket/agent.go
+++ b/internal/lentilpacket/agent.go
@@ -209,6 +209,11 @@
 			a.updateStoreState(m.Store)
 			actions = a.tracker.HandleHello(sender, m, actions)
 		}
+	case lentilframe.StopRequest:
+		var m lentilflow.StopRequest
+		if m, err = lentilframe.ParseStopRequest(data); err == nil {
+			a.send(lentilframe.AppendStopAnswer(a.frameBuffer[:0], a.tracker.HandleStopRequest(m)), sender)
+		}
 	default:
 		err = lentilframe.ErrFrame.New("agents do not accept frames of kind %d", lentilframe.KindOf(data))
 	}
--- a/internal/lentilpacket/balancer.go
+++ b/internal/lentilpacket/balancer.go
@@ -13,6 +13,7 @@
 	"lentilstair.example/lentilstair/internal/lentilmetric"
 	"lentilstair.example/lentilstair/internal/lentilserver"
 	"lentilstair.example/lentilstair/internal/lentilsetting"
+	"lentilstair.example/lentilstair/pkg/lentildrain"
 	"lentilstair.example/lentilstair/pkg/lentilera"
 	"lentilstair.example/lentilstair/pkg/lentilerror"
 	"lentilstair.example/lentilstair/pkg/lentilflow"
@@ -60,9 +61,9 @@
 	sentStoreState lentilflow.StoreState
 	// agentsListedAt is when the list of agents was read; zero before that.
 	agentsListedAt time.Time
-	// stopping is set when a stop is requested, and leaving at the end of the grace period.
-	stopping bool
-	leaving  bool
+	// drain is the graceful stop. leaving is set at its end.
+	drain   lentildrain.Drain
+	leaving bool
 	// probeMachine starts a probe of an agent's machine.
 	probeMachine func(agent lentilflow.Endpoint)
 	// renewEntry writes the balancer's entry again, and reads the list of agents.
@@ -76,7 +77,7 @@
 	hedgeTimer *time.Timer
 }
 
-// Run serves until the stop grace period after graceful has passed, or until forced ends.
+// Run serves until graceful ends and the balancer has left the routers' rotation, or until forced ends.
 func (b *Balancer) Run(graceful, forced context.Context) (err error) {
 	defer lentilerror.Annotate(&err, "run the balancer")
 	if err = b.open(); err != nil {
@@ -117,11 +118,7 @@
 	workers.Go(func() { b.pollStore(ctx) })
 	workers.Go(discover)
 	<-graceful.Done()
-	b.beginStop()
-	select {
-	case <-time.After(b.Settings.StopGrace()):
-	case <-forced.Done():
-	}
+	b.runDrain(forced)
 	b.notifyLeaving()
 	b.flushLink(forced)
 	stop()
@@ -135,6 +132,7 @@
 	b.pollSchedule.Random = rand.Float64
 	b.link.BytesPerSecond, b.linkQueued = b.Settings.LinkBytesPerSecond(), make(chan struct{}, 1)
 	b.placer.LinkBytesPerSecond = b.Settings.LinkBytesPerSecond()
+	b.drain.Grace, b.drain.KillAfter = b.Settings.StopGrace(), b.Settings.KillAfter()
 	b.prepareReaders()
 	b.placer.Codec, b.placer.Random, b.placer.Domain = b.Codec, rand.Float64, b.Settings.Domain()
 	if b.Settings.ByExpectedWait() {
@@ -149,13 +147,15 @@
 	return err
 }
 
-// Ready reports whether the network fabric may route packets to this balancer, and the reason if it may not.
+// Ready reports whether the network fabric may route packets to this balancer, and the reason if it may not. The drain
+// counts its answers: the fabric asks before it takes the balancer out.
 func (b *Balancer) Ready() lentilmetric.Readiness {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	known, responsive := b.placer.AgentCounts()
 	switch {
-	case b.stopping:
+	case !b.drain.Ready():
+		b.drain.RecordProbe()
 		return lentilmetric.Readiness{Reason: "stopping"}
 	case b.placer.Version() == 0:
 		return lentilmetric.Readiness{Reason: "no configuration yet"}
@@ -171,6 +171,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.Counts.Packets.Add(1)
+	b.drain.RecordPacket()
 	actions, err := b.placer.HandlePacket(data, b.actions[:0])
 	if err != nil {
 		b.Counts.Malformed.Add(1)
@@ -219,6 +220,11 @@
 			actions = b.placer.HandleStatus(sender, m, actions)
 			status = &m
 		}
+	case lentilframe.StopAnswer:
+		var m lentilflow.StopAnswer
+		if m, err = lentilframe.ParseStopAnswer(data); err == nil && m.RunID == b.runID {
+			b.drain.RecordAnswer(m.Granted)
+		}
 	default:
 		err = lentilframe.ErrFrame.New("balancers do not accept frames of kind %d", lentilframe.KindOf(data))
 	}
@@ -322,7 +328,7 @@
 func (b *Balancer) hello(state lentilflow.StoreState, agent lentilflow.Endpoint) (m lentilflow.Hello) {
 	m = lentilflow.Hello{
 		Name: b.Settings.Name(), Domain: b.Settings.Domain(), RunID: b.runID, Stopping: b.leaving, UnderstandsEra: true, Relays: true, UnderstandsWait: true,
-		Configured: b.placer.Version() != 0 && !b.stopping, Store: state,
+		Configured: b.placer.Version() != 0 && b.drain.Ready(), Store: state,
 	}
 	if out, known := b.placer.DomainOutOf(agent); known && b.domainsAsOf.Era == state.Era {
 		m.DomainState = lentilflow.DomainState{AsOf: b.domainsAsOf.Revision, Out: out}
@@ -362,9 +368,3 @@
 	b.mu.Unlock()
 	b.sendHelloToAll()
 }
-
-func (b *Balancer) beginStop() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.stopping = true
-}
--- /dev/null
+++ b/internal/lentilpacket/drain.go
@@ -0,0 +1,49 @@
+package lentilpacket
+
+import (
+	"context"
+	"time"
+
+	"lentilstair.example/lentilstair/internal/lentilevent"
+	"lentilstair.example/lentilstair/internal/lentilframe"
+	"lentilstair.example/lentilstair/pkg/lentildrain"
+	"lentilstair.example/lentilstair/pkg/lentilflow"
+)
+
+// drainTickInterval is how often a stopping balancer checks how far its stop has got. It is short beside the half second
+// between two probes.
+const drainTickInterval = 20 * time.Millisecond
+
+// runDrain leaves the routers' rotation, and returns when the balancer may end or when forced ends.
+func (b *Balancer) runDrain(forced context.Context) {
+	ticker := time.NewTicker(drainTickInterval)
+	defer ticker.Stop()
+	b.mu.Lock()
+	b.drain.Start()
+	b.mu.Unlock()
+	for b.tickDrain() != lentildrain.Ended {
+		select {
+		case <-ticker.C:
+		case <-forced.Done():
+			return
+		}
+	}
+}
+
+// tickDrain asks for a permit if a request is due, and returns the phase of the stop.
+func (b *Balancer) tickDrain() (phase lentildrain.Phase) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	before := b.drain.Phase()
+	if number, due := b.drain.NextRequest(); due {
+		if arbiter, ok := b.placer.StopArbiter(number); ok {
+			m := lentilflow.StopRequest{Name: b.Settings.Name(), Domain: b.Settings.Domain(), RunID: b.runID}
+			b.send(lentilframe.AppendStopRequest(b.frameBuffer[:0], m), arbiter)
+		}
+	}
+	b.drain.Advance()
+	if phase = b.drain.Phase(); phase != before {
+		b.Logger.Write(lentilevent.DrainAdvanced, lentilevent.Str("phase", phase.String()), lentilevent.Str("cause", b.drain.Cause().String()))
+	}
+	return phase
+}
--- a/internal/lentilsetting/packet.go
+++ b/internal/lentilsetting/packet.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// defaultPacketStopGrace is how long a balancer of packet flows keeps forwarding after a stop request, and
+	// defaultPacketStopGrace is how long a balancer of packet flows keeps forwarding at most after it left the rotation, and
 	// how long the graceful stop of an agent may take.
 	defaultPacketStopGrace = 4 * time.Second
 	// maxExternalNameBytes is the maximum length of a name that other systems assign.
@@ -67,6 +67,7 @@
 	linkBytesPerSecond int
 	byExpectedWait     bool
 	hedge              int
+	killAfter          time.Duration
 }
 
 // IngressAddress returns the address and UDP port at which clients' packets arrive.
@@ -81,6 +82,9 @@
 // HedgePercent returns the highest number of extra offers per hundred new flows, or zero.
 func (p PacketBalancer) HedgePercent() int { return p.hedge }
 
+// KillAfter returns how long after the request to stop the process is killed, or zero if that isn't known.
+func (p PacketBalancer) KillAfter() time.Duration { return p.killAfter }
+
 // PacketAgent holds the validated settings of an agent of packet flows.
 type PacketAgent struct {
 	commonPacketSettings
@@ -150,6 +154,7 @@
 		linkBytesPerSecond: bytesPerSecond(doc.Link),
 		byExpectedWait:     doc.Placement.By == placementByExpectedWait,
 		hedge:              doc.Hedge.Percent,
+		killAfter:          durationOrDefault(doc.KillAfter, 0),
 	}, nil
 }
 
--- a/internal/lentilsetting/packetfields.go
+++ b/internal/lentilsetting/packetfields.go
@@ -17,6 +17,7 @@
 	MetricsAddress string       `json:"metricsAddress,omitempty"`
 	StoreAddress   string       `json:"storeAddress"`
 	StopGrace      string       `json:"stopGrace,omitempty"`
+	KillAfter      string       `json:"killAfter,omitempty"`
 	FlowLife       string       `json:"flowLife,omitempty"`
 	Link           LinkDoc      `json:"link,omitzero"`
 	Placement      PlacementDoc `json:"placement,omitzero"`
@@ -130,8 +131,10 @@
 	adminField,
 	metricsField,
 	storeField,
-	{name: "stopGrace", description: "How long the balancer keeps forwarding during a graceful stop. Choose a longer time than the fabric needs to detect that the balancer isn't ready.",
+	{name: "stopGrace", description: "How long the balancer keeps forwarding at most after it has reported that it isn't ready. It ends earlier once the fabric has taken it out of rotation. Choose a longer time than the fabric needs for that.",
 		example: `"4s"`, defaultText: `"4s"`, check: checkDuration},
+	{name: "killAfter", description: "How long after the request to stop the process is killed. If it is set, a balancer reports that it isn't ready only when few others of its failure domain are out of rotation. See docs/operating/replace-a-vm.md.",
+		example: `"6s"`, defaultText: "not known", check: checkDuration},
 	flowIdleTimeoutField,
 	{name: "link", description: "The VM's link. If its rate is set, the balancer queues what the link can't take yet, sends it in turns between callers and first packets first. See docs/operating/scarce-capacity.md.",
 		example: `{"megabitsPerSecond": 10}`, defaultText: "not limited", members: linkFields},
--- a/pkg/lentilconntrack/balancers.go
+++ b/pkg/lentilconntrack/balancers.go
@@ -24,6 +24,7 @@
 type balancer struct {
 	// helloAt is the time of the last Hello, or of AddPeer before the first one.
 	helloAt time.Time
+	name, domain string
 	// understandsEra is set if the balancer accepts the era in a Status.
 	understandsEra bool
 	// configured is set if the balancer has a configuration, and relays if it accepts the address of such a balancer.
@@ -37,7 +38,8 @@
 	if t.balancers[node.Address] != nil {
 		return actions
 	}
-	t.addBalancer(node.Address)
+	b := t.addBalancer(node.Address)
+	b.name, b.domain = node.Name, node.Domain
 	return append(actions, Action{Kind: SendStatus, To: node.Address})
 }
 
@@ -49,6 +51,10 @@
 		return actions
 	}
 	b := t.addBalancer(from)
+	b.name, b.domain = m.Name, m.Domain
+	if m.Configured {
+		t.permits.Return(m.Name, m.RunID)
+	}
 	b.understandsEra, b.configured, b.relays, b.understandsWait = m.UnderstandsEra, m.Configured, m.Relays, m.UnderstandsWait
 	now := t.now()
 	if !t.lastHelloAt.IsZero() && now.Sub(t.lastHelloAt) > maxHelloGap {
@@ -62,6 +68,18 @@
 	return append(actions, Action{Kind: SendStatus, To: from})
 }
 
+// HandleStopRequest answers a balancer that asks whether it may leave the routers' rotation.
+func (t *Tracker) HandleStopRequest(m lentilflow.StopRequest) lentilflow.StopAnswer {
+	t.permits.Clock = t.Clock
+	var present []string
+	for _, b := range t.balancers {
+		if b.domain == m.Domain {
+			present = append(present, b.name)
+		}
+	}
+	return lentilflow.StopAnswer{RunID: m.RunID, Granted: t.permits.Request(m.Name, m.Domain, m.RunID, present)}
+}
+
 // handleDomainState handles a state of the failure domain that was read at the given position of the store. After the
 // store has returned from an older copy, a failure domain that was out of service stays so until the operators have
 // had the time to write that again.
--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -20,6 +20,7 @@
 
 	"lentilstair.example/lentilstair/pkg/lentilbreaker"
 	"lentilstair.example/lentilstair/pkg/lentilclock"
+	"lentilstair.example/lentilstair/pkg/lentildrain"
 	"lentilstair.example/lentilstair/pkg/lentilera"
 	"lentilstair.example/lentilstair/pkg/lentilflow"
 	"lentilstair.example/lentilstair/pkg/lentilflowqueue"
@@ -142,6 +143,7 @@
 	// lastCold is the value of Cold in the last tick.
 	lastCold       bool
 	balancers      map[lentilflow.Endpoint]*balancer
+	permits        lentildrain.Permits
 	lastStatusAt   time.Time
 	lastHelloAt    time.Time
 	statusSequence uint64
--- a/pkg/lentilflow/message.go
+++ b/pkg/lentilflow/message.go
@@ -218,6 +218,20 @@
 	DomainState DomainState
 }
 
+// StopRequest asks an agent whether a balancer that was asked to stop may leave the routers' rotation now.
+type StopRequest struct {
+	Name   string
+	Domain string
+	RunID  uint64
+}
+
+// StopAnswer answers a StopRequest.
+type StopAnswer struct {
+	// RunID is that of the request.
+	RunID   uint64
+	Granted bool
+}
+
 // DomainState tells an agent whether its failure domain is out of service.
 type DomainState struct {
 	// AsOf is the revision of the store, in the era of Hello.Store, at which the state was read; zero means that the
--- a/pkg/lentilplacement/agent.go
+++ b/pkg/lentilplacement/agent.go
@@ -137,6 +137,30 @@
 	return names
 }
 
+// StopArbiter returns the agent that a balancer of the placer's failure domain asks whether it may stop. Balancers with the
+// same view choose the same one; a higher number chooses another one. ok is false if no agent responds.
+func (p *Placer) StopArbiter(number int) (arbiter lentilflow.Endpoint, ok bool) {
+	now := p.now()
+	var near, all []lentilflow.Endpoint
+	for _, addr := range p.sortedAddresses() {
+		a := p.agents[addr]
+		if !a.seen() || a.unresponsive(now) || a.status.Stopping {
+			continue
+		}
+		all = append(all, addr)
+		if a.status.Domain == p.Domain {
+			near = append(near, addr)
+		}
+	}
+	if len(near) == 0 {
+		near = all
+	}
+	if len(near) == 0 {
+		return arbiter, false
+	}
+	return near[number%len(near)], true
+}
+
 // updateLoad records the load that came with an agent's answer, which is newer than its last status.
 func (p *Placer) updateLoad(from lentilflow.Endpoint, load lentilflow.Load) {
 	if a := p.agents[from]; a != nil {
