lentilledger: a balancer writes the flow ledgers of a group of agents

Change: agents report what has changed to a balancer of their failure domain, chosen by rendezvous hashing, which writes all ledgers of a group into one object under a condition and acknowledges. A starting agent takes the newer of both, and probes its copy: if that refuses connections, the listed flows are reset at once. Flows whose requests may not be repeated are listed after .2 s instead of 2 s.

--- a/internal/lentilevent/catalogue.go
+++ b/internal/lentilevent/catalogue.go
@@ -109,6 +109,8 @@
 		"at whose copy the flow opened. See docs/operating/hedging.md.", []string{"flow", "agent", "second", "delayMicros", "winner", "suppressed"}},
 	DrainAdvanced: {Info, "stop of a balancer advances", "A balancer that was asked to stop waits for its turn to leave the routers' rotation (`Waiting`), no longer reports that it is ready (`Draining`), or ends (`Ended`). " +
 		"The cause `GraceExpired` with `Ended` means that packets still arrived, or that no router has probed the balancer.", []string{"phase", "cause"}},
+	LedgerRestored: {Info, "flow ledger read", "A starting agent has read the ledger of an earlier run: its `own`, or that of its `group` if it is newer. Its flows are reset, or taken over, once the copy has registered.",
+		[]string{"source", "flows", "upstream", "run", "sequence", "era"}},
 	RegistrationRefused: {Warn, "registration rejected", "An upstream's registration is malformed or for another service, and was ignored.",
 		[]string{"id", "error"}},
 }
--- a/internal/lentilevent/event.go
+++ b/internal/lentilevent/event.go
@@ -127,6 +127,7 @@
 	FlowHedged
 	FlowSoughtByKey
 	DrainAdvanced
+	LedgerRestored
 )
 
 // Code returns the code under which the event is documented, such as LE2001.
--- a/internal/lentilframe/frame.go
+++ b/internal/lentilframe/frame.go
@@ -22,7 +22,7 @@
 
 //go:generate stringer -type=Kind
 
-// Kinds of frames. Each is named after the message type of lentilflow that the frame holds.
+// Kinds of frames. Each is named after the message type of lentilflow, or of lentilledger, that the frame holds.
 const (
 	Carry Kind = iota + 1
 	Taken
@@ -34,6 +34,8 @@
 	Relay
 	StopRequest
 	StopAnswer
+	LedgerReport
+	LedgerAck
 )
 
 // magic is the first byte of every frame. It changes with the format.
--- a/internal/lentilframe/frame_test.go
+++ b/internal/lentilframe/frame_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"lentilstair.example/lentilstair/pkg/lentilflow"
+	"lentilstair.example/lentilstair/pkg/lentilledger"
 )
 
 var (
@@ -84,6 +85,23 @@
 			m := lentilflow.StopAnswer{RunID: rapid.Uint64().Draw(t, "run"), Granted: rapid.Bool().Draw(t, "granted")}
 			checkRoundTrip(t, m, AppendStopAnswer, ParseStopAnswer, false)
 		},
+		"ledger report": func(t *rapid.T) {
+			m := lentilledger.Report{Group: drawName.Draw(t, "group"), Agent: drawName.Draw(t, "agent"), Full: rapid.Bool().Draw(t, "full"),
+				Ledger: lentilledger.Ledger{Service: drawName.Draw(t, "service"), Address: drawEndpoint.Draw(t, "address"), Era: rapid.Uint64().Draw(t, "era"),
+					UpstreamID: drawName.Draw(t, "upstream"), UpstreamIncarnation: rapid.Int64().Draw(t, "incarnation"), Run: rapid.Uint64().Draw(t, "run"),
+					Sequence: rapid.Uint64().Draw(t, "sequence")}}
+			for _, key := range rapid.SliceOfN(drawKey, 0, lentilledger.MaxReportFlows).Draw(t, "added") {
+				m.Ledger.Flows = append(m.Ledger.Flows, lentilledger.Flow{Key: key, Acknowledged: rapid.Uint32().Draw(t, "acknowledged")})
+			}
+			if removed := rapid.SliceOfN(drawKey, 0, lentilledger.MaxReportFlows).Draw(t, "removed"); len(removed) > 0 {
+				m.Removed = removed
+			}
+			checkRoundTrip(t, m, AppendLedgerReport, ParseLedgerReport, false)
+		},
+		"ledger ack": func(t *rapid.T) {
+			m := lentilledger.Ack{Run: rapid.Uint64().Draw(t, "run"), Sequence: rapid.Uint64().Draw(t, "sequence"), Resend: rapid.Bool().Draw(t, "resend")}
+			checkRoundTrip(t, m, AppendLedgerAck, ParseLedgerAck, false)
+		},
 		"taken": func(t *rapid.T) {
 			m := lentilflow.Taken{Key: drawKey.Draw(t, "key"), Open: rapid.Bool().Draw(t, "open"), Load: drawLoadWithWait.Draw(t, "load")}
 			checkRoundTrip(t, m, AppendTaken, ParseTaken, false)
--- a/internal/lentilframe/kind_string.go
+++ b/internal/lentilframe/kind_string.go
@@ -18,11 +18,13 @@
 	_ = x[Relay-8]
 	_ = x[StopRequest-9]
 	_ = x[StopAnswer-10]
+	_ = x[LedgerReport-11]
+	_ = x[LedgerAck-12]
 }
 
-const _Kind_name = "CarryTakenRefusedDeniedStatusHelloAskRelayStopRequestStopAnswer"
+const _Kind_name = "CarryTakenRefusedDeniedStatusHelloAskRelayStopRequestStopAnswerLedgerReportLedgerAck"
 
-var _Kind_index = [...]uint8{0, 5, 10, 17, 23, 29, 34, 37, 42, 53, 63}
+var _Kind_index = [...]uint8{0, 5, 10, 17, 23, 29, 34, 37, 42, 53, 63, 75, 84}
 
 func (i Kind) String() string {
 	idx := int(i) - 1
--- a/internal/lentilpacket/agent.go
+++ b/internal/lentilpacket/agent.go
@@ -19,6 +19,7 @@
 	"lentilstair.example/lentilstair/pkg/lentilera"
 	"lentilstair.example/lentilstair/pkg/lentilerror"
 	"lentilstair.example/lentilstair/pkg/lentilflow"
+	"lentilstair.example/lentilstair/pkg/lentilledger"
 )
 
 const (
@@ -30,8 +31,6 @@
 	// lingerLimit is how long a stopped agent whose upstream has ended keeps resetting flows. It covers
 	// the first retransmissions of clients.
 	lingerLimit = 1500 * time.Millisecond
-	// ledgerInterval is how often the agent checks whether its ledger is due to be written.
-	ledgerInterval = time.Second
 	// handoverDelay is how long a stopping agent keeps running, so balancers learn that it stops.
 	handoverDelay = 100 * time.Millisecond
 )
@@ -57,6 +56,9 @@
 	// process last read the store, as far as this agent knows.
 	storeState     lentilflow.StoreState
 	storeCheckedAt time.Time
+	// reporter reports the ledger to the writer of the agent's group. Its Group is empty before the ledger was restored, and
+	// if agents write their own.
+	reporter lentilledger.Reporter
 	// markerDue wakes maintainLedger for the run marker.
 	markerDue chan struct{}
 	// rediscover publishes the agent's entry and reads the list of balancers.
@@ -111,7 +113,7 @@
 	a.tracker.FlowsComplete, a.tracker.RenewInterval, a.tracker.IdleTimeout = a.Settings.FirstStart(), a.Settings.RenewInterval(), a.Settings.FlowIdleTimeout()
 	a.tracker.FairQueue = a.Settings.FairQueue()
 	a.tracker.ColdFactor, a.tracker.ColdSlack = a.Settings.ColdFactor(), a.Settings.ColdSlack()
-	a.tracker.MaxUnlisted = a.Settings.MaxUnlisted()
+	a.tracker.MaxUnlisted, a.tracker.LedgerCovered = a.Settings.MaxUnlisted(), a.reporter.Covered
 	defer func() {
 		if err != nil {
 			a.close()
@@ -209,6 +211,11 @@
 			a.updateStoreState(m.Store)
 			actions = a.tracker.HandleHello(sender, m, actions)
 		}
+	case lentilframe.LedgerAck:
+		var m lentilledger.Ack
+		if m, err = lentilframe.ParseLedgerAck(data); err == nil {
+			a.reporter.HandleAck(sender, m)
+		}
 	case lentilframe.StopRequest:
 		var m lentilflow.StopRequest
 		if m, err = lentilframe.ParseStopRequest(data); err == nil {
--- a/internal/lentilpacket/balancer.go
+++ b/internal/lentilpacket/balancer.go
@@ -18,6 +18,7 @@
 	"lentilstair.example/lentilstair/pkg/lentilerror"
 	"lentilstair.example/lentilstair/pkg/lentilflow"
 	"lentilstair.example/lentilstair/pkg/lentilfollow"
+	"lentilstair.example/lentilstair/pkg/lentilledger"
 	"lentilstair.example/lentilstair/pkg/lentillink"
 	"lentilstair.example/lentilstair/pkg/lentilplacement"
 )
@@ -61,6 +62,8 @@
 	sentStoreState lentilflow.StoreState
 	// agentsListedAt is when the list of agents was read; zero before that.
 	agentsListedAt time.Time
+	// ledgers are those that agents report to this balancer.
+	ledgers lentilledger.Writer
 	// drain is the graceful stop. leaving is set at its end.
 	drain   lentildrain.Drain
 	leaving bool
@@ -116,6 +119,7 @@
 	workers.Go(func() { b.configurations.Run(ctx) })
 	workers.Go(func() { b.domains.Run(ctx) })
 	workers.Go(func() { b.pollStore(ctx) })
+	workers.Go(func() { b.writeGroups(ctx) })
 	workers.Go(discover)
 	<-graceful.Done()
 	b.runDrain(forced)
@@ -220,6 +224,13 @@
 			actions = b.placer.HandleStatus(sender, m, actions)
 			status = &m
 		}
+	case lentilframe.LedgerReport:
+		var m lentilledger.Report
+		if m, err = lentilframe.ParseLedgerReport(data); err == nil {
+			if ack, reply := b.ledgers.HandleReport(sender, m); reply {
+				b.send(lentilframe.AppendLedgerAck(b.frameBuffer[:0], ack), sender)
+			}
+		}
 	case lentilframe.StopAnswer:
 		var m lentilflow.StopAnswer
 		if m, err = lentilframe.ParseStopAnswer(data); err == nil && m.RunID == b.runID {
--- a/internal/lentilpacket/drain.go
+++ b/internal/lentilpacket/drain.go
@@ -32,9 +32,16 @@
 
 // tickDrain asks for a permit if a request is due, and returns the phase of the stop.
 func (b *Balancer) tickDrain() (phase lentildrain.Phase) {
+	before := lentildrain.Serving
+	defer func() {
+		if before != lentildrain.Draining && phase == lentildrain.Draining {
+			// Agents choose another writer for their ledgers.
+			b.sendHelloToAll()
+		}
+	}()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	before := b.drain.Phase()
+	before = b.drain.Phase()
 	if number, due := b.drain.NextRequest(); due {
 		if arbiter, ok := b.placer.StopArbiter(number); ok {
 			m := lentilflow.StopRequest{Name: b.Settings.Name(), Domain: b.Settings.Domain(), RunID: b.runID}
--- a/internal/lentilpacket/readers.go
+++ b/internal/lentilpacket/readers.go
@@ -152,6 +152,9 @@
 func (b *Balancer) observeEra(era uint64, age time.Duration, source string) {
 	b.mu.Lock()
 	returned := observeEra(b.Logger, &b.era, era, age, source)
+	if returned {
+		b.ledgers.Renew()
+	}
 	balancers := b.pollSchedule.ProcessCount
 	b.mu.Unlock()
 	if !returned {
--- a/internal/lentilpacket/store.go
+++ b/internal/lentilpacket/store.go
@@ -11,9 +11,9 @@
 
 	"lentilstair.example/lentilstair/internal/lentilevent"
 	"lentilstair.example/lentilstair/pkg/lentilbudget"
-	"lentilstair.example/lentilstair/pkg/lentilconntrack"
 	"lentilstair.example/lentilstair/pkg/lentilflow"
 	"lentilstair.example/lentilstair/pkg/lentilfollow"
+	"lentilstair.example/lentilstair/pkg/lentilledger"
 )
 
 // Peer is a process's entry in a directory of the store.
@@ -37,13 +37,23 @@
 	// Balancers and Agents list the processes of each kind.
 	Balancers, Agents Directory
 	Ledgers           Ledgers
+	Groups            LedgerGroups
 }
 
 // Ledgers stores the agents' lists of flows by agent name.
 type Ledgers struct {
-	Save func(ctx context.Context, name string, ledger lentilconntrack.Ledger) error
+	Save func(ctx context.Context, name string, ledger lentilledger.Ledger) error
 	// Load returns a ledger and the era of the store in which it was read. The ledger is empty if there is none.
-	Load func(ctx context.Context, name string) (ledger lentilconntrack.Ledger, era uint64, err error)
+	Load func(ctx context.Context, name string) (ledger lentilledger.Ledger, era uint64, err error)
+}
+
+// LedgerGroups stores the ledgers of groups of agents.
+type LedgerGroups struct {
+	// Load returns the ledgers of a group and the revision of its object, which is 0 if there is none.
+	Load func(ctx context.Context, group string) (entries []lentilledger.Entry, revision uint64, err error)
+	// Save writes the ledgers of a group if its object still has the given revision, or if there is none for 0. It returns
+	// the new revision, or 0 if the store doesn't tell it.
+	Save func(ctx context.Context, group string, entries []lentilledger.Entry, revision uint64) (next uint64, err error)
 }
 
 // Directory lists processes, so they can find each other.
--- a/internal/lentilpacketmodel/process.go
+++ b/internal/lentilpacketmodel/process.go
@@ -7,6 +7,7 @@
 	"lentilstair.example/lentilstair/pkg/lentilconntrack"
 	"lentilstair.example/lentilstair/pkg/lentilera"
 	"lentilstair.example/lentilstair/pkg/lentilflow"
+	"lentilstair.example/lentilstair/pkg/lentilledger"
 	"lentilstair.example/lentilstair/pkg/lentilplacement"
 )
 
@@ -197,7 +198,7 @@
 
 // savedLedger is an agent's ledger in the store.
 type savedLedger struct {
-	ledger lentilconntrack.Ledger
+	ledger lentilledger.Ledger
 }
 
 func (a *agent) name() string { return "agent-" + a.endpoint.String() }
--- a/internal/lentilsetting/packet.go
+++ b/internal/lentilsetting/packet.go
@@ -20,7 +20,10 @@
 	maxFactor = 1e6
 	// maxMegabitsPerSecond is the highest allowed rate of a link, above that of any network card.
 	maxMegabitsPerSecond = 1e6
-	bytesPerMegabit      = 1e6 / 8
+	// maxLedgerGroups is the highest allowed number of ledger groups of a failure domain. At the size that the product is
+	// designed for, 128 are needed.
+	maxLedgerGroups = 4096
+	bytesPerMegabit = 1e6 / 8
 )
 
 // commonPacketSettings are the settings that balancers and agents of packet flows share.
@@ -99,6 +102,7 @@
 	coldSlack     float64
 	maxUnlisted   time.Duration
 	fairQueue     bool
+	ledgerGroups  int
 }
 
 // Service returns the name of the service that the upstream belongs to.
@@ -132,6 +136,10 @@
 // zero if such flows are treated like others.
 func (p PacketAgent) MaxUnlisted() time.Duration { return p.maxUnlisted }
 
+// LedgerGroups returns the number of groups into which the agents of a failure domain are divided, or 0 if each agent writes
+// its own ledger.
+func (p PacketAgent) LedgerGroups() int { return p.ledgerGroups }
+
 // FairQueue reports whether waiting flows of the same urgency open in an order that is fair between callers.
 func (p PacketAgent) FairQueue() bool { return p.fairQueue }
 
@@ -185,6 +193,7 @@
 		coldFactor:    factorOrDefault(doc.Cold.Factor),
 		coldSlack:     factorOrDefault(doc.Cold.Slack),
 		maxUnlisted:   durationOrDefault(doc.Ledger.Unlisted, 0),
+		ledgerGroups:  wholeOrZero(doc.Ledger.Groups),
 		fairQueue:     doc.Queue.Turns == queueTurnsCaller,
 	}, nil
 }
@@ -211,6 +220,15 @@
 	return int(math.Ceil(megabits * bytesPerMegabit))
 }
 
+// wholeOrZero returns a validated whole number, or 0 if it is not given.
+func wholeOrZero(number json.Number) int {
+	n, err := number.Int64()
+	if err != nil {
+		return 0
+	}
+	return int(n)
+}
+
 // factorOrDefault returns a validated number, or 1 if it is not given.
 func factorOrDefault(number json.Number) float64 {
 	if number == "" {
--- a/internal/lentilsetting/packetfields.go
+++ b/internal/lentilsetting/packetfields.go
@@ -84,12 +84,16 @@
 
 // PacketLedgerDoc is the JSON form of the settings of an agent's flow ledger.
 type PacketLedgerDoc struct {
-	Unlisted string `json:"unlisted,omitempty"`
+	Unlisted string      `json:"unlisted,omitempty"`
+	Groups   json.Number `json:"groups,omitempty"`
 }
 
 var packetLedgerFields = []field{
 	{name: "unlisted", description: "How long an open flow of a route whose requests may not be repeated may be missing in the ledger. A request on a missing flow is lost if all VMs lose power.",
 		example: `"3s"`, defaultText: "as for other flows", check: checkDuration},
+	{name: "groups", description: "Into how many groups the agents of a failure domain are divided. A balancer writes the ledgers of a group into one object, of 512 KB at most; agents that it has no room for write their own. " +
+		"0 means that each agent writes its own. Give all agents the same number. See docs/operating/ledgers.md.",
+		example: `1`, defaultText: `0`, check: checkGroups},
 }
 
 // ColdDoc is the JSON form of the limit on new flows per second of a cold upstream: its
@@ -212,6 +216,17 @@
 	checkNumber(c, path, value, maxMegabitsPerSecond)
 }
 
+func checkGroups(c *errorCollector, path string, value any) {
+	number, ok := value.(json.Number)
+	if !ok {
+		c.add(WrongType, path, "expected a number, got %s", typeName(value))
+		return
+	}
+	if n, err := number.Int64(); err != nil || n < 0 || n > maxLedgerGroups {
+		c.add(OutOfRange, path, "%s is not a whole number between 0 and %d", number, maxLedgerGroups)
+	}
+}
+
 // checkNumber checks a number between 0 and limit.
 func checkNumber(c *errorCollector, path string, value any, limit float64) {
 	number, ok := value.(json.Number)
--- a/pkg/lentilconntrack/balancers.go
+++ b/pkg/lentilconntrack/balancers.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lentilstair.example/lentilstair/pkg/lentilera"
 	"lentilstair.example/lentilstair/pkg/lentilflow"
 )
@@ -23,7 +25,7 @@
 // balancer is the state of a balancer that gets statuses.
 type balancer struct {
 	// helloAt is the time of the last Hello, or of AddPeer before the first one.
-	helloAt time.Time
+	helloAt      time.Time
 	name, domain string
 	// understandsEra is set if the balancer accepts the era in a Status.
 	understandsEra bool
@@ -100,6 +102,24 @@
 	return t.SetOut(out, actions)
 }
 
+// LedgerWriter returns the balancer that stores the ledgers of a group: the one with the highest hash among those of the
+// agent's failure domain, or of all if there is none. avoid excludes balancers. It is zero if no balancer is left.
+func (t *Tracker) LedgerWriter(group string, avoid func(lentilflow.Endpoint) bool) (writer lentilflow.Endpoint) {
+	var best uint64
+	near := false
+	for address, b := range t.balancers {
+		isNear := b.domain == t.Domain
+		if !b.configured || t.now().Sub(b.helloAt) > maxHelloGap || near && !isNear || avoid(address) {
+			continue
+		}
+		hash := xxhash.Sum64String(group + "/" + b.name)
+		if isNear != near || hash >= best {
+			writer, best, near = address, hash, isNear
+		}
+	}
+	return writer
+}
+
 // UnderstandsEra reports whether a balancer accepts the era of the store in a Status.
 func (t *Tracker) UnderstandsEra(address lentilflow.Endpoint) bool {
 	b := t.balancers[address]
--- a/pkg/lentilconntrack/era_test.go
+++ b/pkg/lentilconntrack/era_test.go
@@ -6,6 +6,7 @@
 
 	"lentilstair.example/lentilstair/pkg/lentilera"
 	"lentilstair.example/lentilstair/pkg/lentilflow"
+	"lentilstair.example/lentilstair/pkg/lentilledger"
 )
 
 // TestDomainStateOfNewEra checks which state of the failure domain counts after the store has returned from an older
@@ -51,7 +52,7 @@
 // TestMissingLedgerOfReturnedStore checks what a restarted agent concludes if it finds no ledger of its upstream's run
 // in a store that may have returned from an older copy.
 func TestMissingLedgerOfReturnedStore(t *testing.T) {
-	earlierRun := Ledger{Service: "a", Address: peer1, UpstreamID: "old", UpstreamIncarnation: 1}
+	earlierRun := lentilledger.Ledger{Service: "a", Address: peer1, UpstreamID: "old", UpstreamIncarnation: 1}
 	earlierEra := earlierRun
 	earlierEra.Era = 1
 	sameEra := earlierRun
@@ -61,17 +62,17 @@
 	}
 	for _, c := range []struct {
 		name   string
-		ledger Ledger
+		ledger lentilledger.Ledger
 		hello  lentilflow.Hello
 		want   bool
 	}{
 		{"the ledger of an earlier run is of this era", sameEra, lentilflow.Hello{}, true},
 		{"the ledger of an earlier run is of an earlier era", earlierEra, lentilflow.Hello{}, false},
 		{"the ledger of an earlier run doesn't tell its era", earlierRun, lentilflow.Hello{}, false},
-		{"there is no ledger", Ledger{}, lentilflow.Hello{}, false},
-		{"there is no ledger, and the era is older than the upstream", Ledger{}, hello(2, time.Minute), true},
-		{"there is no ledger, and the era may be younger than the upstream", Ledger{}, hello(2, 3*time.Second), false},
-		{"there is no ledger, and another era is older than the upstream", Ledger{}, hello(1, time.Minute), false},
+		{"there is no ledger", lentilledger.Ledger{}, lentilflow.Hello{}, false},
+		{"there is no ledger, and the era is older than the upstream", lentilledger.Ledger{}, hello(2, time.Minute), true},
+		{"there is no ledger, and the era may be younger than the upstream", lentilledger.Ledger{}, hello(2, 3*time.Second), false},
+		{"there is no ledger, and another era is older than the upstream", lentilledger.Ledger{}, hello(1, time.Minute), false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h := newHarness(t)
@@ -109,7 +110,7 @@
 	}
 	h.DueLedger()
 	listed := marker
-	listed.Flows = []LedgerFlow{{Key: flowKey(1)}}
+	listed.Flows = []lentilledger.Flow{{Key: flowKey(1)}}
 	h.LedgerFailed(listed)
 	if h.RunMarkerDue() {
 		t.Error("due after a ledger with flows could not be stored")
--- a/pkg/lentilconntrack/ledger.go
+++ b/pkg/lentilconntrack/ledger.go
@@ -1,12 +1,10 @@
 package lentilconntrack
 
 import (
-	"encoding/binary"
 	"time"
 
-	"github.com/joomcode/errorx"
-
 	"lentilstair.example/lentilstair/pkg/lentilflow"
+	"lentilstair.example/lentilstair/pkg/lentilledger"
 )
 
 const (
@@ -34,79 +32,23 @@
 	// more than 1 because machine and agent start together, and an upstream that can't reach its agent yet
 	// registers again.
 	maxStartupSequence = 3
-	// flowRecordSize is the size in bytes of an encoded flow in a ledger.
-	flowRecordSize = 16
 )
 
-// ErrLedger is the type of errors about ledgers that can't be parsed. Its namespace, which is part of the printed
-// errors, is an earlier name of this package.
-var ErrLedger = errorx.NewNamespace("lentilcustody").NewType("ledger")
-
-// Ledger is the stored list of an upstream's flows, which outlives the agent. After a whole machine has lost
-// power, it lets the restarted agent reset the flows at once. Otherwise clients would notice only when they next
-// send on a flow, and a request that may not be repeated would be lost with it.
-type Ledger struct {
-	// Service and Address are those of the agent that wrote the ledger.
-	Service string
-	Address lentilflow.Endpoint
-	// Era is the era of the store, as far as the agent knew, in which the ledger was written.
-	Era uint64
-	// UpstreamID and UpstreamIncarnation identify the run of the upstream.
-	UpstreamID          string
-	UpstreamIncarnation int64
-	Flows               []LedgerFlow
-}
-
-// LedgerFlow is a flow and the last acknowledgement number of its client.
-type LedgerFlow struct {
-	Key          lentilflow.Key
-	Acknowledged uint32
-}
-
-// AppendFlows appends the encoded flows to dst, 16 bytes each.
-func (l Ledger) AppendFlows(dst []byte) []byte {
-	for _, f := range l.Flows {
-		for _, endpoint := range []lentilflow.Endpoint{f.Key.Client(), f.Key.Service()} {
-			address := endpoint.Address()
-			dst = binary.BigEndian.AppendUint16(append(dst, address[:]...), endpoint.Port())
-		}
-		dst = binary.BigEndian.AppendUint32(dst, f.Acknowledged)
-	}
-	return dst
-}
-
-// ParseFlows parses flows that AppendFlows encoded.
-func ParseFlows(data []byte) (flows []LedgerFlow, err error) {
-	if len(data)%flowRecordSize != 0 {
-		return nil, ErrLedger.New("length of %d bytes is not a multiple of the flow record size", len(data))
-	}
-	const clientPortOffset, serviceOffset, servicePortOffset, acknowledgedOffset = 4, 6, 10, 12
-	for ; len(data) > 0; data = data[flowRecordSize:] {
-		flows = append(flows, LedgerFlow{
-			Key: lentilflow.NewKey(
-				lentilflow.NewEndpoint([4]byte(data), binary.BigEndian.Uint16(data[clientPortOffset:])),
-				lentilflow.NewEndpoint([4]byte(data[serviceOffset:]), binary.BigEndian.Uint16(data[servicePortOffset:]))),
-			Acknowledged: binary.BigEndian.Uint32(data[acknowledgedOffset:]),
-		})
-	}
-	return flows, nil
-}
-
 // matches reports whether the ledger was written for the given run of an upstream.
-func (l *Ledger) matches(u upstream) bool {
+func matches(l *lentilledger.Ledger, u upstream) bool {
 	return l.UpstreamID == u.id && l.UpstreamIncarnation == u.incarnation
 }
 
 // DueLedger returns the ledger to store now and reports whether one is due. A ledger without flows, the run marker,
 // is due with the first flow of a run of the upstream that has just started. It shows a later run of the agent that
 // this one may have let flows open at that upstream. A run that isn't new shows it by its registration sequence.
-func (t *Tracker) DueLedger() (ledger Ledger, due bool) {
+func (t *Tracker) DueLedger() (ledger lentilledger.Ledger, due bool) {
 	now := t.now()
 	if t.RunMarkerDue() {
 		t.runMarkerDue = false
 		return t.newLedger(), true
 	}
-	if t.upstream.id == "" || t.previousLedger != nil || t.churn == 0 {
+	if t.upstream.id == "" || t.previousLedger != nil || t.churn == 0 || t.LedgerCovered != nil && t.LedgerCovered() {
 		return ledger, false
 	}
 	exposed := now.Sub(t.ledgerWrittenAt) >= t.ledgerInterval(minExposedLedgerInterval) && t.hasExposedFlow(now)
@@ -118,7 +60,7 @@
 	changes := 0
 	for key, f := range t.flows {
 		if f.state == open && t.lasts(now, f) && len(ledger.Flows) < maxLedgerFlows {
-			ledger.Flows = append(ledger.Flows, LedgerFlow{Key: key, Acknowledged: f.acknowledged})
+			ledger.Flows = append(ledger.Flows, lentilledger.Flow{Key: key, Acknowledged: f.acknowledged})
 			listed[key] = true
 			if !t.ledgerFlows[key] {
 				changes++
@@ -131,12 +73,36 @@
 		}
 	}
 	if changes == 0 || !exposed && changes*ledgerChurnDivisor < max(len(listed), len(t.ledgerFlows)) {
-		return Ledger{}, false
+		return lentilledger.Ledger{}, false
 	}
 	t.ledgerWrittenAt, t.churn, t.ledgerFlows = now, 0, listed
 	return ledger, true
 }
 
+// minReportAge is the age from which on a flow whose requests may not be repeated is reported to the writer of the agent's
+// group. Flows of a single request have usually ended by then.
+const minReportAge = 200 * time.Millisecond
+
+// CurrentLedger returns the ledger for reports to the writer of the agent's group. ok is false while the upstream or its
+// earlier flows aren't known.
+func (t *Tracker) CurrentLedger() (ledger lentilledger.Ledger, ok bool) {
+	if t.upstream.id == "" || t.previousLedger != nil {
+		return ledger, false
+	}
+	now := t.now()
+	ledger = t.newLedger()
+	for key, f := range t.flows {
+		minAge := minLedgerFlowAge
+		if f.nonRepeatable {
+			minAge = minReportAge
+		}
+		if f.state == open && now.Sub(f.openedAt) >= minAge && len(ledger.Flows) < maxLedgerFlows {
+			ledger.Flows = append(ledger.Flows, lentilledger.Flow{Key: key, Acknowledged: f.acknowledged})
+		}
+	}
+	return ledger, true
+}
+
 // ledgerInterval returns the shortest time between two ledgers, given the one for a small site.
 func (t *Tracker) ledgerInterval(small time.Duration) time.Duration {
 	return max(small, small*time.Duration(len(t.balancers))/ledgerBaseBalancers)
@@ -172,30 +138,59 @@
 
 // LedgerFailed records that a ledger could not be stored. A run marker is due again; a later ledger replaces another one,
 // which is due as soon as the interval allows if flows may be exposed.
-func (t *Tracker) LedgerFailed(ledger Ledger) {
+func (t *Tracker) LedgerFailed(ledger lentilledger.Ledger) {
 	if t.MaxUnlisted > 0 {
 		t.ledgerFlows = nil
 		t.churn++
 	}
-	if len(ledger.Flows) == 0 && ledger.matches(t.upstream) && t.upstream.sequence <= maxStartupSequence {
+	if len(ledger.Flows) == 0 && matches(&ledger, t.upstream) && t.upstream.sequence <= maxStartupSequence {
 		t.runMarkerDue = true
 	}
 }
 
 // newLedger returns a ledger of the upstream's run without flows.
-func (t *Tracker) newLedger() Ledger {
-	return Ledger{Service: t.Service, Address: t.Address, UpstreamID: t.upstream.id, UpstreamIncarnation: t.upstream.incarnation}
+func (t *Tracker) newLedger() lentilledger.Ledger {
+	return lentilledger.Ledger{Service: t.Service, Address: t.Address, UpstreamID: t.upstream.id, UpstreamIncarnation: t.upstream.incarnation}
 }
 
 // Restore takes the ledger that an earlier run of the agent has stored, and the era in which it was read. Its flows
 // are open if the same run of the upstream registers, and are reset if another one does. A ledger of another service
 // or address is ignored.
-func (t *Tracker) Restore(ledger Ledger, era uint64, actions []Action) []Action {
+func (t *Tracker) Restore(ledger lentilledger.Ledger, era uint64, actions []Action) []Action {
 	if ledger.Service != t.Service || ledger.Address != t.Address {
-		ledger = Ledger{}
+		ledger = lentilledger.Ledger{}
 	}
 	t.previousLedger, t.previousLedgerEra = &ledger, era
-	return t.applyPreviousLedger(actions)
+	actions = t.applyPreviousLedger(actions)
+	if t.previousLedger != nil && len(ledger.Flows) > 0 && !t.probing {
+		// An upstream that was leaving when its VM lost power never registers again.
+		t.probing = true
+		actions = append(actions, Action{Kind: ProbeUpstream})
+	}
+	return actions
+}
+
+// resetPreviousLedger resets the flows of the restored ledger, whose upstream has ended before one has registered.
+func (t *Tracker) resetPreviousLedger(cause Cause, actions []Action) []Action {
+	if t.previousLedger == nil {
+		return actions
+	}
+	now := t.now()
+	for _, l := range t.previousLedger.Flows {
+		if t.flows[l.Key] == nil {
+			actions = t.resetListed(now, l, cause, actions)
+		}
+	}
+	t.previousLedger.Flows = nil
+	return actions
+}
+
+// resetListed resets a flow of the restored ledger.
+func (t *Tracker) resetListed(now time.Time, l lentilledger.Flow, cause Cause, actions []Action) []Action {
+	f := &flow{acknowledged: l.Acknowledged, lastUsed: now}
+	t.addFlow(l.Key, f)
+	t.setState(f, lost)
+	return append(actions, Action{Kind: ResetClient, Cause: cause, Key: l.Key, Sequence: l.Acknowledged})
 }
 
 // RenewLedger makes the ledger due, since the store may have lost the last one.
@@ -220,7 +215,7 @@
 	}
 	t.previousLedger = nil
 	now := t.now()
-	if t.upstream.sequence <= maxStartupSequence && !ledger.matches(t.upstream) {
+	if t.upstream.sequence <= maxStartupSequence && !matches(ledger, t.upstream) {
 		// No earlier run of the agent has let flows open at this run of the upstream, or the store has lost the
 		// ledger that would show it.
 		if ledger.Era == t.previousLedgerEra {
@@ -229,19 +224,18 @@
 			t.missingLedgerEra = t.previousLedgerEra
 		}
 	}
-	sameRun := ledger.matches(t.upstream)
+	sameRun := matches(ledger, t.upstream)
 	for _, l := range ledger.Flows {
 		if t.flows[l.Key] != nil {
 			continue
 		}
-		f := &flow{acknowledged: l.Acknowledged, lastUsed: now}
-		t.addFlow(l.Key, f)
 		if sameRun {
+			f := &flow{acknowledged: l.Acknowledged, lastUsed: now}
+			t.addFlow(l.Key, f)
 			t.setState(f, open)
 			continue
 		}
-		t.setState(f, lost)
-		actions = append(actions, Action{Kind: ResetClient, Cause: UpstreamReplaced, Key: l.Key, Sequence: l.Acknowledged})
+		actions = t.resetListed(now, l, UpstreamReplaced, actions)
 	}
 	return actions
 }
--- a/pkg/lentilconntrack/ledger_test.go
+++ b/pkg/lentilconntrack/ledger_test.go
@@ -7,23 +7,24 @@
 	"github.com/google/go-cmp/cmp"
 
 	"lentilstair.example/lentilstair/pkg/lentilflow"
+	"lentilstair.example/lentilstair/pkg/lentilledger"
 )
 
 func TestRestoreLedger(t *testing.T) {
-	ledgerOf := func(upstreamID string, incarnation int64) Ledger {
-		return Ledger{Service: "a", Address: peer1, UpstreamID: upstreamID, UpstreamIncarnation: incarnation, Flows: []LedgerFlow{{Key: flowKey(1), Acknowledged: 7}}}
+	ledgerOf := func(upstreamID string, incarnation int64) lentilledger.Ledger {
+		return lentilledger.Ledger{Service: "a", Address: peer1, UpstreamID: upstreamID, UpstreamIncarnation: incarnation, Flows: []lentilledger.Flow{{Key: flowKey(1), Acknowledged: 7}}}
 	}
 	for _, c := range []struct {
 		name   string
-		ledger Ledger
+		ledger lentilledger.Ledger
 		want   string
 	}{
 		{"another upstream has registered", ledgerOf("old", 1), "ResetClient UpstreamReplaced 7"},
 		{"another run of the upstream has registered", ledgerOf("u", 0), "ResetClient UpstreamReplaced 7"},
 		{"the same run of the upstream has registered", ledgerOf("u", 1), ""},
-		{"the ledger is for another address", Ledger{Service: "a", Address: peer2, UpstreamID: "old", Flows: []LedgerFlow{{Key: flowKey(1)}}}, ""},
-		{"the ledger is for another service", Ledger{Service: "b", Address: peer1, UpstreamID: "old", Flows: []LedgerFlow{{Key: flowKey(1)}}}, ""},
-		{"there is no ledger", Ledger{}, ""},
+		{"the ledger is for another address", lentilledger.Ledger{Service: "a", Address: peer2, UpstreamID: "old", Flows: []lentilledger.Flow{{Key: flowKey(1)}}}, ""},
+		{"the ledger is for another service", lentilledger.Ledger{Service: "b", Address: peer1, UpstreamID: "old", Flows: []lentilledger.Flow{{Key: flowKey(1)}}}, ""},
+		{"there is no ledger", lentilledger.Ledger{}, ""},
 	} {
 		for _, first := range []string{"ledger", "registration"} {
 			t.Run(c.name+", "+first+" first", func(t *testing.T) {
@@ -60,14 +61,14 @@
 func TestFlowsCompleteAfterRestore(t *testing.T) {
 	for _, c := range []struct {
 		name     string
-		ledger   Ledger
+		ledger   lentilledger.Ledger
 		sequence int64
 		want     bool
 	}{
-		{"the upstream has just started with the agent", Ledger{Service: "a", Address: peer1, UpstreamID: "old", UpstreamIncarnation: 1}, 2, true},
-		{"the upstream has just started and there is no ledger", Ledger{}, 3, true},
-		{"an earlier run of the agent has written the run marker", Ledger{Service: "a", Address: peer1, UpstreamID: "u", UpstreamIncarnation: 1}, 2, false},
-		{"the upstream has been registering for longer", Ledger{Service: "a", Address: peer1, UpstreamID: "old", UpstreamIncarnation: 1}, 4, false},
+		{"the upstream has just started with the agent", lentilledger.Ledger{Service: "a", Address: peer1, UpstreamID: "old", UpstreamIncarnation: 1}, 2, true},
+		{"the upstream has just started and there is no ledger", lentilledger.Ledger{}, 3, true},
+		{"an earlier run of the agent has written the run marker", lentilledger.Ledger{Service: "a", Address: peer1, UpstreamID: "u", UpstreamIncarnation: 1}, 2, false},
+		{"the upstream has been registering for longer", lentilledger.Ledger{Service: "a", Address: peer1, UpstreamID: "old", UpstreamIncarnation: 1}, 4, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h := newHarness(t)
@@ -131,11 +132,11 @@
 	if _, due = h.DueLedger(); due {
 		t.Error("due though only flows of a single request have come and gone")
 	}
-	flows, err := ParseFlows(ledger.AppendFlows(nil))
+	flows, err := lentilledger.ParseFlows(ledger.AppendFlows(nil))
 	if diff := cmp.Diff(ledger.Flows, flows, cmp.AllowUnexported(lentilflow.Endpoint{}, lentilflow.Key{})); err != nil || diff != "" {
 		t.Errorf("%v, -written +read:\n%s", err, diff)
 	}
-	if _, err = ParseFlows(make([]byte, flowRecordSize+1)); err == nil {
+	if _, err = lentilledger.ParseFlows(make([]byte, 17)); err == nil {
 		t.Error("flows with an incomplete record are parsed without an error")
 	}
 }
@@ -162,7 +163,7 @@
 		}, maxUnlisted, false},
 		{"its terms are not known", maxUnlisted, 1, func(h *harness) { h.openFlowWithTerms(flowKey(100), lentilflow.Terms{}) }, maxUnlisted, false},
 		{"the site has so many balancers that the store allows fewer ledgers", maxUnlisted, 64, oneOfMany, maxUnlisted, false},
-		{"the last ledger could not be stored", maxUnlisted, 1, func(h *harness) { h.LedgerFailed(Ledger{Flows: []LedgerFlow{{}}}) }, maxUnlisted, true},
+		{"the last ledger could not be stored", maxUnlisted, 1, func(h *harness) { h.LedgerFailed(lentilledger.Ledger{Flows: []lentilledger.Flow{{}}}) }, maxUnlisted, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h := newHarness(t)
@@ -200,3 +201,104 @@
 	h.fromBalancer(peer1, lentilflow.Owned, lentilflow.Packet{Key: key, Flags: lentilflow.Acknowledge, Sequence: 101, Acknowledged: 501})
 	h.clock.Advance(100 * time.Millisecond)
 }
+
+// TestRestoreProbesUpstream guards against flows that stay without a reset after a loss of power because their upstream was
+// leaving and never registers again. Only a refused connection proves that it has ended.
+func TestRestoreProbesUpstream(t *testing.T) {
+	listed := lentilledger.Ledger{Service: "a", Address: peer1, UpstreamID: "u", UpstreamIncarnation: 1, Flows: []lentilledger.Flow{{Key: flowKey(1), Acknowledged: 7}}}
+	for _, c := range []struct {
+		name   string
+		ledger lentilledger.Ledger
+		result ProbeResult
+		// wantProbe is set if the upstream is probed, and wantResets is the number of flows that are reset.
+		wantProbe  bool
+		wantResets int
+	}{
+		{"refused", listed, ProbeRefused, true, 1},
+		{"accepted", listed, ProbeAccepted, true, 0},
+		{"timed out", listed, ProbeTimedOut, true, 0},
+		{"no flows", lentilledger.Ledger{Service: "a", Address: peer1, UpstreamID: "u", UpstreamIncarnation: 1}, ProbeRefused, false, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.Address = peer1
+			if probed := formatActions(h.Restore(c.ledger, 0, nil)) == "ProbeUpstream"; probed != c.wantProbe {
+				t.Fatalf("probed: %t", probed)
+			}
+			if !c.wantProbe {
+				return
+			}
+			resets := 0
+			for _, a := range h.HandleProbeResult(c.result, nil) {
+				if a.Kind == ResetClient && a.Cause == UpstreamRefused && a.Key == flowKey(1) && a.Sequence == 7 {
+					resets++
+				}
+			}
+			if resets != c.wantResets {
+				t.Errorf("%d flows are reset, want %d", resets, c.wantResets)
+			}
+			// The run of the ledger may still register, and then holds its flows if nothing was reset.
+			h.Register(Registration{ID: "u", Incarnation: 1, Sequence: 9, Service: "a"}, nil)
+			if open := h.OpenFlows(); open != 1-c.wantResets {
+				t.Errorf("%d flows are open after the registration", open)
+			}
+		})
+	}
+}
+
+// TestCurrentLedger checks which flows are reported: not those of single requests, and none before the upstream and its
+// earlier flows are known.
+func TestCurrentLedger(t *testing.T) {
+	h := newHarness(t)
+	if _, ok := h.CurrentLedger(); ok {
+		t.Error("there is a ledger before the registration")
+	}
+	h.register("u")
+	h.openFlow(flowKey(1))
+	for _, c := range []struct {
+		after         time.Duration
+		nonRepeatable bool
+		want          int
+	}{{minReportAge - 1, true, 0}, {1, true, 1}, {0, false, 0}, {minLedgerFlowAge - minReportAge, false, 1}} {
+		h.clock.Advance(c.after)
+		h.flows[flowKey(1)].nonRepeatable = c.nonRepeatable
+		ledger, ok := h.CurrentLedger()
+		if !ok || len(ledger.Flows) != c.want || ledger.UpstreamID != "u" {
+			t.Errorf("after another %s, nonRepeatable %t: ledger %+v, %t, want %d flows", c.after, c.nonRepeatable, ledger, ok, c.want)
+		}
+	}
+	h.LedgerCovered = func() bool { return true }
+	h.clock.Advance(time.Minute)
+	h.DueLedger() // The run marker.
+	if _, due := h.DueLedger(); due {
+		t.Error("a ledger is due although a writer stores it")
+	}
+}
+
+// TestLedgerWriter checks that agents with the same view choose the same balancer, of their failure domain if it has one.
+func TestLedgerWriter(t *testing.T) {
+	writerOf := func(hellos []lentilflow.Hello, avoid lentilflow.Endpoint) lentilflow.Endpoint {
+		h := newHarness(t)
+		h.Domain = "palermo"
+		for _, m := range hellos {
+			h.HandleHello(lentilflow.NewEndpoint([4]byte{10, 0, 0, m.Name[0]}, 7720), m, nil)
+		}
+		return h.LedgerWriter("palermo-0", func(e lentilflow.Endpoint) bool { return e == avoid })
+	}
+	near := []lentilflow.Hello{{Name: "a", Domain: "palermo", Configured: true}, {Name: "b", Domain: "palermo", Configured: true}, {Name: "c", Domain: "palermo", Configured: true}}
+	far := []lentilflow.Hello{{Name: "d", Domain: "catania", Configured: true}}
+	none := lentilflow.Endpoint{}
+	first := writerOf(append(near, far...), none)
+	if again := writerOf(append([]lentilflow.Hello{far[0], near[2], near[0]}, near[1]), none); again != first || first == none || first.Address()[3] == 'd' {
+		t.Errorf("writers %s and %s, want the same of the failure domain", first, again)
+	}
+	if next := writerOf(append(near, far...), first); next == first || next == none || next.Address()[3] == 'd' {
+		t.Errorf("after %s is avoided: %s", first, next)
+	}
+	if got := writerOf(far, none); got.Address()[3] != 'd' {
+		t.Errorf("without balancers of the failure domain: %s", got)
+	}
+	if got := writerOf([]lentilflow.Hello{{Name: "a", Domain: "palermo"}}, none); got != none {
+		t.Errorf("a balancer without a configuration is chosen: %s", got)
+	}
+}
--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -24,6 +24,7 @@
 	"lentilstair.example/lentilstair/pkg/lentilera"
 	"lentilstair.example/lentilstair/pkg/lentilflow"
 	"lentilstair.example/lentilstair/pkg/lentilflowqueue"
+	"lentilstair.example/lentilstair/pkg/lentilledger"
 )
 
 const (
@@ -103,6 +104,9 @@
 	// MaxUnlisted is how long an open flow of a route whose requests may not be repeated may be missing in the ledger
 	// before one is due. With zero, such flows are treated like all others.
 	MaxUnlisted time.Duration
+	// LedgerCovered reports whether a writer stores the agent's ledger with those of others, so that only run markers are
+	// due. Nil means that none does.
+	LedgerCovered func() bool
 
 	upstream upstream
 	// breaker stops new flows to an upstream that fails, and queue holds them until the upstream has room.
@@ -149,7 +153,7 @@
 	statusSequence uint64
 	// previousLedger is the ledger of an earlier run of the agent until the upstream has registered, else nil.
 	// previousLedgerEra is the era of the store in which it was read.
-	previousLedger    *Ledger
+	previousLedger    *lentilledger.Ledger
 	previousLedgerEra uint64
 	ledgerWrittenAt   time.Time
 	// ledgerFlows has the flows of the last ledger.
--- a/pkg/lentilconntrack/tracker_test.go
+++ b/pkg/lentilconntrack/tracker_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lentilstair.example/lentilstair/pkg/lentilflow"
+	"lentilstair.example/lentilstair/pkg/lentilledger"
 )
 
 // TestDecisions runs sequences of events. Each step is an event and the actions that it must lead to.
@@ -424,9 +425,9 @@
 		{"a flow that a ledger lists is taken whatever its client has acknowledged since", false, []step{
 			{func(h *harness) string {
 				h.Address = peer1
-				ledger := Ledger{Service: "a", Address: peer1, UpstreamID: "u", UpstreamIncarnation: h.createdAt.UnixMilli() + 1, Flows: []LedgerFlow{{Key: key, Acknowledged: 7}}}
+				ledger := lentilledger.Ledger{Service: "a", Address: peer1, UpstreamID: "u", UpstreamIncarnation: h.createdAt.UnixMilli() + 1, Flows: []lentilledger.Flow{{Key: key, Acknowledged: 7}}}
 				return formatActions(h.Restore(ledger, 0, nil))
-			}, ""},
+			}, "ProbeUpstream"},
 			{register("u", func(r *Registration) { r.Sequence = 9 }), "ReportStateChange UpstreamRegistered"},
 			{carry(lentilflow.Lookup, dataPacket(key, 80000000)), "SendTaken open=true, ToUpstream"},
 		}},
--- a/pkg/lentilconntrack/upstream.go
+++ b/pkg/lentilconntrack/upstream.go
@@ -188,10 +188,14 @@
 	case result == ProbeAccepted:
 		t.clearUnanswered()
 		return actions
+	case result == ProbeTimedOut && t.upstream.phase == lentilflow.Unheard && t.unanswered == 0:
+		// The probe was for the restored ledger. An upstream that hangs may still hold its flows.
+		return actions
 	}
 	cause := UpstreamSilent
 	if result == ProbeRefused {
 		cause = UpstreamRefused
+		actions = t.resetPreviousLedger(cause, actions)
 	}
 	return t.setUpstreamEnded(cause, actions)
 }
--- a/pkg/lentilplacement/agent.go
+++ b/pkg/lentilplacement/agent.go
@@ -62,6 +62,16 @@
 	return append(actions, Action{Kind: SendHello, To: node.Address})
 }
 
+// KnowsAgent reports whether there is an agent of the given name.
+func (p *Placer) KnowsAgent(name string) bool {
+	for _, a := range p.agents {
+		if a.status.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
 // UnderstandsEra reports whether an agent accepts the era of the store in a Hello.
 func (p *Placer) UnderstandsEra(addr lentilflow.Endpoint) bool {
 	a := p.agents[addr]
