--- a/internal/lentilstand/packets.go
+++ b/internal/lentilstand/packets.go
@@ -27,6 +27,7 @@
 		Flags: []cli.Flag{
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`NUMBER` that seeds the random faults"},
 			&cli.DurationFlag{Name: "length", Value: defaultFaultDuration, Usage: "inject faults for `TIME`"},
+			&cli.StringFlag{Name: "earlier", Usage: "run `PROGRAM`, lentilpacket of an earlier release, at every second start of a process"},
 			&cli.BoolFlag{Name: "calm", Usage: "inject no faults"},
 			&cli.BoolFlag{Name: "store-returns", Usage: "let the store return from older copies, in addition to the other faults"},
 		},
@@ -47,7 +48,7 @@
 	}
 	defer func() { _ = os.RemoveAll(directory) }()
 	report, err := lentilsite.Run(ctx, lentilsite.Setup{
-		Program: filepath.Join(filepath.Dir(program), "lentilpacket"), Directory: directory, Seed: c.Uint64("seed"),
+		Program: filepath.Join(filepath.Dir(program), "lentilpacket"), EarlierProgram: c.String("earlier"), Directory: directory, Seed: c.Uint64("seed"),
 		Zones: 2, BalancersPerZone: 2, UpstreamsPerZone: 3, Clients: 24, FaultDuration: c.Duration("length"), NoFaults: c.Bool("calm"),
 		StoreReturns: c.Bool("store-returns"),
 	})
