--- a/internal/lentilmetric/metric.go
+++ b/internal/lentilmetric/metric.go
@@ -65,6 +65,7 @@
 	HedgesCancelled
 	HedgesOverBudget
 	HedgeShare
+	StoreCalls
 )
 
 type metricDoc struct {
@@ -111,6 +112,7 @@
 	LinkQueuedBytes:      {"link_queued_bytes", Gauge, "bytes", nil, "Bytes that wait for the balancer's link, with IP and UDP headers."},
 	LinkUtilization:      {"link_utilization", Gauge, "share", nil, "Share of the rate of the balancer's link that was used in the last second."},
 	LinkFullSeconds:      {"link_full_seconds", Gauge, "seconds", nil, "For how long the balancer's link has been full, or 0 while it is free. It is full while more than 50 ms of datagrams wait, and until that has not been so for 2 s. See docs/operating/scarce-capacity.md."},
+	StoreCalls:           {"store_calls", Counter, "calls", []string{"object", "action"}, "Calls of a process of packet flows to the store, also those that failed: configuration and domains are read or watched; balancers, agents, ledgers and ledgerGroups are read or written."},
 	LookupsByKey:         {"lookups_by_key", Counter, "flows", nil, "Lookups of packet flows for which a balancer buffered the packets and asked agents by the flow's key, because its link had no room for copies of the packets."},
 }
 
--- a/internal/lentilpacket/count.go
+++ b/internal/lentilpacket/count.go
@@ -24,6 +24,8 @@
 	HedgesSent, HedgesWon, HedgesOverBudget atomic.Uint64
 	hedgeShare                              atomic.Uint64
 
+	// Store counts the calls to the store.
+	Store StoreCalls
 	// Link counts what waits for the balancer's link; nil if the link isn't limited.
 	Link *LinkCounts
 	// CallersWaiting is the number of callers with flows in the queue of an agent, and ServedOutOfOrder counts the flows that
@@ -68,6 +70,7 @@
 	poller.AddGauge(registry.Gauge(lentilmetric.HedgeShare), func() float64 { return math.Float64frombits(c.hedgeShare.Load()) })
 	poller.AddCounter(registry.Counter(lentilmetric.FlowsReset), c.Resets.Load, nil)
 	poller.AddCounter(registry.Counter(lentilmetric.FlowsRefused), c.Refused.Load, nil)
+	c.Store.export(registry, poller)
 	if c.Link != nil {
 		c.Link.export(registry, poller)
 	}
