lentilfollow: the first lists count as a poll of the store

Cause: processes that start together all polled the store a second later, since none had heard of another's poll and each had drawn its time before it knew how many they are: 24 of 24 balancers, two calls each, at every start of the site.

--- a/internal/lentilpacket/balancer.go
+++ b/internal/lentilpacket/balancer.go
@@ -60,6 +60,8 @@
 	domainsAsOf lentilera.Position
 	// sentStoreState is the store state that was last sent to agents.
 	sentStoreState lentilflow.StoreState
+	// configurationListedAt and domainsListedAt are when the first list of each was asked for; zero before it has succeeded.
+	configurationListedAt, domainsListedAt time.Time
 	// agentsListedAt is when the list of agents was read; zero before that.
 	agentsListedAt time.Time
 	// ledgers are those that agents report to this balancer.
--- a/internal/lentilpacket/ledger.go
+++ b/internal/lentilpacket/ledger.go
@@ -133,7 +133,7 @@
 		}
 		for {
 			b.mu.Lock()
-			b.ledgers.Balancers = b.pollSchedule.ProcessCount
+			b.ledgers.Balancers = b.pollSchedule.ProcessCount()
 			group, load, due := b.ledgers.Next()
 			b.mu.Unlock()
 			if !due {
--- a/internal/lentilpacket/readers.go
+++ b/internal/lentilpacket/readers.go
@@ -31,10 +31,34 @@
 		b.placer.SetOut(out)
 		b.domainsAsOf = position()
 	})}
+	b.configurations.Source.List = noteFirstList(b, &b.configurationListedAt, b.configurations.Source.List)
+	b.domains.Source.List = noteFirstList(b, &b.domainsListedAt, b.domains.Source.List)
 	b.configurations.DeferWatch, b.domains.DeferWatch = b.deferWatch, b.deferWatch
 	b.configurations.Watched, b.domains.Watched = b.sendHelloToAll, b.sendHelloToAll
 }
 
+// noteFirstList returns list, which records when the balancer has first listed a kind. Once it has listed both kinds, that
+// counts as a poll of the store, so that balancers which start together don't all poll again a second later.
+func noteFirstList[T any](b *Balancer, listedAt *time.Time, list func(context.Context) ([]lentilfollow.Change[T], lentilera.Position, error)) func(context.Context) ([]lentilfollow.Change[T], lentilera.Position, error) {
+	return func(ctx context.Context) (all []lentilfollow.Change[T], position lentilera.Position, err error) {
+		startedAt := time.Now()
+		all, position, err = list(ctx)
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if err != nil || !listedAt.IsZero() {
+			return all, position, err
+		}
+		*listedAt = startedAt
+		if earlier := b.configurationListedAt; !earlier.IsZero() && !b.domainsListedAt.IsZero() {
+			if b.domainsListedAt.Before(earlier) {
+				earlier = b.domainsListedAt
+			}
+			b.pollSchedule.RecordCheck(time.Since(earlier))
+		}
+		return all, position, err
+	}
+}
+
 const (
 	// watcherCount is the mean number of balancers that watch the store. The others learn of changes through the
 	// agents. More than one keeps changes fast while a watcher is cut off from the store; polls find what all
@@ -52,7 +76,7 @@
 // next decision.
 func (b *Balancer) deferWatch() (wait time.Duration) {
 	b.mu.Lock()
-	balancers := b.pollSchedule.ProcessCount
+	balancers := b.pollSchedule.ProcessCount()
 	b.mu.Unlock()
 	switch {
 	case balancers == 0:
@@ -155,7 +179,7 @@
 	if returned {
 		b.ledgers.Renew()
 	}
-	balancers := b.pollSchedule.ProcessCount
+	balancers := b.pollSchedule.ProcessCount()
 	b.mu.Unlock()
 	if !returned {
 		return
@@ -174,7 +198,7 @@
 	b.domains.ObservePeer(lentilera.Position{Era: status.Store.Era, Revision: status.Store.DomainsRevision})
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.pollSchedule.ProcessCount = int(status.BalancerCount)
+	b.pollSchedule.SetProcessCount(int(status.BalancerCount))
 	if status.Store.Era >= b.era.Era() {
 		b.pollSchedule.RecordCheck(status.Store.CheckedAgo)
 	}
--- a/pkg/lentilfollow/follow_test.go
+++ b/pkg/lentilfollow/follow_test.go
@@ -283,7 +283,8 @@
 			random := rand.New(rand.NewPCG(1, uint64(processes)))
 			schedules := make([]*PollSchedule, processes)
 			for i := range schedules {
-				schedules[i] = &PollSchedule{Clock: clock, Random: random.Float64, ProcessCount: processes}
+				schedules[i] = &PollSchedule{Clock: clock, Random: random.Float64}
+				schedules[i].SetProcessCount(processes)
 			}
 			const step, duration, propagation = 20 * time.Millisecond, 60 * time.Second, 500 * time.Millisecond
 			type poll struct{ at time.Time }
@@ -325,6 +326,41 @@
 	}
 }
 
+// TestPollScheduleAtStart plays processes that start together, read the store, and learn some time later how many they are.
+// Few of them may poll again before they have heard of another one's poll.
+func TestPollScheduleAtStart(t *testing.T) {
+	const processes, learnAfter, propagation, step = 24, 60 * time.Millisecond, 500 * time.Millisecond, 20 * time.Millisecond
+	clock := &lentilclock.Fake{}
+	random := rand.New(rand.NewPCG(1, 1))
+	var schedules []*PollSchedule
+	for range processes {
+		s := &PollSchedule{Clock: clock, Random: random.Float64}
+		s.UntilDue()
+		s.RecordCheck(0)
+		s.UntilDue()
+		schedules = append(schedules, s)
+	}
+	polls := 0
+	var firstAt time.Duration
+	for at := step; polls == 0 || at < firstAt+propagation; at += step {
+		clock.Advance(step)
+		for _, s := range schedules {
+			if at == learnAfter {
+				s.SetProcessCount(processes)
+			}
+			if s.UntilDue() == 0 {
+				s.RecordAttempt(true)
+				if polls++; polls == 1 {
+					firstAt = at
+				}
+			}
+		}
+	}
+	if polls > processes/3 || firstAt < minPollInterval {
+		t.Errorf("%d of %d processes poll before they can know of the first poll, which is after %s", polls, processes, firstAt)
+	}
+}
+
 func TestPollScheduleFailedAttemptIsNoCheck(t *testing.T) {
 	clock := &lentilclock.Fake{}
 	s := &PollSchedule{Clock: clock}
--- a/pkg/lentilfollow/pollschedule.go
+++ b/pkg/lentilfollow/pollschedule.go
@@ -27,9 +27,9 @@
 	Clock lentilclock.Clock
 	// Random returns uniformly distributed numbers in [0, 1); nil means that they are all 0.
 	Random func() float64
-	// ProcessCount is the number of processes that share the polls; zero means one.
-	ProcessCount int
 
+	// processCount is the number of processes that share the polls; zero means one.
+	processCount int
 	// checkedAt is the time of the last successful poll by any process.
 	checkedAt time.Time
 	// attemptedAt is the time of this process's last poll, whether the store answered or not.
@@ -40,6 +40,18 @@
 
 func (s *PollSchedule) now() time.Time { return lentilclock.OrSystem(s.Clock).Now() }
 
+// ProcessCount returns the number of processes that share the polls, or zero if it isn't known.
+func (s *PollSchedule) ProcessCount() int { return s.processCount }
+
+// SetProcessCount sets the number of processes that share the polls. The time of the next poll is drawn again if there are
+// many more than before, as when a process that has just started learns of the others: else all that start together poll.
+func (s *PollSchedule) SetProcessCount(count int) {
+	if count > 2*s.processCount {
+		s.interval = 0
+	}
+	s.processCount = count
+}
+
 // RecordCheck records that some process has polled the store at the given time ago and has reported the result.
 func (s *PollSchedule) RecordCheck(ago time.Duration) {
 	if at := s.now().Add(-ago); at.After(s.checkedAt) {
@@ -74,7 +86,7 @@
 	if s.interval == 0 {
 		s.interval = minPollInterval
 		if s.Random != nil {
-			jitter := max(pollJitter, time.Duration(s.ProcessCount)*pollJitterPerProcess)
+			jitter := max(pollJitter, time.Duration(s.processCount)*pollJitterPerProcess)
 			s.interval += time.Duration(s.Random() * float64(jitter))
 		}
 	}
