--- a/internal/lentilsetting/packet.go
+++ b/internal/lentilsetting/packet.go
@@ -21,7 +21,7 @@
 	// maxMegabitsPerSecond is the highest allowed rate of a link, above that of any network card.
 	maxMegabitsPerSecond = 1e6
 	// maxLedgerGroups is the highest allowed number of ledger groups of a failure domain. At the size that the product is
-	// designed for, 128 are needed.
+	// designed for, 200 are needed.
 	maxLedgerGroups = 4096
 	bytesPerMegabit = 1e6 / 8
 )
--- a/pkg/lentilledger/writer.go
+++ b/pkg/lentilledger/writer.go
@@ -12,10 +12,10 @@
 
 const (
 	// minWriteInterval is the shortest time between two writes of a group. With many balancers it is
-	// writeIntervalPerBalancer for each of them, so that all groups of a fleet of 3,400 balancers, 128 in each of 15
+	// writeIntervalPerBalancer for each of them, so that all groups of a fleet of 3,400 balancers, 200 in each of 15
 	// failure domains, take a tenth of the 1,200 writes a second of the users' store.
 	minWriteInterval         = time.Second
-	writeIntervalPerBalancer = 5 * time.Millisecond
+	writeIntervalPerBalancer = 8 * time.Millisecond
 	// maxGroupBytes bounds the flows in the object of a group, which may have 1 MB and takes a third more as text. Agents
 	// that it has no room for get no acknowledgement, and write their own ledgers.
 	maxGroupBytes = 512 << 10
