Queries without side effects: probes, overdue writers; actions on the store in a table

Reading the diff: Ready counted probes, Covered marked writers to avoid, and the export of store_calls chose labels by a map in a loop.

--- a/internal/lentilpacket/balancer.go
+++ b/internal/lentilpacket/balancer.go
@@ -153,15 +153,20 @@
 	return err
 }
 
-// Ready reports whether the network fabric may route packets to this balancer, and the reason if it may not. The drain
-// counts its answers: the fabric asks before it takes the balancer out.
-func (b *Balancer) Ready() lentilmetric.Readiness {
+// HandleProbe answers a probe of the network fabric: whether it may route packets to this balancer, and the reason if it
+// may not. A stopping balancer counts its answers, after which the fabric takes it out of rotation.
+func (b *Balancer) HandleProbe() lentilmetric.Readiness {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.drain.RecordProbe()
+	return b.readiness()
+}
+
+// readiness returns whether the balancer may get packets. The caller holds b.mu.
+func (b *Balancer) readiness() lentilmetric.Readiness {
 	known, responsive := b.placer.AgentCounts()
 	switch {
 	case !b.drain.Ready():
-		b.drain.RecordProbe()
 		return lentilmetric.Readiness{Reason: "stopping"}
 	case b.placer.Version() == 0:
 		return lentilmetric.Readiness{Reason: "no configuration yet"}
--- a/internal/lentilpacket/ledger.go
+++ b/internal/lentilpacket/ledger.go
@@ -114,7 +114,7 @@
 		return
 	}
 	ledger.Era = a.era.Era()
-	a.reporter.Covered() // Finds out whether the writer is to be avoided.
+	a.reporter.AvoidOverdueWriter()
 	writer := a.tracker.LedgerWriter(a.reporter.Group, a.reporter.Avoids)
 	for _, m := range a.reporter.Report(writer, ledger) {
 		a.send(lentilframe.AppendLedgerReport(a.frameBuffer[:0], m), writer)
--- a/internal/lentilpacket/storecalls.go
+++ b/internal/lentilpacket/storecalls.go
@@ -1,25 +1,24 @@
 package lentilpacket
 
 import (
-	"strings"
 	"sync/atomic"
 
 	"lentilstair.example/lentilstair/internal/lentilmetric"
 )
 
-//go:generate stringer -type=StoreObject,StoreAction -output=storecalls_string.go
+//go:generate stringer -type=StoreObject,StoreAction -linecomment -output=storecalls_string.go
 
 // StoreObject is what a call to the store is about.
 type StoreObject uint8
 
-// The objects of the store.
+// The objects of the store. The comments are their names in metrics.
 const (
-	ConfigurationObject StoreObject = iota
-	DomainsObject
-	BalancersObject
-	AgentsObject
-	LedgersObject
-	LedgerGroupsObject
+	ConfigurationObject StoreObject = iota // configuration
+	DomainsObject                          // domains
+	BalancersObject                        // balancers
+	AgentsObject                           // agents
+	LedgersObject                          // ledgers
+	LedgerGroupsObject                     // ledgerGroups
 	storeObjectCount
 )
 
@@ -27,14 +26,21 @@
 // removes an object a write.
 type StoreAction uint8
 
-// The actions.
+// The actions. The comments are their names in metrics.
 const (
-	ReadAction StoreAction = iota
-	WatchAction
-	WriteAction
+	ReadAction  StoreAction = iota // read
+	WatchAction                    // watch
+	WriteAction                    // write
 	storeActionCount
 )
 
+// objectActions has the actions on each object: what operators write is watched, and the rest is written.
+var objectActions = [storeObjectCount][]StoreAction{
+	ConfigurationObject: {ReadAction, WatchAction}, DomainsObject: {ReadAction, WatchAction},
+	BalancersObject: {ReadAction, WriteAction}, AgentsObject: {ReadAction, WriteAction},
+	LedgersObject: {ReadAction, WriteAction}, LedgerGroupsObject: {ReadAction, WriteAction},
+}
+
 // StoreCalls counts the calls to the store, also those that fail: the store may bill each of them. The zero StoreCalls are
 // ready to use.
 type StoreCalls struct {
@@ -49,17 +55,11 @@
 	return c.counts[object][action].Load()
 }
 
-// export publishes the counts of the calls that this program makes.
+// export publishes the counts.
 func (c *StoreCalls) export(registry *lentilmetric.Registry, poller *lentilmetric.Poller) {
-	for object := range c.counts {
-		for action := range c.counts[object] {
-			// Only what operators write is watched, and only the rest is written.
-			ofOperators := StoreObject(object) == ConfigurationObject || StoreObject(object) == DomainsObject
-			if unused := map[bool]StoreAction{true: WriteAction, false: WatchAction}[ofOperators]; StoreAction(action) == unused {
-				continue
-			}
-			name := strings.TrimSuffix(StoreObject(object).String(), "Object")
-			counter := registry.Counter(lentilmetric.StoreCalls, strings.ToLower(name[:1])+name[1:], strings.ToLower(strings.TrimSuffix(StoreAction(action).String(), "Action")))
+	for object, actions := range objectActions {
+		for _, action := range actions {
+			counter := registry.Counter(lentilmetric.StoreCalls, StoreObject(object).String(), action.String())
 			poller.AddCounter(counter, c.counts[object][action].Load, nil)
 		}
 	}
--- a/pkg/lentilledger/ledger_test.go
+++ b/pkg/lentilledger/ledger_test.go
@@ -289,6 +289,7 @@
 		t.Errorf("first reports %+v, covered %t", reports, r.Covered())
 	}
 	clock.Advance(ackTimeout)
+	r.AvoidOverdueWriter()
 	if r.Covered() || !r.Avoids(writer) {
 		t.Error("a report is without an acknowledgement for too long, and the ledger counts as covered")
 	}
--- a/pkg/lentilledger/report.go
+++ b/pkg/lentilledger/report.go
@@ -164,20 +164,19 @@
 	return r.acked != r.sequence && now.Sub(r.unackedSince) >= ackTimeout
 }
 
-// Covered reports whether the store holds what was reported, or may hold it soon. If a writer leaves reports without an
-// acknowledgement for too long, it is avoided for a while.
+// Covered reports whether the store holds what was reported, or may hold it soon.
 func (r *Reporter) Covered() bool {
-	if r.writer == (lentilflow.Endpoint{}) || r.sequence == 0 {
-		return false
-	}
-	if !r.overdue(r.now()) {
-		return true
+	return r.writer != lentilflow.Endpoint{} && r.sequence > 0 && !r.overdue(r.now())
+}
+
+// AvoidOverdueWriter avoids the writer for a while if it has left reports without an acknowledgement for too long.
+func (r *Reporter) AvoidOverdueWriter() {
+	now := r.now()
+	if r.writer == (lentilflow.Endpoint{}) || !r.overdue(now) || r.Avoids(r.writer) {
+		return
 	}
-	if !r.Avoids(r.writer) {
-		if r.avoided == nil {
-			r.avoided = make(map[lentilflow.Endpoint]time.Time)
-		}
-		r.avoided[r.writer] = r.now()
+	if r.avoided == nil {
+		r.avoided = make(map[lentilflow.Endpoint]time.Time)
 	}
-	return false
+	r.avoided[r.writer] = now
 }
