--- a/review/stand/endpoint.go
+++ b/review/stand/endpoint.go
@@ -79,9 +79,9 @@
 		e.mu.Unlock()
 		body, _ := json.Marshal(map[string]any{
 			"service": e.m.service, "address": netip.AddrPortFrom(e.m.ip, e.site.ports.app).String(), "zone": e.m.zone, "version": "v1",
-			"concurrency": 2, "state": state, "warmupLeftMs": 0, "sequence": n, "born": e.born,
+			"concurrency": 2, "state": state, wire["coldLeft"]: 0, "sequence": n, "born": e.born,
 		})
-		q, _ := http.NewRequest(http.MethodPut, fmt.Sprintf("http://%s:%d/-/instances/%s", e.m.ip, e.site.ports.control, e.id), bytes.NewReader(body))
+		q, _ := http.NewRequest(http.MethodPut, fmt.Sprintf("http://%s:%d%s%s", e.m.ip, e.site.ports.control, wire["instances"], e.id), bytes.NewReader(body))
 		r, err := client.Do(q)
 		acked := err == nil && r.StatusCode/100 == 2
 		if err == nil {
--- a/review/stand/packet.go
+++ b/review/stand/packet.go
@@ -27,7 +27,7 @@
 	data     []byte
 }
 
-// sum is the keyed sum over all fields but echo, pad and BOUNCED.
+// sum is the keyed sum over all fields but echo, pad and flagBounced.
 func (p packet) sum() uint32 {
 	h := fnv.New32a()
 	h.Write([]byte{'k', 'e', 'y', p.flags &^ flagBounced})
--- a/review/stand/site.go
+++ b/review/stand/site.go
@@ -123,11 +123,11 @@
 	s.store.operator("config", "main", map[string]any{
 		"version": version,
 		"routes": []map[string]any{{
-			"name": "r-1", "host": s.service.Addr().String(), "pathPrefix": fmt.Sprintf("/%d/", s.service.Port()), "type": "unsafe",
+			"name": "r-1", "host": s.service.Addr().String(), wire["prefix"]: fmt.Sprintf("/%d/", s.service.Port()), "type": "unsafe",
 			"timeoutMs": 1200, "targetLatencyMs": 120, "priority": 1, "service": "svc", "attempts": 2,
 		}},
-		"services": []map[string]any{{"name": "svc", "healthPath": "/health", "maxConns": 2000, "protocol": "h1", "tls": false, "warmupS": 2.0, "warmupPerS": 0.0}},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"services": []map[string]any{{"name": "svc", "healthPath": "/health", "maxConns": 2000, "protocol": "h1", "tls": false, "warmupS": 2.0, wire["coldPerSecond"]: 0.0}},
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, wire["idle"]: 15000},
 	})
 	s.note("operator: config/main version %d is acknowledged", version)
 }
@@ -187,7 +187,7 @@
 	out, err := os.OpenFile(filepath.Join(s.dir, fmt.Sprintf("%s-%v.log", m.name, m.ip)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	check(err)
 	cmd := exec.Command(s.program, m.role)
-	cmd.Env = append(os.Environ(), "LENTILSTAIR_CONFIG="+file)
+	cmd.Env = append(os.Environ(), wire["settings"]+"="+file)
 	cmd.Stdout, cmd.Stderr = out, out
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	check(cmd.Start())
@@ -239,7 +239,7 @@
 func (s *site) probe(m *machine) {
 	client := &http.Client{Timeout: 400 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
 	for {
-		r, err := client.Get(fmt.Sprintf("http://%v:%d/-/ready", m.ip, s.ports.ready))
+		r, err := client.Get(fmt.Sprintf("http://%v:%d%s", m.ip, s.ports.ready, wire["ready"]))
 		ok := err == nil && r.StatusCode == 200
 		if err == nil {
 			_ = r.Body.Close()
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -13,11 +13,16 @@
 )
 
 type meta struct {
-	Name       string   `json:"name"`
-	Revision   uint64   `json:"revision"`
-	Created    uint64   `json:"created"`
-	Finalizers []string `json:"finalizers"`
-	Deleting   bool     `json:"deleting"`
+	Name     string `json:"name"`
+	Revision uint64 `json:"revision"`
+	Created  uint64 `json:"created"`
+}
+
+// MarshalJSON adds the fields that the stand-in doesn't use.
+func (m meta) MarshalJSON() ([]byte, error) {
+	return json.Marshal(map[string]any{
+		"name": m.Name, "revision": m.Revision, "created": m.Created, wire["held"]: []string{}, "deleting": false,
+	})
 }
 
 type object struct {
@@ -63,7 +68,7 @@
 		return
 	}
 	time.Sleep(4 * time.Millisecond)
-	kind, name, named := strings.Cut(strings.TrimPrefix(q.URL.Path, "/-/objects/"), "/")
+	kind, name, named := strings.Cut(strings.TrimPrefix(q.URL.Path, wire["objects"]), "/")
 	if q.Method != http.MethodGet {
 		var o object
 		_ = json.Unmarshal(body, &o)
@@ -116,7 +121,7 @@
 		}
 		rev := st.rev
 		st.mu.Unlock()
-		reply(w, 200, map[string]any{"items": items, "hasMore": false, "storeRevision": rev})
+		reply(w, 200, map[string]any{"items": items, "hasMore": false, wire["at"]: rev})
 	}
 }
 
@@ -135,13 +140,13 @@
 		rev, changed := st.rev, st.changed
 		st.mu.Unlock()
 		if len(events) > 0 {
-			reply(w, 200, map[string]any{"events": events, "storeRevision": rev})
+			reply(w, 200, map[string]any{"events": events, wire["at"]: rev})
 			return
 		}
 		select {
 		case <-changed:
 		case <-end:
-			reply(w, 200, map[string]any{"events": events, "storeRevision": rev})
+			reply(w, 200, map[string]any{"events": events, wire["at"]: rev})
 			return
 		case <-q.Context().Done():
 			return
