Log lines say which service was offered, and whose

The log lines of such a flow fitted two faults equally: a balancer that sends a first packet to the remembered address of an agent that is another one by now, and an agent that takes a flow for an upstream that isn't its own any more. LE2401 said Chosen for both, and none of the lines named a service.

- LE2401 has the service of the offer and the service, name, run and phase that the agent at the address reported last.
A first packet that goes to a remembered agent has the cause Remembered, and that agent's load and age.
- LE2409 names the agent, and has the cause AgentReplaced when an address has changed hands, with its former agent.
- LE2403, LE2404 and LE2405 have the agent's service, the offered one, and the upstream that the agent believes to have: its phase, ID and the age of its registration.
LE2410 has the service.
- LE2414 has the rejected service and what the agent believes.
It was without a bound, and an upstream of another service repeats its registration as long as it runs: after a burst of five it is one line in ten seconds.
- New metrics: flows_remembered and agents_replaced of balancers, flows_refused_other_service and registrations_rejected of agents.

Fields are only appended, and no decision changes.

--- a/internal/lentilevent/catalogue.go
+++ b/internal/lentilevent/catalogue.go
@@ -60,23 +60,32 @@
 		"The winner is the copy whose answer the caller got. See docs/operating/hedging.md.", []string{"id", "copy", "peer", "delayMicros", "winner", "suppressed"}},
 
 	FlowPlaced: {Info, "flow placed", "A balancer sent the first packet of a flow to an agent. The cause ChosenAgain means that another agent refused the flow " +
-		"or did not answer. The load (agentFlows, agentBusy) is the last that the balancer received from the agent, ageMillis ago.",
-		[]string{"flow", "cause", "agent", "version", "agentFlows", "agentBusy", "ageMillis", "refusal"}},
+		"or did not answer, and Remembered that the agent was not chosen anew: it got an earlier first packet with the same ends, of which this one is a copy, or the client uses its port again. " +
+		"The load (agentFlows, agentBusy) is the last that the balancer received from the agent, ageMillis ago. `service` is the service that the offer names; agentService, agentName, agentRun " +
+		"and agentPhase are what the agent at the address reported last. The run is 0 if the agent has sent no status, and the name empty if the balancer knows no agent at the address.",
+		[]string{"flow", "cause", "agent", "version", "agentFlows", "agentBusy", "ageMillis", "refusal", "service", "agentService", "agentName", "agentRun", "agentPhase"}},
 	FlowSought: {Info, "flow lookup started", "A balancer received a packet of an unknown flow and asked the flow's preferred agents whether they hold it. For the cause SoughtWidely it asked all others. The field `agents` is the number of known agents, `heard` the number of those that respond.",
 		[]string{"flow", "cause", "agents", "heard"}},
-	FlowTaken: {Info, "flow accepted", "An agent passed the first packet of a flow to its upstream.", []string{"flow", "balancer", "flows", "busy"}},
-	FlowOpen:  {Info, "flow open", "An agent reported to a balancer that the flow is open at its upstream.", []string{"flow", "balancer", "flows", "busy"}},
-	FlowRefused: {Info, "flow refused", "An agent returned the first packet of a flow. The balancer sends it to another agent, or resets the flow if none is left.",
-		[]string{"flow", "balancer", "refusal", "flows"}},
+	FlowTaken: {Info, "flow accepted", "An agent passed the first packet of a flow to its upstream, or queued it. `service` is the agent's service and `offered` the one that the balancer's offer named. " +
+		"`phase`, `id` and registeredAgoMillis are what the agent knows of its upstream: the phase Unheard and an empty ID mean that none has registered since the agent started.",
+		[]string{"flow", "balancer", "flows", "busy", "service", "offered", "phase", "id", "registeredAgoMillis"}},
+	FlowOpen: {Info, "flow open", "An agent reported to a balancer that the flow is open at its upstream. The last fields are those of LE2403; `offered` is empty unless the report answers a first packet.",
+		[]string{"flow", "balancer", "flows", "busy", "service", "offered", "phase", "id", "registeredAgoMillis"}},
+	FlowRefused: {Info, "flow refused", "An agent returned the first packet of a flow. The balancer sends it to another agent, or resets the flow if none is left. The last fields are those of LE2403; `offered` is empty " +
+		"if the agent had accepted the flow before. With the refusal OtherService, `service` and `offered` differ.",
+		[]string{"flow", "balancer", "refusal", "flows", "service", "offered", "phase", "id", "registeredAgoMillis"}},
 	FlowDenied: {Info, "flow denied", "An agent reported to a balancer that the flow is not open at its upstream, or that it needs a packet of the flow to find out (unsure). One line covers several flows and names the first.",
 		[]string{"flow", "flows", "balancer", "unsure"}},
 	FlowReset: {Info, "flow reset", "The client was sent a reset for the flow. The cause gives the reason. A flow that was not open yet has not run anything.",
 		[]string{"flow", "cause", "refusal"}},
 	FlowDropped: {Info, "packet dropped", "A packet was dropped because it had no destination. Its client was sent no reset, because a destination may become available at any time.",
 		[]string{"flow", "cause"}},
-	AgentNoted:    {Info, "agent changed", "The state of an agent, as known to a balancer, has changed.", []string{"cause", "agent", "phase", "agentFlows", "ageMillis"}},
-	UpstreamNoted: {Info, "upstream changed", "The state of the agent's upstream, or of the agent itself, has changed.", []string{"cause", "phase", "id", "number", "flows"}},
-	PeersRead:     {Info, "peer list read", "The process has read the list of its peers and introduces itself to them.", []string{"peers"}},
+	AgentNoted: {Info, "agent changed", "The state of an agent, as known to a balancer, has changed. The cause AgentReplaced means that a status came from another agent than before at the same address, " +
+		"or for another service: the address has changed hands. The fields previousName and previousService then name the agent before it.",
+		[]string{"cause", "agent", "phase", "agentFlows", "ageMillis", "agentName", "agentService", "agentRun", "previousName", "previousService"}},
+	UpstreamNoted: {Info, "upstream changed", "The state of the agent's upstream, or of the agent itself, has changed. `service` is the agent's.",
+		[]string{"cause", "phase", "id", "number", "flows", "service"}},
+	PeersRead: {Info, "peer list read", "The process has read the list of its peers and introduces itself to them.", []string{"peers"}},
 	PeerForgotten: {Info, "agent entry removed", "An agent has been unresponsive for a long time while enough other agents of its failure domain respond. Its entry is removed from the store.",
 		[]string{"peer"}},
 	StoreLost: {Warn, "store not reachable", "A call to the store failed and is retried. The field `what` names the call. The data read before stays in use.",
@@ -111,8 +120,10 @@
 		"The cause `GraceExpired` with `Ended` means that packets still arrived, or that no router has probed the balancer.", []string{"phase", "cause"}},
 	LedgerRestored: {Info, "flow ledger read", "A starting agent has read the ledger of an earlier run: its `own`, or that of its `group` if it is newer. Its flows are reset, or taken over, once the copy has registered.",
 		[]string{"source", "flows", "upstream", "run", "sequence", "era"}},
-	RegistrationRefused: {Warn, "registration rejected", "An upstream's registration is malformed or for another service, and was ignored.",
-		[]string{"id", "error"}},
+	RegistrationRefused: {Warn, "registration rejected", "An upstream's registration is malformed or for another service, and was ignored. `service` is the rejected one, and empty if it can't be read. The agent's own service is " +
+		"agentService; its upstream is in the phase `phase`, is named agentUpstream and registered registeredAgoMillis ago, if it has registered at all. " +
+		"A registration for another service means that another upstream runs at the addresses of the agent. After the first few, one line in ten seconds.",
+		[]string{"id", "error", "service", "agentService", "phase", "agentUpstream", "registeredAgoMillis", "suppressed"}},
 }
 
 // sortedEvents returns the events ordered by number.
--- a/internal/lentilevent/logger.go
+++ b/internal/lentilevent/logger.go
@@ -105,6 +105,8 @@
 type RateLimiter struct {
 	// Clock is the time source. nil means the system clock.
 	Clock lentilclock.Clock
+	// Interval is the time after which another event is allowed once a burst is used up. Zero is one second.
+	Interval time.Duration
 
 	mu       sync.Mutex
 	limiters map[Event]*eventLimiter
@@ -115,6 +117,13 @@
 	suppressed int
 }
 
+func (l *RateLimiter) rate() rate.Limit {
+	if l.Interval == 0 {
+		return defaultRate
+	}
+	return rate.Every(l.Interval)
+}
+
 // allow reports whether the event may be logged now. If so, it also returns the number
 // of events of this kind that were suppressed since the last allowed one.
 func (l *RateLimiter) allow(event Event) (suppressed int, ok bool) {
@@ -125,7 +134,7 @@
 	}
 	e := l.limiters[event]
 	if e == nil {
-		e = &eventLimiter{limiter: rate.NewLimiter(defaultRate, defaultBurst)}
+		e = &eventLimiter{limiter: rate.NewLimiter(l.rate(), defaultBurst)}
 		l.limiters[event] = e
 	}
 	var clock lentilclock.Clock = lentilclock.System{}
--- a/internal/lentilevent/logger_test.go
+++ b/internal/lentilevent/logger_test.go
@@ -45,6 +45,15 @@
 	if lines := bytes.Count(out.Bytes(), []byte("\n")); lines != 1 || !bytes.Contains(out.Bytes(), []byte(`"suppressed":995`)) {
 		t.Errorf("after a second: got %s, want one line with 995 suppressed events", out.Bytes())
 	}
+	out.Reset()
+	limiter = &RateLimiter{Clock: &clock, Interval: 10 * time.Second}
+	for range 30 {
+		clock.Advance(time.Second)
+		logger.WriteLimited(limiter, PacketRefused)
+	}
+	if lines := bytes.Count(out.Bytes(), []byte("\n")); lines != defaultBurst+2 {
+		t.Errorf("got %d lines in 30 s, want %d: a burst and one in ten seconds", lines, defaultBurst+2)
+	}
 }
 
 func TestCatalogueIsComplete(t *testing.T) {
--- a/internal/lentilmetric/metric.go
+++ b/internal/lentilmetric/metric.go
@@ -66,6 +66,10 @@
 	HedgesOverBudget
 	HedgeShare
 	StoreCalls
+	RefusedOtherService
+	RegistrationRefused
+	FlowsRemembered
+	AgentsReplaced
 )
 
 type metricDoc struct {
@@ -113,6 +117,10 @@
 	LinkUtilization:      {"link_utilization", Gauge, "share", nil, "Share of the rate of the balancer's link that was used in the last second."},
 	LinkFullSeconds:      {"link_full_seconds", Gauge, "seconds", nil, "For how long the balancer's link has been full, or 0 while it is free. It is full while more than 50 ms of datagrams wait, and until that has not been so for 2 s. See docs/operating/scarce-capacity.md."},
 	StoreCalls:           {"store_calls", Counter, "calls", []string{"object", "action"}, "Calls of a process of packet flows to the store, also those that failed: configuration and domains are read or watched; balancers, agents, ledgers and ledgerGroups are read or written."},
+	RefusedOtherService:  {"flows_refused_other_service", Counter, "flows", nil, "First packets of flows that an agent returned because the balancer had offered them for another service than the agent's."},
+	RegistrationRefused:  {"registrations_rejected", Counter, "registrations", []string{"reason"}, "Registrations that an agent of packet flows rejected: for another service than the agent's (service), or malformed (malformed). One for another service means that another upstream runs at the agent's addresses."},
+	FlowsRemembered:      {"flows_remembered", Counter, "packets", nil, "First packets of flows that a balancer sent to the agent that it remembers for an earlier first packet with the same ends: retransmissions, and new flows of clients that use a port again."},
+	AgentsReplaced:       {"agents_replaced", Counter, "agents", nil, "Agents, as known to a balancer, whose address another agent, or one of another service, has taken."},
 	LookupsByKey:         {"lookups_by_key", Counter, "flows", nil, "Lookups of packet flows for which a balancer buffered the packets and asked agents by the flow's key, because its link had no room for copies of the packets."},
 }
 
--- a/internal/lentilpacket/agent.go
+++ b/internal/lentilpacket/agent.go
@@ -33,6 +33,9 @@
 	lingerLimit = 1500 * time.Millisecond
 	// handoverDelay is how long a stopping agent keeps running, so balancers learn that it stops.
 	handoverDelay = 100 * time.Millisecond
+	// rejectedLineInterval is the time between two lines about rejected registrations after the first few. Upstreams
+	// register about once a second.
+	rejectedLineInterval = 10 * time.Second
 )
 
 // Agent runs the agent of packet flows beside its upstream.
@@ -51,7 +54,9 @@
 	actions     []lentilconntrack.Action
 	frameBuffer []byte
 	logLimiter  logLimiter
-	era         lentilera.Tracker
+	// registrationLimiter bounds the lines about rejected registrations. An upstream repeats them for as long as it runs.
+	registrationLimiter lentilevent.RateLimiter
+	era                 lentilera.Tracker
 	// storeState has the latest state of the store that balancers have reported. storeCheckedAt is when a
 	// process last read the store, as far as this agent knows.
 	storeState     lentilflow.StoreState
@@ -337,6 +342,9 @@
 			a.send(lentilframe.AppendTaken(a.frameBuffer[:0], lentilflow.Taken{Key: action.Key, Open: action.Open, Load: a.tracker.LoadFor(action.To)}), action.To)
 		case lentilconntrack.SendRefused:
 			a.Counts.Refused.Add(1)
+			if action.Refusal == lentilflow.OtherService {
+				a.Counts.RefusedOtherService.Add(1)
+			}
 			a.send(lentilframe.AppendRefused(a.frameBuffer[:0], lentilflow.Refused{Reason: action.Refusal, Load: a.tracker.LoadFor(action.To), Packet: action.Packet}), action.To)
 		case lentilconntrack.SendDenied:
 			a.send(lentilframe.AppendDenied(a.frameBuffer[:0], lentilflow.Denied{Keys: action.Keys, Unsure: action.Unsure}), action.To)
--- a/internal/lentilpacket/balancer.go
+++ b/internal/lentilpacket/balancer.go
@@ -310,6 +310,9 @@
 		a := &actions[i]
 		switch a.Kind {
 		case lentilplacement.SendCarry:
+			if a.Cause == lentilplacement.Remembered {
+				b.Counts.Remembered.Add(1)
+			}
 			b.frameBuffer = lentilframe.AppendCarry(b.frameBuffer[:0], a.Carry)
 			b.transmit(b.packetDatagram(a))
 		case lentilplacement.SendRelay:
@@ -335,7 +338,11 @@
 			if a.Cause == lentilplacement.SoughtByKey {
 				b.Counts.SoughtByKey.Add(1)
 			}
-		case lentilplacement.Hold, lentilplacement.ReportAgent, lentilplacement.ReportHedge:
+		case lentilplacement.ReportAgent:
+			if a.Cause == lentilplacement.AgentReplaced {
+				b.Counts.AgentsReplaced.Add(1)
+			}
+		case lentilplacement.Hold, lentilplacement.ReportHedge:
 		}
 		b.logAction(a)
 	}
--- a/internal/lentilpacket/count.go
+++ b/internal/lentilpacket/count.go
@@ -19,6 +19,13 @@
 	Malformed, Unsent atomic.Uint64
 	// Resets counts flows that were reset, and Refused first packets that an agent returned to the balancer.
 	Resets, Refused atomic.Uint64
+	// RefusedOtherService counts those of Refused that were offered for another service than the agent's.
+	RefusedOtherService atomic.Uint64
+	// RegistrationsOtherService and RegistrationsMalformed count the registrations that an agent has rejected.
+	RegistrationsOtherService, RegistrationsMalformed atomic.Uint64
+	// Remembered counts first packets that a balancer sent to the agent of an earlier one with the same ends, and AgentsReplaced
+	// the agents whose address another one, or one of another service, has taken.
+	Remembered, AgentsReplaced atomic.Uint64
 	// HedgesSent, HedgesWon and HedgesOverBudget are lentilplacement.HedgeCounts. hedgeShare holds the bits
 	// of the share of extra offers.
 	HedgesSent, HedgesWon, HedgesOverBudget atomic.Uint64
@@ -70,6 +77,11 @@
 	poller.AddGauge(registry.Gauge(lentilmetric.HedgeShare), func() float64 { return math.Float64frombits(c.hedgeShare.Load()) })
 	poller.AddCounter(registry.Counter(lentilmetric.FlowsReset), c.Resets.Load, nil)
 	poller.AddCounter(registry.Counter(lentilmetric.FlowsRefused), c.Refused.Load, nil)
+	poller.AddCounter(registry.Counter(lentilmetric.RefusedOtherService), c.RefusedOtherService.Load, nil)
+	poller.AddCounter(registry.Counter(lentilmetric.RegistrationRefused, "service"), c.RegistrationsOtherService.Load, nil)
+	poller.AddCounter(registry.Counter(lentilmetric.RegistrationRefused, "malformed"), c.RegistrationsMalformed.Load, nil)
+	poller.AddCounter(registry.Counter(lentilmetric.FlowsRemembered), c.Remembered.Load, nil)
+	poller.AddCounter(registry.Counter(lentilmetric.AgentsReplaced), c.AgentsReplaced.Load, nil)
 	c.Store.export(registry, poller)
 	if c.Link != nil {
 		c.Link.export(registry, poller)
--- a/internal/lentilpacket/log.go
+++ b/internal/lentilpacket/log.go
@@ -6,6 +6,7 @@
 
 	"lentilstair.example/lentilstair/internal/lentilevent"
 	"lentilstair.example/lentilstair/pkg/lentilconntrack"
+	"lentilstair.example/lentilstair/pkg/lentilflow"
 	"lentilstair.example/lentilstair/pkg/lentilplacement"
 )
 
@@ -50,11 +51,14 @@
 func (b *Balancer) logAction(a *lentilplacement.Action) {
 	flow, cause := lentilevent.Str("flow", a.Key.String()), lentilevent.Str("cause", a.Cause.String())
 	switch {
-	case a.Kind == lentilplacement.SendCarry && (a.Cause == lentilplacement.Chosen || a.Cause == lentilplacement.ChosenAgain || a.Cause == lentilplacement.Hedged):
+	case a.Kind == lentilplacement.SendCarry && a.Carry.Purpose == lentilflow.Place:
+		status, age, _ := b.placer.LastStatus(a.To)
 		b.logLimiter.write(b.Logger, lentilevent.FlowPlaced, flow, cause, lentilevent.Addr("agent", a.To.AddrPort()),
-			lentilevent.Uint("version", a.Carry.Version), lentilevent.Int("agentFlows", int(a.Load.Flows)),
-			lentilevent.Int("agentBusy", int(a.Load.InFlight)), lentilevent.Int("ageMillis", int(a.AgeMillis)),
-			lentilevent.Str("refusal", a.Refusal.String()))
+			lentilevent.Uint("version", a.Carry.Version), lentilevent.Int("agentFlows", int(status.Load.Flows)),
+			lentilevent.Int("agentBusy", int(status.Load.InFlight)), lentilevent.Duration("ageMillis", age),
+			lentilevent.Str("refusal", a.Refusal.String()), lentilevent.Str("service", a.Carry.Service),
+			lentilevent.Str("agentService", status.Service), lentilevent.Str("agentName", status.Name), lentilevent.Uint("agentRun", status.RunID),
+			lentilevent.Str("agentPhase", status.Phase.String()))
 	case a.Kind == lentilplacement.ReportLookup && a.Cause == lentilplacement.SoughtByKey:
 		known, responsive := b.placer.AgentCounts()
 		b.logLimiter.write(b.Logger, lentilevent.FlowSoughtByKey, flow, lentilevent.Int("buffered", b.placer.BufferedBytes()),
@@ -75,8 +79,16 @@
 	case a.Kind == lentilplacement.Hold:
 		b.logLimiter.write(b.Logger, lentilevent.FlowHeld, flow, cause)
 	case a.Kind == lentilplacement.ReportAgent:
-		b.Logger.Write(lentilevent.AgentNoted, cause, lentilevent.Addr("agent", a.To.AddrPort()), lentilevent.Str("phase", a.Phase.String()),
-			lentilevent.Int("agentFlows", int(a.Load.Flows)), lentilevent.Int("ageMillis", int(a.AgeMillis)))
+		status, _, _ := b.placer.LastStatus(a.To)
+		fields := []lentilevent.Field{
+			cause, lentilevent.Addr("agent", a.To.AddrPort()), lentilevent.Str("phase", a.Phase.String()),
+			lentilevent.Int("agentFlows", int(a.Load.Flows)), lentilevent.Int("ageMillis", int(a.AgeMillis)),
+			lentilevent.Str("agentName", status.Name), lentilevent.Str("agentService", status.Service), lentilevent.Uint("agentRun", status.RunID),
+		}
+		if a.Cause == lentilplacement.AgentReplaced {
+			fields = append(fields, lentilevent.Str("previousName", a.PreviousName), lentilevent.Str("previousService", a.PreviousService))
+		}
+		b.Logger.Write(lentilevent.AgentNoted, fields...)
 	}
 }
 
@@ -89,11 +101,17 @@
 		if action.Open {
 			event = lentilevent.FlowOpen
 		}
-		a.logLimiter.write(a.Logger, event, flow, lentilevent.Addr("balancer", action.To.AddrPort()),
-			lentilevent.Int("flows", a.tracker.OpenFlows()), lentilevent.Int("busy", int(a.tracker.Load().InFlight)))
+		fields := []lentilevent.Field{
+			flow, lentilevent.Addr("balancer", action.To.AddrPort()),
+			lentilevent.Int("flows", a.tracker.OpenFlows()), lentilevent.Int("busy", int(a.tracker.Load().InFlight)),
+		}
+		a.logLimiter.write(a.Logger, event, append(fields, a.upstreamFields(action)...)...)
 	case lentilconntrack.SendRefused:
-		a.logLimiter.write(a.Logger, lentilevent.FlowRefused, flow, lentilevent.Addr("balancer", action.To.AddrPort()),
-			lentilevent.Str("refusal", action.Refusal.String()), lentilevent.Int("flows", a.tracker.OpenFlows()))
+		fields := []lentilevent.Field{
+			flow, lentilevent.Addr("balancer", action.To.AddrPort()),
+			lentilevent.Str("refusal", action.Refusal.String()), lentilevent.Int("flows", a.tracker.OpenFlows()),
+		}
+		a.logLimiter.write(a.Logger, lentilevent.FlowRefused, append(fields, a.upstreamFields(action)...)...)
 	case lentilconntrack.SendDenied:
 		// One line covers all flows of the message, as there may be thousands of denials in a second.
 		a.logLimiter.write(a.Logger, lentilevent.FlowDenied, lentilevent.Str("flow", action.Keys[0].String()), lentilevent.Int("flows", len(action.Keys)),
@@ -106,6 +124,34 @@
 	case lentilconntrack.ReportStateChange:
 		id, number := a.tracker.LastRegistration()
 		a.Logger.Write(lentilevent.UpstreamNoted, cause, lentilevent.Str("phase", a.tracker.Phase().String()),
-			lentilevent.Str("id", id), lentilevent.Int("number", int(number)), lentilevent.Int("flows", a.tracker.OpenFlows()))
+			lentilevent.Str("id", id), lentilevent.Int("number", int(number)), lentilevent.Int("flows", a.tracker.OpenFlows()),
+			lentilevent.Str("service", a.tracker.Service))
+	}
+}
+
+// upstreamFields returns what the agent believes about its upstream when it answers an offer, and the service that the offer names.
+func (a *Agent) upstreamFields(action *lentilconntrack.Action) []lentilevent.Field {
+	id, _ := a.tracker.LastRegistration()
+	age, _ := a.tracker.RegistrationAge()
+	return []lentilevent.Field{
+		lentilevent.Str("service", a.tracker.Service), lentilevent.Str("offered", action.Service), lentilevent.Str("phase", a.tracker.Phase().String()),
+		lentilevent.Str("id", id), lentilevent.Duration("registeredAgoMillis", age),
+	}
+}
+
+// RefuseRegistration records that the registration of the upstream id for a service was rejected because of err.
+func (a *Agent) RefuseRegistration(id, service string, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	ownID, _ := a.tracker.LastRegistration()
+	age, _ := a.tracker.RegistrationAge()
+	a.registrationLimiter.Interval = rejectedLineInterval
+	if service == "" || service == a.Settings.Service() {
+		a.Counts.RegistrationsMalformed.Add(1)
+	} else {
+		a.Counts.RegistrationsOtherService.Add(1)
 	}
+	a.Logger.WriteLimited(&a.registrationLimiter, lentilevent.RegistrationRefused, lentilevent.Str("id", id), lentilevent.Err(err),
+		lentilevent.Str("service", service), lentilevent.Str("agentService", a.Settings.Service()), lentilevent.Str("phase", a.tracker.Phase().String()),
+		lentilevent.Str("agentUpstream", ownID), lentilevent.Duration("registeredAgoMillis", age))
 }
--- a/pkg/lentilconntrack/action.go
+++ b/pkg/lentilconntrack/action.go
@@ -84,6 +84,8 @@
 	Kind    ActionKind
 	Cause   Cause
 	Refusal lentilflow.Refusal
+	// Service is the service that the offer of a new flow names. It is set in a SendTaken and a SendRefused that answer one.
+	Service string
 	// Open is set in a SendTaken if the flow is open, not half-open.
 	Open bool
 	// Unsure and Keys are set for SendDenied. Unsure means that the agent can't exclude that its upstream
--- a/pkg/lentilconntrack/report.go
+++ b/pkg/lentilconntrack/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"time"
 
 	"lentilstair.example/lentilstair/pkg/lentilflow"
 )
@@ -34,6 +35,15 @@
 // Phase returns the phase of the upstream.
 func (t *Tracker) Phase() lentilflow.Phase { return t.upstream.phase }
 
+// RegistrationAge returns the time since the upstream's last registration, without the pauses of the agent. ok is false if the
+// upstream hasn't registered since the agent started.
+func (t *Tracker) RegistrationAge() (age time.Duration, ok bool) {
+	if t.upstream.id == "" {
+		return 0, false
+	}
+	return t.now().Sub(t.upstream.registeredAt), true
+}
+
 // Out reports whether the failure domain is out of service.
 func (t *Tracker) Out() bool { return t.out }
 
--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -212,7 +212,7 @@
 			t.expectReply(now)
 			actions = append(actions, Action{Kind: ToUpstream, Key: packet.Key, Packet: m.Packet})
 		}
-		return append(actions, Action{Kind: SendTaken, To: from, Key: packet.Key, Open: f.state == open})
+		return append(actions, Action{Kind: SendTaken, To: from, Key: packet.Key, Service: m.Service, Open: f.state == open})
 	}
 	t.removeFlow(packet.Key)
 	refusal, wait := t.admission(now, m, packet)
@@ -220,7 +220,7 @@
 		actions = append(actions, Action{Kind: ReportQueueShare, Key: packet.Key, Share: share})
 	}
 	if refusal != lentilflow.NotRefused {
-		return append(actions, Action{Kind: SendRefused, To: from, Key: packet.Key, Refusal: refusal, Packet: m.Packet})
+		return append(actions, Action{Kind: SendRefused, To: from, Key: packet.Key, Service: m.Service, Refusal: refusal, Packet: m.Packet})
 	}
 	f = &flow{
 		balancer: from, lastUsed: now, firstPacket: slices.Clone(m.Packet), firstSequence: packet.Sequence, firstSeen: true, waiting: wait,
@@ -231,7 +231,7 @@
 	if !wait {
 		actions = t.openAtUpstream(now, packet.Key, f, actions)
 	}
-	return append(actions, Action{Kind: SendTaken, To: from, Key: packet.Key})
+	return append(actions, Action{Kind: SendTaken, To: from, Key: packet.Key, Service: m.Service})
 }
 
 // handleLater handles a packet of a flow that the client considers open.
--- a/pkg/lentilplacement/action.go
+++ b/pkg/lentilplacement/action.go
@@ -92,6 +92,11 @@
 	BufferFull
 	// Hedged means that the first agent took longer than nearly all agents take, and a second one gets the flow too.
 	Hedged
+	// Remembered means that an earlier first packet with the same ends went to the agent. It is a retransmission, or the client uses
+	// its port again.
+	Remembered
+	// AgentReplaced means that another agent, or one of another service, has the address of a known one.
+	AgentReplaced
 )
 
 // Action is one thing for the balancer to do.
@@ -114,4 +119,6 @@
 	Latency time.Duration
 	// Hedge describes the extra offer of a ReportHedge.
 	Hedge *HedgeReport
+	// PreviousName and PreviousService are those of the agent that had the address before. They are set if Cause is AgentReplaced.
+	PreviousName, PreviousService string
 }
--- a/pkg/lentilplacement/agent.go
+++ b/pkg/lentilplacement/agent.go
@@ -126,6 +126,10 @@
 	}
 	changed := previous.RunID != m.RunID || previous.Phase != m.Phase || previous.Out != m.Out || previous.Stopping != m.Stopping || previous.Cold != m.Cold
 	switch {
+	case replaces(m, previous):
+		return append(actions, Action{
+			Kind: ReportAgent, Cause: AgentReplaced, To: from, Phase: m.Phase, Load: m.Load, PreviousName: previous.Name, PreviousService: previous.Service,
+		})
 	case appeared:
 		return append(actions, Action{Kind: ReportAgent, Cause: AgentHeard, To: from, Phase: m.Phase, Load: m.Load})
 	case changed:
@@ -134,6 +138,24 @@
 	return actions
 }
 
+// replaces reports whether the status m is from another agent than the previous one at the same address, or for another service.
+func replaces(m, previous lentilflow.Status) bool {
+	return previous.Name != "" && m.Name != previous.Name || previous.Service != "" && m.Service != previous.Service
+}
+
+// LastStatus returns the last status of an agent, updated by its later answers, and the time since it was last seen. For an agent
+// that is only listed, the status has no run ID, and age is zero. ok is false if no agent is known at the address.
+func (p *Placer) LastStatus(addr lentilflow.Endpoint) (status lentilflow.Status, age time.Duration, ok bool) {
+	a := p.agents[addr]
+	if a == nil {
+		return status, 0, false
+	}
+	if a.seen() {
+		age = p.now().Sub(a.lastSeen)
+	}
+	return a.status, age, true
+}
+
 // ExpireAgents removes agents that have been gone for longer than expireAfter, and returns their names.
 func (p *Placer) ExpireAgents() (names []string) {
 	now := p.now()
--- a/pkg/lentilplacement/enum_string.go
+++ b/pkg/lentilplacement/enum_string.go
@@ -60,11 +60,13 @@
 	_ = x[SoughtByKey-20]
 	_ = x[BufferFull-21]
 	_ = x[Hedged-22]
+	_ = x[Remembered-23]
+	_ = x[AgentReplaced-24]
 }
 
-const _Cause_name = "NoCauseChosenChosenAgainSoughtSoughtWidelyFoundNoRouteNoConfigurationNoAgentAllRefusedAllDeniedHolderGoneClientGoneHolderDeniedAskedAlreadyTooManyAskedAgentHeardAgentSilentMachineAnsweredAgentChangedSoughtByKeyBufferFullHedged"
+const _Cause_name = "NoCauseChosenChosenAgainSoughtSoughtWidelyFoundNoRouteNoConfigurationNoAgentAllRefusedAllDeniedHolderGoneClientGoneHolderDeniedAskedAlreadyTooManyAskedAgentHeardAgentSilentMachineAnsweredAgentChangedSoughtByKeyBufferFullHedgedRememberedAgentReplaced"
 
-var _Cause_index = [...]uint8{0, 7, 13, 24, 30, 42, 47, 54, 69, 76, 86, 95, 105, 115, 127, 139, 151, 161, 172, 187, 199, 210, 220, 226}
+var _Cause_index = [...]uint8{0, 7, 13, 24, 30, 42, 47, 54, 69, 76, 86, 95, 105, 115, 127, 139, 151, 161, 172, 187, 199, 210, 220, 226, 236, 249}
 
 func (i Cause) String() string {
 	idx := int(i) - 0
--- a/pkg/lentilplacement/placement.go
+++ b/pkg/lentilplacement/placement.go
@@ -273,7 +273,7 @@
 		return p.place(now, packet.Key, f, ChosenAgain, actions)
 	default:
 		// Retransmissions go to the same agent, since the client may already have its upstream's reply.
-		return append(actions, p.placeAction(now, f.agent, packet.Key, f, data, Chosen, true))
+		return append(actions, p.placeAction(now, f.agent, packet.Key, f, data, Remembered, true))
 	}
 }
 
