lentilplacement: failing tests of first packets at addresses that changed hands

A balancer sends the first packet of a flow whose ends it remembers to the agent that had them before, and names the service that it last heard of at that address.

--- /dev/null
+++ b/pkg/lentilplacement/reuse_test.go
@@ -0,0 +1,110 @@
+package lentilplacement
+
+import (
+	"testing"
+	"time"
+
+	"lentilstair.example/lentilstair/pkg/lentilflow"
+)
+
+// offers returns the services under which actions offer a flow, by agent.
+func offers(actions []Action) map[lentilflow.Endpoint]string {
+	services := make(map[lentilflow.Endpoint]string)
+	for _, a := range actions {
+		if a.Kind == SendCarry && a.Carry.Purpose == lentilflow.Place {
+			services[a.To] = a.Carry.Service
+		}
+	}
+	return services
+}
+
+// TestFirstPacketAtReusedAddress guards against first packets that run at another service, whose agent has taken over the
+// address of the agent that the balancer remembers for the flow.
+func TestFirstPacketAtReusedAddress(t *testing.T) {
+	replaced := func(m *lentilflow.Status) { m.Name, m.Service, m.RunID = "agent-5", "b", 2 }
+	for _, c := range []struct {
+		name    string
+		prepare func(h *harness)
+	}{
+		{"offered", func(*harness) {}},
+		{"taken", func(h *harness) { h.answerTaken(1, false) }},
+		{"taken long ago", func(h *harness) {
+			h.answerTaken(1, false)
+			h.advance(3*time.Second, 1, 2, 3, 4)
+		}},
+		{"open", func(h *harness) { h.answerTaken(1, true) }},
+		{"open, and found by a lookup", func(h *harness) {
+			h.flows.Delete(flowKey(testFlow))
+			h.sendPacket(laterPacket(testFlow))
+			h.answerTaken(1, true)
+		}},
+		{"open, and the agent was gone for long", func(h *harness) {
+			h.answerTaken(1, true)
+			h.advance(expireAfter+goneAfter+time.Second, 2, 3, 4)
+			h.ExpireAgents()
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.sendPacket(firstPacket(testFlow))
+			c.prepare(h)
+			h.sendStatus(1, replaced)
+			actions, err := h.HandlePacket(firstPacket(testFlow), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got := offers(actions)
+			if len(got) != 1 {
+				t.Errorf("%d offers, want 1: %s", len(got), describe(actions))
+			}
+			for to, service := range got {
+				if service != "a" || to == agentAddress(1) {
+					t.Errorf("offered to %s for service %q, want another agent and service a", to, service)
+				}
+			}
+		})
+	}
+}
+
+// TestOfferNamesServiceOfRoute guards against an agent that can't see that a flow is meant for another service, since the offer
+// names the service that the balancer last heard of at the agent's address.
+func TestOfferNamesServiceOfRoute(t *testing.T) {
+	h := newHarness(t)
+	h.sendPacket(firstPacket(testFlow))
+	// The agent at the address serves b by now, and the balancer hasn't heard of it.
+	h.sendStatus(1, func(m *lentilflow.Status) { m.Phase = lentilflow.Draining })
+	actions, err := h.HandlePacket(firstPacket(testFlow), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := offers(actions)[agentAddress(1)]; got != "a" {
+		t.Errorf("a copy of the first packet: got service %q, want a: %s", got, describe(actions))
+	}
+	if got := h.answerRefused(1, lentilflow.OtherService); got != "place to 2" {
+		t.Errorf("after a refusal: got %q, want it placed at agent 2", got)
+	}
+}
+
+// TestPortUsedAgainAfterRouteChange guards against a new flow that goes to the service that its route had before, or that runs
+// although its route was removed, because its client's port was used before.
+func TestPortUsedAgainAfterRouteChange(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		services []string
+		want     string
+	}{
+		{"other service", []string{"b"}, "place to 4"},
+		{"route removed", nil, "reset NoRoute 0"},
+		{"service kept", []string{"a", "b"}, "place to 1"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.sendPacket(firstPacket(testFlow))
+			h.answerTaken(1, true)
+			h.configure(2, c.services...)
+			if got := h.sendPacket(firstPacket(testFlow)); got != c.want {
+				t.Errorf("got %q, want %q", got, c.want)
+			}
+		})
+	}
+}
