lentilplacement: a first packet is offered for a service of its route

Cause: placeAction named the service of the last status that was heard at the agent's address. A first packet whose ends the balancer remembered went to the remembered address without a new choice: a retransmission, or the first packet of a client that uses its port again. If the agent of another service had taken over the address by then, the offer named that service, so the agent's own check of the service passed.

The service of an offer is now the one that was drawn from the route, kept with the flow and with an extra offer. A remembered agent gets another first packet only while it serves the flow's service and the route sends new flows there; otherwise the flow is placed anew. An agent that has changed without the balancer's knowledge now sees that the offer is for another service, and refuses it.

Ruled out: choices among the agents of a service. They read the same status as the offer.

--- a/pkg/lentilplacement/agent.go
+++ b/pkg/lentilplacement/agent.go
@@ -86,6 +86,14 @@
 	p.agentsByService = nil
 }
 
+// serviceOf returns the service that an agent has reported last.
+func (p *Placer) serviceOf(addr lentilflow.Endpoint) string {
+	if a := p.agents[addr]; a != nil {
+		return a.status.Service
+	}
+	return ""
+}
+
 // AgentCounts returns the numbers of known and of responsive agents.
 func (p *Placer) AgentCounts() (known, responsive int) {
 	now := p.now()
--- a/pkg/lentilplacement/choose.go
+++ b/pkg/lentilplacement/choose.go
@@ -8,13 +8,29 @@
 	"lentilstair.example/lentilstair/pkg/lentilflow"
 )
 
-// chooseAgent returns the agent where a new flow is expected to wait least, or nil. It draws one of the
-// address's services by weight, and takes another one if no agent of that service accepts flows.
-func (p *Placer) chooseAgent(now time.Time, key lentilflow.Key, backends []lentilflow.Backend, tried []lentilflow.Endpoint) (addr lentilflow.Endpoint, a *agent) {
-	total := 0
+// choice is the agent that is chosen for a new flow, and the service of the route that it is chosen for. The zero choice has no
+// agent.
+type choice struct {
+	addr    lentilflow.Endpoint
+	agent   *agent
+	service string
+}
+
+// totalWeight returns the sum of the backends' weights.
+func totalWeight(backends []lentilflow.Backend) (total int) {
 	for _, b := range backends {
 		total += b.Weight
 	}
+	return total
+}
+
+// getsFlows reports whether a backend of a route whose weights add up to total gets new flows.
+func getsFlows(b lentilflow.Backend, total int) bool { return b.Weight > 0 || total == 0 }
+
+// chooseAgent returns the agent where a new flow is expected to wait least, if there is one. It draws one of the
+// address's services by weight, and takes another one if no agent of that service accepts flows.
+func (p *Placer) chooseAgent(now time.Time, key lentilflow.Key, backends []lentilflow.Backend, tried []lentilflow.Endpoint) (chosen choice) {
+	total := totalWeight(backends)
 	draw := p.random() * float64(total)
 	first := 0
 	for i, b := range backends {
@@ -25,14 +41,14 @@
 	}
 	for i := range backends {
 		b := backends[(first+i)%len(backends)]
-		if b.Weight == 0 && total > 0 {
+		if !getsFlows(b, total) {
 			continue
 		}
-		if addr, a = p.cheapestAgent(now, key, b.Service, tried); a != nil {
-			return addr, a
+		if addr, a := p.cheapestAgent(now, key, b.Service, tried); a != nil {
+			return choice{addr: addr, agent: a, service: b.Service}
 		}
 	}
-	return addr, nil
+	return chosen
 }
 
 // cheapestAgent returns the agent with the lowest cost among the key's candidates, or draws one by expected time. If none of them accepts
--- a/pkg/lentilplacement/flow.go
+++ b/pkg/lentilplacement/flow.go
@@ -12,6 +12,9 @@
 	state flowState
 	// agent is the agent that holds the flow, or to which its first packet was sent last.
 	agent lentilflow.Endpoint
+	// service is the service for which the agent was chosen or, if the agent has confirmed that it holds the flow, the one that it
+	// then served.
+	service string
 	// firstPacket is the packet that opens the flow, kept until the flow is known to be open.
 	firstPacket []byte
 	// since is when the client first asked for the flow.
--- a/pkg/lentilplacement/hedge.go
+++ b/pkg/lentilplacement/hedge.go
@@ -33,8 +33,10 @@
 // hedgeOffer is the extra offer of a flow.
 type hedgeOffer struct {
 	first, extra lentilflow.Endpoint
-	at           time.Time
-	delay        time.Duration
+	// service is the service for which extra was chosen.
+	service string
+	at      time.Time
+	delay   time.Duration
 	// promoted is set once the extra agent has taken the place of the first in the flow's state.
 	promoted bool
 }
@@ -150,17 +152,18 @@
 	default:
 		return actions
 	}
-	addr, a := p.chooseAgent(now, d.key, p.configuration.Backends(d.key.Service()), f.triedAgents)
+	extra := p.chooseAgent(now, d.key, p.configuration.Backends(d.key.Service()), f.triedAgents)
+	addr, a := extra.addr, extra.agent
 	if a == nil || a.status.Phase != lentilflow.Ready || a.suspected || a.unresponsive(now) {
 		return actions
 	}
 	p.hedger.policy.RecordExtra()
 	p.hedger.counts.Sent++
-	f.hedge = &hedgeOffer{first: f.agent, extra: addr, at: now, delay: now.Sub(f.sentAt)}
+	f.hedge = &hedgeOffer{first: f.agent, extra: addr, service: extra.service, at: now, delay: now.Sub(f.sentAt)}
 	f.triedAgents, f.possibleHolders = append(f.triedAgents, addr), append(f.possibleHolders, addr)
 	a.flowsSent++
 	// An extra offer doesn't wait for a slot.
-	action := p.placeAction(now, addr, d.key, f, f.firstPacket, Hedged, false)
+	action := p.placeAction(now, extra, d.key, f, f.firstPacket, Hedged, false)
 	action.Load, action.AgeMillis = a.status.Load, now.Sub(a.lastSeen).Milliseconds()
 	return append(actions, action)
 }
@@ -223,7 +226,7 @@
 		return false
 	}
 	f.hedge.promoted = true
-	f.agent, f.sentAt = f.hedge.extra, f.hedge.at
+	f.agent, f.service, f.sentAt = f.hedge.extra, f.hedge.service, f.hedge.at
 	return true
 }
 
--- a/pkg/lentilplacement/place.go
+++ b/pkg/lentilplacement/place.go
@@ -24,16 +24,17 @@
 	if !mayWait {
 		excluded = slices.Concat(f.triedAgents, f.busyAgents)
 	}
-	addr, a := p.chooseAgent(now, key, backends, excluded)
-	if a == nil && !mayWait && len(f.busyAgents) > 0 {
+	chosen := p.chooseAgent(now, key, backends, excluded)
+	if chosen.agent == nil && !mayWait && len(f.busyAgents) > 0 {
 		mayWait = true
-		addr, a = p.chooseAgent(now, key, backends, f.triedAgents)
+		chosen = p.chooseAgent(now, key, backends, f.triedAgents)
 	}
+	addr, a := chosen.addr, chosen.agent
 	if a == nil || len(f.triedAgents) >= maxTries || f.fullRefusals >= maxFullRefusals {
 		return p.abandonPlacement(now, key, f, NoAgent, actions)
 	}
 	delete(p.heldPlacements, key)
-	f.state, f.agent, f.sentAt = statePlacing, addr, now
+	f.state, f.agent, f.service, f.sentAt = statePlacing, addr, chosen.service, now
 	if len(f.triedAgents)+len(f.busyAgents) == 0 {
 		f.firstOfferTo, f.firstOfferAt = addr, now
 	}
@@ -45,7 +46,7 @@
 	a.flowsSent++
 	a.recordSent(now)
 	p.recordOffer(now, key, f)
-	action := p.placeAction(now, addr, key, f, f.firstPacket, cause, mayWait)
+	action := p.placeAction(now, chosen, key, f, f.firstPacket, cause, mayWait)
 	action.Load, action.AgeMillis, action.Refusal = a.status.Load, now.Sub(a.lastSeen).Milliseconds(), f.lastRefusal
 	return append(actions, action)
 }
@@ -95,17 +96,29 @@
 	f.state, f.sentAt, f.triedAgents, f.busyAgents, f.fullRefusals = statePlacing, now, nil, nil, 0
 }
 
-// placeAction returns the action that offers a new flow to an agent. mayWait allows the agent to hold the flow
-// until its upstream has room.
-func (p *Placer) placeAction(now time.Time, to lentilflow.Endpoint, key lentilflow.Key, f *flow, data []byte, cause Cause, mayWait bool) Action {
-	c := lentilflow.Carry{Purpose: lentilflow.Place, Version: p.configuration.Version(), Packet: data}
-	if a := p.agents[to]; a != nil {
-		c.Service = a.status.Service
-		c.ColdRate = float32(p.configuration.ColdRate(c.Service))
-		if a.status.UnderstandsTerms {
-			c.Terms, c.Age, c.MayWait, c.LastResort = p.configuration.Terms(key.Service()), now.Sub(f.since), mayWait, f.lastResort
-			c.MayQueue = p.ChooseBy == ByExpectedWait
-		}
+// placeAction returns the action that offers a new flow to an agent. It names the service that was chosen from the route, never
+// the one that was last heard of at the address, so that the agent can tell that the flow is meant for another one. mayWait
+// allows the agent to hold the flow until its upstream has room.
+func (p *Placer) placeAction(now time.Time, to choice, key lentilflow.Key, f *flow, data []byte, cause Cause, mayWait bool) Action {
+	c := lentilflow.Carry{
+		Purpose: lentilflow.Place, Service: to.service, Version: p.configuration.Version(), ColdRate: float32(p.configuration.ColdRate(to.service)), Packet: data,
+	}
+	if to.agent.status.UnderstandsTerms {
+		c.Terms, c.Age, c.MayWait, c.LastResort = p.configuration.Terms(key.Service()), now.Sub(f.since), mayWait, f.lastResort
+		c.MayQueue = p.ChooseBy == ByExpectedWait
+	}
+	return Action{Kind: SendCarry, Cause: cause, To: to.addr, Key: key, Carry: c}
+}
+
+// remembered returns the agent of a flow for another offer. ok is false if the agent isn't known any more, if another
+// service's agent has its address, or if the route doesn't send new flows to its service any more.
+func (p *Placer) remembered(key lentilflow.Key, f *flow) (to choice, ok bool) {
+	a := p.agents[f.agent]
+	if a == nil || a.status.Service != f.service {
+		return to, false
 	}
-	return Action{Kind: SendCarry, Cause: cause, To: to, Key: key, Carry: c}
+	backends := p.configuration.Backends(key.Service())
+	total := totalWeight(backends)
+	ok = slices.ContainsFunc(backends, func(b lentilflow.Backend) bool { return b.Service == f.service && getsFlows(b, total) })
+	return choice{addr: f.agent, agent: a, service: f.service}, ok
 }
--- a/pkg/lentilplacement/placement.go
+++ b/pkg/lentilplacement/placement.go
@@ -260,28 +260,38 @@
 
 // handleFirstPacket places a new flow, or forwards a retransmitted first packet.
 func (p *Placer) handleFirstPacket(now time.Time, packet lentilflow.Packet, data []byte, actions []Action) []Action {
-	f := p.flows.Get(now, packet.Key)
-	switch {
-	case f == nil || f.state == stateLookup || f.state == stateKnown && p.endedWithAgent(now, f.agent):
+	key := packet.Key
+	f := p.flows.Get(now, key)
+	if f == nil || p.opensAnew(now, key, f) {
 		f = &flow{state: statePlacing, firstPacket: slices.Clone(data), since: now.Add(-packet.OpeningAge)}
-		p.flows.Put(now, packet.Key, f)
-		return p.place(now, packet.Key, f, Chosen, actions)
-	case p.heldPlacements[packet.Key] == f:
+		p.flows.Put(now, key, f)
+		return p.place(now, key, f, Chosen, actions)
+	}
+	if p.heldPlacements[key] == f {
 		return actions
-	case f.state == statePlacing && now.Sub(f.sentAt) >= p.offerTimeout() && p.mayOfferAgain(now, f) && !p.awaitsHedge(now, f),
-		f.state == statePlaced && p.leaves(f.agent):
-		return p.place(now, packet.Key, f, ChosenAgain, actions)
-	default:
-		// Retransmissions go to the same agent, since the client may already have its upstream's reply.
-		return append(actions, p.placeAction(now, f.agent, packet.Key, f, data, Remembered, true))
 	}
+	if f.state == statePlacing && now.Sub(f.sentAt) >= p.offerTimeout() && p.mayOfferAgain(now, f) && !p.awaitsHedge(now, f) {
+		return p.place(now, key, f, ChosenAgain, actions)
+	}
+	to, ok := p.remembered(key, f)
+	if !ok || f.state == statePlaced && to.agent.status.Stopping {
+		// The answer of a stopping agent's upstream may find nobody to forward it.
+		return p.place(now, key, f, ChosenAgain, actions)
+	}
+	// Retransmissions go to the same agent, since the client may already have its upstream's reply.
+	return append(actions, p.placeAction(now, to, key, f, data, Remembered, true))
 }
 
-// leaves reports whether an agent is stopping, or isn't known any more. The answer of its upstream to a first packet may then
-// find nobody to forward it.
-func (p *Placer) leaves(addr lentilflow.Endpoint) bool {
-	a := p.agents[addr]
-	return a == nil || a.status.Stopping
+// opensAnew reports whether the first packet of a flow with the ends of a cached one is placed as that of a new flow.
+func (p *Placer) opensAnew(now time.Time, key lentilflow.Key, f *flow) bool {
+	_, ok := p.remembered(key, f)
+	switch {
+	case f.state == stateLookup:
+		return true
+	case f.state == stateKnown:
+		return !ok || p.endedWithAgent(now, f.agent)
+	}
+	return !ok && p.heldPlacements[key] != f && now.Sub(f.since) > lentilflow.OpeningPatience
 }
 
 // HandleTaken records that an agent holds a flow. If the agent was asked for the flow without a packet,
@@ -308,8 +318,11 @@
 		}
 		actions = p.releaseBuffered(from, m.Key, f, lentilflow.Owned, actions)
 		delete(p.lookups, m.Key)
-		*f = flow{state: stateKnown, agent: from}
+		*f = flow{state: stateKnown, agent: from, service: p.serviceOf(from)}
 	case f.state == statePlacing:
+		if from != f.agent {
+			f.service = p.serviceOf(from)
+		}
 		f.state, f.agent = statePlaced, from
 		actions = append(actions, Action{Kind: ReportPlaced, To: from, Key: m.Key, Latency: now.Sub(f.sentAt)})
 	}
