lentilconntrack: first packets only while the agent's own upstream has its address

Cause: an agent passed first packets on to whoever listened at its upstream's address. It took new flows from its start on, before any upstream had registered (phase Unheard), and for 2.5 renewal intervals (3 s) after the last registration, while addresses go to another service after 2 s. An agent that lived on, or was restarted, beside an upstream of another service sent it the flows of its own service, and only logged that it rejected the other one's registrations. Copies of first packets passed without any check.

Pauses of the agent count in full. Packets of open flows go on as before.

Ruled out: to take a rejected registration for the end of the own upstream; a single odd one would take away an upstream that runs. With upstreamKnown returning true, TestNewFlowsWithoutUpstream and TestCopiesOfFirstPacketWithoutUpstream fail (got "ToUpstream, SendTaken open=false", want "SendRefused NoUpstream"). The case of TestDecisions in which a registration of another service is ignored expected the agent to take a flow although no upstream of its own had registered, which is the fault. Two cases replace it: the registration is ignored beside the agent's own, and isn't taken for one.

--- a/internal/lentilpacket/agent.go
+++ b/internal/lentilpacket/agent.go
@@ -116,7 +116,7 @@
 	a.tracker.Name, a.tracker.Domain, a.tracker.Service = a.Settings.Name(), a.Settings.Domain(), a.Settings.Service()
 	a.tracker.Address = lentilflow.EndpointOf(a.Settings.PeerAddress())
 	a.tracker.FlowsComplete, a.tracker.RenewInterval, a.tracker.IdleTimeout = a.Settings.FirstStart(), a.Settings.RenewInterval(), a.Settings.FlowIdleTimeout()
-	a.tracker.FairQueue = a.Settings.FairQueue()
+	a.tracker.AddressReuse, a.tracker.FairQueue = a.Settings.AddressReuse(), a.Settings.FairQueue()
 	a.tracker.ColdFactor, a.tracker.ColdSlack = a.Settings.ColdFactor(), a.Settings.ColdSlack()
 	a.tracker.MaxUnlisted, a.tracker.LedgerCovered = a.Settings.MaxUnlisted(), a.reporter.Covered
 	defer func() {
--- a/internal/lentilsetting/packet.go
+++ b/internal/lentilsetting/packet.go
@@ -98,6 +98,7 @@
 	clientPort    uint16
 	firstStart    bool
 	renewInterval time.Duration
+	addressReuse  time.Duration
 	coldFactor    float64
 	coldSlack     float64
 	maxUnlisted   time.Duration
@@ -126,6 +127,10 @@
 // RenewInterval returns how often the upstream renews its registration, or zero if that is not known.
 func (p PacketAgent) RenewInterval() time.Duration { return p.renewInterval }
 
+// AddressReuse returns the least time after the end of an upstream until one of another service may have its address, or zero
+// if addresses aren't used again.
+func (p PacketAgent) AddressReuse() time.Duration { return p.addressReuse }
+
 // ColdFactor returns the factor by which the configured rate of new flows of a cold upstream is multiplied.
 func (p PacketAgent) ColdFactor() float64 { return p.coldFactor }
 
@@ -190,6 +195,7 @@
 		clientPort:    port,
 		firstStart:    doc.FirstStart,
 		renewInterval: durationOrDefault(doc.RenewInterval, 0),
+		addressReuse:  durationOrDefault(doc.AddressReuse, 0),
 		coldFactor:    factorOrDefault(doc.Cold.Factor),
 		coldSlack:     factorOrDefault(doc.Cold.Slack),
 		maxUnlisted:   durationOrDefault(doc.Ledger.Unlisted, 0),
--- a/internal/lentilsetting/packetfields.go
+++ b/internal/lentilsetting/packetfields.go
@@ -73,6 +73,7 @@
 	ClientPort          string  `json:"clientPort"`
 	FirstStart          bool    `json:"firstStart,omitempty"`
 	RenewInterval       string  `json:"renewInterval,omitempty"`
+	AddressReuse        string  `json:"addressReuse,omitempty"`
 	StopGrace           string  `json:"stopGrace,omitempty"`
 	FlowLife            string  `json:"flowLife,omitempty"`
 	Cold                ColdDoc `json:"cold,omitzero"`
@@ -167,6 +168,8 @@
 		defaultText: `false`, check: checkBool},
 	{name: "renewInterval", description: "How often the upstream renews its registration. An upstream that has missed two renewals gets no new flows.",
 		example: `"1200ms"`, defaultText: "not known", check: checkDuration},
+	{name: "addressReuse", description: "The least time after the end of an upstream until one of another service may have its address. An upstream of which the agent hasn't heard for that long gets no new flows.",
+		example: `"2s"`, defaultText: "addresses aren't used again", check: checkDuration},
 	{name: "stopGrace", description: "How long a graceful stop may take.", example: `"4s"`, defaultText: `"4s"`, check: checkDuration},
 	flowIdleTimeoutField,
 	{name: "cold", description: "Limit on the new flows per second of cold upstreams.", example: `{"factor": 1.5, "slack": 5}`, defaultText: `{"factor": 1, "slack": 1}`, members: coldFields},
--- a/pkg/lentilconntrack/admission.go
+++ b/pkg/lentilconntrack/admission.go
@@ -63,7 +63,7 @@
 		return lentilflow.DomainOut
 	case t.upstream.phase == lentilflow.Draining:
 		return lentilflow.UpstreamDraining
-	case t.upstream.phase == lentilflow.Gone:
+	case t.upstream.phase == lentilflow.Gone, !t.upstreamKnown(now):
 		return lentilflow.NoUpstream
 	case !t.resumedAt.IsZero() && now.Sub(t.resumedAt) < resumeTime:
 		return lentilflow.UpstreamFull
--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -54,6 +54,9 @@
 	// overdueIntervals is the number of renewal intervals after which a registration that wasn't renewed is
 	// overdue.
 	overdueIntervals = 2.5
+	// reuseMargin is how long a packet may take from the agent's decision to the upstream, since a process with a CPU quota may be
+	// paused for a tenth of a second. A renewal may be late by as much.
+	reuseMargin = 100 * time.Millisecond
 	// coldWindow is the sliding window in which new flows to a cold upstream are counted: one second, plus a
 	// tenth for the transit time of the packets.
 	coldWindow = 1100 * time.Millisecond
@@ -91,6 +94,10 @@
 	// RenewInterval is the time between two renewals of the upstream's registration. With zero, a registration
 	// is never overdue.
 	RenewInterval time.Duration
+	// AddressReuse is the least time after the end of an upstream until one of another service may have its address. The
+	// upstream gets no new flows once nothing was heard of it for nearly as long, but until its next renewal is due in any case.
+	// With zero, addresses aren't used again.
+	AddressReuse time.Duration
 	// ColdFactor and ColdSlack bound the new flows per second of a cold upstream: the configured rate times
 	// ColdFactor, plus ColdSlack.
 	ColdFactor, ColdSlack float64
@@ -204,6 +211,10 @@
 func (t *Tracker) handleFirst(now time.Time, from lentilflow.Endpoint, m lentilflow.Carry, packet lentilflow.Packet, actions []Action) []Action {
 	f := t.flows[packet.Key]
 	if f != nil && (f.state == halfOpen || f.state == open && f.openedBy(packet)) {
+		if !t.upstreamKnown(now) {
+			// The upstream may hold the flow all the same, so its entry stays.
+			return append(actions, Action{Kind: SendRefused, To: from, Key: packet.Key, Service: m.Service, Refusal: lentilflow.NoUpstream, Packet: m.Packet})
+		}
 		f.balancer, f.lastUsed = from, now
 		if f.waiting {
 			// The client may have given up the attempt that waits and have begun another one.
@@ -323,6 +334,9 @@
 	if f.ofEarlierFlow(packet) {
 		return actions, nil
 	}
+	if f.state == halfOpen || f.state == open {
+		t.upstream.seenAt = now
+	}
 	f.lastUsed, f.heardAt = now, now
 	if packet.Flags.Has(lentilflow.Open) {
 		f.initialSequence, f.upstreamAccepted, f.firstPacket = packet.Sequence, true, nil
--- a/pkg/lentilconntrack/tracker_test.go
+++ b/pkg/lentilconntrack/tracker_test.go
@@ -179,7 +179,14 @@
 			{carry(lentilflow.Place, firstPacket(key)), "ToUpstream, SendTaken open=false"},
 		}},
 		{"a registration of another service is ignored", true, []step{
+			{register("u"), "ReportStateChange UpstreamRegistered"},
+			{register("v", func(r *Registration) { r.Service = "b" }), ""},
+			{carry(lentilflow.Place, firstPacket(key)), "ToUpstream, SendTaken open=false"},
+		}},
+		{"a registration of another service isn't that of the agent's upstream", true, []step{
 			{register("u", func(r *Registration) { r.Service = "b" }), ""},
+			{carry(lentilflow.Place, firstPacket(key)), "SendRefused NoUpstream"},
+			{register("v"), "ReportStateChange UpstreamRegistered"},
 			{carry(lentilflow.Place, firstPacket(key)), "ToUpstream, SendTaken open=false"},
 		}},
 		{"a run with an older incarnation is accepted once the registered run is overdue", true, []step{
--- a/pkg/lentilconntrack/upstream.go
+++ b/pkg/lentilconntrack/upstream.go
@@ -41,7 +41,9 @@
 	slots        int
 	// registeredAt is the time of the last registration, moved on by the pauses of the agent since then.
 	registeredAt time.Time
-	coldUntil    time.Time
+	// seenAt is when the upstream last registered or sent a packet of a flow that it holds.
+	seenAt    time.Time
+	coldUntil time.Time
 	// coldStateKnown is false while the upstream may have become cold and hasn't registered since.
 	coldStateKnown bool
 	// otherRunSequence is the sequence of the last registration of a run that seems to be older than the
@@ -72,7 +74,8 @@
 		t.FlowsComplete = t.FlowsComplete || t.precedes(r)
 	}
 	u.id, u.incarnation, u.sequence, u.otherRunSequence = r.ID, r.Incarnation, r.Sequence, 0
-	u.registeredAt, u.slots, u.coldStateKnown, u.coldUntil = now, r.Slots, true, now.Add(r.ColdFor)
+	u.registeredAt, u.seenAt = now, now
+	u.slots, u.coldStateKnown, u.coldUntil = r.Slots, true, now.Add(r.ColdFor)
 	u.phase, u.ended, u.deregistered = lentilflow.Ready, false, false
 	if r.Draining {
 		u.phase = lentilflow.Draining
@@ -122,6 +125,13 @@
 	return false
 }
 
+// upstreamKnown reports whether the agent's own upstream certainly has its address: it has registered with this run of the agent,
+// and was heard of so recently that the address can't have gone to another service. Only then it gets first packets of flows.
+func (t *Tracker) upstreamKnown(now time.Time) bool {
+	u := &t.upstream
+	return u.id != "" && (t.AddressReuse == 0 || now.Sub(u.seenAt) < max(t.AddressReuse-reuseMargin, t.RenewInterval+reuseMargin))
+}
+
 // overdue reports whether the upstream's registration wasn't renewed in time.
 func (t *Tracker) overdue(now time.Time) bool {
 	limit := time.Duration(float64(t.RenewInterval) * overdueIntervals)
@@ -289,7 +299,7 @@
 		t.lastCold = !wasCold
 		actions = t.announceChange(ColdChanged, actions)
 	}
-	if phase := t.upstream.phase; (phase == lentilflow.Ready || phase == lentilflow.Draining) && t.overdue(now) {
+	if phase := t.upstream.phase; (phase == lentilflow.Ready || phase == lentilflow.Draining) && (t.overdue(now) || !t.upstreamKnown(now)) {
 		t.upstream.phase = lentilflow.Gone
 		actions = t.announceChange(UpstreamOverdue, actions)
 	}
