lentilplacement: flows wait for an agent whose upstream is about to register

Agents refuse new flows until their upstream has registered, up to 1.2 s after they start. A balancer that offered flows to such an agent would use up its tries, and reset clients although an agent is about to take them, as after a loss of power.

Agents in the phase Unheard aren't offered flows. If no other agent of the service takes them, their first packets are held, as while a balancer starts, for as long as clients wait after the first status of the agent's run; the status that announces the registration releases them.

--- a/pkg/lentilplacement/agent.go
+++ b/pkg/lentilplacement/agent.go
@@ -20,6 +20,8 @@
 	// responsiveSince is when the agent was first seen, or seen again after it was unresponsive.
 	responsiveSince time.Time
 	addedAt         time.Time
+	// runSeenAt is when the first status of the agent's run arrived.
+	runSeenAt time.Time
 	// helloAt is when the agent was last asked for its status.
 	helloAt time.Time
 	// machineSeenAt is when the agent's machine last answered a connection attempt, and probedAt the time of the last
@@ -123,6 +125,9 @@
 	p.heldPlacementsDue = true
 	a.recordHeard(p.now())
 	a.recordLoad(a.lastSeen, m.Load, false)
+	if previous.RunID != m.RunID {
+		a.runSeenAt = a.lastSeen
+	}
 	a.status, a.unresponsiveLogged = m, false
 	if previous.Service != m.Service || previous.Domain != m.Domain {
 		p.agentsByService = nil
--- a/pkg/lentilplacement/choose.go
+++ b/pkg/lentilplacement/choose.go
@@ -82,7 +82,7 @@
 // acceptsFlows reports whether the agent takes new flows, by its last known state and the failure domains out of service.
 func (p *Placer) acceptsFlows(a *agent) bool {
 	s := a.status
-	return a.seen() && !s.Stopping && !s.Out && !p.out[s.Domain] && (s.Phase == lentilflow.Ready || s.Phase == lentilflow.Unheard)
+	return a.seen() && !s.Stopping && !s.Out && !p.out[s.Domain] && s.Phase == lentilflow.Ready
 }
 
 // Additions to the cost of an agent, in open flows per slot.
@@ -92,8 +92,6 @@
 	// coldCost compensates for a cold upstream being some 1.6 times slower, at the usual handful of flows
 	// per slot.
 	coldCost = 2
-	// unreportedCost ranks agents whose upstream hasn't reported to them yet behind those with a ready upstream.
-	unreportedCost = 1e3
 	// failingCost ranks agents whose upstream fails behind all that work, for failingFor after such a refusal.
 	// Then they are offered flows again, since only requests show that the upstream works.
 	failingCost = 1e4
@@ -119,9 +117,6 @@
 	if a.status.Cold {
 		cost += coldCost
 	}
-	if a.status.Phase == lentilflow.Unheard {
-		cost += unreportedCost
-	}
 	if now.Sub(a.failingAt) < failingFor {
 		cost += failingCost
 	}
--- a/pkg/lentilplacement/hold.go
+++ b/pkg/lentilplacement/hold.go
@@ -14,14 +14,15 @@
 const maxHeldPlacements = 1024
 
 // expectsAgents reports whether an agent for the flow may become known within a moment: the list of agents hasn't been
-// read yet, or it names one that hasn't answered yet.
+// read yet, or it names one that hasn't answered yet, or whose upstream hasn't registered since the agent started.
 func (p *Placer) expectsAgents(now time.Time, key lentilflow.Key) bool {
 	if !p.agentsComplete {
 		return true
 	}
 	for _, b := range p.configuration.Backends(key.Service()) {
 		for _, addr := range p.agentsOfService(b.Service) {
-			if a := p.agents[addr]; !a.seen() && now.Sub(a.addedAt) < lentilflow.OpeningTimeout {
+			a := p.agents[addr]
+			if !a.seen() && now.Sub(a.addedAt) < lentilflow.OpeningTimeout || a.awaitsUpstream(now) {
 				return true
 			}
 		}
@@ -29,6 +30,12 @@
 	return false
 }
 
+// awaitsUpstream reports whether the agent has started so recently that its upstream may still be about to register.
+func (a *agent) awaitsUpstream(now time.Time) bool {
+	s := a.status
+	return a.seen() && s.Phase == lentilflow.Unheard && !s.Stopping && !s.Out && now.Sub(a.runSeenAt) < lentilflow.OpeningTimeout
+}
+
 // holdPlacement holds the first packet of a flow until an agent for it may be known.
 func (p *Placer) holdPlacement(key lentilflow.Key, f *flow, cause Cause, actions []Action) []Action {
 	if p.heldPlacements == nil {
--- a/pkg/lentilplacement/hold_test.go
+++ b/pkg/lentilplacement/hold_test.go
@@ -67,6 +67,25 @@
 			h.clock.Advance(lentilflow.OpeningTimeout)
 			return h.sendPacket(firstPacket(testFlow))
 		}, "reset NoAgent 0"},
+		{"until the upstream of an agent that has started registers", func(h *harness) string {
+			unheard := func(m *lentilflow.Status) { m.Phase = lentilflow.Unheard }
+			h.configure(1, "a")
+			listAgent(h, 2)
+			h.SetAgentsComplete()
+			h.sendStatus(2, unheard)
+			got := h.sendPacket(firstPacket(testFlow)) + "; " + h.advance(time.Second) + "; " + h.sendStatus(2)
+			return got + "; " + describe(h.Tick(nil))
+		}, "hold NoAgent; ; AgentChanged 2; place to 2"},
+		{"not if the upstream of an agent hasn't registered for as long as clients wait", func(h *harness) string {
+			unheard := func(m *lentilflow.Status) { m.Phase = lentilflow.Unheard }
+			h.configure(1, "a")
+			listAgent(h, 2)
+			h.SetAgentsComplete()
+			h.sendStatus(2, unheard)
+			h.clock.Advance(lentilflow.OpeningTimeout)
+			h.sendStatus(2, unheard)
+			return h.sendPacket(firstPacket(testFlow))
+		}, "reset NoAgent 0"},
 		{"until a packet shows that the flow is open", func(h *harness) string {
 			h.sendStatus(1)
 			got := h.sendPacket(firstPacket(testFlow)) + "; " + h.sendPacket(laterPacket(testFlow))
