lentilconntrack: a port that is used again doesn't pass the admission of new flows

Only a packet with the sequence number of the one that opened the flow is a copy. Any other one is now checked like that of a new flow; if it is refused, the entry stays, since the upstream may hold the flow.

--- a/pkg/lentilconntrack/admission.go
+++ b/pkg/lentilconntrack/admission.go
@@ -54,6 +54,20 @@
 	return lentilflow.UpstreamFull, false
 }
 
+// copyRefusal returns the reason why a first packet for the ends of a flow in the table isn't passed on, or
+// lentilflow.NotRefused. A packet that may be that of another flow is refused like one of a new flow.
+func (t *Tracker) copyRefusal(now time.Time, m lentilflow.Carry, f *flow, packet lentilflow.Packet) lentilflow.Refusal {
+	switch isCopy := f.firstSeen && f.firstSequence == packet.Sequence; {
+	case !t.upstreamKnown(now):
+		return lentilflow.NoUpstream
+	case isCopy:
+		return lentilflow.NotRefused
+	case m.Service != t.Service:
+		return lentilflow.OtherService
+	}
+	return t.unavailable(now)
+}
+
 // unavailable returns the reason why the upstream gets no new flows, or lentilflow.NotRefused.
 func (t *Tracker) unavailable(now time.Time) lentilflow.Refusal {
 	switch {
--- a/pkg/lentilconntrack/reuse_test.go
+++ b/pkg/lentilconntrack/reuse_test.go
@@ -1,10 +1,12 @@
 package lentilconntrack
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"lentilstair.example/lentilstair/pkg/lentilflow"
+	"lentilstair.example/lentilstair/pkg/lentilledger"
 )
 
 // TestNewFlowsWithoutUpstream guards against flows that run at an upstream of another service, which has taken over the address
@@ -116,6 +118,60 @@
 	}
 }
 
+// TestPortUsedAgainIsAdmitted guards against first packets of new flows that reach an upstream which gets no new flows, since the
+// table still has an earlier flow from the same port.
+func TestPortUsedAgainIsAdmitted(t *testing.T) {
+	key := flowKey(1)
+	earlier := []struct {
+		name string
+		flow func(h *harness)
+	}{
+		{"restored from a ledger", func(h *harness) {
+			flows := []lentilledger.Flow{{Key: key, Acknowledged: 7}}
+			h.Restore(lentilledger.Ledger{Service: "a", UpstreamID: "u", UpstreamIncarnation: h.createdAt.UnixMilli() + 1, Flows: flows}, 0, nil)
+		}},
+		{"learned from the upstream", func(h *harness) {
+			h.fromUpstream(lentilflow.Packet{Key: key, Flags: lentilflow.Acknowledge, Length: 10})
+		}},
+		{"half-open", func(h *harness) { h.fromBalancer(peer1, lentilflow.Place, firstPacket(key)) }},
+		{"open", func(h *harness) { h.openFlow(key) }},
+	}
+	reasons := []struct {
+		name   string
+		change func(h *harness)
+		// service is the service that the flow is meant for.
+		service string
+	}{
+		{"the upstream drains", func(h *harness) { h.register("u", setDraining) }, "a"},
+		{"the failure domain is out of service", func(h *harness) { h.SetOut(true, nil) }, "a"},
+		{"the upstream has deregistered", func(h *harness) { h.Deregister("u", nil) }, "a"},
+		{"the registration is overdue", func(h *harness) {
+			h.clock.Advance(200 * time.Millisecond)
+			h.Tick(nil)
+		}, "a"},
+		{"the agent is stopping", func(h *harness) { h.Stop(nil) }, "a"},
+		{"the flow is meant for another service", func(*harness) {}, "b"},
+	}
+	for _, e := range earlier {
+		for _, r := range reasons {
+			t.Run(e.name+", "+r.name, func(t *testing.T) {
+				h := newHarness(t)
+				h.register("u")
+				h.clock.Advance(2900 * time.Millisecond)
+				e.flow(h)
+				r.change(h)
+				actions, err := h.HandleCarry(peer1, lentilflow.Carry{Service: r.service, Version: 1, Packet: h.encode(firstPacketAgain(key))}, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if slices.ContainsFunc(actions, func(a Action) bool { return a.Kind == ToUpstream }) {
+					t.Errorf("the upstream gets the new flow: %s", formatActions(actions))
+				}
+			})
+		}
+	}
+}
+
 // run advances the clock with a tick every 50 ms.
 func (h *harness) run(d time.Duration) {
 	for ; d > 0; d -= 50 * time.Millisecond {
--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -211,9 +211,9 @@
 func (t *Tracker) handleFirst(now time.Time, from lentilflow.Endpoint, m lentilflow.Carry, packet lentilflow.Packet, actions []Action) []Action {
 	f := t.flows[packet.Key]
 	if f != nil && (f.state == halfOpen || f.state == open && f.openedBy(packet)) {
-		if !t.upstreamKnown(now) {
+		if refusal := t.copyRefusal(now, m, f, packet); refusal != lentilflow.NotRefused {
 			// The upstream may hold the flow all the same, so its entry stays.
-			return append(actions, Action{Kind: SendRefused, To: from, Key: packet.Key, Service: m.Service, Refusal: lentilflow.NoUpstream, Packet: m.Packet})
+			return append(actions, Action{Kind: SendRefused, To: from, Key: packet.Key, Service: m.Service, Refusal: refusal, Packet: m.Packet})
 		}
 		f.balancer, f.lastUsed = from, now
 		if f.waiting {
