lentilconntrack: a single late registration doesn't bring an ended upstream back

An agent whose upstream has ended, and at whose address an upstream of another service registers, took a registration of its own upstream that had been delayed for a sign of life, and passed first packets on to the other one (ROUTE). PROTOCOL.md of the users says that heartbeats may arrive after their sender has crashed.

Once an upstream of another service has registered while the agent's own wasn't known to be there, it takes two registrations of the agent's own to count. While the own upstream is known, registrations of others change nothing, so an odd one takes nothing away. The registrar passes registrations of other services to the agent, and rejects them as before. Found in the code walk; not seen on processes.

--- a/pkg/lentilconntrack/reuse_test.go
+++ b/pkg/lentilconntrack/reuse_test.go
@@ -172,6 +172,29 @@
 	}
 }
 
+// TestLateRegistrationOfEndedUpstream guards against flows that run at an upstream of another service, since a registration of the
+// agent's own upstream was delayed until after the other one has its address.
+func TestLateRegistrationOfEndedUpstream(t *testing.T) {
+	h := newHarness(t)
+	h.register("u")
+	h.run(4 * time.Second)
+	ofOtherService := func(r *Registration) { r.Service, r.Incarnation, r.Sequence = "b", 3000, 1 }
+	steps := []struct{ got, want string }{
+		{h.register("v", ofOtherService), ""},
+		{h.register("u"), ""},
+		{h.fromBalancer(peer1, lentilflow.Place, firstPacket(flowKey(1))), "SendRefused NoUpstream"},
+		{h.register("u"), "ReportStateChange UpstreamRegistered"},
+		{h.fromBalancer(peer1, lentilflow.Place, firstPacket(flowKey(1))), "ToUpstream, SendTaken open=false"},
+		{h.register("v", ofOtherService), ""},
+		{h.fromBalancer(peer1, lentilflow.Place, firstPacket(flowKey(2))), "ToUpstream, SendTaken open=false"},
+	}
+	for i, s := range steps {
+		if s.got != s.want {
+			t.Errorf("step %d: got %q, want %q", i, s.got, s.want)
+		}
+	}
+}
+
 // run advances the clock with a tick every 50 ms.
 func (h *harness) run(d time.Duration) {
 	for ; d > 0; d -= 50 * time.Millisecond {
--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -116,6 +116,8 @@
 	LedgerCovered func() bool
 
 	upstream upstream
+	// contest is about other upstreams that register with the agent.
+	contest contest
 	// breaker stops new flows to an upstream that fails, and queue holds them until the upstream has room.
 	breaker lentilbreaker.Breaker
 	queue   lentilflowqueue.Queue
--- a/pkg/lentilconntrack/tracker_test.go
+++ b/pkg/lentilconntrack/tracker_test.go
@@ -186,6 +186,8 @@
 		{"a registration of another service isn't that of the agent's upstream", true, []step{
 			{register("u", func(r *Registration) { r.Service = "b" }), ""},
 			{carry(lentilflow.Place, firstPacket(key)), "SendRefused NoUpstream"},
+			{register("v"), ""},
+			{carry(lentilflow.Place, firstPacket(key)), "SendRefused NoUpstream"},
 			{register("v"), "ReportStateChange UpstreamRegistered"},
 			{carry(lentilflow.Place, firstPacket(key)), "ToUpstream, SendTaken open=false"},
 		}},
--- a/pkg/lentilconntrack/upstream.go
+++ b/pkg/lentilconntrack/upstream.go
@@ -55,13 +55,20 @@
 func (u *upstream) cold(now time.Time) bool { return !u.coldStateKnown || now.Before(u.coldUntil) }
 
 // Register handles a registration. It is in effect when Register returns. A registration of another service, or
-// one that is stale, is ignored.
+// one that is stale, is ignored, but the former shows that the address may have another upstream if that of the agent isn't known.
 func (t *Tracker) Register(r Registration, actions []Action) []Action {
 	u, now := &t.upstream, t.now()
 	registered := u.id != ""
-	if r.Service != t.Service || (registered && t.stale(now, r)) {
+	switch {
+	case r.Service != t.Service:
+		if !t.upstreamPresent(now) {
+			t.contest.contested = true
+		}
+		return actions
+	case registered && t.stale(now, r), !t.upstreamPresent(now) && !t.contest.settledBy(r):
 		return actions
 	}
+	t.contest = contest{}
 	sameRun := registered && u.id == r.ID && u.incarnation == r.Incarnation
 	previousPhase := u.phase
 	if !registered && r.Sequence <= firstSequence && t.precedes(r) {
@@ -132,6 +139,28 @@
 	return u.id != "" && (t.AddressReuse == 0 || now.Sub(u.seenAt) < max(t.AddressReuse-reuseMargin, t.RenewInterval+reuseMargin))
 }
 
+// upstreamPresent reports whether the agent's own upstream is registered and certainly has its address.
+func (t *Tracker) upstreamPresent(now time.Time) bool {
+	return (t.upstream.phase == lentilflow.Ready || t.upstream.phase == lentilflow.Draining) && t.upstreamKnown(now)
+}
+
+// contest is the state of an address at which an upstream of another service has registered while the agent's own wasn't known. A
+// single registration of the agent's upstream may then have been delayed until after its sender has ended, so that it takes two.
+type contest struct {
+	contested bool
+	// first is the first registration of the agent's upstream since then; its ID is empty before that.
+	first Registration
+}
+
+// settledBy reports whether a registration shows that the agent's own upstream has the address. If it doesn't yet, it is kept.
+func (c *contest) settledBy(r Registration) bool {
+	if !c.contested || c.first.ID == r.ID && c.first.Incarnation == r.Incarnation && r.Sequence > c.first.Sequence {
+		return true
+	}
+	c.first = r
+	return false
+}
+
 // overdue reports whether the upstream's registration wasn't renewed in time.
 func (t *Tracker) overdue(now time.Time) bool {
 	limit := time.Duration(float64(t.RenewInterval) * overdueIntervals)
