lentilconntrack: the result of a probe counts only for the upstream that was probed

A probe of an upstream that was reported after the next upstream had registered ended that one: its open flows were reset (FLOW). A probe may take 250 ms, and its result waits for the agent's mutex. Its result is now ignored if another run of the upstream has registered since the probe was asked for. Evidence: TestProbeOfEarlierUpstreamEndsNextOne fails on the commit before (got "ReportStateChange UpstreamRefused, ResetClient UpstreamRefused 501").

--- /dev/null
+++ b/pkg/lentilconntrack/probe_test.go
@@ -0,0 +1,30 @@
+package lentilconntrack
+
+import (
+	"testing"
+	"time"
+)
+
+// TestProbeOfEarlierUpstreamEndsNextOne guards against the result of a probe of an earlier upstream that arrives after the next one has
+// registered: its open flows are reset.
+func TestProbeOfEarlierUpstreamEndsNextOne(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		result ProbeResult
+	}{
+		{"refused", ProbeRefused},
+		{"timed out", ProbeTimedOut},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.register("u")
+			h.HandlePacketRefused(nil)
+			h.clock.Advance(50 * time.Millisecond)
+			h.register("v", func(r *Registration) { r.Incarnation, r.Sequence = 50, 1 })
+			h.openFlow(flowKey(1))
+			if got := formatActions(h.HandleProbeResult(c.result, nil)); got != "" && got != "ProbeUpstream" {
+				t.Errorf("got %q, want nothing, or another probe of the upstream that registered after the probe began", got)
+			}
+		})
+	}
+}
--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -151,8 +151,9 @@
 	// or accepted a probe; unansweredSince is the time of the first one.
 	unanswered      int
 	unansweredSince time.Time
-	// probing is set from a ProbeUpstream action until its result.
-	probing bool
+	// probing is set from a ProbeUpstream action until its result, and probeOutdated if another run of the upstream has
+	// registered in between.
+	probing, probeOutdated bool
 	// lastCold is the value of Cold in the last tick.
 	lastCold       bool
 	balancers      map[lentilflow.Endpoint]*balancer
--- a/pkg/lentilconntrack/upstream.go
+++ b/pkg/lentilconntrack/upstream.go
@@ -89,6 +89,7 @@
 	}
 	t.queue.SetSlots(r.Slots)
 	if !sameRun {
+		t.probeOutdated = t.probing
 		t.breaker.Reset()
 		t.meter.forgetServiceTime()
 		t.runMarkerDue = true
@@ -218,8 +219,11 @@
 
 // HandleProbeResult handles the result of a ProbeUpstream action.
 func (t *Tracker) HandleProbeResult(result ProbeResult, actions []Action) []Action {
-	t.probing = false
+	outdated := t.probeOutdated
+	t.probing, t.probeOutdated = false, false
 	switch {
+	case outdated:
+		return actions
 	case result == ProbeAccepted && t.upstream.deregistered:
 		// The upstream has deregistered and hasn't exited yet.
 		t.probing = true
