lentilplacement: a status of an earlier run doesn't replace that of the next one

A flow whose agent runs was reset (HolderGone) if the last status of an earlier run at the address arrived late, or if the first status of the present run was lost: the status that was kept said that the upstream had ended (FLOW).

A status of the run before the present one is ignored, whichever sequence it has. A message that an agent holds a flow shows that the kept status is of an earlier run, so its upstream no longer counts as ended. The case of TestDecisions about addresses that change hands let its agents go back to their first run, which no process does; its steps are in another order now, with the same expectations. Evidence: both cases of TestEndOfEarlierAgentResetsFlowOfNextOne fail on the commit before (got "reset HolderGone 77").

--- a/pkg/lentilplacement/agent.go
+++ b/pkg/lentilplacement/agent.go
@@ -20,6 +20,8 @@
 	// responsiveSince is when the agent was first seen, or seen again after it was unresponsive.
 	responsiveSince time.Time
 	addedAt         time.Time
+	// supersededRun is the run of the agent, or of another one at its address, before the present one.
+	supersededRun uint64
 	// runSeenAt is when the first status of the agent's run arrived.
 	runSeenAt time.Time
 	// helloAt is when the agent was last asked for its status.
@@ -109,7 +111,7 @@
 }
 
 // HandleStatus updates the state of an agent from its status. A status that isn't newer than the
-// last one of the same run is ignored.
+// last one of the same run, or that is of the run before, is ignored.
 func (p *Placer) HandleStatus(from lentilflow.Endpoint, m lentilflow.Status, actions []Action) []Action {
 	a := p.agents[from]
 	if a == nil {
@@ -117,7 +119,7 @@
 		p.putAgent(from, a)
 	}
 	previous := a.status
-	if m.RunID == previous.RunID && m.Sequence <= previous.Sequence {
+	if m.RunID == previous.RunID && m.Sequence <= previous.Sequence || m.RunID != previous.RunID && m.RunID == a.supersededRun {
 		return actions
 	}
 	p.recordRelay(m.ConfiguredBalancer)
@@ -126,7 +128,7 @@
 	a.recordHeard(p.now())
 	a.recordLoad(a.lastSeen, m.Load, false)
 	if previous.RunID != m.RunID {
-		a.runSeenAt = a.lastSeen
+		a.runSeenAt, a.supersededRun = a.lastSeen, previous.RunID
 	}
 	a.status, a.unresponsiveLogged = m, false
 	if previous.Service != m.Service || previous.Domain != m.Domain {
--- a/pkg/lentilplacement/hold_test.go
+++ b/pkg/lentilplacement/hold_test.go
@@ -79,11 +79,11 @@
 		{"not if the upstream of an agent hasn't registered for as long as clients wait", func(h *harness) string {
 			unheard := func(m *lentilflow.Status) { m.Phase = lentilflow.Unheard }
 			h.configure(1, "a")
-			listAgent(h, 2)
+			listAgent(h, 3)
 			h.SetAgentsComplete()
-			h.sendStatus(2, unheard)
+			h.sendStatus(3, unheard)
 			h.clock.Advance(lentilflow.OpeningTimeout)
-			h.sendStatus(2, unheard)
+			h.sendStatus(3, unheard)
 			return h.sendPacket(firstPacket(testFlow))
 		}, "reset NoAgent 0"},
 		{"until a packet shows that the flow is open", func(h *harness) string {
--- a/pkg/lentilplacement/placement.go
+++ b/pkg/lentilplacement/placement.go
@@ -285,10 +285,10 @@
 // opensAnew reports whether the first packet of a flow with the ends of a cached one is placed as that of a new flow.
 func (p *Placer) opensAnew(now time.Time, key lentilflow.Key, f *flow) bool {
 	_, ok := p.remembered(key, f)
-	switch {
-	case f.state == stateLookup:
+	switch f.state {
+	case stateLookup:
 		return true
-	case f.state == stateKnown:
+	case stateKnown:
 		return !ok || p.endedWithAgent(now, f.agent)
 	}
 	return !ok && p.heldPlacements[key] != f && now.Sub(f.since) > lentilflow.OpeningPatience
@@ -309,6 +309,10 @@
 	}
 	p.recordOfferAnswer(now, from, f)
 	delete(p.pendingPlacements, m.Key)
+	if a := p.agents[from]; a != nil && a.holdsNoFlows() {
+		// The status is of an earlier run, and the first one of the present run hasn't arrived.
+		a.status.UpstreamEnded = false
+	}
 	held := p.releaseHeldPacket(f)
 	actions = p.recordHedgeTaken(now, from, m, f, actions)
 	switch {
--- a/pkg/lentilplacement/placement_test.go
+++ b/pkg/lentilplacement/placement_test.go
@@ -206,13 +206,13 @@
 			{packet(firstPacket(8)), "reset NoAgent 0"},
 		}},
 		{"an address that changes hands is reported, also after its agent was silent", []step{
+			{func(h *harness) string { return h.advance(2*time.Second, 1, 2, 3) }, "AgentSilent 4"},
+			{func(h *harness) string { return h.sendStatus(4, func(m *lentilflow.Status) { m.Name = "agent-9" }) }, "AgentReplaced 4"},
 			{func(h *harness) string { return h.sendStatus(2, func(m *lentilflow.Status) { m.Name = "agent-9" }) }, "AgentReplaced 2"},
 			{func(h *harness) string {
 				return h.sendStatus(3, func(m *lentilflow.Status) { m.Service, m.RunID = "b", 2 })
 			}, "AgentReplaced 3"},
 			{func(h *harness) string { return h.sendStatus(1, func(m *lentilflow.Status) { m.RunID = 2 }) }, "AgentChanged 1"},
-			{func(h *harness) string { return h.advance(2*time.Second, 1, 2, 3) }, "AgentSilent 4"},
-			{func(h *harness) string { return h.sendStatus(4, func(m *lentilflow.Status) { m.Name = "agent-9" }) }, "AgentReplaced 4"},
 		}},
 		{"a retransmitted first packet goes to the same agent", []step{
 			{packet(firstPacket(7)), "place to 1"},
--- a/pkg/lentilplacement/reuse_test.go
+++ b/pkg/lentilplacement/reuse_test.go
@@ -1,6 +1,7 @@
 package lentilplacement
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -108,3 +109,37 @@
 		})
 	}
 }
+
+// ofNextAgent makes a status that of another run of the agent.
+func ofNextAgent(service string) func(*lentilflow.Status) {
+	return func(m *lentilflow.Status) { m.RunID, m.Sequence, m.Service = 2, 1, service }
+}
+
+// TestEndOfEarlierAgentResetsFlowOfNextOne guards against the reset of a flow whose agent runs, because the last status of an earlier
+// agent at its address says that the upstream has ended.
+func TestEndOfEarlierAgentResetsFlowOfNextOne(t *testing.T) {
+	ended := func(m *lentilflow.Status) { m.Stopping, m.UpstreamEnded, m.Phase = true, true, lentilflow.Gone }
+	for _, c := range []struct {
+		name   string
+		events func(h *harness)
+	}{
+		{"which arrives late", func(h *harness) {
+			h.sendStatus(1, ofNextAgent("a"))
+			h.answerTaken(1, true)
+			h.sendStatus(1, ended)
+		}},
+		{"whose own status was lost", func(h *harness) {
+			h.sendStatus(1, ended)
+			h.advance(2*time.Second, 2, 3, 4)
+			h.answerTaken(1, true)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t)
+			c.events(h)
+			if got := h.sendPacket(laterPacket(testFlow)); strings.Contains(got, "reset") {
+				t.Errorf("got %q, want the packet sent to agent 1", got)
+			}
+		})
+	}
+}
