lentilconntrack: what waited during a pause doesn't show that the upstream lives

A packet or registration that an upstream had sent before a pause of its agent was read after it, and made the upstream known for another addressReuse, while its address may have gone to another service during the pause: first packets would run there (ROUTE).

Evidence: both cases of TestMessagesReadAfterPause fail on the commit before (got "ToUpstream, SendTaken open=false").

--- a/pkg/lentilconntrack/admission.go
+++ b/pkg/lentilconntrack/admission.go
@@ -79,19 +79,24 @@
 		return lentilflow.UpstreamDraining
 	case t.upstream.phase == lentilflow.Gone, !t.upstreamKnown(now):
 		return lentilflow.NoUpstream
-	case !t.resumedAt.IsZero() && now.Sub(t.resumedAt) < resumeTime:
+	case t.resumedAt.Sub(t.pausedAt) > maxPause && t.justResumed(now):
 		return lentilflow.UpstreamFull
 	}
 	return lentilflow.NotRefused
 }
 
-// observePause records that the agent goes on after a pause of more than maxPause.
+// observePause records that the agent goes on after a pause.
 func (t *Tracker) observePause(now time.Time) {
-	if !t.lastTick.IsZero() && now.Sub(t.lastTick) > maxPause && !t.resumedAt.After(t.lastTick) {
-		t.resumedAt = now
+	if !t.lastTick.IsZero() && now.Sub(t.lastTick) > pauseThreshold && !t.pausedAt.Equal(t.lastTick) {
+		t.pausedAt, t.resumedAt = t.lastTick, now
 	}
 }
 
+// justResumed reports whether messages that have waited during a pause of the agent may still be read.
+func (t *Tracker) justResumed(now time.Time) bool {
+	return !t.resumedAt.IsZero() && now.Sub(t.resumedAt) < resumeTime
+}
+
 // admitWaiting opens waiting flows for which the upstream has room. It returns all of them to their balancers if
 // the upstream gets no more flows, and those that have waited in vain.
 func (t *Tracker) admitWaiting(now time.Time, actions []Action) []Action {
--- a/pkg/lentilconntrack/reuse_test.go
+++ b/pkg/lentilconntrack/reuse_test.go
@@ -195,6 +195,39 @@
 	}
 }
 
+// TestMessagesReadAfterPause guards against an upstream that counts as known because what it sent before a pause of
+// the agent is read after the pause, in which its address may have gone to another service.
+func TestMessagesReadAfterPause(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		read func(h *harness)
+	}{
+		{"a packet", func(h *harness) { h.fromUpstream(dataPacket(flowKey(1), 110)) }},
+		{"a registration", func(h *harness) { h.register("u") }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.AddressReuse = 2 * time.Second
+			h.register("u")
+			h.openFlow(flowKey(1))
+			h.Tick(nil)
+			h.clock.Advance(5 * time.Second)
+			c.read(h)
+			for range 8 {
+				h.Tick(nil)
+				h.clock.Advance(50 * time.Millisecond)
+			}
+			if got := h.fromBalancer(peer1, lentilflow.Place, firstPacket(flowKey(2))); got != "SendRefused NoUpstream" {
+				t.Errorf("got %q, want a refusal until the upstream is heard of after the pause", got)
+			}
+			h.register("u")
+			if got := h.fromBalancer(peer1, lentilflow.Place, firstPacket(flowKey(3))); got != "ToUpstream, SendTaken open=false" {
+				t.Errorf("got %q after a registration, want the flow at the upstream", got)
+			}
+		})
+	}
+}
+
 // run advances the clock with a tick every 50 ms.
 func (h *harness) run(d time.Duration) {
 	for ; d > 0; d -= 50 * time.Millisecond {
--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -178,8 +178,8 @@
 	churn     int
 	lastTick  time.Time
 	lastSweep time.Time
-	// resumedAt is when the agent went on after its last pause of more than maxPause.
-	resumedAt time.Time
+	// pausedAt and resumedAt are when the agent's last pause began and ended.
+	pausedAt, resumedAt time.Time
 }
 
 // now returns the time, and records the time of its first call as the start of the agent.
@@ -320,6 +320,7 @@
 		return actions, err
 	}
 	now := t.now()
+	t.observePause(now)
 	t.meter.advance(now, t.requestsInFlight+t.queue.Waiting())
 	t.clearUnanswered()
 	if packet.Flags.Has(lentilflow.Returned) {
@@ -338,7 +339,7 @@
 		return actions, nil
 	}
 	if f.state == halfOpen || f.state == open {
-		t.upstream.seenAt = now
+		t.recordSeen(now)
 	}
 	f.lastUsed, f.heardAt = now, now
 	if packet.Flags.Has(lentilflow.Open) {
--- a/pkg/lentilconntrack/upstream.go
+++ b/pkg/lentilconntrack/upstream.go
@@ -41,7 +41,7 @@
 	slots        int
 	// registeredAt is the time of the last registration, moved on by the pauses of the agent since then.
 	registeredAt time.Time
-	// seenAt is when the upstream last registered or sent a packet of a flow that it holds.
+	// seenAt is when the upstream last registered or sent a packet of a flow that it holds, at the earliest.
 	seenAt    time.Time
 	coldUntil time.Time
 	// coldStateKnown is false while the upstream may have become cold and hasn't registered since.
@@ -81,8 +81,9 @@
 		t.FlowsComplete = t.FlowsComplete || t.precedes(r)
 	}
 	u.id, u.incarnation, u.sequence, u.otherRunSequence = r.ID, r.Incarnation, r.Sequence, 0
-	u.registeredAt, u.seenAt = now, now
-	u.slots, u.coldStateKnown, u.coldUntil = r.Slots, true, now.Add(r.ColdFor)
+	t.observePause(now)
+	t.recordSeen(now)
+	u.registeredAt, u.slots, u.coldStateKnown, u.coldUntil = now, r.Slots, true, now.Add(r.ColdFor)
 	u.phase, u.ended, u.deregistered = lentilflow.Ready, false, false
 	if r.Draining {
 		u.phase = lentilflow.Draining
@@ -140,6 +141,17 @@
 	return u.id != "" && (t.AddressReuse == 0 || now.Sub(u.seenAt) < max(t.AddressReuse-reuseMargin, t.RenewInterval+reuseMargin))
 }
 
+// recordSeen records a message of the upstream. One that is read right after a pause of the agent may have waited all the while.
+func (t *Tracker) recordSeen(now time.Time) {
+	sentAt := now
+	if t.justResumed(now) {
+		sentAt = t.pausedAt
+	}
+	if sentAt.After(t.upstream.seenAt) {
+		t.upstream.seenAt = sentAt
+	}
+}
+
 // upstreamPresent reports whether the agent's own upstream is registered and certainly has its address.
 func (t *Tracker) upstreamPresent(now time.Time) bool {
 	return (t.upstream.phase == lentilflow.Ready || t.upstream.phase == lentilflow.Draining) && t.upstreamKnown(now)
