lentilconntrack: a run that seems older may be the next one, and cold

The upstream now counts as cold from such a registration on until the run that is known registers again. Evidence: TestColdRunThatSeemsOlder fails on the commit before (100 new flows within a second, limit 10).

--- a/pkg/lentilconntrack/cold_test.go
+++ b/pkg/lentilconntrack/cold_test.go
@@ -89,3 +89,27 @@
 		}
 	})
 }
+
+// TestColdRunThatSeemsOlder guards against a cold upstream that gets as many new flows as a warm one, since its registration
+// is taken for one of an earlier run after the time of day has jumped back.
+func TestColdRunThatSeemsOlder(t *testing.T) {
+	h := newHarness(t)
+	h.FlowsComplete = true
+	h.register("u", func(r *Registration) { r.Incarnation, r.Slots = 60_000, 1000 })
+	h.clock.Advance(500 * time.Millisecond)
+	h.register("v", func(r *Registration) { r.Incarnation, r.Sequence, r.ColdFor, r.Slots = 1000, 1, 5*time.Second, 1000 })
+	accepted := 0
+	for i := range 100 {
+		actions, err := h.HandleCarry(peer1, lentilflow.Carry{Service: "a", Version: 1, ColdRate: 4, Packet: h.encode(firstPacket(flowKey(i)))}, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if actions[0].Kind == ToUpstream {
+			accepted++
+		}
+		h.clock.Advance(9 * time.Millisecond)
+	}
+	if limit := 10; accepted > limit {
+		t.Errorf("%d new flows within a second, limit %d", accepted, limit)
+	}
+}
--- a/pkg/lentilconntrack/upstream.go
+++ b/pkg/lentilconntrack/upstream.go
@@ -65,7 +65,13 @@
 			t.contest.contested = true
 		}
 		return actions
-	case registered && t.stale(now, r), !t.upstreamPresent(now) && !t.contest.settledBy(r):
+	case registered && t.stale(now, r):
+		if r.ID != u.id || r.Incarnation != u.incarnation {
+			// It may be of the next run after the time of day has jumped back, and that one may be cold.
+			u.coldStateKnown = false
+		}
+		return actions
+	case !t.upstreamPresent(now) && !t.contest.settledBy(r):
 		return actions
 	}
 	t.contest = contest{}
