lentilplacement: the next flow from a port doesn't inherit the age of one that never opened

A client that used its port again after a flow that hadn't opened got its new flow offered with the age of the earlier one: 30 s after it the flow was refused as too old to wait, or dropped as ClientGone after one refusal. A first packet that comes later than clients go on sending copies is placed as that of a new flow. Evidence: TestPortUsedAgainAfterUnopenedFlow fails on the commit before (the new flow is 30s old; after a refusal: drop ClientGone).

--- a/pkg/lentilplacement/placement.go
+++ b/pkg/lentilplacement/placement.go
@@ -282,16 +282,17 @@
 	return append(actions, p.placeAction(now, to, key, f, data, Remembered, true))
 }
 
-// opensAnew reports whether the first packet of a flow with the ends of a cached one is placed as that of a new flow.
+// opensAnew reports whether a first packet with the ends of a cached flow is placed as that of a new flow: its client uses the
+// port again, or what is known of the earlier flow can't be used.
 func (p *Placer) opensAnew(now time.Time, key lentilflow.Key, f *flow) bool {
-	_, ok := p.remembered(key, f)
 	switch f.state {
 	case stateLookup:
 		return true
 	case stateKnown:
+		_, ok := p.remembered(key, f)
 		return !ok || p.endedWithAgent(now, f.agent)
 	}
-	return !ok && p.heldPlacements[key] != f && now.Sub(f.since) > lentilflow.OpeningPatience
+	return p.heldPlacements[key] != f && now.Sub(f.since) > lentilflow.OpeningPatience
 }
 
 // HandleTaken records that an agent holds a flow. If the agent was asked for the flow without a packet,
--- a/pkg/lentilplacement/reuse_test.go
+++ b/pkg/lentilplacement/reuse_test.go
@@ -143,3 +143,26 @@
 		})
 	}
 }
+
+// TestPortUsedAgainAfterUnopenedFlow guards against a new flow that is refused or given up at once, since it is taken for an earlier one
+// from the same port that never opened.
+func TestPortUsedAgainAfterUnopenedFlow(t *testing.T) {
+	h := newHarness(t)
+	h.sendPacket(firstPacket(testFlow))
+	h.answerTaken(1, false)
+	h.advance(30*time.Second, 1, 2, 3, 4)
+	h.sendStatus(1, func(m *lentilflow.Status) { m.UnderstandsTerms = true })
+	actions, err := h.HandlePacket(firstPacket(testFlow), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := describe(actions); got != "place to 1" {
+		t.Fatalf("got %q, want it placed at agent 1", got)
+	}
+	if age := actions[0].Carry.Age; age != 0 {
+		t.Errorf("the new flow is %s old", age)
+	}
+	if got := h.answerRefused(1, lentilflow.UpstreamFull); got != "place to 2" {
+		t.Errorf("after a refusal: got %q, want it placed at agent 2", got)
+	}
+}
