lentilplacement: packets go to the only holder that is left

A flow that two agents had been offered, and that the one which answered last denied, had its next packets sent to the agent that had denied it, until the other one reported the flow itself (silence for the client). They go to the only agent that may hold it. Evidence: TestPacketsGoToAgentThatDenied fails on the commit before (got "owned to 2").

--- a/pkg/lentilplacement/lookup.go
+++ b/pkg/lentilplacement/lookup.go
@@ -20,8 +20,10 @@
 	switch {
 	case f.state == stateKnown && p.endedWithAgent(now, f.agent):
 		return p.resetEndedFlow(packet.Key, f, HolderGone, actions)
-	case f.state == stateKnown, f.state == statePlaced && len(f.possibleHolders) == 1:
+	case f.state == stateKnown:
 		return append(actions, p.forwardAction(f.agent, packet.Key, lentilflow.Owned, data))
+	case f.state == statePlaced && len(f.possibleHolders) == 1:
+		return append(actions, p.forwardAction(f.possibleHolders[0], packet.Key, lentilflow.Owned, data))
 	case f.state == stateLookup:
 		return p.lookUp(packet, f, data, actions)
 	}
--- a/pkg/lentilplacement/lookup_test.go
+++ b/pkg/lentilplacement/lookup_test.go
@@ -225,3 +225,17 @@
 		t.Errorf("%d of %d agents got the packet, reset %t", decided, agents-3, reset)
 	}
 }
+
+// TestPacketsGoToAgentThatDenied guards against packets that go to an agent which has denied their flow, and not to the only other
+// one that was offered it.
+func TestPacketsGoToAgentThatDenied(t *testing.T) {
+	h := newHarness(t)
+	h.sendPacket(firstPacket(testFlow))
+	h.advance(200*time.Millisecond, 1, 2, 3, 4)
+	h.answerTaken(2, false)
+	h.sendPacket(laterPacket(testFlow))
+	h.answerDenied(2)
+	if got := h.sendPacket(laterPacket(testFlow)); strings.Contains(got, "to 2") || !strings.Contains(got, "to 1") {
+		t.Errorf("got %q, want the packet sent to agent 1 alone", got)
+	}
+}
