lentilplacement: a denial doesn't count for the next flow from the same port

A client whose port was used again within 8 s, and whose new flow was opened by another balancer at an agent that had denied the earlier flow, was reset though that agent held the new one: the agent was left out of the lookup (FLOW).

A packet whose acknowledgement can't follow the last one belongs to another flow from the port, and its lookup starts anew. The comparison is that of the agents, and moves to lentilflow.

--- a/pkg/lentilconntrack/portreuse.go
+++ b/pkg/lentilconntrack/portreuse.go
@@ -6,11 +6,6 @@
 	"lentilstair.example/lentilstair/pkg/lentilflow"
 )
 
-// maxSameFlowOffset is how far acknowledgements of one flow may be apart: from the client's first packet while the flow is
-// half-open, and from one packet of the client to the next. It is far more than the window of a flow, and one in 4,000 packets of
-// other flows is within it on each side.
-const maxSameFlowOffset = 1 << 20
-
 // openedBy reports whether packet may be a copy of the packet that opened the flow. Otherwise, the client uses its port for
 // another flow.
 func (f *flow) openedBy(packet lentilflow.Packet) bool {
@@ -21,8 +16,7 @@
 // client's acknowledgements of a flow follow each other within its window; those of another flow start at a random number.
 func (f *flow) differsFrom(packet lentilflow.Packet) bool {
 	known := cmp.Or(f.acknowledged, f.initialSequence)
-	offset := packet.Acknowledged - known
-	return known != 0 && packet.Flags.Has(lentilflow.Acknowledge) && min(offset, -offset) > maxSameFlowOffset
+	return known != 0 && packet.Flags.Has(lentilflow.Acknowledge) && !lentilflow.OfSameFlow(packet.Acknowledged, known)
 }
 
 // ofEarlierFlow reports whether a packet of the upstream belongs to an earlier flow from the same port of the client, of which
@@ -34,5 +28,5 @@
 	if !packet.Flags.Has(lentilflow.Acknowledge) {
 		return f.waiting
 	}
-	return packet.Acknowledged-f.firstSequence > maxSameFlowOffset
+	return packet.Acknowledged-f.firstSequence > lentilflow.MaxSameFlowOffset
 }
--- a/pkg/lentilflow/flow.go
+++ b/pkg/lentilflow/flow.go
@@ -123,6 +123,15 @@
 // OpensFlow reports whether the packet is a client's request for a new flow.
 func (p Packet) OpensFlow() bool { return p.Flags.Has(Open) && !p.Flags.Has(Acknowledge) }
 
+// MaxSameFlowOffset is how far acknowledgements of one flow may be apart: from the client's first packet while the flow is
+// half-open, and from one packet of the client to the next. It is far more than the window of a flow, and one in 4,000 packets of
+// other flows is within it on each side.
+const MaxSameFlowOffset = 1 << 20
+
+// OfSameFlow reports whether a client's acknowledgements may be of the same flow. Those of another flow with the same ends start at a
+// random number.
+func OfSameFlow(one, other uint32) bool { return min(one-other, other-one) <= MaxSameFlowOffset }
+
 // Codec parses and modifies packets in their wire format.
 type Codec struct {
 	// ParseClientPacket parses a packet sent by a client.
--- a/pkg/lentilplacement/lookup.go
+++ b/pkg/lentilplacement/lookup.go
@@ -16,6 +16,12 @@
 		f = &flow{state: stateLookup}
 		p.flows.Put(now, packet.Key, f)
 	}
+	if f.state == stateLookup && f.differsFrom(packet) {
+		p.releaseHeldPacket(f)
+		p.takeBuffered(f)
+		delete(p.lookups, packet.Key)
+		*f = flow{state: stateLookup}
+	}
 	f.acknowledged = packet.Acknowledged
 	switch {
 	case f.state == stateKnown && p.endedWithAgent(now, f.agent):
@@ -35,6 +41,12 @@
 	return p.forwardToAll(packet.Key, f, data, actions)
 }
 
+// differsFrom reports whether a client's packet belongs to another flow from the same port than the last one did. What agents said
+// of the earlier flow then doesn't count.
+func (f *flow) differsFrom(packet lentilflow.Packet) bool {
+	return f.acknowledged != 0 && packet.Flags.Has(lentilflow.Acknowledge) && !lentilflow.OfSameFlow(packet.Acknowledged, f.acknowledged)
+}
+
 // endedWithAgent reports whether the flows of an agent have ended with it and its upstream.
 func (p *Placer) endedWithAgent(now time.Time, addr lentilflow.Endpoint) bool {
 	a := p.agents[addr]
--- a/pkg/lentilplacement/lookup_test.go
+++ b/pkg/lentilplacement/lookup_test.go
@@ -239,3 +239,24 @@
 		t.Errorf("got %q, want the packet sent to agent 1 alone", got)
 	}
 }
+
+// TestDenialOfEarlierFlow guards against the reset of a flow whose agent has only denied an earlier flow from the same port of the
+// client.
+func TestDenialOfEarlierFlow(t *testing.T) {
+	h := newHarness(t)
+	h.sendPacket(laterPacket(testFlow))
+	h.answerDenied(1)
+	h.advance(3*time.Second, 1, 2, 3, 4)
+	if got := h.sendPacket(laterPacket(testFlow)); strings.Contains(got, "to 1") {
+		t.Errorf("another packet of the earlier flow: got %q, want agent 1 left out", got)
+	}
+	// Another balancer has the client's next flow opened at agent 1.
+	if got := h.sendPacket(nextPacket(testFlow)); !strings.Contains(got, "lookup to 1") {
+		t.Errorf("a packet of the next flow: got %q, want it sent to agent 1 too", got)
+	}
+	for _, n := range []int{2, 3, 4} {
+		if got := h.answerDenied(n); strings.Contains(got, "reset") {
+			t.Errorf("agent %d denies the flow, and agent 1 hasn't answered: got %q", n, got)
+		}
+	}
+}
--- a/pkg/lentilplacement/placement_test.go
+++ b/pkg/lentilplacement/placement_test.go
@@ -21,7 +21,8 @@
 	return lentilflow.NewKey(lentilflow.NewEndpoint([4]byte{100, 64, byte(n >> 8), byte(n)}, 1025), serviceAddress)
 }
 
-// codec parses packets of three bytes: two for the flow's number, and 'f' for a first or 'd' for a later packet.
+// codec parses packets of three bytes: two for the flow's number, and 'f' for a first or 'd' for a later packet, or 'n' for a later
+// packet of the next flow from the same port.
 func codec() lentilflow.Codec {
 	parse := func(data []byte) (p lentilflow.Packet, err error) {
 		if len(data) != 3 {
@@ -31,6 +32,9 @@
 		if data[2] == 'f' {
 			p.Flags, p.Acknowledged = lentilflow.Open, 0
 		}
+		if data[2] == 'n' {
+			p.Acknowledged = 1 << 30
+		}
 		return p, nil
 	}
 	return lentilflow.Codec{ParseClientPacket: parse, ParseUpstreamPacket: parse}
@@ -41,6 +45,7 @@
 
 func firstPacket(n int) []byte { return []byte{byte(n >> 8), byte(n), 'f'} }
 func laterPacket(n int) []byte { return []byte{byte(n >> 8), byte(n), 'd'} }
+func nextPacket(n int) []byte  { return []byte{byte(n >> 8), byte(n), 'n'} }
 
 // harness is a placer with a fake clock and simulated agents.
 type harness struct {
