--- a/platform/scanner.go
+++ b/pkg/lentilscan/scanner.go
@@ -1,4 +1,6 @@
-package platform
+// Package lentilscan reads JSON that several writers have written, such as a list of objects: a value that can't be decoded
+// leaves those beside it readable.
+package lentilscan
 
 import (
 	"bytes"
@@ -7,23 +9,27 @@
 	"fmt"
 )
 
-// errMalformed means that the end of a JSON value can't be found.
-var errMalformed = errors.New("malformed JSON")
+// ErrMalformed means that the end of a JSON value can't be found.
+var ErrMalformed = errors.New("malformed JSON")
 
-// errWrongType means that a value of another type was consumed instead of an object or an array.
-var errWrongType = errors.New("unexpected JSON value")
+// ErrWrongType means that a value of another type was consumed instead of an object or an array.
+var ErrWrongType = errors.New("unexpected JSON value")
 
-// scanner reads the values of a JSON text in order. Unlike encoding/json it sets no limit to their depth, and needs only the
+// Scanner reads the values of a JSON text in order. Unlike encoding/json it sets no limit to their depth, and needs only the
 // strings and brackets of a value to end, so that a value that can't be decoded leaves those beside it readable.
-type scanner struct {
+type Scanner struct {
+	// AfterElement is called after each element of an array. It may be nil.
+	AfterElement func()
+
 	data   []byte
 	offset int
-	// afterElement is called after each element of an array. It may be nil.
-	afterElement func()
 }
 
+// New returns a scanner at the start of data.
+func New(data []byte) *Scanner { return &Scanner{data: data} }
+
 // peek returns the next byte that isn't white space, or 0 at the end.
-func (s *scanner) peek() byte {
+func (s *Scanner) peek() byte {
 	for ; s.offset < len(s.data); s.offset++ {
 		switch c := s.data[s.offset]; c {
 		case ' ', '\t', '\r', '\n':
@@ -35,7 +41,7 @@
 }
 
 // accept consumes the byte want if it comes next.
-func (s *scanner) accept(want byte) (accepted bool) {
+func (s *Scanner) accept(want byte) (accepted bool) {
 	if s.peek() != want || s.offset == len(s.data) {
 		return false
 	}
@@ -43,8 +49,8 @@
 	return true
 }
 
-// value consumes a value and returns its bytes.
-func (s *scanner) value() (value []byte, err error) {
+// Value consumes a value and returns its bytes.
+func (s *Scanner) Value() (value []byte, err error) {
 	first := s.peek()
 	start := s.offset
 	switch first {
@@ -58,7 +64,7 @@
 			length = len(s.data) - start
 		}
 		if length == 0 {
-			return nil, errMalformed
+			return nil, ErrMalformed
 		}
 		s.offset += length
 	}
@@ -66,7 +72,7 @@
 }
 
 // skipBrackets consumes an object or an array.
-func (s *scanner) skipBrackets() (err error) {
+func (s *Scanner) skipBrackets() (err error) {
 	for depth := 0; s.offset < len(s.data); {
 		switch s.data[s.offset] {
 		case '"':
@@ -83,11 +89,11 @@
 			return nil
 		}
 	}
-	return errMalformed
+	return ErrMalformed
 }
 
 // skipString consumes a string.
-func (s *scanner) skipString() (err error) {
+func (s *Scanner) skipString() (err error) {
 	for i := s.offset + 1; i < len(s.data); i++ {
 		switch s.data[i] {
 		case '\\':
@@ -97,54 +103,54 @@
 			return nil
 		}
 	}
-	return errMalformed
+	return ErrMalformed
 }
 
-// decode consumes a value and decodes it into result.
-func (s *scanner) decode(result any) (err error) {
-	value, err := s.value()
+// Decode consumes a value and decodes it into result.
+func (s *Scanner) Decode(result any) (err error) {
+	value, err := s.Value()
 	if err != nil {
 		return err
 	}
 	return json.Unmarshal(value, result)
 }
 
-// skip consumes a value.
-func (s *scanner) skip() (err error) {
-	_, err = s.value()
+// Skip consumes a value.
+func (s *Scanner) Skip() (err error) {
+	_, err = s.Value()
 	return err
 }
 
-// members calls decode with the name of each member of an object; decode consumes the value. The value null counts as an
+// Members calls decode with the name of each member of an object; decode consumes the value. The value null counts as an
 // object without members.
-func (s *scanner) members(decode func(name string) error) (err error) {
+func (s *Scanner) Members(decode func(name string) error) (err error) {
 	return s.sequence('{', '}', func() error {
 		var name string
-		if s.peek() != '"' || s.decode(&name) != nil || !s.accept(':') {
-			return errMalformed
+		if s.peek() != '"' || s.Decode(&name) != nil || !s.accept(':') {
+			return ErrMalformed
 		}
 		return decode(name)
 	})
 }
 
-// elements calls decode for each element of an array; decode consumes it. The value null counts as an empty array.
-func (s *scanner) elements(decode func() error) (err error) {
+// Elements calls decode for each element of an array; decode consumes it. The value null counts as an empty array.
+func (s *Scanner) Elements(decode func() error) (err error) {
 	return s.sequence('[', ']', func() error {
 		err := decode()
-		if err == nil && s.afterElement != nil {
-			s.afterElement()
+		if err == nil && s.AfterElement != nil {
+			s.AfterElement()
 		}
 		return err
 	})
 }
 
 // sequence consumes an object or an array, and calls part to consume each of its parts. A value of another type is consumed
-// as a whole; the error is errWrongType then, unless it is null.
-func (s *scanner) sequence(begin, end byte, part func() error) (err error) {
+// as a whole; the error is ErrWrongType then, unless it is null.
+func (s *Scanner) sequence(begin, end byte, part func() error) (err error) {
 	if s.peek() != begin {
-		value, err := s.value()
+		value, err := s.Value()
 		if err == nil && string(value) != "null" {
-			err = fmt.Errorf("%w: %.1s, want %c", errWrongType, value, begin)
+			err = fmt.Errorf("%w: %.1s, want %c", ErrWrongType, value, begin)
 		}
 		return err
 	}
@@ -160,17 +166,17 @@
 			return nil
 		}
 		if !s.accept(',') {
-			return errMalformed
+			return ErrMalformed
 		}
 	}
 }
 
-// tolerate calls decode, which consumes a value. If decode fails, the value is consumed anyway, and invalid is the reason.
-func (s *scanner) tolerate(decode func() error) (invalid, err error) {
+// Tolerate calls decode, which consumes a value. If decode fails, the value is consumed anyway, and invalid is the reason.
+func (s *Scanner) Tolerate(decode func() error) (invalid, err error) {
 	start := s.offset
 	if invalid = decode(); invalid == nil {
 		return nil, nil
 	}
 	s.offset = start
-	return invalid, s.skip()
+	return invalid, s.Skip()
 }
