lentilplatform: one odd object of a list hides no others

Callers would see balancers of the HTTP/3 path that no longer follow the configuration, and `lentilstair audit` and cleanups that fail, since another writer has left one object beside the head or the audit records that can't be parsed.

Change: objects of a list are parsed one by one with lentilscan; one that can't be is left out and passed to Client.OnInvalid, which the balancer logs (LE2202, limited). The spec isn't looked at by the client: a head whose spec can't be parsed is refused by its reader, which goes on watching. A watch event that can't be parsed still ends the watch, after which the reader lists again.

--- a/internal/lentilcommand/lentilbalancercommand/process.go
+++ b/internal/lentilcommand/lentilbalancercommand/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 
 	"lentilstair.example/lentilstair/internal/lentilbalancer"
@@ -42,7 +43,7 @@
 	if p.view.Sealer, err = common.Ring.Sealer(); err != nil {
 		return nil, err
 	}
-	p.platform = &lentilplatform.Client{BaseURL: settings.Platform().URL(), Token: settings.Platform().Token()}
+	p.platform = &lentilplatform.Client{BaseURL: settings.Platform().URL(), Token: settings.Platform().Token(), OnInvalid: p.logInvalidObject}
 	p.reader = &lentilreader.Reader{Client: p.platform, OnRefused: p.logConfigurationRefused}
 	p.balancer, err = lentilbalancer.New(lentilbalancer.Options{
 		ListenAddress: settings.ListenAddress(),
@@ -183,6 +184,12 @@
 	p.common.Logger.WriteLimited(&p.common.EventLimiter, lentilevent.ConfigurationRefused, lentilevent.Err(err))
 }
 
+// logInvalidObject cuts the name and the reason, which may quote what the object holds.
+func (p *process) logInvalidObject(kind lentilplatform.Kind, name string, err error) {
+	p.common.Logger.WriteLimited(&p.common.EventLimiter, lentilevent.ConfigurationRefused,
+		lentilevent.Str("object", fmt.Sprintf("%s/%.255s", kind.Plural(), name)), lentilevent.Str("error", fmt.Sprintf("%.255s", err)))
+}
+
 func (p *process) logControlError(err error) {
 	p.common.Logger.WriteLimited(&p.common.EventLimiter, lentilevent.ControlFailed, lentilevent.Err(err))
 }
--- a/pkg/lentilplatform/client.go
+++ b/pkg/lentilplatform/client.go
@@ -47,6 +47,9 @@
 	// Limiter limits the rate of calls. Nil means no limit. A call that would have to
 	// wait beyond its deadline fails with ErrLimited.
 	Limiter *rate.Limiter
+	// OnInvalid is called with each object of a list that can't be parsed, such as one of another writer. The name is empty
+	// if it can't be parsed either. Lists leave such objects out. Nil means no call.
+	OnInvalid func(kind Kind, name string, err error)
 
 	calls callCounters
 }
@@ -76,7 +79,7 @@
 func (c *Client) Get(ctx context.Context, kind Kind, name string) (object Object, err error) {
 	defer lentilerror.Annotate(&err, "get %s %s", kind.APIKind(), name)
 	var doc ObjectDoc
-	if err = c.call(ctx, request{method: http.MethodGet, path: c.objectPath(kind, name)}, &doc); err != nil {
+	if err = c.call(ctx, request{method: http.MethodGet, path: c.objectPath(kind, name)}, doc.parse); err != nil {
 		return Object{}, err
 	}
 	return doc.object(kind), nil
@@ -97,18 +100,22 @@
 	defer lentilerror.Annotate(&err, "list %s", kind.Plural())
 	query := url.Values{"limit": {strconv.Itoa(listPageSize)}}
 	for {
-		var page ListDoc
+		var page listPage
 		req := request{method: http.MethodGet, path: c.objectPath(kind, ""), query: query, accept: accept}
-		if err = c.call(ctx, req, &page); err != nil {
+		if err = c.call(ctx, req, page.parse); err != nil {
 			return nil, "", err
 		}
-		for _, doc := range page.Items {
-			objects = append(objects, doc.object(kind))
+		for _, item := range page.items {
+			if item.err == nil {
+				objects = append(objects, item.doc.object(kind))
+			} else if c.OnInvalid != nil {
+				c.OnInvalid(kind, item.doc.Metadata.Name, item.err)
+			}
 		}
-		if page.Metadata.Continue == "" {
-			return objects, page.Metadata.ResourceVersion, nil
+		if page.metadata.Continue == "" {
+			return objects, page.metadata.ResourceVersion, nil
 		}
-		query.Set("continue", page.Metadata.Continue)
+		query.Set("continue", page.metadata.Continue)
 	}
 }
 
@@ -141,7 +148,7 @@
 		return err
 	}
 	req := request{method: http.MethodDelete, path: c.objectPath(object.kind, object.name), body: body}
-	return c.call(ctx, req, &StatusDoc{})
+	return c.call(ctx, req, func(body []byte) error { return json.Unmarshal(body, &StatusDoc{}) })
 }
 
 // deleteOptionsDoc is the JSON form of the precondition of a deletion.
@@ -162,7 +169,7 @@
 		return Object{}, &Error{reason: ReasonTooLarge, message: strconv.Itoa(len(body)) + " bytes"}
 	}
 	var doc ObjectDoc
-	if err = c.call(ctx, request{method: method, path: path, body: body}, &doc); err != nil {
+	if err = c.call(ctx, request{method: method, path: path, body: body}, doc.parse); err != nil {
 		return Object{}, err
 	}
 	return doc.object(object.kind), nil
@@ -179,9 +186,9 @@
 
 func (r request) isWrite() bool { return r.method != http.MethodGet }
 
-// call sends a request within the timeout and the rate limit, counts it, and decodes the
-// response body into result.
-func (c *Client) call(ctx context.Context, req request, result any) (err error) {
+// call sends a request within the timeout and the rate limit, counts it, and passes the
+// response body to parse.
+func (c *Client) call(ctx context.Context, req request, parse func(body []byte) error) (err error) {
 	defer func() {
 		if err != nil {
 			c.calls.failures.Add(1)
@@ -216,7 +223,7 @@
 	if response.StatusCode >= http.StatusBadRequest {
 		return errorResponse(response, body, req.isWrite())
 	}
-	if err = json.Unmarshal(body, result); err != nil {
+	if err = parse(body); err != nil {
 		return unreadableResponseError(req, err)
 	}
 	return nil
