lentilplatform: large objects of a list hide no others

Callers would see the same as with an odd object: a list that is never read.

Cause: a page of 500 objects may exceed the 1.06 MB that a response body may have, although each object fits. The list then failed with "body is too large", each time.

Change: such a page is requested again with one object, and the next one with 500 as before.

Evidence: TestLargeObjectsHideNoOthers, with four heads of half a MB, failed on: "0 objects at , list configurationheads, cause: platform: body is too large: the response body"; it passes now.

--- a/pkg/lentilplatform/client.go
+++ b/pkg/lentilplatform/client.go
@@ -26,6 +26,8 @@
 	DefaultNamespace = "lentilstair"
 	// listPageSize is the number of items that are requested per page of a list.
 	listPageSize = 500
+	// singleItem is the limit of a page whose objects together exceed maxResponseSize. One object fits.
+	singleItem = "1"
 	// maxResponseSize bounds a response body: an object and the fields around it.
 	maxResponseSize = MaxObjectSize + 64<<10
 )
@@ -102,7 +104,12 @@
 	for {
 		var page listPage
 		req := request{method: http.MethodGet, path: c.objectPath(kind, ""), query: query, accept: accept}
-		if err = c.call(ctx, req, page.parse); err != nil {
+		err = c.call(ctx, req, page.parse)
+		if errors.Is(err, ErrTooLarge) && query.Get("limit") != singleItem {
+			query.Set("limit", singleItem)
+			continue
+		}
+		if err != nil {
 			return nil, "", err
 		}
 		for _, item := range page.items {
@@ -116,6 +123,7 @@
 			return objects, page.metadata.ResourceVersion, nil
 		}
 		query.Set("continue", page.metadata.Continue)
+		query.Set("limit", strconv.Itoa(listPageSize))
 	}
 }
 
--- a/pkg/lentilplatform/oddobject_test.go
+++ b/pkg/lentilplatform/oddobject_test.go
@@ -63,3 +63,28 @@
 		server.Close()
 	}
 }
+
+// TestLargeObjectsHideNoOthers guards against large objects of another writer, which together exceed the largest page that is
+// read.
+func TestLargeObjectsHideNoOthers(t *testing.T) {
+	const count = 4
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		next := ""
+		first, last := strings.Index("abcd", q.URL.Query().Get("continue")), count
+		if q.URL.Query().Get("limit") == "1" {
+			if last = first + 1; last < count {
+				next = "abcd"[last : last+1]
+			}
+		}
+		var items []string
+		for _, name := range "abcd"[first:last] {
+			items = append(items, `{"metadata":{"name":"`+string(name)+`"},"spec":"`+strings.Repeat("x", MaxObjectSize/2)+`"}`)
+		}
+		_, _ = w.Write([]byte(`{"metadata":{"resourceVersion":"9","continue":"` + next + `"},"items":[` + strings.Join(items, ",") + `]}`))
+	}))
+	defer server.Close()
+	objects, version, err := (&Client{BaseURL: server.URL}).List(context.Background(), KindHead)
+	if err != nil || version != "9" || len(objects) != count {
+		t.Errorf("%d objects at %s, %v", len(objects), version, err)
+	}
+}
