An agent's entry is removed only while it holds the address that has gone

The placer now returns the agents that have gone with their addresses, and leaves out those whose name another agent has.

--- a/internal/lentilpacket/link_test.go
+++ b/internal/lentilpacket/link_test.go
@@ -169,7 +169,7 @@
 	directory := Directory{
 		Publish:  func(context.Context, Peer) error { return nil },
 		List:     func(context.Context) ([]Peer, error) { return nil, nil },
-		Withdraw: func(context.Context, string) error { return nil },
+		Withdraw: func(context.Context, lentilflow.Node) error { return nil },
 	}
 	return Store{
 		Configuration: lentilfollow.Source[lentilflow.Configuration]{
--- a/internal/lentilpacket/readers.go
+++ b/internal/lentilpacket/readers.go
@@ -130,11 +130,11 @@
 // removeGoneAgents withdraws the store entries of agents that have been gone for too long.
 func (b *Balancer) removeGoneAgents(ctx context.Context) {
 	b.mu.Lock()
-	names := b.placer.ExpireAgents()
+	gone := b.placer.ExpireAgents()
 	b.mu.Unlock()
-	for _, name := range names {
-		b.Logger.Write(lentilevent.PeerForgotten, lentilevent.Str("peer", name))
-		if err := b.Store.Agents.Withdraw(ctx, name); err != nil {
+	for _, node := range gone {
+		b.Logger.Write(lentilevent.PeerForgotten, lentilevent.Str("peer", node.Name))
+		if err := b.Store.Agents.Withdraw(ctx, node); err != nil {
 			b.Logger.Write(lentilevent.StoreLost, lentilevent.Str("what", "withdraw"), lentilevent.Err(err))
 		}
 	}
--- a/internal/lentilpacket/stop.go
+++ b/internal/lentilpacket/stop.go
@@ -32,7 +32,7 @@
 	}
 	if gone {
 		pause, operation = min(lingerLimit, a.Settings.StopGrace()), "withdraw"
-		updateEntry = func(ctx context.Context) error { return a.Store.Agents.Withdraw(ctx, self.Node.Name) }
+		updateEntry = func(ctx context.Context) error { return a.Store.Agents.Withdraw(ctx, self.Node) }
 	}
 	limited, cancel := context.WithTimeout(forced, pause)
 	defer cancel()
--- a/internal/lentilpacket/store.go
+++ b/internal/lentilpacket/store.go
@@ -62,8 +62,8 @@
 	Publish func(ctx context.Context, self Peer) error
 	// List returns all entries, including those of processes that have ended.
 	List func(ctx context.Context) ([]Peer, error)
-	// Withdraw removes the entry of a process that has ended.
-	Withdraw func(ctx context.Context, name string) error
+	// Withdraw removes the entry of a process that has ended, unless another process of its name has the entry by now.
+	Withdraw func(ctx context.Context, node lentilflow.Node) error
 }
 
 // discoverPeers publishes the process in its own directory and then passes the entries of the other directory
--- a/pkg/lentilplacement/agent.go
+++ b/pkg/lentilplacement/agent.go
@@ -171,17 +171,17 @@
 	return a.status, age, true
 }
 
-// ExpireAgents removes agents that have been gone for longer than expireAfter, and returns their names.
-func (p *Placer) ExpireAgents() (names []string) {
+// ExpireAgents removes agents that have been gone for longer than expireAfter, and returns those whose names no other agent has.
+func (p *Placer) ExpireAgents() (gone []lentilflow.Node) {
 	now := p.now()
 	for addr, a := range p.agents {
 		if now.Sub(a.lastSeen) > expireAfter && now.Sub(a.addedAt) > expireAfter && p.isGone(now, a) {
-			names = append(names, a.status.Name)
+			gone = append(gone, lentilflow.Node{Name: a.status.Name, Domain: a.status.Domain, Address: addr})
 			delete(p.agents, addr)
 			p.agentsByService = nil
 		}
 	}
-	return names
+	return slices.DeleteFunc(gone, func(n lentilflow.Node) bool { return p.KnowsAgent(n.Name) })
 }
 
 // StopArbiter returns the agent that a balancer of the placer's failure domain asks whether it may stop. Balancers with the
--- a/pkg/lentilplacement/liveness_test.go
+++ b/pkg/lentilplacement/liveness_test.go
@@ -224,3 +224,22 @@
 	a := addr.Address()
 	return int(a[2])<<8 | int(a[3])
 }
+
+// TestExpiredAddressRemovesLivingAgent guards against the removal of a living agent's entry, because the address where an earlier agent
+// of its name was has expired.
+func TestExpiredAddressRemovesLivingAgent(t *testing.T) {
+	const moved = 5
+	h := newHarness(t)
+	movedStatus := func() { h.sendStatus(moved, func(m *lentilflow.Status) { m.Name = "agent-3" }) }
+	for range 200 {
+		h.clock.Advance(100 * time.Millisecond)
+		for _, n := range []int{1, 2, 4} {
+			h.sendStatus(n)
+		}
+		movedStatus()
+		h.Tick(nil)
+	}
+	if got := h.expireAgents(); got != "" {
+		t.Errorf("%s to be removed, and agent-3 runs: %t", got, h.KnowsAgent("agent-3"))
+	}
+}
--- a/pkg/lentilplacement/placement_test.go
+++ b/pkg/lentilplacement/placement_test.go
@@ -143,6 +143,15 @@
 	return strings.Join(lines, ", ")
 }
 
+// expireAgents returns the names and the addresses of the agents that have been gone for long.
+func (h *harness) expireAgents() string {
+	var gone []string
+	for _, n := range h.ExpireAgents() {
+		gone = append(gone, fmt.Sprintf("%s at %s", n.Name, n.Address))
+	}
+	return strings.Join(gone, ", ")
+}
+
 // describe formats actions as short texts. SendHello, ProbeMachine, ReportPlaced and ReportLookup are left out.
 func describe(actions []Action) string {
 	var lines []string
@@ -385,17 +394,17 @@
 		}},
 		{"an agent that has been gone for long expires", []step{
 			{func(h *harness) string { return h.advance(20*time.Second, 1, 2, 4) }, "AgentSilent 3"},
-			{func(h *harness) string { return fmt.Sprint(h.ExpireAgents()) }, "[agent-3]"},
-			{func(h *harness) string { return fmt.Sprint(h.ExpireAgents()) }, "[]"},
+			{func(h *harness) string { return h.expireAgents() }, "agent-3 at 10.0.0.3:7720"},
+			{func(h *harness) string { return h.expireAgents() }, ""},
 		}},
 		{"no agent expires after a pause of the balancer", []step{
 			{func(h *harness) string { return h.advance(3*time.Second, 1, 2, 3, 4) }, ""},
 			{func(h *harness) string { h.clock.Advance(time.Minute); return describe(h.Tick(nil)) }, ""},
-			{func(h *harness) string { h.sendStatus(1); return fmt.Sprint(h.ExpireAgents()) }, "[]"},
+			{func(h *harness) string { h.sendStatus(1); return h.expireAgents() }, ""},
 		}},
 		{"no agent expires after a partition of the balancer", []step{
 			{func(h *harness) string { return h.advance(20*time.Second, nil...) }, "AgentSilent 1, AgentSilent 2, AgentSilent 3, AgentSilent 4"},
-			{func(h *harness) string { h.sendStatus(1); return fmt.Sprint(h.ExpireAgents()) }, "[]"},
+			{func(h *harness) string { h.sendStatus(1); return h.expireAgents() }, ""},
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
