lentilplacement: a late status shuts out the present run for a second at most

A single late status of an earlier run, of which the balancer had heard last or not at all, made the present run count as the one before, and all its statuses were ignored for good: the agent got no more flows from that balancer. Runs have no order, so the run before is now ignored only for as long as its statuses can be late.

--- a/pkg/lentilplacement/agent.go
+++ b/pkg/lentilplacement/agent.go
@@ -110,8 +110,17 @@
 	return known, responsive
 }
 
+// lateStatusLimit is how late a status may arrive. It is far more than a way between failure domains takes.
+const lateStatusLimit = time.Second
+
+// superseded reports whether a status is a late one of the run before the present one. Runs have no order, so that a late status may
+// also seem to begin the present run. The other one is therefore shut out only for as long as its statuses may be late.
+func (a *agent) superseded(now time.Time, m lentilflow.Status) bool {
+	return m.RunID == a.supersededRun && m.RunID != a.status.RunID && now.Sub(a.runSeenAt) < lateStatusLimit
+}
+
 // HandleStatus updates the state of an agent from its status. A status that isn't newer than the
-// last one of the same run, or that is of the run before, is ignored.
+// last one of the same run, or that is a late one of the run before, is ignored.
 func (p *Placer) HandleStatus(from lentilflow.Endpoint, m lentilflow.Status, actions []Action) []Action {
 	a := p.agents[from]
 	if a == nil {
@@ -119,7 +128,7 @@
 		p.putAgent(from, a)
 	}
 	previous := a.status
-	if m.RunID == previous.RunID && m.Sequence <= previous.Sequence || m.RunID != previous.RunID && m.RunID == a.supersededRun {
+	if m.RunID == previous.RunID && m.Sequence <= previous.Sequence || a.superseded(p.now(), m) {
 		return actions
 	}
 	p.recordRelay(m.ConfiguredBalancer)
--- a/pkg/lentilplacement/reuse_test.go
+++ b/pkg/lentilplacement/reuse_test.go
@@ -166,3 +166,43 @@
 		t.Errorf("after a refusal: got %q, want it placed at agent 2", got)
 	}
 }
+
+// ofRun makes a status that of a run of the agent.
+func ofRun(run, sequence uint64) func(*lentilflow.Status) {
+	return func(m *lentilflow.Status) { m.RunID, m.Sequence = run, sequence }
+}
+
+// TestLateStatusShutsOutRun guards against an agent whose statuses are ignored for the rest of its run, after a late one of an
+// earlier run: they count again once no further ones can be late.
+func TestLateStatusShutsOutRun(t *testing.T) {
+	stopped := func(m *lentilflow.Status) { m.Stopping, m.Phase = true, lentilflow.Gone }
+	for _, c := range []struct {
+		name   string
+		events func(h *harness)
+	}{
+		{"the balancer heard the present run first", func(h *harness) {
+			h.Placer = &Placer{Clock: h.clock, Codec: codec(), Domain: "near"}
+			h.configure(1, "a")
+			h.SetAgentsComplete()
+			h.sendStatus(1, ofRun(2, 1))
+			h.sendStatus(1, ofRun(1, 90), stopped)
+			h.clock.Advance(lateStatusLimit)
+			h.sendStatus(1, ofRun(2, 2))
+		}},
+		{"two runs back", func(h *harness) {
+			h.sendStatus(1, ofRun(2, 1))
+			h.sendStatus(1, ofRun(3, 1))
+			h.sendStatus(1, ofRun(1, 90), stopped)
+			h.clock.Advance(lateStatusLimit)
+			h.sendStatus(1, ofRun(3, 2))
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t)
+			c.events(h)
+			if a := h.agents[agentAddress(1)]; !h.acceptsFlows(a) {
+				t.Errorf("the agent gets no flows, though its run has said again that it is ready; the kept status is of run %d", a.status.RunID)
+			}
+		})
+	}
+}
