lentilplacement: the next flow from the port of an open one has an age of its own

A new flow from a port whose earlier flow the balancer knew as open was offered with an age of centuries, 65,535 ms on the wire, so that the agent refused to let it wait. Evidence: TestPortUsedAgainAfterOpenFlow fails on the commit before (the new flow is 2562047h47m16s old).

--- a/pkg/lentilplacement/placement.go
+++ b/pkg/lentilplacement/placement.go
@@ -270,6 +270,10 @@
 	if p.heldPlacements[key] == f {
 		return actions
 	}
+	if f.state == stateKnown {
+		// The flow is another one from the client's port.
+		f.since = now.Add(-packet.OpeningAge)
+	}
 	if f.state == statePlacing && now.Sub(f.sentAt) >= p.offerTimeout() && p.mayOfferAgain(now, f) && !p.awaitsHedge(now, f) {
 		return p.place(now, key, f, ChosenAgain, actions)
 	}
--- a/pkg/lentilplacement/reuse_test.go
+++ b/pkg/lentilplacement/reuse_test.go
@@ -206,3 +206,20 @@
 		})
 	}
 }
+
+// TestPortUsedAgainAfterOpenFlow guards against a new flow that is offered with an age of centuries, since the flow that its
+// port had before has none.
+func TestPortUsedAgainAfterOpenFlow(t *testing.T) {
+	h := newHarness(t)
+	h.sendStatus(1, func(m *lentilflow.Status) { m.UnderstandsTerms = true })
+	h.sendPacket(firstPacket(testFlow))
+	h.answerTaken(1, true)
+	h.clock.Advance(5 * time.Second)
+	actions, err := h.HandlePacket(firstPacket(testFlow), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if age := actions[0].Carry.Age; age > lentilflow.OpeningPatience {
+		t.Errorf("%s: the new flow is %s old", describe(actions), age)
+	}
+}
