lentilconntrack: short pauses, and pauses in a row, don't make an upstream look alive

The time that was heard of an upstream last was too late by up to 300 ms after a pause that isn't noticed, and by the length of the first of two pauses after the second one: first packets could go to an upstream of another service (ROUTE).

The belief now ends a pause of 300 ms earlier: 1.6 s after the last message at an addressReuse of 2 s, still longer than the renewals of 1.2 s are apart. While messages from before a pause may be unread, another pause doesn't move its beginning.

--- a/pkg/lentilconntrack/admission.go
+++ b/pkg/lentilconntrack/admission.go
@@ -87,9 +87,14 @@
 
 // observePause records that the agent goes on after a pause.
 func (t *Tracker) observePause(now time.Time) {
-	if !t.lastTick.IsZero() && now.Sub(t.lastTick) > pauseThreshold && !t.pausedAt.Equal(t.lastTick) {
-		t.pausedAt, t.resumedAt = t.lastTick, now
+	if t.lastTick.IsZero() || now.Sub(t.lastTick) <= pauseThreshold || t.resumedAt.After(t.lastTick) {
+		return
 	}
+	if !t.justResumed(t.lastTick) {
+		// Otherwise what has waited since the pause before may still be unread.
+		t.pausedAt = t.lastTick
+	}
+	t.resumedAt = now
 }
 
 // justResumed reports whether messages that have waited during a pause of the agent may still be read.
--- a/pkg/lentilconntrack/reuse_test.go
+++ b/pkg/lentilconntrack/reuse_test.go
@@ -23,13 +23,13 @@
 			h.register("other", func(r *Registration) { r.Service = "b" })
 		}, refused},
 		{"registered", func(h *harness) { h.register("u") }, admitted},
-		{"registered 1.8 s ago", func(h *harness) {
+		{"registered 1.5 s ago", func(h *harness) {
 			h.register("u")
-			h.run(1800 * time.Millisecond)
+			h.run(1500 * time.Millisecond)
 		}, admitted},
-		{"registered 2 s ago", func(h *harness) {
+		{"registered 1.7 s ago", func(h *harness) {
 			h.register("u")
-			h.run(2000 * time.Millisecond)
+			h.run(1700 * time.Millisecond)
 		}, refused},
 		{"registered 2.1 s ago, and answers since", func(h *harness) {
 			h.register("u")
@@ -228,6 +228,40 @@
 	}
 }
 
+// TestMessageReadAfterShortPause guards against new flows at an upstream of another service, since a message that waited during a
+// pause too short to be noticed counts as sent when it was read.
+func TestMessageReadAfterShortPause(t *testing.T) {
+	h := newHarness(t)
+	h.AddressReuse = 2 * time.Second
+	h.register("u")
+	h.Tick(nil)
+	// The upstream registers once more and ends. The agent is paused for 290 ms, and reads the registration after that.
+	ended := h.clock.Now()
+	h.clock.Advance(290 * time.Millisecond)
+	h.register("u")
+	h.run(1750 * time.Millisecond)
+	if got := h.fromBalancer(peer1, lentilflow.Place, firstPacket(flowKey(1))); got != "SendRefused NoUpstream" {
+		t.Errorf("%s after the end of the upstream: got %q, want a refusal, since the address may be used again after %s", h.clock.Now().Sub(ended), got, h.AddressReuse)
+	}
+}
+
+// TestMessageReadAfterTwoPauses guards against new flows at an upstream of another service, since a message that waited during
+// two pauses in a row counts as sent when the second one began.
+func TestMessageReadAfterTwoPauses(t *testing.T) {
+	h := newHarness(t)
+	h.AddressReuse = 2 * time.Second
+	h.register("u")
+	h.Tick(nil)
+	h.clock.Advance(5 * time.Second)
+	h.Tick(nil)
+	h.clock.Advance(400 * time.Millisecond)
+	h.register("u")
+	h.run(400 * time.Millisecond)
+	if got := h.fromBalancer(peer1, lentilflow.Place, firstPacket(flowKey(1))); got != "SendRefused NoUpstream" {
+		t.Errorf("got %q, want a refusal: the registration may be 5.8 s old", got)
+	}
+}
+
 // run advances the clock with a tick every 50 ms.
 func (h *harness) run(d time.Duration) {
 	for ; d > 0; d -= 50 * time.Millisecond {
--- a/pkg/lentilconntrack/upstream.go
+++ b/pkg/lentilconntrack/upstream.go
@@ -144,10 +144,11 @@
 // and was heard of so recently that the address can't have gone to another service. Only then it gets first packets of flows.
 func (t *Tracker) upstreamKnown(now time.Time) bool {
 	u := &t.upstream
-	return u.id != "" && (t.AddressReuse == 0 || now.Sub(u.seenAt) < max(t.AddressReuse-reuseMargin, t.RenewInterval+reuseMargin))
+	return u.id != "" && (t.AddressReuse == 0 || now.Sub(u.seenAt) < max(t.AddressReuse-pauseThreshold-reuseMargin, t.RenewInterval+reuseMargin))
 }
 
 // recordSeen records a message of the upstream. One that is read right after a pause of the agent may have waited all the while.
+// Shorter pauses aren't noticed; upstreamKnown allows for one.
 func (t *Tracker) recordSeen(now time.Time) {
 	sentAt := now
 	if t.justResumed(now) {
