lentilconntrack: a probe names the run of the upstream that it is for

Two probes of an upstream can be under way, one after a refused packet and one after its deregistration. Only the first result was ignored after the next upstream had registered, and the second one reset that one's flows (a gap in, found in review). The result of a probe now comes with the number of the upstream's run when the probe began.

--- a/internal/lentilpacket/stop.go
+++ b/internal/lentilpacket/stop.go
@@ -50,6 +50,9 @@
 	case <-a.ctx.Done():
 		return
 	}
+	a.mu.Lock()
+	run := a.tracker.UpstreamRuns()
+	a.mu.Unlock()
 	dialer := net.Dialer{Timeout: probeTimeout}
 	conn, err := dialer.DialContext(a.ctx, "tcp4", a.Settings.UpstreamAddress().String())
 	result := lentilconntrack.ProbeTimedOut
@@ -61,6 +64,6 @@
 		result = lentilconntrack.ProbeRefused
 	}
 	a.handleEvent(func(actions []lentilconntrack.Action) []lentilconntrack.Action {
-		return a.tracker.HandleProbeResult(result, actions)
+		return a.tracker.HandleProbeResult(result, run, actions)
 	})
 }
--- a/internal/lentilpacketmodel/process.go
+++ b/internal/lentilpacketmodel/process.go
@@ -322,12 +322,13 @@
 // probeUpstream simulates a connection to the upstream's address.
 func (a *agent) probeUpstream() {
 	const timeout = 250 * time.Millisecond
+	run := a.tracker.UpstreamRuns()
 	switch u := a.upstream; {
 	case u != nil && u.alive():
-		a.perform(a.tracker.HandleProbeResult(lentilconntrack.ProbeAccepted, nil))
+		a.perform(a.tracker.HandleProbeResult(lentilconntrack.ProbeAccepted, run, nil))
 	case u != nil && u.unresponsive:
-		a.schedule(timeout, func() { a.perform(a.tracker.HandleProbeResult(lentilconntrack.ProbeTimedOut, nil)) })
+		a.schedule(timeout, func() { a.perform(a.tracker.HandleProbeResult(lentilconntrack.ProbeTimedOut, run, nil)) })
 	default:
-		a.perform(a.tracker.HandleProbeResult(lentilconntrack.ProbeRefused, nil))
+		a.perform(a.tracker.HandleProbeResult(lentilconntrack.ProbeRefused, run, nil))
 	}
 }
--- a/pkg/lentilconntrack/probe_test.go
+++ b/pkg/lentilconntrack/probe_test.go
@@ -1,6 +1,7 @@
 package lentilconntrack
 
 import (
+	"strings"
 	"testing"
 	"time"
 )
@@ -19,12 +20,29 @@
 			h := newHarness(t)
 			h.register("u")
 			h.HandlePacketRefused(nil)
+			run := h.UpstreamRuns()
 			h.clock.Advance(50 * time.Millisecond)
 			h.register("v", func(r *Registration) { r.Incarnation, r.Sequence = 50, 1 })
 			h.openFlow(flowKey(1))
-			if got := formatActions(h.HandleProbeResult(c.result, nil)); got != "" && got != "ProbeUpstream" {
+			if got := formatActions(h.HandleProbeResult(c.result, run, nil)); got != "" && got != "ProbeUpstream" {
 				t.Errorf("got %q, want nothing, or another probe of the upstream that registered after the probe began", got)
 			}
 		})
 	}
 }
+
+// TestSecondProbeOfEarlierUpstreamEndsNextOne guards against the reset of open flows by the second of two probes of the earlier
+// upstream: one after a refused packet, and one after its deregistration.
+func TestSecondProbeOfEarlierUpstreamEndsNextOne(t *testing.T) {
+	h := newHarness(t)
+	h.register("u")
+	h.HandlePacketRefused(nil)
+	h.Deregister("u", nil)
+	run := h.UpstreamRuns()
+	h.register("v", func(r *Registration) { r.Incarnation, r.Sequence = 50, 1 })
+	h.openFlow(flowKey(1))
+	got := formatActions(h.HandleProbeResult(ProbeTimedOut, run, nil)) + "; " + formatActions(h.HandleProbeResult(ProbeRefused, run, nil))
+	if strings.Contains(got, "ResetClient") {
+		t.Errorf("got %q, want no flow of the next upstream reset", got)
+	}
+}
--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -151,9 +151,10 @@
 	// or accepted a probe; unansweredSince is the time of the first one.
 	unanswered      int
 	unansweredSince time.Time
-	// probing is set from a ProbeUpstream action until its result, and probeOutdated if another run of the upstream has
-	// registered in between.
-	probing, probeOutdated bool
+	// probing is set from a ProbeUpstream action until its result, or until another run of the upstream registers. upstreamRuns
+	// counts the runs that have registered.
+	probing      bool
+	upstreamRuns uint64
 	// lastCold is the value of Cold in the last tick.
 	lastCold       bool
 	balancers      map[lentilflow.Endpoint]*balancer
--- a/pkg/lentilconntrack/tracker_test.go
+++ b/pkg/lentilconntrack/tracker_test.go
@@ -210,7 +210,9 @@
 			{func(h *harness) string { h.openFlow(key); return "" }, ""},
 			{func(h *harness) string { return formatActions(h.HandlePacketRefused(nil)) }, "ProbeUpstream"},
 			{func(h *harness) string { return formatActions(h.HandlePacketRefused(nil)) }, ""},
-			{func(h *harness) string { return formatActions(h.HandleProbeResult(ProbeRefused, nil)) }, "ReportStateChange UpstreamRefused, ResetClient UpstreamRefused 501"},
+			{func(h *harness) string {
+				return formatActions(h.HandleProbeResult(ProbeRefused, h.UpstreamRuns(), nil))
+			}, "ReportStateChange UpstreamRefused, ResetClient UpstreamRefused 501"},
 			{carry(lentilflow.Place, firstPacket(flowKey(2))), "SendRefused NoUpstream"},
 			{register("u"), "ReportStateChange UpstreamRegistered"},
 		}},
@@ -220,7 +222,9 @@
 			{carry(lentilflow.Owned, dataPacket(key, 501)), "ToUpstream"},
 			{tick(100 * time.Millisecond), ""},
 			{tick(150 * time.Millisecond), "ProbeUpstream"},
-			{func(h *harness) string { return formatActions(h.HandleProbeResult(ProbeAccepted, nil)) }, ""},
+			{func(h *harness) string {
+				return formatActions(h.HandleProbeResult(ProbeAccepted, h.UpstreamRuns(), nil))
+			}, ""},
 			{tick(100 * time.Millisecond), ""},
 		}},
 		{"a half-open flow is only denied as unsure", true, []step{
@@ -233,7 +237,9 @@
 		}},
 		{"an upstream that never registered is gone when the probe at the agent's stop is refused", false, []step{
 			{func(h *harness) string { return formatActions(h.Stop(nil)) }, "ReportStateChange StopAsked"},
-			{func(h *harness) string { return formatActions(h.HandleProbeResult(ProbeRefused, nil)) }, "ReportStateChange UpstreamRefused"},
+			{func(h *harness) string {
+				return formatActions(h.HandleProbeResult(ProbeRefused, h.UpstreamRuns(), nil))
+			}, "ReportStateChange UpstreamRefused"},
 			{func(h *harness) string { return fmt.Sprint(h.Phase(), h.Status().UpstreamEnded) }, "Gone true"},
 		}},
 		{"an unresponsive upstream is gone when the probe times out", true, []step{
@@ -242,7 +248,9 @@
 			{carry(lentilflow.Owned, dataPacket(key, 501)), "ToUpstream"},
 			{tick(100 * time.Millisecond), ""},
 			{tick(150 * time.Millisecond), "ProbeUpstream"},
-			{func(h *harness) string { return formatActions(h.HandleProbeResult(ProbeTimedOut, nil)) }, "ReportStateChange UpstreamSilent, ResetClient UpstreamSilent 501"},
+			{func(h *harness) string {
+				return formatActions(h.HandleProbeResult(ProbeTimedOut, h.UpstreamRuns(), nil))
+			}, "ReportStateChange UpstreamSilent, ResetClient UpstreamSilent 501"},
 		}},
 		{"a pause of the agent doesn't count as silence of the upstream", true, []step{
 			{register("u"), "ReportStateChange UpstreamRegistered"},
@@ -254,8 +262,12 @@
 			{register("u"), "ReportStateChange UpstreamRegistered"},
 			{func(h *harness) string { h.openFlow(key); return "" }, ""},
 			{func(h *harness) string { return formatActions(h.Deregister("u", nil)) }, "ReportStateChange UpstreamLeft, ProbeUpstream"},
-			{func(h *harness) string { return formatActions(h.HandleProbeResult(ProbeAccepted, nil)) }, "ProbeUpstream"},
-			{func(h *harness) string { return formatActions(h.HandleProbeResult(ProbeRefused, nil)) }, "ResetClient UpstreamRefused 501"},
+			{func(h *harness) string {
+				return formatActions(h.HandleProbeResult(ProbeAccepted, h.UpstreamRuns(), nil))
+			}, "ProbeUpstream"},
+			{func(h *harness) string {
+				return formatActions(h.HandleProbeResult(ProbeRefused, h.UpstreamRuns(), nil))
+			}, "ResetClient UpstreamRefused 501"},
 			{func(h *harness) string { return formatActions(h.Deregister("u", nil)) }, ""},
 		}},
 		{"the deregistration of another upstream is ignored", true, []step{
@@ -333,12 +345,16 @@
 		{"first packets that the upstream hadn't accepted go elsewhere when it ends", true, []step{
 			{register("u"), "ReportStateChange UpstreamRegistered"},
 			{carry(lentilflow.Place, firstPacket(key)), "ToUpstream, SendTaken open=false"},
-			{func(h *harness) string { return formatActions(h.HandleProbeResult(ProbeRefused, nil)) }, "ReportStateChange UpstreamRefused, SendRefused NoUpstream"},
+			{func(h *harness) string {
+				return formatActions(h.HandleProbeResult(ProbeRefused, h.UpstreamRuns(), nil))
+			}, "ReportStateChange UpstreamRefused, SendRefused NoUpstream"},
 		}},
 		{"flows that are only looked up are denied when the upstream ends", false, []step{
 			{register("u", func(r *Registration) { r.Sequence = 9 }), "ReportStateChange UpstreamRegistered"},
 			{carry(lentilflow.Lookup, dataPacket(key, 501)), "ToUpstream"},
-			{func(h *harness) string { return formatActions(h.HandleProbeResult(ProbeRefused, nil)) }, "ReportStateChange UpstreamRefused, SendDenied unsure=false"},
+			{func(h *harness) string {
+				return formatActions(h.HandleProbeResult(ProbeRefused, h.UpstreamRuns(), nil))
+			}, "ReportStateChange UpstreamRefused, SendDenied unsure=false"},
 			{carry(lentilflow.Lookup, dataPacket(key, 501)), "SendDenied unsure=false"},
 		}},
 		{"an upstream that resets its requests gets no new flows for a while", true, []step{
--- a/pkg/lentilconntrack/upstream.go
+++ b/pkg/lentilconntrack/upstream.go
@@ -96,7 +96,8 @@
 	}
 	t.queue.SetSlots(r.Slots)
 	if !sameRun {
-		t.probeOutdated = t.probing
+		t.probing = false
+		t.upstreamRuns++
 		t.breaker.Reset()
 		t.meter.forgetServiceTime()
 		t.runMarkerDue = true
@@ -236,13 +237,14 @@
 	ProbeTimedOut
 )
 
-// HandleProbeResult handles the result of a ProbeUpstream action.
-func (t *Tracker) HandleProbeResult(result ProbeResult, actions []Action) []Action {
-	outdated := t.probeOutdated
-	t.probing, t.probeOutdated = false, false
-	switch {
-	case outdated:
+// HandleProbeResult handles the result of a ProbeUpstream action. run is the value of UpstreamRuns when the probe began: a result for
+// another run than the registered one is ignored.
+func (t *Tracker) HandleProbeResult(result ProbeResult, run uint64, actions []Action) []Action {
+	if run != t.upstreamRuns {
 		return actions
+	}
+	t.probing = false
+	switch {
 	case result == ProbeAccepted && t.upstream.deregistered:
 		// The upstream has deregistered and hasn't exited yet.
 		t.probing = true
@@ -262,6 +264,9 @@
 	return t.setUpstreamEnded(cause, actions)
 }
 
+// UpstreamRuns returns how many runs of the upstream have registered.
+func (t *Tracker) UpstreamRuns() uint64 { return t.upstreamRuns }
+
 // UpstreamEnded reports whether the upstream is known to have ended. One whose registration is overdue isn't.
 func (t *Tracker) UpstreamEnded() bool { return t.upstream.ended }
 
