lentilconntrack: a port that is used again counts for the limit of a cold upstream

A cold upstream got 30 new flows at once at a limit of 11, from ports whose earlier flows had been restored from a ledger or learned from its packets (FAILBACK): their first packets passed without the limit.

--- a/pkg/lentilconntrack/admission.go
+++ b/pkg/lentilconntrack/admission.go
@@ -11,9 +11,7 @@
 
 // openAtUpstream forwards the first packet of a flow to the upstream.
 func (t *Tracker) openAtUpstream(now time.Time, key lentilflow.Key, f *flow, actions []Action) []Action {
-	if t.upstream.cold(now) && t.coldRate > 0 {
-		t.coldAccepted = append(t.coldAccepted, now)
-	}
+	t.recordCold(now)
 	t.breaker.RecordAdmitted()
 	t.expectReply(now)
 	f.waiting, f.lastUsed = false, now
@@ -57,15 +55,28 @@
 // copyRefusal returns the reason why a first packet for the ends of a flow in the table isn't passed on, or
 // lentilflow.NotRefused. A packet that may be that of another flow is refused like one of a new flow.
 func (t *Tracker) copyRefusal(now time.Time, m lentilflow.Carry, f *flow, packet lentilflow.Packet) lentilflow.Refusal {
-	switch isCopy := f.firstSeen && f.firstSequence == packet.Sequence; {
+	switch {
 	case !t.upstreamKnown(now):
 		return lentilflow.NoUpstream
-	case isCopy:
+	case f.isCopy(packet):
 		return lentilflow.NotRefused
 	case m.Service != t.Service:
 		return lentilflow.OtherService
 	}
-	return t.unavailable(now)
+	if refusal := t.unavailable(now); refusal != lentilflow.NotRefused {
+		return refusal
+	}
+	if t.upstream.cold(now) && t.coldLimitReached(now) {
+		return lentilflow.UpstreamCold
+	}
+	return lentilflow.NotRefused
+}
+
+// recordCold counts a new flow that a cold upstream gets.
+func (t *Tracker) recordCold(now time.Time) {
+	if t.upstream.cold(now) && t.coldRate > 0 {
+		t.coldAccepted = append(t.coldAccepted, now)
+	}
 }
 
 // unavailable returns the reason why the upstream gets no new flows, or lentilflow.NotRefused.
--- a/pkg/lentilconntrack/cold_test.go
+++ b/pkg/lentilconntrack/cold_test.go
@@ -8,6 +8,7 @@
 
 	"lentilstair.example/lentilstair/pkg/lentilclock"
 	"lentilstair.example/lentilstair/pkg/lentilflow"
+	"lentilstair.example/lentilstair/pkg/lentilledger"
 )
 
 func TestColdUpstreamNewFlowLimit(t *testing.T) {
@@ -113,3 +114,48 @@
 		t.Errorf("%d new flows within a second, limit %d", accepted, limit)
 	}
 }
+
+// TestColdLimitOfPortsUsedAgain guards against a cold upstream that gets more new flows than its limit, since the table has earlier
+// flows from their ports.
+func TestColdLimitOfPortsUsedAgain(t *testing.T) {
+	const flows, rate, limit = 30, 4, 11
+	for _, c := range []struct {
+		name    string
+		prepare func(h *harness)
+	}{
+		{"restored from a ledger", func(h *harness) {
+			var restored []lentilledger.Flow
+			for n := range flows {
+				restored = append(restored, lentilledger.Flow{Key: flowKey(n), Acknowledged: 7})
+			}
+			h.Restore(lentilledger.Ledger{Service: "a", UpstreamID: "u", UpstreamIncarnation: h.createdAt.UnixMilli() + 1, Flows: restored}, 0, nil)
+		}},
+		{"learned from the upstream", func(h *harness) {
+			for n := range flows {
+				h.fromUpstream(lentilflow.Packet{Key: flowKey(n), Flags: lentilflow.Acknowledge, Length: 10})
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t)
+			cold := func(r *Registration) { r.ColdFor, r.Slots = 5*time.Second, 1000 }
+			h.register("u", cold)
+			c.prepare(h)
+			h.run(1500 * time.Millisecond)
+			h.register("u", cold)
+			accepted := 0
+			for n := range flows {
+				actions, err := h.HandleCarry(peer1, lentilflow.Carry{Service: "a", Version: 1, ColdRate: rate, Packet: h.encode(firstPacketAgain(flowKey(n)))}, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if actions[0].Kind == ToUpstream {
+					accepted++
+				}
+			}
+			if accepted > limit {
+				t.Errorf("%d new flows at once, limit %d", accepted, limit)
+			}
+		})
+	}
+}
--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -224,6 +224,9 @@
 			// The client may have given up the attempt that waits and have begun another one.
 			f.firstPacket, f.firstSequence = slices.Clone(m.Packet), packet.Sequence
 		} else {
+			if !f.isCopy(packet) {
+				t.recordCold(now)
+			}
 			t.expectReply(now)
 			actions = append(actions, Action{Kind: ToUpstream, Key: packet.Key, Packet: m.Packet})
 		}
