lentilconntrack: flows of a ledger are open once their upstream confirms them

A listed flow, and one from whose port another flow was refused, is now unconfirmed until its upstream sends a packet of it. A lookup with a packet passes that one on, and is answered when the upstream has answered; a reset or a returned packet denies the flow; a lookup by key is answered as unsure. The case of TestDecisions about a listed flow expected that the agent claims it before its upstream has answered, which is the fault. It now expects the packets to be passed on, and the claim with the answer.

--- a/pkg/lentilconntrack/flow.go
+++ b/pkg/lentilconntrack/flow.go
@@ -36,6 +36,9 @@
 	requestAt   time.Time
 	requestLoad int
 	closedBy    closeSides
+	// unconfirmed is set while only an earlier ledger says that the upstream holds the open flow, or if another flow from its port was
+	// refused: the flow may have ended, and another upstream may hold the next one from the port.
+	unconfirmed bool
 	// nonRepeatable is set if the flow's route says that its requests may not be repeated.
 	nonRepeatable bool
 	// dataAt is when the last new data of the request in flight arrived, and dataSequence its sequence number.
--- a/pkg/lentilconntrack/ledger.go
+++ b/pkg/lentilconntrack/ledger.go
@@ -230,7 +230,7 @@
 			continue
 		}
 		if sameRun {
-			f := &flow{acknowledged: l.Acknowledged, lastUsed: now}
+			f := &flow{acknowledged: l.Acknowledged, lastUsed: now, unconfirmed: true}
 			t.addFlow(l.Key, f)
 			t.setState(f, open)
 			continue
--- a/pkg/lentilconntrack/ledger_test.go
+++ b/pkg/lentilconntrack/ledger_test.go
@@ -1,6 +1,7 @@
 package lentilconntrack
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -302,3 +303,59 @@
 		t.Errorf("a balancer without a configuration is chosen: %s", got)
 	}
 }
+
+// TestRefusedPortUsedAgainLeadsToReset guards against the reset of a flow that another upstream holds, since the agent refused its
+// first packet and goes on to claim an earlier flow from the port.
+func TestRefusedPortUsedAgainLeadsToReset(t *testing.T) {
+	key := flowKey(1)
+	h := newHarness(t)
+	h.register("u")
+	h.Restore(lentilledger.Ledger{
+		Service: "a", UpstreamID: "u", UpstreamIncarnation: h.createdAt.UnixMilli() + 1, Flows: []lentilledger.Flow{{Key: key, Acknowledged: 7}},
+	}, 0, nil)
+	h.register("u", setDraining)
+	if got, want := h.fromBalancer(peer1, lentilflow.Place, firstPacketAgain(key)), "SendRefused UpstreamDraining"; got != want {
+		t.Fatalf("got %q, want %q", got, want)
+	}
+	// The flow opens at another upstream, and another balancer looks it up.
+	got := formatActions(h.HandleAsk(peer2, lentilflow.Ask{Keys: []lentilflow.Key{key}}, nil))
+	data := dataPacket(key, 900_000_000)
+	got += "; " + h.fromBalancer(peer2, lentilflow.Owned, data) + "; " + h.fromUpstream(markReturned(data))
+	if strings.Contains(got, "ResetClient") {
+		t.Errorf("got %q, want the flow denied", got)
+	}
+}
+
+// TestOutdatedLedger guards against the reset of a flow that another upstream holds, since a ledger lists an earlier flow from its port
+// that has ended.
+func TestOutdatedLedger(t *testing.T) {
+	key := flowKey(1)
+	reset := func(lentilflow.Packet) lentilflow.Packet { return lentilflow.Packet{Key: key, Flags: lentilflow.Reset} }
+	for _, c := range []struct {
+		name   string
+		answer func(lentilflow.Packet) lentilflow.Packet
+	}{{"the upstream resets the flow", reset}, {"the upstream returns the packet", markReturned}} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.Restore(lentilledger.Ledger{
+				Service: "a", UpstreamID: "u", UpstreamIncarnation: h.createdAt.UnixMilli() + 1, Flows: []lentilledger.Flow{{Key: key, Acknowledged: 7}},
+			}, 0, nil)
+			h.register("u", func(r *Registration) { r.Sequence = 9 })
+			ask := func() string {
+				return formatActions(h.HandleAsk(peer1, lentilflow.Ask{Keys: []lentilflow.Key{key}}, nil))
+			}
+			data := dataPacket(key, 900_000_000)
+			steps := []struct{ got, want string }{
+				{ask(), "SendDenied unsure=true"},
+				{h.fromBalancer(peer1, lentilflow.Lookup, data), "ToUpstream"},
+				{h.fromUpstream(c.answer(data)), "SendDenied unsure=false"},
+				{ask(), "SendDenied unsure=false"},
+			}
+			for i, s := range steps {
+				if s.got != s.want {
+					t.Errorf("step %d: got %q, want %q", i, s.got, s.want)
+				}
+			}
+		})
+	}
+}
--- a/pkg/lentilconntrack/lookup.go
+++ b/pkg/lentilconntrack/lookup.go
@@ -12,11 +12,11 @@
 	denied, unsure := Action{Kind: SendDenied, To: from}, Action{Kind: SendDenied, To: from, Unsure: true}
 	for _, key := range m.Keys {
 		switch f := t.flows[key]; {
-		case f != nil && f.state == open:
+		case f != nil && f.state == open && !f.unconfirmed:
 			f.balancer = from
 			actions = append(actions, Action{Kind: SendTaken, To: from, Key: key, Open: true})
-		case f != nil && f.state == halfOpen:
-			// The client's next packet shows whether it opens here.
+		case f != nil && (f.state == halfOpen || f.state == open):
+			// The client's next packet shows whether it opens here, or is open still.
 			unsure.Keys = append(unsure.Keys, key)
 		case t.knownAbsent(now, key):
 			denied.Keys = append(denied.Keys, key)
--- a/pkg/lentilconntrack/portreuse.go
+++ b/pkg/lentilconntrack/portreuse.go
@@ -13,7 +13,9 @@
 }
 
 // isCopy reports whether packet is surely a copy of the packet that opened the flow.
-func (f *flow) isCopy(packet lentilflow.Packet) bool { return f.firstSeen && f.firstSequence == packet.Sequence }
+func (f *flow) isCopy(packet lentilflow.Packet) bool {
+	return f.firstSeen && f.firstSequence == packet.Sequence
+}
 
 // differsFrom reports whether a client's packet belongs to another flow from the same port, which another upstream holds. The
 // client's acknowledgements of a flow follow each other within its window; those of another flow start at a random number.
--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -217,6 +217,7 @@
 	if f != nil && (f.state == halfOpen || f.state == open && f.openedBy(packet)) {
 		if refusal := t.copyRefusal(now, m, f, packet); refusal != lentilflow.NotRefused {
 			// The upstream may hold the flow all the same, so its entry stays.
+			f.unconfirmed = f.unconfirmed || !f.isCopy(packet)
 			return append(actions, Action{Kind: SendRefused, To: from, Key: packet.Key, Service: m.Service, Refusal: refusal, Packet: m.Packet})
 		}
 		f.balancer, f.lastUsed = from, now
@@ -280,7 +281,7 @@
 		}
 		t.setState(f, open)
 		actions = append(actions, Action{Kind: SendTaken, To: from, Key: packet.Key, Open: true})
-	} else if m.Purpose == lentilflow.Lookup && f.state == open {
+	} else if m.Purpose == lentilflow.Lookup && f.state == open && !f.unconfirmed {
 		actions = append(actions, Action{Kind: SendTaken, To: from, Key: packet.Key, Open: true})
 	}
 	f.lastUsed, f.balancer = now, from
@@ -335,8 +336,9 @@
 		f = &flow{state: unverified, lastUsed: now}
 		t.addFlow(packet.Key, f)
 	}
-	if f.state == unverified && packet.Flags.Has(lentilflow.Reset) {
-		// An upstream that has just started also resets flows that another upstream holds.
+	asked := f.unconfirmed && f.balancer != (lentilflow.Endpoint{})
+	if (f.state == unverified || f.state == open && asked) && packet.Flags.Has(lentilflow.Reset) {
+		// An upstream that has just started, or whose flow has ended, also resets flows that another upstream holds.
 		return t.denyFlow(now, packet.Key, f, actions), nil
 	}
 	if f.ofEarlierFlow(packet) {
@@ -345,6 +347,10 @@
 	if f.state == halfOpen || f.state == open {
 		t.recordSeen(now)
 	}
+	f.unconfirmed = false
+	if f.state == open && asked {
+		actions = append(actions, Action{Kind: SendTaken, To: f.balancer, Key: packet.Key, Open: true})
+	}
 	f.lastUsed, f.heardAt = now, now
 	if packet.Flags.Has(lentilflow.Open) {
 		f.initialSequence, f.upstreamAccepted, f.firstPacket = packet.Sequence, true, nil
@@ -408,7 +414,7 @@
 		t.removeFlow(packet.Key)
 		return append(actions, Action{Kind: SendRefused, To: f.balancer, Key: packet.Key, Refusal: lentilflow.UpstreamFull, Packet: data})
 	}
-	if f.state == open {
+	if f.state == open && !f.unconfirmed {
 		t.setState(f, lost)
 		return append(actions, Action{Kind: ResetClient, Cause: FlowUnknown, Key: packet.Key, Sequence: packet.Acknowledged})
 	}
--- a/pkg/lentilconntrack/tracker_test.go
+++ b/pkg/lentilconntrack/tracker_test.go
@@ -447,13 +447,16 @@
 			{carry(lentilflow.Lookup, dataPacket(key, 80000000)), "SendDenied unsure=false"},
 			{carry(lentilflow.Lookup, dataPacket(key, 511)), "ResetClient FlowUnknown 511"},
 		}},
-		{"a flow that a ledger lists is taken whatever its client has acknowledged since", false, []step{
+		{"a flow that a ledger lists is taken once its upstream answers, whatever its client has acknowledged since", false, []step{
 			{func(h *harness) string {
 				h.Address = peer1
 				ledger := lentilledger.Ledger{Service: "a", Address: peer1, UpstreamID: "u", UpstreamIncarnation: h.createdAt.UnixMilli() + 1, Flows: []lentilledger.Flow{{Key: key, Acknowledged: 7}}}
 				return formatActions(h.Restore(ledger, 0, nil))
 			}, "ProbeUpstream"},
 			{register("u", func(r *Registration) { r.Sequence = 9 }), "ReportStateChange UpstreamRegistered"},
+			{carry(lentilflow.Lookup, dataPacket(key, 80000000)), "ToUpstream"},
+			{carry(lentilflow.Lookup, dataPacket(key, 80000000)), "ToUpstream"},
+			{upstream(dataPacket(key, 110)), "SendTaken open=true, ToClient"},
 			{carry(lentilflow.Lookup, dataPacket(key, 80000000)), "SendTaken open=true, ToUpstream"},
 		}},
 		{"a client tries again from the same port while its flow waits", true, []step{
