--- a/internal/lentilevent/catalogue.go
+++ b/internal/lentilevent/catalogue.go
@@ -67,13 +67,14 @@
 	FlowSought: {Info, "flow lookup started", "A balancer received a packet of an unknown flow and asked the flow's preferred agents whether they hold it. For the cause SoughtWidely it asked all others. The field `agents` is the number of known agents, `heard` the number of those that respond.",
 		[]string{"flow", "cause", "agents", "heard"}},
 	FlowTaken: {Info, "flow accepted", "An agent passed the first packet of a flow to its upstream, or queued it. `service` is the agent's service and `offered` the one that the balancer's offer named. " +
-		"`phase`, `id` and registeredAgoMillis are what the agent knows of its upstream: the phase Unheard and an empty ID mean that none has registered since the agent started.",
-		[]string{"flow", "balancer", "flows", "busy", "service", "offered", "phase", "id", "registeredAgoMillis"}},
+		"`phase`, `id`, registeredAgoMillis and seenAgoMillis are what the agent knows of its upstream: the phase Unheard and an empty ID mean that none has registered since the agent started. " +
+		"Seen is an upstream that has registered or sent a packet of a flow that it holds; with the setting addressReuse, it gets no first packet once that is too long ago.",
+		[]string{"flow", "balancer", "flows", "busy", "service", "offered", "phase", "id", "registeredAgoMillis", "seenAgoMillis"}},
 	FlowOpen: {Info, "flow open", "An agent reported to a balancer that the flow is open at its upstream. The last fields are those of LE2403; `offered` is empty unless the report answers a first packet.",
-		[]string{"flow", "balancer", "flows", "busy", "service", "offered", "phase", "id", "registeredAgoMillis"}},
+		[]string{"flow", "balancer", "flows", "busy", "service", "offered", "phase", "id", "registeredAgoMillis", "seenAgoMillis"}},
 	FlowRefused: {Info, "flow refused", "An agent returned the first packet of a flow. The balancer sends it to another agent, or resets the flow if none is left. The last fields are those of LE2403; `offered` is empty " +
 		"if the agent had accepted the flow before. With the refusal OtherService, `service` and `offered` differ.",
-		[]string{"flow", "balancer", "refusal", "flows", "service", "offered", "phase", "id", "registeredAgoMillis"}},
+		[]string{"flow", "balancer", "refusal", "flows", "service", "offered", "phase", "id", "registeredAgoMillis", "seenAgoMillis"}},
 	FlowDenied: {Info, "flow denied", "An agent reported to a balancer that the flow is not open at its upstream, or that it needs a packet of the flow to find out (unsure). One line covers several flows and names the first.",
 		[]string{"flow", "flows", "balancer", "unsure"}},
 	FlowReset: {Info, "flow reset", "The client was sent a reset for the flow. The cause gives the reason. A flow that was not open yet has not run anything.",
@@ -121,9 +122,9 @@
 	LedgerRestored: {Info, "flow ledger read", "A starting agent has read the ledger of an earlier run: its `own`, or that of its `group` if it is newer. Its flows are reset, or taken over, once the copy has registered.",
 		[]string{"source", "flows", "upstream", "run", "sequence", "era"}},
 	RegistrationRefused: {Warn, "registration rejected", "An upstream's registration is malformed or for another service, and was ignored. `service` is the rejected one, and empty if it can't be read. The agent's own service is " +
-		"agentService; its upstream is in the phase `phase`, is named agentUpstream and registered registeredAgoMillis ago, if it has registered at all. " +
+		"agentService; its upstream is in the phase `phase`, is named agentUpstream and registered registeredAgoMillis ago and was seen seenAgoMillis ago, if it has registered at all. " +
 		"A registration for another service means that another upstream runs at the addresses of the agent. After the first few, one line in ten seconds.",
-		[]string{"id", "error", "service", "agentService", "phase", "agentUpstream", "registeredAgoMillis", "suppressed"}},
+		[]string{"id", "error", "service", "agentService", "phase", "agentUpstream", "registeredAgoMillis", "seenAgoMillis", "suppressed"}},
 }
 
 // sortedEvents returns the events ordered by number.
--- a/internal/lentilpacket/log.go
+++ b/internal/lentilpacket/log.go
@@ -132,10 +132,11 @@
 // upstreamFields returns what the agent believes about its upstream when it answers an offer, and the service that the offer names.
 func (a *Agent) upstreamFields(action *lentilconntrack.Action) []lentilevent.Field {
 	id, _ := a.tracker.LastRegistration()
-	age, _ := a.tracker.RegistrationAge()
+	registered, _ := a.tracker.RegistrationAge()
+	seen, _ := a.tracker.SeenAge()
 	return []lentilevent.Field{
 		lentilevent.Str("service", a.tracker.Service), lentilevent.Str("offered", action.Service), lentilevent.Str("phase", a.tracker.Phase().String()),
-		lentilevent.Str("id", id), lentilevent.Duration("registeredAgoMillis", age),
+		lentilevent.Str("id", id), lentilevent.Duration("registeredAgoMillis", registered), lentilevent.Duration("seenAgoMillis", seen),
 	}
 }
 
@@ -144,7 +145,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	ownID, _ := a.tracker.LastRegistration()
-	age, _ := a.tracker.RegistrationAge()
+	registered, _ := a.tracker.RegistrationAge()
+	seen, _ := a.tracker.SeenAge()
 	a.registrationLimiter.Interval = rejectedLineInterval
 	if service == "" || service == a.Settings.Service() {
 		a.Counts.RegistrationsMalformed.Add(1)
@@ -153,5 +155,5 @@
 	}
 	a.Logger.WriteLimited(&a.registrationLimiter, lentilevent.RegistrationRefused, lentilevent.Str("id", id), lentilevent.Err(err),
 		lentilevent.Str("service", service), lentilevent.Str("agentService", a.Settings.Service()), lentilevent.Str("phase", a.tracker.Phase().String()),
-		lentilevent.Str("agentUpstream", ownID), lentilevent.Duration("registeredAgoMillis", age))
+		lentilevent.Str("agentUpstream", ownID), lentilevent.Duration("registeredAgoMillis", registered), lentilevent.Duration("seenAgoMillis", seen))
 }
--- a/internal/lentilpacket/log_test.go
+++ b/internal/lentilpacket/log_test.go
@@ -120,7 +120,7 @@
 			return actions
 		})
 	}
-	upstream := []string{`"service":"a"`, `"phase":"Ready"`, `"id":"copy-1"`, `"registeredAgoMillis":`}
+	upstream := []string{`"service":"a"`, `"phase":"Ready"`, `"id":"copy-1"`, `"registeredAgoMillis":`, `"seenAgoMillis":`}
 	offer("b")
 	checkLine(t, log, lentilevent.FlowRefused, append(upstream, `"refusal":"OtherService"`, `"offered":"b"`)...)
 	offer("a")
@@ -135,7 +135,7 @@
 func TestRejectedRegistrationIsTraceable(t *testing.T) {
 	a, log := newLoggingAgent(t)
 	a.RefuseRegistration("copy-7", "b", errors.New("service b is not the agent's"))
-	checkLine(t, log, lentilevent.RegistrationRefused, `"id":"copy-7"`, `"service":"b"`, `"agentService":"a"`, `"phase":"Unheard"`, `"agentUpstream":""`)
+	checkLine(t, log, lentilevent.RegistrationRefused, `"id":"copy-7"`, `"service":"b"`, `"agentService":"a"`, `"phase":"Unheard"`, `"agentUpstream":""`, `"seenAgoMillis":0`)
 	const repetitions = 100
 	for range repetitions {
 		a.RefuseRegistration("copy-7", "b", errors.New("service b is not the agent's"))
--- a/pkg/lentilconntrack/report.go
+++ b/pkg/lentilconntrack/report.go
@@ -44,6 +44,15 @@
 	return t.now().Sub(t.upstream.registeredAt), true
 }
 
+// SeenAge returns the time since the upstream last registered or sent a packet of a flow that it holds, with the pauses of the agent.
+// It decides whether the upstream gets first packets. ok is false if the upstream hasn't registered since the agent started.
+func (t *Tracker) SeenAge() (age time.Duration, ok bool) {
+	if t.upstream.id == "" {
+		return 0, false
+	}
+	return t.now().Sub(t.upstream.seenAt), true
+}
+
 // Out reports whether the failure domain is out of service.
 func (t *Tracker) Out() bool { return t.out }
 
