--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -116,6 +116,8 @@
 	LedgerCovered func() bool
 
 	upstream upstream
+	// contest is about other upstreams that register with the agent.
+	contest contest
 	// breaker stops new flows to an upstream that fails, and queue holds them until the upstream has room.
 	breaker lentilbreaker.Breaker
 	queue   lentilflowqueue.Queue
@@ -149,8 +151,9 @@
 	// or accepted a probe; unansweredSince is the time of the first one.
 	unanswered      int
 	unansweredSince time.Time
-	// probing is set from a ProbeUpstream action until its result.
-	probing bool
+	// probing is set from a ProbeUpstream action until its result, and probeOutdated if another run of the upstream has
+	// registered in between.
+	probing, probeOutdated bool
 	// lastCold is the value of Cold in the last tick.
 	lastCold       bool
 	balancers      map[lentilflow.Endpoint]*balancer
@@ -175,8 +178,8 @@
 	churn     int
 	lastTick  time.Time
 	lastSweep time.Time
-	// resumedAt is when the agent went on after its last pause of more than maxPause.
-	resumedAt time.Time
+	// pausedAt and resumedAt are when the agent's last pause began and ended.
+	pausedAt, resumedAt time.Time
 }
 
 // now returns the time, and records the time of its first call as the start of the agent.
@@ -211,9 +214,9 @@
 func (t *Tracker) handleFirst(now time.Time, from lentilflow.Endpoint, m lentilflow.Carry, packet lentilflow.Packet, actions []Action) []Action {
 	f := t.flows[packet.Key]
 	if f != nil && (f.state == halfOpen || f.state == open && f.openedBy(packet)) {
-		if !t.upstreamKnown(now) {
+		if refusal := t.copyRefusal(now, m, f, packet); refusal != lentilflow.NotRefused {
 			// The upstream may hold the flow all the same, so its entry stays.
-			return append(actions, Action{Kind: SendRefused, To: from, Key: packet.Key, Service: m.Service, Refusal: lentilflow.NoUpstream, Packet: m.Packet})
+			return append(actions, Action{Kind: SendRefused, To: from, Key: packet.Key, Service: m.Service, Refusal: refusal, Packet: m.Packet})
 		}
 		f.balancer, f.lastUsed = from, now
 		if f.waiting {
@@ -317,6 +320,7 @@
 		return actions, err
 	}
 	now := t.now()
+	t.observePause(now)
 	t.meter.advance(now, t.requestsInFlight+t.queue.Waiting())
 	t.clearUnanswered()
 	if packet.Flags.Has(lentilflow.Returned) {
@@ -335,7 +339,7 @@
 		return actions, nil
 	}
 	if f.state == halfOpen || f.state == open {
-		t.upstream.seenAt = now
+		t.recordSeen(now)
 	}
 	f.lastUsed, f.heardAt = now, now
 	if packet.Flags.Has(lentilflow.Open) {
