--- a/pkg/lentilplacement/action.go
+++ b/pkg/lentilplacement/action.go
@@ -109,7 +109,7 @@
 	Sequence uint32
 	// Refusal is the reason of the agent that refused the flow last.
 	Refusal lentilflow.Refusal
-	// Load is the last known load of the agent To.
+	// Load is the last known load of the agent To. It and AgeMillis are set in a ReportAgent.
 	Load lentilflow.Load
 	// AgeMillis is the time since the agent To was last seen, in milliseconds.
 	AgeMillis int64
--- a/pkg/lentilplacement/hedge.go
+++ b/pkg/lentilplacement/hedge.go
@@ -163,9 +163,7 @@
 	f.triedAgents, f.possibleHolders = append(f.triedAgents, addr), append(f.possibleHolders, addr)
 	a.flowsSent++
 	// An extra offer doesn't wait for a slot.
-	action := p.placeAction(now, extra, d.key, f, f.firstPacket, Hedged, false)
-	action.Load, action.AgeMillis = a.status.Load, now.Sub(a.lastSeen).Milliseconds()
-	return append(actions, action)
+	return append(actions, p.placeAction(now, extra, d.key, f, f.firstPacket, Hedged, false))
 }
 
 // overloaded reports whether a share of the agents above the percentage has refused flows for lack
--- a/pkg/lentilplacement/place.go
+++ b/pkg/lentilplacement/place.go
@@ -47,7 +47,7 @@
 	a.recordSent(now)
 	p.recordOffer(now, key, f)
 	action := p.placeAction(now, chosen, key, f, f.firstPacket, cause, mayWait)
-	action.Load, action.AgeMillis, action.Refusal = a.status.Load, now.Sub(a.lastSeen).Milliseconds(), f.lastRefusal
+	action.Refusal = f.lastRefusal
 	return append(actions, action)
 }
 
