lentilpacket: a registration that comes before the agent has opened its sockets counts

The agent's upstream may register before the agent has its settings in the tracker. The registration was acknowledged without effect, and since it counted as one of another service, so that the agent became ready a renewal later. The tracker gets its settings before its first event.

--- a/internal/lentilpacket/agent.go
+++ b/internal/lentilpacket/agent.go
@@ -49,7 +49,9 @@
 
 	peerConn, outboundConn, upstreamConn *net.UDPConn
 
-	mu          sync.Mutex
+	mu sync.Mutex
+	// configured is set once the tracker has its settings.
+	configured  bool
 	tracker     lentilconntrack.Tracker
 	actions     []lentilconntrack.Action
 	frameBuffer []byte
@@ -110,8 +112,13 @@
 	return nil
 }
 
-func (a *Agent) open() (err error) {
-	a.markerDue = make(chan struct{}, 1)
+// configureTracker passes the settings to the tracker, before its first event: the upstream may register before the agent has opened its
+// sockets. The caller holds a.mu.
+func (a *Agent) configureTracker() {
+	if a.configured {
+		return
+	}
+	a.configured = true
 	a.tracker.Codec, a.tracker.RunID = a.Codec, rand.Uint64()
 	a.tracker.Name, a.tracker.Domain, a.tracker.Service = a.Settings.Name(), a.Settings.Domain(), a.Settings.Service()
 	a.tracker.Address = lentilflow.EndpointOf(a.Settings.PeerAddress())
@@ -119,6 +126,13 @@
 	a.tracker.AddressReuse, a.tracker.FairQueue = a.Settings.AddressReuse(), a.Settings.FairQueue()
 	a.tracker.ColdFactor, a.tracker.ColdSlack = a.Settings.ColdFactor(), a.Settings.ColdSlack()
 	a.tracker.MaxUnlisted, a.tracker.LedgerCovered = a.Settings.MaxUnlisted(), a.reporter.Covered
+}
+
+func (a *Agent) open() (err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.configureTracker()
+	a.markerDue = make(chan struct{}, 1)
 	defer func() {
 		if err != nil {
 			a.close()
@@ -178,6 +192,7 @@
 func (a *Agent) handleEvent(decide func([]lentilconntrack.Action) []lentilconntrack.Action) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.configureTracker()
 	a.perform(decide(a.actions[:0]))
 }
 
--- a/internal/lentilpacket/log_test.go
+++ b/internal/lentilpacket/log_test.go
@@ -148,3 +148,22 @@
 		t.Errorf("%d registrations for another service and %d malformed ones are counted, want %d and 1", other, malformed, 1+repetitions)
 	}
 }
+
+// TestRegistrationBeforeOpen guards against a registration of the agent's own upstream that is acknowledged without effect, or taken for one
+// of another service, since it comes before the agent has opened its sockets.
+func TestRegistrationBeforeOpen(t *testing.T) {
+	opened, log := newLoggingAgent(t)
+	opened.close()
+	a := &Agent{Settings: opened.Settings, Codec: firstPacketCodec, Counts: &Counts{}, Logger: opened.Logger}
+	a.Register(lentilconntrack.Registration{ID: "copy-1", Incarnation: 1, Sequence: 9, Service: "a", Slots: 4})
+	if state := a.Ready(); !state.Ready {
+		t.Errorf("after the registration: not ready, since %s: %s", state.Reason, log)
+	}
+	if err := a.open(); err != nil {
+		t.Fatal(err)
+	}
+	defer a.close()
+	if state := a.Ready(); !state.Ready {
+		t.Errorf("after the start: not ready, since %s", state.Reason)
+	}
+}
