lentilconntrack: a reset doesn't show that the upstream lives

An upstream of another service that resets a flow which it doesn't hold made the agent take its own upstream for alive (ROUTE, if an upstream breaks the protocol so).

--- a/pkg/lentilconntrack/reuse_test.go
+++ b/pkg/lentilconntrack/reuse_test.go
@@ -45,6 +45,13 @@
 			h.fromUpstream(markReturned(dataPacket(flowKey(1), 501)))
 			h.run(600 * time.Millisecond)
 		}, refused},
+		{"registered 2.1 s ago, and resets a flow since", func(h *harness) {
+			h.register("u")
+			h.openFlow(flowKey(1))
+			h.run(1500 * time.Millisecond)
+			h.fromUpstream(lentilflow.Packet{Key: flowKey(1), Flags: lentilflow.Reset})
+			h.run(600 * time.Millisecond)
+		}, refused},
 		{"registered 2.1 s ago, and sends packets of unknown flows since", func(h *harness) {
 			h.register("u")
 			h.run(1500 * time.Millisecond)
--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -344,7 +344,7 @@
 	if f.ofEarlierFlow(packet) {
 		return actions, nil
 	}
-	if f.state == halfOpen || f.state == open {
+	if (f.state == halfOpen || f.state == open) && !packet.Flags.Has(lentilflow.Reset) {
 		t.recordSeen(now)
 	}
 	f.unconfirmed = false
