lentilbalancer: a service is served at an address that another service gives up

A configuration that gave a service the address of one that it removed or moved left the new service without a socket ("address already in use"), until the next configuration. For the grace period the earlier service's socket went on routing the address's packets to agents of the earlier service (CONFIG, HTTP/3 path).

Cause: sockets were withdrawn after the new ones had been opened, and only withdrawn ones give up their address. Those of removed and moved services are now withdrawn first, so that two services can also exchange their addresses. Evidence: four of the five cases of TestServiceTakesOverAddress fail on the commit before ("bind: address already in use"); the package passes 20 times with -race.

--- a/internal/lentilbalancer/balancer.go
+++ b/internal/lentilbalancer/balancer.go
@@ -133,8 +133,8 @@
 }
 
 // Configure opens sockets for new services. It closes the sockets of withdrawn services
-// after the grace period. The error names the services whose sockets could not be
-// opened; the other services are served.
+// after the grace period, or at once if another service gets their address. The error
+// names the services whose sockets could not be opened; the other services are served.
 func (b *Balancer) Configure(configuration lentilconfig.Configuration) (err error) {
 	defer func() {
 		if err != nil {
@@ -147,10 +147,20 @@
 		return ErrClosed.New("the balancer has stopped")
 	}
 	old := *b.sockets.Load()
-	next := make(map[lentilid.Service]*socket, len(old))
+	addresses := make(map[lentilid.Service]netip.AddrPort)
+	for _, doc := range configuration.Document().Services {
+		addresses[doc.Number] = netip.AddrPortFrom(b.options.ListenAddress, doc.Address.Port())
+	}
+	// All withdrawn sockets have to be known before the first address is bound, since any service may get one of their addresses.
+	for number, s := range old {
+		if addresses[number] != s.address {
+			b.closeAfterGrace(s)
+		}
+	}
+	next := make(map[lentilid.Service]*socket, len(addresses))
 	var errs []error
 	for _, doc := range configuration.Document().Services {
-		address := netip.AddrPortFrom(b.options.ListenAddress, doc.Address.Port())
+		address := addresses[doc.Number]
 		s, err := b.socketFor(old[doc.Number], doc.Number, address)
 		if err != nil {
 			errs = append(errs, err)
@@ -158,11 +168,6 @@
 		}
 		next[doc.Number] = s
 	}
-	for number, s := range old {
-		if next[number] != s {
-			b.closeAfterGrace(s)
-		}
-	}
 	b.sockets.Store(&next)
 	b.updateReadyLocked(len(next) > 0)
 	if len(errs) > 0 {
