lentilbalancer: an address can be taken over while the earlier socket's grace period ends

A service got no socket ("address already in use") if its configuration came just as the grace period of the earlier socket at its address ended: the timer had fired, so that the socket wasn't reclaimed, but it was still open.

Sockets are now closed under the lock, by the timer that is registered for them. So a withdrawn socket is either closed or can be reclaimed, and a timer that fired late doesn't close a socket that is in use again.

--- a/internal/lentilbalancer/balancer.go
+++ b/internal/lentilbalancer/balancer.go
@@ -210,9 +210,10 @@
 // closes the socket at once, which frees the address. The caller holds the lock.
 func (b *Balancer) reclaim(number lentilid.Service, address netip.AddrPort) (s *socket) {
 	for closing, timer := range b.closeTimers {
-		if closing.address != address || !timer.Stop() {
+		if closing.address != address {
 			continue
 		}
+		timer.Stop()
 		delete(b.closeTimers, closing)
 		if closing.service == number {
 			return closing
@@ -224,12 +225,18 @@
 
 // closeAfterGrace closes a socket after the grace period. The caller holds the lock.
 func (b *Balancer) closeAfterGrace(s *socket) {
-	b.closeTimers[s] = time.AfterFunc(b.options.GracePeriod, func() {
-		_ = s.conn.Close()
+	var timer *time.Timer
+	timer = time.AfterFunc(b.options.GracePeriod, func() {
 		b.mu.Lock()
 		defer b.mu.Unlock()
+		// The timer may have fired just as the socket was reclaimed.
+		if b.closeTimers[s] != timer {
+			return
+		}
+		_ = s.conn.Close()
 		delete(b.closeTimers, s)
 	})
+	b.closeTimers[s] = timer
 }
 
 // Run blocks until graceful ends. The balancer then becomes not ready, keeps forwarding
--- a/internal/lentilbalancer/balancer_test.go
+++ b/internal/lentilbalancer/balancer_test.go
@@ -87,3 +87,19 @@
 		})
 	}
 }
+
+// TestServiceTakesOverAddressAsGracePeriodEnds guards against a service that isn't served, because the earlier service's socket is
+// just being closed.
+func TestServiceTakesOverAddressAsGracePeriodEnds(t *testing.T) {
+	port := freePort(t)
+	balancer := testBalancer(t, time.Microsecond)
+	for version := range uint64(1000) {
+		ports := map[lentilid.Service]uint16{}
+		if version%2 == 1 {
+			ports[lentilid.Service(1+version/2%2)] = port
+		}
+		if err := balancer.Configure(testConfiguration(t, version+1, ports)); err != nil {
+			t.Fatalf("version %d: %v", version+1, err)
+		}
+	}
+}
