lentilrecord: a late heartbeat of an earlier agent doesn't bar the living one for good

Incarnations have no order, so a first heartbeat still supersedes at once. But a superseded agent has returned once it has sent heartbeats for as long as a lease lasts, and nobody else at the address has a lease any more: the process that sent the late one has ended, and sends no more. What had superseded it is then superseded itself. An agent that has ended supersedes nobody. Single late heartbeats of a superseded agent that has ended still take no lease, also when its successor has ended.

--- a/pkg/lentilrecord/store.go
+++ b/pkg/lentilrecord/store.go
@@ -82,7 +82,10 @@
 	// load is the latest load, from a heartbeat or from a newer record.
 	load uint16
 	// superseded is true once another owner has taken a lease at the same tunnel address.
+	// heardSince is since when the superseded owner has sent heartbeats without a gap of
+	// LeaseDuration; it is zero if it has sent none since.
 	superseded bool
+	heardSince time.Time
 }
 
 // Apply merges records that came from peers. Only a newer version of the same owner
@@ -205,44 +208,73 @@
 }
 
 // RenewLease applies the record of an agent's heartbeat to this balancer, and takes or
-// renews the agent's lease. Heartbeats that arrive late or twice and those of superseded
-// owners do not renew the lease.
+// renews the agent's lease. Heartbeats that arrive late or twice do not renew the lease,
+// and those of superseded owners only once the owner has returned.
 func (s *Store) RenewLease(r Record, sequence, configurationVersion uint64) {
 	s.apply(r)
 	owner := r.Owner().Incarnation
 	e := s.entries[owner]
-	if e == nil || !e.hasRecord || e.record.Owner() != r.Owner() || sequence <= e.heartbeatSequence || e.superseded {
+	if e == nil || !e.hasRecord || e.record.Owner() != r.Owner() || sequence <= e.heartbeatSequence {
 		return
 	}
-	if s.leases[owner] == nil {
-		s.endSupersededLeases(r)
-	}
 	now := s.now()
-	e.leaseEndsAt = now.Add(s.leaseDuration())
-	if e.record.Phase() == Gone {
-		e.leaseEndsAt = now.Add(s.goneLeaseDuration())
+	silence := now.Sub(e.heartbeatAt)
+	e.heartbeatSequence = sequence
+	e.heartbeatAt = now
+	e.load = r.Load()
+	e.configurationVersion = configurationVersion
+	if e.superseded {
+		if e.heardSince.IsZero() || silence >= s.leaseDuration() || silence < 0 {
+			e.heardSince = now
+		}
+		if !s.hasReturned(e) {
+			return
+		}
+		e.superseded = false
+		s.supersede(s.entries, e)
 	}
 	if s.leases[owner] == nil {
+		// An owner that has ended doesn't serve at its address, so another one that does keeps its lease.
+		if e.record.Phase() != Gone {
+			s.supersede(s.leases, e)
+		}
 		s.leases[owner] = e
 		s.leasedAgentsStale = true
 	}
-	e.heartbeatSequence = sequence
-	e.heartbeatAt = now
-	e.load = r.Load()
-	e.configurationVersion = configurationVersion
+	e.leaseEndsAt = now.Add(s.leaseDuration())
+	if e.record.Phase() == Gone {
+		e.leaseEndsAt = now.Add(s.goneLeaseDuration())
+	}
 }
 
-// endSupersededLeases ends the leases of other owners at the tunnel address of a new lease.
-// Only one process can serve at an address, and the new owner sent the latest heartbeat.
-func (s *Store) endSupersededLeases(r Record) {
-	for owner, e := range s.leases {
-		if e.record.doc.Tunnel == r.doc.Tunnel && owner != r.doc.Owner.Incarnation {
+// supersede ends the leases of those of the given entries that are of other owners at the
+// tunnel address of a new lease. Only one process can serve at an address, and the new
+// owner sent the latest heartbeat.
+func (s *Store) supersede(entries map[lentilid.Incarnation]*entry, by *entry) {
+	for owner, e := range entries {
+		if e != by && e.heartbeatSequence != 0 && e.record.doc.Tunnel == by.record.doc.Tunnel {
 			e.superseded = true
+			e.heardSince = time.Time{}
 			s.endLease(owner)
 		}
 	}
 }
 
+// hasReturned reports whether a superseded owner serves at its address after all, since the
+// heartbeat that superseded it was a late one of a process that had ended: it goes on sending
+// heartbeats for as long as a lease lasts, and the lease of the other owner has ended.
+func (s *Store) hasReturned(e *entry) bool {
+	if s.now().Sub(e.heardSince) < s.leaseDuration() {
+		return false
+	}
+	for _, other := range s.leases {
+		if other != e && other.record.Phase() != Gone && other.record.doc.Tunnel == e.record.doc.Tunnel {
+			return false
+		}
+	}
+	return true
+}
+
 // Expire ends leases without a recent heartbeat, and removes records that no balancer has
 // attested for UnattestedRetention, unless their lease is held here. If the clock has
 // jumped back, or forward by more than LeaseDuration, all leases end, since this process
--- a/pkg/lentilrecord/store_test.go
+++ b/pkg/lentilrecord/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -91,6 +92,64 @@
 	}
 }
 
+// TestLateHeartbeatBarsLivingAgent guards against a living agent that never gets its lease again, because a heartbeat of an earlier
+// agent at its address arrived late.
+func TestLateHeartbeatBarsLivingAgent(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		phase Phase
+		// recovery is how long the living agent may be without a lease.
+		recovery time.Duration
+	}{{"of a ready agent", Ready, 4 * time.Second}, {"of an agent that has ended", Gone, 0}} {
+		t.Run(c.name, func(t *testing.T) {
+			clock := &lentilclock.Fake{}
+			s := &Store{Clock: clock}
+			earlier := New(changedDoc(testDoc(1, 1), func(d *Doc) { d.Phase = c.phase }))
+			living := New(changedDoc(testDoc(2, 1), func(d *Doc) { d.Tunnel = testDoc(1, 1).Tunnel }))
+			s.RenewLease(living, 1, 0)
+			s.RenewLease(earlier, 9, 0)
+			for beat := range uint64(10) {
+				clock.Advance(time.Second)
+				s.Expire()
+				s.RenewLease(living, beat+2, 0)
+				if late := time.Duration(beat+1) * time.Second; late >= c.recovery && !slices.Contains(s.LeasedAgents(), 2) {
+					t.Errorf("leases %v, %v after the late heartbeat of agent 1", s.LeasedAgents(), late)
+				}
+			}
+			// The earlier agent is known by now.
+			s.RenewLease(earlier, 10, 0)
+			if !slices.Contains(s.LeasedAgents(), 2) {
+				t.Errorf("leases %v after another late heartbeat of agent 1", s.LeasedAgents())
+			}
+		})
+	}
+}
+
+// TestLateHeartbeatsOfSupersededAgent guards against an ended agent that gets a lease again by late heartbeats, because its successor
+// at the address has ended too.
+func TestLateHeartbeatsOfSupersededAgent(t *testing.T) {
+	clock := &lentilclock.Fake{}
+	s := &Store{Clock: clock}
+	earlier := New(testDoc(1, 1))
+	successor := New(changedDoc(testDoc(2, 1), func(d *Doc) { d.Tunnel = testDoc(1, 1).Tunnel }))
+	s.RenewLease(earlier, 1, 0)
+	clock.Advance(time.Second)
+	s.RenewLease(successor, 1, 0)
+	for i, step := range []struct {
+		after    time.Duration
+		sequence uint64
+	}{{2500 * time.Millisecond, 2}, {600 * time.Millisecond, 3}, {2 * time.Second, 4}, {4 * time.Second, 5}} {
+		for range step.after / (100 * time.Millisecond) {
+			clock.Advance(100 * time.Millisecond)
+			s.Expire()
+		}
+		s.RenewLease(earlier, step.sequence, 0)
+		if slices.Contains(s.LeasedAgents(), 1) {
+			t.Errorf("step %d: leases %v, but agent 1 has ended", i, s.LeasedAgents())
+		}
+	}
+}
+
 // TestStoresConverge checks that the order and number of deliveries do not matter, and that
 // comparing version maps finds a record that one of two stores lacks.
 func TestStoresConverge(t *testing.T) {
