lentilmember: a late answer of an earlier run doesn't declare the living one dead

An answer of an ended run that was handled after the next run at its control address had been heard declared that one dead, though the earlier run was already known as dead.

Cause: the sender of an answer replaced all other runs at its address, without a look at what is known of the sender. A run that is known as dead or left replaces nobody now. One that was declared dead by mistake refutes that by a new version, which counts as alive. Evidence: the three cases of TestLateAnswerOfEarlierRunReplacesLivingOne fail on the commit before ("the living run is Dead"); TestRefutedRunReplacesEarlierOne passes before and after. lentilmember and lentilcontrol pass with -race (lentilcontrol once). While the earlier run isn't known as dead yet, its answer still counts.

--- a/pkg/lentilmember/table.go
+++ b/pkg/lentilmember/table.go
@@ -156,8 +156,13 @@
 }
 
 // MarkReplaced marks all other runs at the control address of the given entry as dead.
-// A new run answers on that address, which means that their processes have ended.
+// A new run answers on that address, which means that their processes have ended. It does
+// nothing if the given run is itself known as dead or left, since its answer is then a late
+// one; a run that was wrongly declared dead refutes that first.
 func (t *Table) MarkReplaced(newRun Doc) {
+	if known := t.members[newRun.RunID]; known == nil || !known.doc.CountsAsAlive() {
+		return
+	}
 	for _, m := range t.members {
 		doc := m.doc
 		if doc.Control == newRun.Control && doc.RunID != newRun.RunID && doc.RunID != t.self && doc.CountsAsAlive() {
--- a/pkg/lentilmember/table_test.go
+++ b/pkg/lentilmember/table_test.go
@@ -94,6 +94,50 @@
 	}
 }
 
+// TestLateAnswerOfEarlierRunReplacesLivingOne guards against a living balancer that is declared dead, because an answer of the earlier
+// run at its control address is handled late.
+func TestLateAnswerOfEarlierRunReplacesLivingOne(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// late is the entry in the earlier run's late answer.
+		late Doc
+	}{
+		{"that crashed", testEntry(2, 1, Alive, "a")},
+		{"that was suspected", testEntry(2, 1, Suspect, "a")},
+		{"that left", testEntry(2, 2, Left, "a")},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			table := &Table{Clock: &lentilclock.Fake{}}
+			table.Join(testEntry(1, 1, Alive, "a"))
+			earlier, living := testEntry(2, 1, Alive, "a"), testEntry(3, 1, Alive, "a")
+			living.Control = earlier.Control
+			table.Apply(earlier, living)
+			table.MarkReplaced(living)
+			table.Apply(c.late)
+			table.MarkReplaced(c.late)
+			if doc, _ := table.Member(living.RunID); doc.State != Alive {
+				t.Errorf("the living run is %s, and the earlier one was already dead", doc.State)
+			}
+		})
+	}
+}
+
+// TestRefutedRunReplacesEarlierOne guards against an ended run that counts as alive, because the run that replaced it was once
+// declared dead.
+func TestRefutedRunReplacesEarlierOne(t *testing.T) {
+	table := &Table{Clock: &lentilclock.Fake{}}
+	table.Join(testEntry(1, 1, Alive, "a"))
+	earlier, living := testEntry(2, 1, Alive, "a"), testEntry(3, 2, Alive, "a")
+	living.Control = earlier.Control
+	declaredDead := testEntry(3, 1, Dead, "a")
+	declaredDead.Control = earlier.Control
+	table.Apply(earlier, declaredDead, living)
+	table.MarkReplaced(living)
+	if doc, _ := table.Member(earlier.RunID); doc.State != Dead {
+		t.Errorf("the earlier run is %s, though another one answered at its address", doc.State)
+	}
+}
+
 // TestReachedDomains checks that members of another failure domain count as alive only
 // after a member of the own failure domain has listed that domain for ReachedDomainDelay,
 // and no longer once it is not listed.
