lentilconntrack: a missing run marker shows nothing if the upstream is older than the agent

An agent that finds no ledger of its upstream's run now concludes that only if the upstream didn't start before it did, by more than the 100 ms by which the processes of a machine may start apart. Otherwise it passes packets of unknown flows on to find out. Two new cases of TestFlowsCompleteAfterRestore, with an older upstream, fail without the change. Its other cases and those of TestMissingLedgerOfReturnedStore gave the upstream a start in 1970, which meant nothing so far; it starts with the agent now.

--- a/pkg/lentilconntrack/ledger.go
+++ b/pkg/lentilconntrack/ledger.go
@@ -215,9 +215,10 @@
 	}
 	t.previousLedger = nil
 	now := t.now()
-	if t.upstream.sequence <= maxStartupSequence && !matches(ledger, t.upstream) {
+	if t.upstream.sequence <= maxStartupSequence && !matches(ledger, t.upstream) && t.precedes(t.upstream.incarnation) {
 		// No earlier run of the agent has let flows open at this run of the upstream, or the store has lost the
-		// ledger that would show it.
+		// ledger that would show it. If the upstream has started before this run, an earlier one may have failed to
+		// store its run marker.
 		if ledger.Era == t.previousLedgerEra {
 			t.FlowsComplete = true
 		} else {
--- a/pkg/lentilconntrack/ledger_test.go
+++ b/pkg/lentilconntrack/ledger_test.go
@@ -57,6 +57,11 @@
 	}
 }
 
+// unknownAge is the age of an upstream that doesn't tell it. testStart is the time of newHarness, in milliseconds of Unix time.
+const unknownAge = -time.Second
+
+var testStart = newHarness(nil).createdAt.UnixMilli()
+
 // TestFlowsCompleteAfterRestore checks when a restarted agent may conclude from the ledger and the registration that its
 // upstream holds no flow that it doesn't know.
 func TestFlowsCompleteAfterRestore(t *testing.T) {
@@ -64,17 +69,26 @@
 		name     string
 		ledger   lentilledger.Ledger
 		sequence int64
-		want     bool
+		// age is how long before the agent the upstream has started. It sends no time of its start if that is unknown.
+		age  time.Duration
+		want bool
 	}{
-		{"the upstream has just started with the agent", lentilledger.Ledger{Service: "a", Address: peer1, UpstreamID: "old", UpstreamIncarnation: 1}, 2, true},
-		{"the upstream has just started and there is no ledger", lentilledger.Ledger{}, 3, true},
-		{"an earlier run of the agent has written the run marker", lentilledger.Ledger{Service: "a", Address: peer1, UpstreamID: "u", UpstreamIncarnation: 1}, 2, false},
-		{"the upstream has been registering for longer", lentilledger.Ledger{Service: "a", Address: peer1, UpstreamID: "old", UpstreamIncarnation: 1}, 4, false},
+		{"the upstream has just started with the agent", lentilledger.Ledger{Service: "a", Address: peer1, UpstreamID: "old", UpstreamIncarnation: 1}, 2, 50 * time.Millisecond, true},
+		{"the upstream has just started and there is no ledger", lentilledger.Ledger{}, 3, 0, true},
+		{"the upstream doesn't tell when it has started, and there is no ledger", lentilledger.Ledger{}, 3, unknownAge, true},
+		{"the upstream has started before the agent, whose earlier run may have failed to write the run marker", lentilledger.Ledger{}, 3, 2 * time.Second, false},
+		{"the same, and an older ledger was found", lentilledger.Ledger{Service: "a", Address: peer1, UpstreamID: "old", UpstreamIncarnation: 1}, 2, 200 * time.Millisecond, false},
+		{"an earlier run of the agent has written the run marker", lentilledger.Ledger{Service: "a", Address: peer1, UpstreamID: "u", UpstreamIncarnation: testStart}, 2, 0, false},
+		{"the upstream has been registering for longer", lentilledger.Ledger{Service: "a", Address: peer1, UpstreamID: "old", UpstreamIncarnation: 1}, 4, 0, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h := newHarness(t)
 			h.Address = peer1
-			h.Register(Registration{ID: "u", Incarnation: 1, Sequence: c.sequence, Service: "a"}, nil)
+			r := Registration{ID: "u", Incarnation: h.createdAt.Add(-c.age).UnixMilli(), Sequence: c.sequence, Service: "a"}
+			if c.age == unknownAge {
+				r.Incarnation = 0
+			}
+			h.Register(r, nil)
 			if h.FlowsComplete {
 				t.Error("FlowsComplete is set before the ledger is restored")
 			}
--- a/pkg/lentilconntrack/upstream.go
+++ b/pkg/lentilconntrack/upstream.go
@@ -77,14 +77,14 @@
 	t.contest = contest{}
 	sameRun := registered && u.id == r.ID && u.incarnation == r.Incarnation
 	previousPhase := u.phase
-	if !registered && r.Sequence <= firstSequence && t.precedes(r) {
+	if !registered && r.Sequence <= firstSequence && t.precedes(r.Incarnation) {
 		// The agent was running before its upstream could get a flow.
 		t.FlowsComplete = true
 	}
 	if !sameRun && registered {
 		// The run that held the flows has ended, since only one upstream can use an address.
 		actions = t.resetFlows(UpstreamReplaced, r.Incarnation, actions)
-		t.FlowsComplete = t.FlowsComplete || t.precedes(r)
+		t.FlowsComplete = t.FlowsComplete || t.precedes(r.Incarnation)
 	}
 	u.id, u.incarnation, u.sequence, u.otherRunSequence = r.ID, r.Incarnation, r.Sequence, 0
 	t.observePause(now)
@@ -119,8 +119,8 @@
 
 // precedes reports whether the agent was running when the run of the upstream started, so that no earlier run of the agent
 // can have let flows open there.
-func (t *Tracker) precedes(r Registration) bool {
-	return r.Incarnation == 0 || t.startedAt.Add(-startSlack).UnixMilli() <= r.Incarnation
+func (t *Tracker) precedes(incarnation int64) bool {
+	return incarnation == 0 || t.startedAt.Add(-startSlack).UnixMilli() <= incarnation
 }
 
 // stale reports whether a registration is older than the last one in effect. Incarnations come from the time of day,
