lentilconntrack: a pause right after the start is noticed

Pauses now count from the start, which the agent records before it opens its sockets. Evidence: TestMessageReadAfterPauseBeforeFirstTick fails on the commit before.

--- a/pkg/lentilconntrack/admission.go
+++ b/pkg/lentilconntrack/admission.go
@@ -98,12 +98,16 @@
 
 // observePause records that the agent goes on after a pause.
 func (t *Tracker) observePause(now time.Time) {
-	if t.lastTick.IsZero() || now.Sub(t.lastTick) <= pauseThreshold || t.resumedAt.After(t.lastTick) {
+	ranAt := t.lastTick
+	if ranAt.IsZero() {
+		ranAt = t.startedAt
+	}
+	if now.Sub(ranAt) <= pauseThreshold || t.resumedAt.After(ranAt) {
 		return
 	}
-	if !t.justResumed(t.lastTick) {
+	if !t.justResumed(ranAt) {
 		// Otherwise what has waited since the pause before may still be unread.
-		t.pausedAt = t.lastTick
+		t.pausedAt = ranAt
 	}
 	t.resumedAt = now
 }
--- a/pkg/lentilconntrack/reuse_test.go
+++ b/pkg/lentilconntrack/reuse_test.go
@@ -269,6 +269,20 @@
 	}
 }
 
+// TestMessageReadAfterPauseBeforeFirstTick guards against new flows at an upstream of another service, since an agent that was paused
+// right after its start doesn't notice, and takes a registration that has waited for a new one.
+func TestMessageReadAfterPauseBeforeFirstTick(t *testing.T) {
+	h := newHarness(t)
+	h.AddressReuse = 2 * time.Second
+	h.helloWith(1, false)
+	h.clock.Advance(5 * time.Second)
+	h.register("u")
+	h.run(400 * time.Millisecond)
+	if got := h.fromBalancer(peer1, lentilflow.Place, firstPacket(flowKey(1))); got != "SendRefused NoUpstream" {
+		t.Errorf("got %q, want a refusal: the registration may be 5.4 s old", got)
+	}
+}
+
 // run advances the clock with a tick every 50 ms.
 func (h *harness) run(d time.Duration) {
 	for ; d > 0; d -= 50 * time.Millisecond {
--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -193,6 +193,9 @@
 	return now
 }
 
+// Start records the start of the agent: from now on its sockets are open. Without Start, the agent starts with its first event.
+func (t *Tracker) Start() { t.now() }
+
 // HandleCarry handles a client's packet that a balancer forwarded.
 func (t *Tracker) HandleCarry(from lentilflow.Endpoint, m lentilflow.Carry, actions []Action) (result []Action, err error) {
 	packet, err := t.Codec.ParseClientPacket(m.Packet)
