--- a/internal/lentilpacket/agent.go
+++ b/internal/lentilpacket/agent.go
@@ -71,7 +71,8 @@
 	// rediscover publishes the agent's entry and reads the list of balancers.
 	rediscover func()
 	workers    sync.WaitGroup
-	ctx        context.Context
+	// ctx ends probes. It is that of Run once the agent runs.
+	ctx context.Context
 }
 
 // Run serves until graceful ends and the agent has handed over, or until forced ends.
@@ -83,7 +84,9 @@
 	defer a.close()
 	ctx, stop := context.WithCancel(forced)
 	defer stop()
+	a.mu.Lock()
 	a.ctx = ctx
+	a.mu.Unlock()
 	self := Peer{
 		Node:    lentilflow.Node{Name: a.Settings.Name(), Domain: a.Settings.Domain(), Address: lentilflow.EndpointOf(a.Settings.PeerAddress())},
 		Service: a.Settings.Service(),
@@ -126,6 +129,10 @@
 	a.tracker.AddressReuse, a.tracker.FairQueue = a.Settings.AddressReuse(), a.Settings.FairQueue()
 	a.tracker.ColdFactor, a.tracker.ColdSlack = a.Settings.ColdFactor(), a.Settings.ColdSlack()
 	a.tracker.MaxUnlisted, a.tracker.LedgerCovered = a.Settings.MaxUnlisted(), a.reporter.Covered
+	a.tracker.Start()
+	if a.ctx == nil {
+		a.ctx = context.Background()
+	}
 }
 
 func (a *Agent) open() (err error) {
--- a/internal/lentilpacket/log_test.go
+++ b/internal/lentilpacket/log_test.go
@@ -167,3 +167,14 @@
 		t.Errorf("after the start: not ready, since %s", state.Reason)
 	}
 }
+
+// TestDeregistrationBeforeOpen guards against an agent that ends by itself, since its upstream registers and deregisters before the agent
+// has opened its sockets.
+func TestDeregistrationBeforeOpen(t *testing.T) {
+	opened, _ := newLoggingAgent(t)
+	opened.close()
+	a := &Agent{Settings: opened.Settings, Codec: firstPacketCodec, Counts: &Counts{}, Logger: opened.Logger}
+	a.Register(lentilconntrack.Registration{ID: "copy-1", Incarnation: 1, Sequence: 9, Service: "a", Slots: 4})
+	a.Deregister("copy-1")
+	a.workers.Wait()
+}
--- a/internal/lentilpacket/stop.go
+++ b/internal/lentilpacket/stop.go
@@ -45,16 +45,19 @@
 // probeUpstream checks whether something listens at the upstream's address. It connects over TCP and sends
 // nothing.
 func (a *Agent) probeUpstream() {
+	a.mu.Lock()
+	ctx := a.ctx
+	a.mu.Unlock()
 	select {
 	case <-time.After(probeDelay):
-	case <-a.ctx.Done():
+	case <-ctx.Done():
 		return
 	}
 	a.mu.Lock()
 	run := a.tracker.UpstreamRuns()
 	a.mu.Unlock()
 	dialer := net.Dialer{Timeout: probeTimeout}
-	conn, err := dialer.DialContext(a.ctx, "tcp4", a.Settings.UpstreamAddress().String())
+	conn, err := dialer.DialContext(ctx, "tcp4", a.Settings.UpstreamAddress().String())
 	result := lentilconntrack.ProbeTimedOut
 	switch {
 	case err == nil:
