lentilplacement: a held flow is offered to the agent for which it was held

A flow that an agent had refused before its upstream registered was held, and reset once the upstream had registered, since the agent counted as tried.

--- a/pkg/lentilplacement/hold_test.go
+++ b/pkg/lentilplacement/hold_test.go
@@ -155,3 +155,21 @@
 		t.Errorf("got %q, want the flow held until the upstream of agent 2 registers", got)
 	}
 }
+
+// TestFlowHeldAfterRefusalIsReset guards against the reset of a flow that waits for the agent that has refused it before its
+// upstream registered, at the moment at which the upstream does.
+func TestFlowHeldAfterRefusalIsReset(t *testing.T) {
+	h := newStartingHarness(t)
+	h.configure(1, "a")
+	h.SetAgentsComplete()
+	h.sendStatus(1)
+	h.sendPacket(firstPacket(testFlow))
+	h.answerTaken(1, true)
+	h.sendStatus(1, ofRun(2, 1), func(m *lentilflow.Status) { m.Phase = lentilflow.Unheard })
+	got := h.sendPacket(firstPacket(testFlow)) + "; " + h.answerRefused(1, lentilflow.NoUpstream) + "; " + h.advance(300*time.Millisecond)
+	h.sendStatus(1, ofRun(2, 2))
+	got += "; " + describe(h.Tick(nil))
+	if want := "place to 1; hold AllRefused; ; place to 1"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
--- a/pkg/lentilplacement/place.go
+++ b/pkg/lentilplacement/place.go
@@ -81,6 +81,11 @@
 	case mayBePlaced && p.heldPlacements[key] == f:
 		return actions
 	case mayBePlaced && len(p.heldPlacements) < maxHeldPlacements:
+		// An agent that had no upstream may have one when the flow is placed.
+		f.triedAgents = slices.DeleteFunc(f.triedAgents, func(tried lentilflow.Endpoint) bool {
+			a := p.agents[tried]
+			return a != nil && a.status.Phase == lentilflow.Unheard
+		})
 		return p.holdPlacement(key, f, cause, actions)
 	}
 	delete(p.heldPlacements, key)
