lentilplacement: a late last status of an earlier run doesn't end the flows of the present one

No run stops as it starts, so such a status counts for nothing within a second of the first one of the present run.

--- a/pkg/lentilplacement/agent.go
+++ b/pkg/lentilplacement/agent.go
@@ -113,10 +113,11 @@
 // lateStatusLimit is how late a status may arrive. It is far more than a way between failure domains takes.
 const lateStatusLimit = time.Second
 
-// superseded reports whether a status is a late one of the run before the present one. Runs have no order, so that a late status may
-// also seem to begin the present run. The other one is therefore shut out only for as long as its statuses may be late.
+// superseded reports whether a status is a late one of an earlier run. Runs have no order, so a late status may also seem to begin a run.
+// The run before the present one is therefore ignored only for as long as its statuses may be late, and so is any that has begun with a
+// stop: no run stops as it starts.
 func (a *agent) superseded(now time.Time, m lentilflow.Status) bool {
-	return m.RunID == a.supersededRun && m.RunID != a.status.RunID && now.Sub(a.runSeenAt) < lateStatusLimit
+	return m.RunID != a.status.RunID && (m.RunID == a.supersededRun || m.Stopping) && now.Sub(a.runSeenAt) < lateStatusLimit
 }
 
 // HandleStatus updates the state of an agent from its status. A status that isn't newer than the
--- a/pkg/lentilplacement/reuse_test.go
+++ b/pkg/lentilplacement/reuse_test.go
@@ -173,7 +173,7 @@
 }
 
 // TestLateStatusShutsOutRun guards against an agent whose statuses are ignored for the rest of its run, after a late one of an
-// earlier run: they count again once no further ones can be late.
+// earlier run.
 func TestLateStatusShutsOutRun(t *testing.T) {
 	stopped := func(m *lentilflow.Status) { m.Stopping, m.Phase = true, lentilflow.Gone }
 	for _, c := range []struct {
@@ -186,14 +186,12 @@
 			h.SetAgentsComplete()
 			h.sendStatus(1, ofRun(2, 1))
 			h.sendStatus(1, ofRun(1, 90), stopped)
-			h.clock.Advance(lateStatusLimit)
 			h.sendStatus(1, ofRun(2, 2))
 		}},
 		{"two runs back", func(h *harness) {
 			h.sendStatus(1, ofRun(2, 1))
 			h.sendStatus(1, ofRun(3, 1))
 			h.sendStatus(1, ofRun(1, 90), stopped)
-			h.clock.Advance(lateStatusLimit)
 			h.sendStatus(1, ofRun(3, 2))
 		}},
 	} {
@@ -223,3 +221,35 @@
 		t.Errorf("%s: the new flow is %s old", describe(actions), age)
 	}
 }
+
+// TestLateStatusOfUnknownRunResetsFlow guards against the reset of a flow whose agent runs, because the last status of an earlier run,
+// of which the balancer had not heard or not heard last, arrives late and says that the upstream has ended.
+func TestLateStatusOfUnknownRunResetsFlow(t *testing.T) {
+	ended := func(m *lentilflow.Status) { m.Stopping, m.UpstreamEnded, m.Phase = true, true, lentilflow.Gone }
+	for _, c := range []struct {
+		name  string
+		heard func(h *harness)
+	}{
+		{"the balancer heard the present run first", func(h *harness) {
+			h.Placer = &Placer{Clock: h.clock, Codec: codec(), Domain: "near"}
+			h.configure(1, "a")
+			h.SetAgentsComplete()
+			h.sendStatus(1, ofRun(2, 1))
+		}},
+		{"two runs back", func(h *harness) {
+			h.sendStatus(1, ofRun(2, 1))
+			h.sendStatus(1, ofRun(3, 1))
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t)
+			c.heard(h)
+			h.sendPacket(firstPacket(testFlow))
+			h.answerTaken(1, true)
+			h.sendStatus(1, ofRun(1, 90), ended)
+			if got := h.sendPacket(laterPacket(testFlow)); strings.Contains(got, "reset") {
+				t.Errorf("got %q, want the packet sent to agent 1", got)
+			}
+		})
+	}
+}
