--- a/pkg/lentilconntrack/upstream.go
+++ b/pkg/lentilconntrack/upstream.go
@@ -54,8 +54,8 @@
 // cold reports whether the upstream has, or may have, less than its usual capacity.
 func (u *upstream) cold(now time.Time) bool { return !u.coldStateKnown || now.Before(u.coldUntil) }
 
-// Register handles a registration. It is in effect when Register returns. A registration of another service, or
-// one that is stale, is ignored, but the former shows that the address may have another upstream if that of the agent isn't known.
+// Register handles a registration. It is in effect when Register returns, unless it is ignored: if it is of another service, if it is
+// stale, or if it is the first one after the address was contested.
 func (t *Tracker) Register(r Registration, actions []Action) []Action {
 	u, now := &t.upstream, t.now()
 	registered := u.id != ""
