--- a/internal/lentilframe/frame_test.go
+++ b/internal/lentilframe/frame_test.go
@@ -143,6 +143,10 @@
 	f.Add(AppendDenied(nil, lentilflow.Denied{}))
 	f.Add(AppendStatus(nil, lentilflow.Status{Name: "a"}))
 	f.Add(AppendCarry(nil, lentilflow.Carry{Packet: []byte{1}}))
+	f.Add(AppendStopRequest(nil, lentilflow.StopRequest{Name: "a", Domain: "z1", RunID: 1}))
+	f.Add(AppendStopAnswer(nil, lentilflow.StopAnswer{RunID: 1}))
+	f.Add(AppendLedgerReport(nil, lentilledger.Report{Group: "g", Ledger: lentilledger.Ledger{Flows: []lentilledger.Flow{{Acknowledged: 7}}}}))
+	f.Add(AppendLedgerAck(nil, lentilledger.Ack{Run: 1, Sequence: 2}))
 	f.Add([]byte{magic})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		for _, parse := range []func([]byte) error{
@@ -153,6 +157,11 @@
 			func(d []byte) error { _, err := ParseAsk(d); return err },
 			func(d []byte) error { _, err := ParseStatus(d); return err },
 			func(d []byte) error { _, err := ParseHello(d); return err },
+			func(d []byte) error { _, err := ParseRelay(d); return err },
+			func(d []byte) error { _, err := ParseStopRequest(d); return err },
+			func(d []byte) error { _, err := ParseStopAnswer(d); return err },
+			func(d []byte) error { _, err := ParseLedgerReport(d); return err },
+			func(d []byte) error { _, err := ParseLedgerAck(d); return err },
 		} {
 			if err := parse(data); err == nil && KindOf(data) == 0 {
 				t.Error("data that isn't a frame parses without an error")
