--- a/pkg/lentilplacement/agent.go
+++ b/pkg/lentilplacement/agent.go
@@ -20,6 +20,10 @@
 	// responsiveSince is when the agent was first seen, or seen again after it was unresponsive.
 	responsiveSince time.Time
 	addedAt         time.Time
+	// supersededRun is the run of the agent, or of another one at its address, before the present one.
+	supersededRun uint64
+	// runSeenAt is when the first status of the agent's run arrived.
+	runSeenAt time.Time
 	// helloAt is when the agent was last asked for its status.
 	helloAt time.Time
 	// machineSeenAt is when the agent's machine last answered a connection attempt, and probedAt the time of the last
@@ -86,6 +90,14 @@
 	p.agentsByService = nil
 }
 
+// serviceOf returns the service that an agent has reported last.
+func (p *Placer) serviceOf(addr lentilflow.Endpoint) string {
+	if a := p.agents[addr]; a != nil {
+		return a.status.Service
+	}
+	return ""
+}
+
 // AgentCounts returns the numbers of known and of responsive agents.
 func (p *Placer) AgentCounts() (known, responsive int) {
 	now := p.now()
@@ -99,7 +111,7 @@
 }
 
 // HandleStatus updates the state of an agent from its status. A status that isn't newer than the
-// last one of the same run is ignored.
+// last one of the same run, or that is of the run before, is ignored.
 func (p *Placer) HandleStatus(from lentilflow.Endpoint, m lentilflow.Status, actions []Action) []Action {
 	a := p.agents[from]
 	if a == nil {
@@ -107,7 +119,7 @@
 		p.putAgent(from, a)
 	}
 	previous := a.status
-	if m.RunID == previous.RunID && m.Sequence <= previous.Sequence {
+	if m.RunID == previous.RunID && m.Sequence <= previous.Sequence || m.RunID != previous.RunID && m.RunID == a.supersededRun {
 		return actions
 	}
 	p.recordRelay(m.ConfiguredBalancer)
@@ -115,6 +127,9 @@
 	p.heldPlacementsDue = true
 	a.recordHeard(p.now())
 	a.recordLoad(a.lastSeen, m.Load, false)
+	if previous.RunID != m.RunID {
+		a.runSeenAt, a.supersededRun = a.lastSeen, previous.RunID
+	}
 	a.status, a.unresponsiveLogged = m, false
 	if previous.Service != m.Service || previous.Domain != m.Domain {
 		p.agentsByService = nil
@@ -126,6 +141,10 @@
 	}
 	changed := previous.RunID != m.RunID || previous.Phase != m.Phase || previous.Out != m.Out || previous.Stopping != m.Stopping || previous.Cold != m.Cold
 	switch {
+	case replaces(m, previous):
+		return append(actions, Action{
+			Kind: ReportAgent, Cause: AgentReplaced, To: from, Phase: m.Phase, Load: m.Load, PreviousName: previous.Name, PreviousService: previous.Service,
+		})
 	case appeared:
 		return append(actions, Action{Kind: ReportAgent, Cause: AgentHeard, To: from, Phase: m.Phase, Load: m.Load})
 	case changed:
@@ -134,6 +153,24 @@
 	return actions
 }
 
+// replaces reports whether the status m is from another agent than the previous one at the same address, or for another service.
+func replaces(m, previous lentilflow.Status) bool {
+	return previous.Name != "" && m.Name != previous.Name || previous.Service != "" && m.Service != previous.Service
+}
+
+// LastStatus returns the last status of an agent, updated by its later answers, and the time since it was last seen. For an agent
+// that is only listed, the status has no run ID, and age is zero. ok is false if no agent is known at the address.
+func (p *Placer) LastStatus(addr lentilflow.Endpoint) (status lentilflow.Status, age time.Duration, ok bool) {
+	a := p.agents[addr]
+	if a == nil {
+		return status, 0, false
+	}
+	if a.seen() {
+		age = p.now().Sub(a.lastSeen)
+	}
+	return a.status, age, true
+}
+
 // ExpireAgents removes agents that have been gone for longer than expireAfter, and returns their names.
 func (p *Placer) ExpireAgents() (names []string) {
 	now := p.now()
--- a/pkg/lentilscan/scanner_test.go
+++ b/pkg/lentilscan/scanner_test.go
@@ -83,7 +83,7 @@
 // FuzzScanner compares the scanner with encoding/json: what that accepts is consumed as one value, part by part, and what it
 // takes for truncated isn't consumed.
 func FuzzScanner(f *testing.F) {
-	for _, seed := range []string{`{"items":[{"meta":{"name":"a"}}],"storeRevision":7}`, `[1,"a\"",null,{}]`, `{"a`, `"\u00e9"`} {
+	for _, seed := range []string{`{"items":[{"meta":{"name":"a"}}],"position":7}`, `[1,"a\"",null,{}]`, `{"a`, `"\u00e9"`} {
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
