lentilauditcommand: one odd record hides no others

Callers would see an audit trail that can't be read: `lentilstair audit` ended with "parse audit record, cause: json: cannot unmarshal array into Go value".

Cause: the first record that couldn't be parsed ended the command.

Change: such a record is listed by its name, with the error. `lentilstair audit NOTE` for that record still fails.

--- a/internal/lentilcommand/lentilauditcommand/audit.go
+++ b/internal/lentilcommand/lentilauditcommand/audit.go
@@ -65,7 +65,7 @@
 
 // readRecords returns the audit record of the note noteID, or the latest records up to limit
 // if noteID is empty. The latest record is the last. Records that are deleted meanwhile are
-// left out.
+// left out. A latest record that can't be parsed has only its name and the error.
 func readRecords(ctx context.Context, client *lentilplatform.Client, noteID string, limit int) (records []lentilapply.AuditDoc, err error) {
 	names := []string{noteID}
 	if noteID == "" {
@@ -87,9 +87,12 @@
 			return nil, err
 		}
 		record, err := lentilapply.ParseAudit(object.Body())
-		if err != nil {
+		if err != nil && noteID != "" {
 			return nil, err
 		}
+		if err != nil {
+			record = lentilapply.AuditDoc{NoteID: name, Error: fmt.Sprintf("%.255s", err)}
+		}
 		records = append(records, resolvePending(record, accepted))
 	}
 	return records, nil
--- a/internal/lentilcommand/operator_test.go
+++ b/internal/lentilcommand/operator_test.go
@@ -25,6 +25,7 @@
 // balancers run as well, but only their control connections, without a packet path.
 type harness struct {
 	platform     *platform.Server
+	platformURL  string
 	settingsPath string
 	directory    string // holds the settings and the notes
 }
@@ -39,6 +40,7 @@
 	h := &harness{platform: &platform.Server{Unlimited: true}, directory: t.TempDir()}
 	server := httptest.NewServer(h.platform)
 	t.Cleanup(server.Close)
+	h.platformURL = server.URL
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	var seeds []string
