--- a/pkg/lentilplacement/agent.go
+++ b/pkg/lentilplacement/agent.go
@@ -110,8 +110,17 @@
 	return known, responsive
 }
 
+// lateStatusLimit is how late a status may arrive. It is far more than a way between failure domains takes.
+const lateStatusLimit = time.Second
+
+// superseded reports whether a status is a late one of the run before the present one. Runs have no order, so that a late status may
+// also seem to begin the present run. The other one is therefore shut out only for as long as its statuses may be late.
+func (a *agent) superseded(now time.Time, m lentilflow.Status) bool {
+	return m.RunID == a.supersededRun && m.RunID != a.status.RunID && now.Sub(a.runSeenAt) < lateStatusLimit
+}
+
 // HandleStatus updates the state of an agent from its status. A status that isn't newer than the
-// last one of the same run, or that is of the run before, is ignored.
+// last one of the same run, or that is a late one of the run before, is ignored.
 func (p *Placer) HandleStatus(from lentilflow.Endpoint, m lentilflow.Status, actions []Action) []Action {
 	a := p.agents[from]
 	if a == nil {
@@ -119,7 +128,7 @@
 		p.putAgent(from, a)
 	}
 	previous := a.status
-	if m.RunID == previous.RunID && m.Sequence <= previous.Sequence || m.RunID != previous.RunID && m.RunID == a.supersededRun {
+	if m.RunID == previous.RunID && m.Sequence <= previous.Sequence || a.superseded(p.now(), m) {
 		return actions
 	}
 	p.recordRelay(m.ConfiguredBalancer)
@@ -171,17 +180,17 @@
 	return a.status, age, true
 }
 
-// ExpireAgents removes agents that have been gone for longer than expireAfter, and returns their names.
-func (p *Placer) ExpireAgents() (names []string) {
+// ExpireAgents removes agents that have been gone for longer than expireAfter, and returns those whose names no other agent has.
+func (p *Placer) ExpireAgents() (gone []lentilflow.Node) {
 	now := p.now()
 	for addr, a := range p.agents {
 		if now.Sub(a.lastSeen) > expireAfter && now.Sub(a.addedAt) > expireAfter && p.isGone(now, a) {
-			names = append(names, a.status.Name)
+			gone = append(gone, lentilflow.Node{Name: a.status.Name, Domain: a.status.Domain, Address: addr})
 			delete(p.agents, addr)
 			p.agentsByService = nil
 		}
 	}
-	return names
+	return slices.DeleteFunc(gone, func(n lentilflow.Node) bool { return p.KnowsAgent(n.Name) })
 }
 
 // StopArbiter returns the agent that a balancer of the placer's failure domain asks whether it may stop. Balancers with the
@@ -231,7 +240,9 @@
 	case lentilflow.UpstreamDraining:
 		a.status.Phase = lentilflow.Draining
 	case lentilflow.NoUpstream:
-		a.status.Phase = lentilflow.Gone
+		if a.status.Phase != lentilflow.Unheard {
+			a.status.Phase = lentilflow.Gone
+		}
 	case lentilflow.Stopping:
 		a.status.Stopping = true
 	case lentilflow.UpstreamFailing:
