--- a/pkg/lentilconntrack/upstream.go
+++ b/pkg/lentilconntrack/upstream.go
@@ -54,8 +54,8 @@
 // cold reports whether the upstream has, or may have, less than its usual capacity.
 func (u *upstream) cold(now time.Time) bool { return !u.coldStateKnown || now.Before(u.coldUntil) }
 
-// Register handles a registration. It is in effect when Register returns. A registration of another service, or
-// one that is stale, is ignored, but the former shows that the address may have another upstream if that of the agent isn't known.
+// Register handles a registration. It is in effect when Register returns, unless it is ignored: if it is of another service, if it is
+// stale, or if it is the first one after the address was contested.
 func (t *Tracker) Register(r Registration, actions []Action) []Action {
 	u, now := &t.upstream, t.now()
 	registered := u.id != ""
@@ -77,14 +77,14 @@
 	t.contest = contest{}
 	sameRun := registered && u.id == r.ID && u.incarnation == r.Incarnation
 	previousPhase := u.phase
-	if !registered && r.Sequence <= firstSequence && t.precedes(r) {
+	if !registered && r.Sequence <= firstSequence && t.precedes(r.Incarnation) {
 		// The agent was running before its upstream could get a flow.
 		t.FlowsComplete = true
 	}
 	if !sameRun && registered {
 		// The run that held the flows has ended, since only one upstream can use an address.
 		actions = t.resetFlows(UpstreamReplaced, r.Incarnation, actions)
-		t.FlowsComplete = t.FlowsComplete || t.precedes(r)
+		t.FlowsComplete = t.FlowsComplete || t.precedes(r.Incarnation)
 	}
 	u.id, u.incarnation, u.sequence, u.otherRunSequence = r.ID, r.Incarnation, r.Sequence, 0
 	t.observePause(now)
@@ -96,7 +96,8 @@
 	}
 	t.queue.SetSlots(r.Slots)
 	if !sameRun {
-		t.probeOutdated = t.probing
+		t.probing = false
+		t.upstreamRuns++
 		t.breaker.Reset()
 		t.meter.forgetServiceTime()
 		t.runMarkerDue = true
@@ -118,8 +119,8 @@
 
 // precedes reports whether the agent was running when the run of the upstream started, so that no earlier run of the agent
 // can have let flows open there.
-func (t *Tracker) precedes(r Registration) bool {
-	return r.Incarnation == 0 || t.startedAt.Add(-startSlack).UnixMilli() <= r.Incarnation
+func (t *Tracker) precedes(incarnation int64) bool {
+	return incarnation == 0 || t.startedAt.Add(-startSlack).UnixMilli() <= incarnation
 }
 
 // stale reports whether a registration is older than the last one in effect. Incarnations come from the time of day,
@@ -144,10 +145,11 @@
 // and was heard of so recently that the address can't have gone to another service. Only then it gets first packets of flows.
 func (t *Tracker) upstreamKnown(now time.Time) bool {
 	u := &t.upstream
-	return u.id != "" && (t.AddressReuse == 0 || now.Sub(u.seenAt) < max(t.AddressReuse-reuseMargin, t.RenewInterval+reuseMargin))
+	return u.id != "" && (t.AddressReuse == 0 || now.Sub(u.seenAt) < max(t.AddressReuse-pauseThreshold-reuseMargin, t.RenewInterval+reuseMargin))
 }
 
 // recordSeen records a message of the upstream. One that is read right after a pause of the agent may have waited all the while.
+// Shorter pauses aren't noticed; upstreamKnown allows for one.
 func (t *Tracker) recordSeen(now time.Time) {
 	sentAt := now
 	if t.justResumed(now) {
@@ -235,13 +237,14 @@
 	ProbeTimedOut
 )
 
-// HandleProbeResult handles the result of a ProbeUpstream action.
-func (t *Tracker) HandleProbeResult(result ProbeResult, actions []Action) []Action {
-	outdated := t.probeOutdated
-	t.probing, t.probeOutdated = false, false
-	switch {
-	case outdated:
+// HandleProbeResult handles the result of a ProbeUpstream action. run is the value of UpstreamRuns when the probe began: a result for
+// another run than the registered one is ignored.
+func (t *Tracker) HandleProbeResult(result ProbeResult, run uint64, actions []Action) []Action {
+	if run != t.upstreamRuns {
 		return actions
+	}
+	t.probing = false
+	switch {
 	case result == ProbeAccepted && t.upstream.deregistered:
 		// The upstream has deregistered and hasn't exited yet.
 		t.probing = true
@@ -261,6 +264,9 @@
 	return t.setUpstreamEnded(cause, actions)
 }
 
+// UpstreamRuns returns how many runs of the upstream have registered.
+func (t *Tracker) UpstreamRuns() uint64 { return t.upstreamRuns }
+
 // UpstreamEnded reports whether the upstream is known to have ended. One whose registration is overdue isn't.
 func (t *Tracker) UpstreamEnded() bool { return t.upstream.ended }
 
