--- a/pkg/lentilplacement/lookup.go
+++ b/pkg/lentilplacement/lookup.go
@@ -16,12 +16,20 @@
 		f = &flow{state: stateLookup}
 		p.flows.Put(now, packet.Key, f)
 	}
+	if f.state == stateLookup && f.differsFrom(packet) {
+		p.releaseHeldPacket(f)
+		p.takeBuffered(f)
+		delete(p.lookups, packet.Key)
+		*f = flow{state: stateLookup}
+	}
 	f.acknowledged = packet.Acknowledged
 	switch {
 	case f.state == stateKnown && p.endedWithAgent(now, f.agent):
 		return p.resetEndedFlow(packet.Key, f, HolderGone, actions)
-	case f.state == stateKnown, f.state == statePlaced && len(f.possibleHolders) == 1:
+	case f.state == stateKnown:
 		return append(actions, p.forwardAction(f.agent, packet.Key, lentilflow.Owned, data))
+	case f.state == statePlaced && len(f.possibleHolders) == 1:
+		return append(actions, p.forwardAction(f.possibleHolders[0], packet.Key, lentilflow.Owned, data))
 	case f.state == stateLookup:
 		return p.lookUp(packet, f, data, actions)
 	}
@@ -33,6 +41,12 @@
 	return p.forwardToAll(packet.Key, f, data, actions)
 }
 
+// differsFrom reports whether a client's packet belongs to another flow from the same port than the last one did. What agents said
+// of the earlier flow then doesn't count.
+func (f *flow) differsFrom(packet lentilflow.Packet) bool {
+	return f.acknowledged != 0 && packet.Flags.Has(lentilflow.Acknowledge) && !lentilflow.OfSameFlow(packet.Acknowledged, f.acknowledged)
+}
+
 // endedWithAgent reports whether the flows of an agent have ended with it and its upstream.
 func (p *Placer) endedWithAgent(now time.Time, addr lentilflow.Endpoint) bool {
 	a := p.agents[addr]
--- a/pkg/lentilplacement/lookup_test.go
+++ b/pkg/lentilplacement/lookup_test.go
@@ -225,3 +225,38 @@
 		t.Errorf("%d of %d agents got the packet, reset %t", decided, agents-3, reset)
 	}
 }
+
+// TestPacketsGoToAgentThatDenied guards against packets that go to an agent which has denied their flow, and not to the only other
+// one that was offered it.
+func TestPacketsGoToAgentThatDenied(t *testing.T) {
+	h := newHarness(t)
+	h.sendPacket(firstPacket(testFlow))
+	h.advance(200*time.Millisecond, 1, 2, 3, 4)
+	h.answerTaken(2, false)
+	h.sendPacket(laterPacket(testFlow))
+	h.answerDenied(2)
+	if got := h.sendPacket(laterPacket(testFlow)); strings.Contains(got, "to 2") || !strings.Contains(got, "to 1") {
+		t.Errorf("got %q, want the packet sent to agent 1 alone", got)
+	}
+}
+
+// TestDenialOfEarlierFlow guards against the reset of a flow whose agent has only denied an earlier flow from the same port of the
+// client.
+func TestDenialOfEarlierFlow(t *testing.T) {
+	h := newHarness(t)
+	h.sendPacket(laterPacket(testFlow))
+	h.answerDenied(1)
+	h.advance(3*time.Second, 1, 2, 3, 4)
+	if got := h.sendPacket(laterPacket(testFlow)); strings.Contains(got, "to 1") {
+		t.Errorf("another packet of the earlier flow: got %q, want agent 1 left out", got)
+	}
+	// Another balancer has the client's next flow opened at agent 1.
+	if got := h.sendPacket(nextPacket(testFlow)); !strings.Contains(got, "lookup to 1") {
+		t.Errorf("a packet of the next flow: got %q, want it sent to agent 1 too", got)
+	}
+	for _, n := range []int{2, 3, 4} {
+		if got := h.answerDenied(n); strings.Contains(got, "reset") {
+			t.Errorf("agent %d denies the flow, and agent 1 hasn't answered: got %q", n, got)
+		}
+	}
+}
