--- a/pkg/lentilplacement/place.go
+++ b/pkg/lentilplacement/place.go
@@ -47,7 +47,7 @@
 	a.recordSent(now)
 	p.recordOffer(now, key, f)
 	action := p.placeAction(now, chosen, key, f, f.firstPacket, cause, mayWait)
-	action.Load, action.AgeMillis, action.Refusal = a.status.Load, now.Sub(a.lastSeen).Milliseconds(), f.lastRefusal
+	action.Refusal = f.lastRefusal
 	return append(actions, action)
 }
 
@@ -75,7 +75,8 @@
 			return p.place(now, key, f, ChosenAgain, actions)
 		}
 	}
-	mayBePlaced := cause == NoConfiguration || cause == NoAgent && p.expectsAgents(now, key)
+	mayBePlaced := cause == NoConfiguration || cause == NoAgent && p.expectsAgents(now, key) ||
+		cause == AllRefused && f.fullRefusals < maxFullRefusals && p.awaitsUpstream(now, key)
 	switch {
 	case mayBePlaced && p.heldPlacements[key] == f:
 		return actions
