lentilconntrack: each registration of another service begins the contest anew

Nobody else calls the registration address, so a contest that begins anew doesn't keep a living upstream out.

--- a/pkg/lentilconntrack/upstream.go
+++ b/pkg/lentilconntrack/upstream.go
@@ -62,7 +62,7 @@
 	switch {
 	case r.Service != t.Service:
 		if !t.upstreamPresent(now) {
-			t.contest.contested = true
+			t.contest = contest{contested: true}
 		}
 		return actions
 	case registered && t.stale(now, r):
@@ -166,7 +166,8 @@
 }
 
 // contest is the state of an address at which an upstream of another service has registered while the agent's own wasn't known. A
-// single registration of the agent's upstream may then have been delayed until after its sender has ended, so that it takes two.
+// single registration of the agent's upstream may then have been delayed until after its sender has ended, so that it takes two
+// without one of the other service in between.
 type contest struct {
 	contested bool
 	// first is the first registration of the agent's upstream since then; its ID is empty before that.
