--- a/pkg/lentilconntrack/admission.go
+++ b/pkg/lentilconntrack/admission.go
@@ -102,7 +102,15 @@
 	if ranAt.IsZero() {
 		ranAt = t.startedAt
 	}
-	if now.Sub(ranAt) <= pauseThreshold || t.resumedAt.After(ranAt) {
+	gap := now.Sub(ranAt)
+	switch {
+	case t.resumedAt.After(ranAt):
+		return
+	case gap <= pauseThreshold:
+		if gap > reuseMargin && t.justResumed(ranAt) {
+			// The time in which what has waited is read goes on after a short pause.
+			t.resumedAt = now
+		}
 		return
 	}
 	if !t.justResumed(ranAt) {
