--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -417,6 +417,10 @@
 		t.removeFlow(packet.Key)
 		return append(actions, Action{Kind: SendRefused, To: f.balancer, Key: packet.Key, Refusal: lentilflow.UpstreamFull, Packet: data})
 	}
+	if f.state == open && f.differsFrom(packet) {
+		// It is of an earlier flow from the client's port, which the upstream doesn't hold any more.
+		return actions
+	}
 	if f.state == open && !f.unconfirmed {
 		t.setState(f, lost)
 		return append(actions, Action{Kind: ResetClient, Cause: FlowUnknown, Key: packet.Key, Sequence: packet.Acknowledged})
