--- a/internal/lentilpacket/stop.go
+++ b/internal/lentilpacket/stop.go
@@ -54,7 +54,7 @@
 		return
 	}
 	a.mu.Lock()
-	run := a.tracker.UpstreamRuns()
+	probe := a.tracker.BeginProbe()
 	a.mu.Unlock()
 	dialer := net.Dialer{Timeout: probeTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp4", a.Settings.UpstreamAddress().String())
@@ -67,6 +67,6 @@
 		result = lentilconntrack.ProbeRefused
 	}
 	a.handleEvent(func(actions []lentilconntrack.Action) []lentilconntrack.Action {
-		return a.tracker.HandleProbeResult(result, run, actions)
+		return a.tracker.HandleProbeResult(result, probe, actions)
 	})
 }
--- a/internal/lentilpacketmodel/process.go
+++ b/internal/lentilpacketmodel/process.go
@@ -322,13 +322,13 @@
 // probeUpstream simulates a connection to the upstream's address.
 func (a *agent) probeUpstream() {
 	const timeout = 250 * time.Millisecond
-	run := a.tracker.UpstreamRuns()
+	probe := a.tracker.BeginProbe()
 	switch u := a.upstream; {
 	case u != nil && u.alive():
-		a.perform(a.tracker.HandleProbeResult(lentilconntrack.ProbeAccepted, run, nil))
+		a.perform(a.tracker.HandleProbeResult(lentilconntrack.ProbeAccepted, probe, nil))
 	case u != nil && u.unresponsive:
-		a.schedule(timeout, func() { a.perform(a.tracker.HandleProbeResult(lentilconntrack.ProbeTimedOut, run, nil)) })
+		a.schedule(timeout, func() { a.perform(a.tracker.HandleProbeResult(lentilconntrack.ProbeTimedOut, probe, nil)) })
 	default:
-		a.perform(a.tracker.HandleProbeResult(lentilconntrack.ProbeRefused, run, nil))
+		a.perform(a.tracker.HandleProbeResult(lentilconntrack.ProbeRefused, probe, nil))
 	}
 }
--- a/pkg/lentilconntrack/ledger_test.go
+++ b/pkg/lentilconntrack/ledger_test.go
@@ -244,7 +244,7 @@
 				return
 			}
 			resets := 0
-			for _, a := range h.HandleProbeResult(c.result, h.UpstreamRuns(), nil) {
+			for _, a := range h.HandleProbeResult(c.result, h.BeginProbe(), nil) {
 				if a.Kind == ResetClient && a.Cause == UpstreamRefused && a.Key == flowKey(1) && a.Sequence == 7 {
 					resets++
 				}
--- a/pkg/lentilconntrack/overdue_test.go
+++ b/pkg/lentilconntrack/overdue_test.go
@@ -25,7 +25,7 @@
 		if stop {
 			h.Stop(nil)
 		}
-		if got := formatActions(h.HandleProbeResult(ProbeAccepted, h.UpstreamRuns(), nil)); got != "" {
+		if got := formatActions(h.HandleProbeResult(ProbeAccepted, h.BeginProbe(), nil)); got != "" {
 			t.Errorf("stop=%t: got %q after the probe was accepted", stop, got)
 		}
 		if h.UpstreamEnded() || h.OpenFlows() != 1 {
--- a/pkg/lentilconntrack/probe_test.go
+++ b/pkg/lentilconntrack/probe_test.go
@@ -20,11 +20,11 @@
 			h := newHarness(t)
 			h.register("u")
 			h.HandlePacketRefused(nil)
-			run := h.UpstreamRuns()
+			probe := h.BeginProbe()
 			h.clock.Advance(50 * time.Millisecond)
 			h.register("v", func(r *Registration) { r.Incarnation, r.Sequence = 50, 1 })
 			h.openFlow(flowKey(1))
-			if got := formatActions(h.HandleProbeResult(c.result, run, nil)); got != "" && got != "ProbeUpstream" {
+			if got := formatActions(h.HandleProbeResult(c.result, probe, nil)); got != "" && got != "ProbeUpstream" {
 				t.Errorf("got %q, want nothing, or another probe of the upstream that registered after the probe began", got)
 			}
 		})
@@ -38,10 +38,10 @@
 	h.register("u")
 	h.HandlePacketRefused(nil)
 	h.Deregister("u", nil)
-	run := h.UpstreamRuns()
+	probe := h.BeginProbe()
 	h.register("v", func(r *Registration) { r.Incarnation, r.Sequence = 50, 1 })
 	h.openFlow(flowKey(1))
-	got := formatActions(h.HandleProbeResult(ProbeTimedOut, run, nil)) + "; " + formatActions(h.HandleProbeResult(ProbeRefused, run, nil))
+	got := formatActions(h.HandleProbeResult(ProbeTimedOut, probe, nil)) + "; " + formatActions(h.HandleProbeResult(ProbeRefused, probe, nil))
 	if strings.Contains(got, "ResetClient") {
 		t.Errorf("got %q, want no flow of the next upstream reset", got)
 	}
--- a/pkg/lentilconntrack/tracker_test.go
+++ b/pkg/lentilconntrack/tracker_test.go
@@ -211,7 +211,7 @@
 			{func(h *harness) string { return formatActions(h.HandlePacketRefused(nil)) }, "ProbeUpstream"},
 			{func(h *harness) string { return formatActions(h.HandlePacketRefused(nil)) }, ""},
 			{func(h *harness) string {
-				return formatActions(h.HandleProbeResult(ProbeRefused, h.UpstreamRuns(), nil))
+				return formatActions(h.HandleProbeResult(ProbeRefused, h.BeginProbe(), nil))
 			}, "ReportStateChange UpstreamRefused, ResetClient UpstreamRefused 501"},
 			{carry(lentilflow.Place, firstPacket(flowKey(2))), "SendRefused NoUpstream"},
 			{register("u"), "ReportStateChange UpstreamRegistered"},
@@ -223,7 +223,7 @@
 			{tick(100 * time.Millisecond), ""},
 			{tick(150 * time.Millisecond), "ProbeUpstream"},
 			{func(h *harness) string {
-				return formatActions(h.HandleProbeResult(ProbeAccepted, h.UpstreamRuns(), nil))
+				return formatActions(h.HandleProbeResult(ProbeAccepted, h.BeginProbe(), nil))
 			}, ""},
 			{tick(100 * time.Millisecond), ""},
 		}},
@@ -238,7 +238,7 @@
 		{"an upstream that never registered is gone when the probe at the agent's stop is refused", false, []step{
 			{func(h *harness) string { return formatActions(h.Stop(nil)) }, "ReportStateChange StopAsked"},
 			{func(h *harness) string {
-				return formatActions(h.HandleProbeResult(ProbeRefused, h.UpstreamRuns(), nil))
+				return formatActions(h.HandleProbeResult(ProbeRefused, h.BeginProbe(), nil))
 			}, "ReportStateChange UpstreamRefused"},
 			{func(h *harness) string { return fmt.Sprint(h.Phase(), h.Status().UpstreamEnded) }, "Gone true"},
 		}},
@@ -249,7 +249,7 @@
 			{tick(100 * time.Millisecond), ""},
 			{tick(150 * time.Millisecond), "ProbeUpstream"},
 			{func(h *harness) string {
-				return formatActions(h.HandleProbeResult(ProbeTimedOut, h.UpstreamRuns(), nil))
+				return formatActions(h.HandleProbeResult(ProbeTimedOut, h.BeginProbe(), nil))
 			}, "ReportStateChange UpstreamSilent, ResetClient UpstreamSilent 501"},
 		}},
 		{"a pause of the agent doesn't count as silence of the upstream", true, []step{
@@ -263,10 +263,10 @@
 			{func(h *harness) string { h.openFlow(key); return "" }, ""},
 			{func(h *harness) string { return formatActions(h.Deregister("u", nil)) }, "ReportStateChange UpstreamLeft, ProbeUpstream"},
 			{func(h *harness) string {
-				return formatActions(h.HandleProbeResult(ProbeAccepted, h.UpstreamRuns(), nil))
+				return formatActions(h.HandleProbeResult(ProbeAccepted, h.BeginProbe(), nil))
 			}, "ProbeUpstream"},
 			{func(h *harness) string {
-				return formatActions(h.HandleProbeResult(ProbeRefused, h.UpstreamRuns(), nil))
+				return formatActions(h.HandleProbeResult(ProbeRefused, h.BeginProbe(), nil))
 			}, "ResetClient UpstreamRefused 501"},
 			{func(h *harness) string { return formatActions(h.Deregister("u", nil)) }, ""},
 		}},
@@ -346,14 +346,14 @@
 			{register("u"), "ReportStateChange UpstreamRegistered"},
 			{carry(lentilflow.Place, firstPacket(key)), "ToUpstream, SendTaken open=false"},
 			{func(h *harness) string {
-				return formatActions(h.HandleProbeResult(ProbeRefused, h.UpstreamRuns(), nil))
+				return formatActions(h.HandleProbeResult(ProbeRefused, h.BeginProbe(), nil))
 			}, "ReportStateChange UpstreamRefused, SendRefused NoUpstream"},
 		}},
 		{"flows that are only looked up are denied when the upstream ends", false, []step{
 			{register("u", func(r *Registration) { r.Sequence = 9 }), "ReportStateChange UpstreamRegistered"},
 			{carry(lentilflow.Lookup, dataPacket(key, 501)), "ToUpstream"},
 			{func(h *harness) string {
-				return formatActions(h.HandleProbeResult(ProbeRefused, h.UpstreamRuns(), nil))
+				return formatActions(h.HandleProbeResult(ProbeRefused, h.BeginProbe(), nil))
 			}, "ReportStateChange UpstreamRefused, SendDenied unsure=false"},
 			{carry(lentilflow.Lookup, dataPacket(key, 501)), "SendDenied unsure=false"},
 		}},
--- a/pkg/lentilconntrack/upstream.go
+++ b/pkg/lentilconntrack/upstream.go
@@ -83,7 +83,8 @@
 	}
 	if !sameRun && registered {
 		// The run that held the flows has ended, since only one upstream can use an address.
-		actions = t.resetFlows(UpstreamReplaced, r.Incarnation, actions)
+		// It may have accepted flows before it registers.
+		actions = t.resetFlows(UpstreamReplaced, func(f *flow) bool { return f.usedSince(r.Incarnation) }, actions)
 		t.FlowsComplete = t.FlowsComplete || t.precedes(r.Incarnation)
 	}
 	u.id, u.incarnation, u.sequence, u.otherRunSequence = r.ID, r.Incarnation, r.Sequence, 0
@@ -238,10 +239,20 @@
 	ProbeTimedOut
 )
 
-// HandleProbeResult handles the result of a ProbeUpstream action. run is the value of UpstreamRuns when the probe began: a result for
-// another run than the registered one is ignored.
-func (t *Tracker) HandleProbeResult(result ProbeResult, run uint64, actions []Action) []Action {
-	if run != t.upstreamRuns {
+// Probe identifies a probe of the upstream.
+type Probe struct {
+	// run counts the runs of the upstream that had registered when the probe began, and begunAt is when that was.
+	run     uint64
+	begunAt time.Time
+}
+
+// BeginProbe returns the probe that begins now.
+func (t *Tracker) BeginProbe() Probe { return Probe{run: t.upstreamRuns, begunAt: t.now()} }
+
+// HandleProbeResult handles the result of a ProbeUpstream action. It is ignored if another run of the upstream has registered since
+// the probe began.
+func (t *Tracker) HandleProbeResult(result ProbeResult, probe Probe, actions []Action) []Action {
+	if probe.run != t.upstreamRuns {
 		return actions
 	}
 	t.probing = false
@@ -262,12 +273,9 @@
 		cause = UpstreamRefused
 		actions = t.resetPreviousLedger(cause, actions)
 	}
-	return t.setUpstreamEnded(cause, actions)
+	return t.setUpstreamEnded(cause, probe, actions)
 }
 
-// UpstreamRuns returns how many runs of the upstream have registered.
-func (t *Tracker) UpstreamRuns() uint64 { return t.upstreamRuns }
-
 // UpstreamEnded reports whether the upstream is known to have ended. One whose registration is overdue isn't.
 func (t *Tracker) UpstreamEnded() bool { return t.upstream.ended }
 
@@ -280,26 +288,25 @@
 	return append(actions, Action{Kind: ProbeUpstream})
 }
 
-// setUpstreamEnded marks the upstream as ended until it registers again, and resets its flows.
-func (t *Tracker) setUpstreamEnded(cause Cause, actions []Action) []Action {
+// setUpstreamEnded marks the upstream as ended until it registers again, and resets its flows. Those of which it has sent a packet since
+// the probe began are the next run's, which may accept flows before it registers.
+func (t *Tracker) setUpstreamEnded(cause Cause, probe Probe, actions []Action) []Action {
 	t.clearUnanswered()
 	previousPhase := t.upstream.phase
 	t.upstream.phase, t.upstream.ended = lentilflow.Gone, true
 	if previousPhase != lentilflow.Gone {
 		actions = t.announceChange(cause, actions)
 	}
-	return t.resetFlows(cause, 0, actions)
+	return t.resetFlows(cause, func(f *flow) bool { return f.heardAt.After(probe.begunAt) }, actions)
 }
 
 // resetFlows marks all flows as lost after their upstream has gone, and resets the clients of those that it held.
 // It returns the first packets of flows that the upstream hadn't accepted. It denies the unverified flows: whether
-// the upstream held one isn't known, and another agent may hold it. If another run of the upstream has started, at
-// startedAt in milliseconds of Unix time, flows that it has got or answered since then are left alone: it may accept
-// flows before it registers. Zero means that there is no such run, or that its start isn't known.
-func (t *Tracker) resetFlows(cause Cause, startedAt int64, actions []Action) []Action {
+// the upstream held one isn't known, and another agent may hold it. Flows of another run of the upstream, as isNext says, are left alone.
+func (t *Tracker) resetFlows(cause Cause, isNext func(f *flow) bool, actions []Action) []Action {
 	for key, f := range t.flows {
 		switch {
-		case f.state == closed || f.state == lost || f.usedSince(startedAt):
+		case f.state == closed || f.state == lost || isNext(f):
 			continue
 		case f.state == unverified:
 			actions = t.denyFlow(t.now(), key, f, actions)
