--- a/pkg/lentilconntrack/probe_test.go
+++ b/pkg/lentilconntrack/probe_test.go
@@ -46,3 +46,19 @@
 		t.Errorf("got %q, want no flow of the next upstream reset", got)
 	}
 }
+
+// TestProbeOfEarlierUpstreamEndsUnregisteredOne guards against the reset of flows at the next run of the upstream, which hasn't registered
+// yet, by the result of a probe of the earlier one.
+func TestProbeOfEarlierUpstreamEndsUnregisteredOne(t *testing.T) {
+	h := newHarness(t)
+	h.register("u")
+	h.HandlePacketRefused(nil)
+	probe := h.BeginProbe()
+	h.clock.Advance(50 * time.Millisecond)
+	h.openFlow(flowKey(1))
+	h.fromUpstream(dataPacket(flowKey(1), 110))
+	h.clock.Advance(50 * time.Millisecond)
+	if got, want := formatActions(h.HandleProbeResult(ProbeTimedOut, probe, nil)), "ReportStateChange UpstreamSilent"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
--- a/pkg/lentilconntrack/reuse_test.go
+++ b/pkg/lentilconntrack/reuse_test.go
@@ -283,6 +283,44 @@
 	}
 }
 
+// TestLateRegistrationAfterNextContest guards against flows that run at an upstream of another service, since a registration from before
+// that one registered counts as the first of the two that it takes after it.
+func TestLateRegistrationAfterNextContest(t *testing.T) {
+	h := newHarness(t)
+	h.AddressReuse = 2 * time.Second
+	ofOtherService := func(incarnation int64) func(*Registration) {
+		return func(r *Registration) { r.Service, r.Incarnation, r.Sequence = "b", incarnation, 1 }
+	}
+	h.register("v", ofOtherService(1))
+	h.run(4 * time.Second)
+	h.register("u", func(r *Registration) { r.Incarnation, r.Sequence = 4000, 1 })
+	h.run(2500 * time.Millisecond)
+	h.register("w", ofOtherService(6400))
+	h.run(time.Second)
+	h.register("u", func(r *Registration) { r.Incarnation, r.Sequence = 4000, 2 })
+	if got, want := h.fromBalancer(peer1, lentilflow.Place, firstPacket(flowKey(1))), "SendRefused NoUpstream"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
+// TestMessageReadAfterLongAndShortPause guards against new flows at an upstream of another service, since a message that waited during a
+// pause counts as sent when it was read, after a second pause that is too short to be noticed.
+func TestMessageReadAfterLongAndShortPause(t *testing.T) {
+	h := newHarness(t)
+	h.AddressReuse = 2 * time.Second
+	h.register("u")
+	h.Tick(nil)
+	h.clock.Advance(5 * time.Second)
+	h.Tick(nil)
+	h.run(200 * time.Millisecond)
+	h.clock.Advance(200 * time.Millisecond)
+	h.register("u")
+	h.run(400 * time.Millisecond)
+	if got, want := h.fromBalancer(peer1, lentilflow.Place, firstPacket(flowKey(1))), "SendRefused NoUpstream"; got != want {
+		t.Errorf("got %q, want %q: the registration may be 5.8 s old", got, want)
+	}
+}
+
 // run advances the clock with a tick every 50 ms.
 func (h *harness) run(d time.Duration) {
 	for ; d > 0; d -= 50 * time.Millisecond {
--- a/pkg/lentilconntrack/tracker_test.go
+++ b/pkg/lentilconntrack/tracker_test.go
@@ -544,3 +544,16 @@
 		}
 	}
 }
+
+// TestReturnedPacketOfEarlierFlowEndsNextOne guards against the end of an open flow by a late packet of the flow before from its port,
+// which the upstream returns.
+func TestReturnedPacketOfEarlierFlowEndsNextOne(t *testing.T) {
+	h := newHarness(t)
+	h.register("u")
+	h.openFlow(flowKey(1))
+	h.fromUpstream(dataPacket(flowKey(1), 110))
+	h.fromUpstream(markReturned(dataPacket(flowKey(1), 90_000_000)))
+	if got, want := h.fromBalancer(peer1, lentilflow.Owned, dataPacket(flowKey(1), 501)), "ToUpstream"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
