--- a/pkg/lentilconntrack/model_test.go
+++ b/pkg/lentilconntrack/model_test.go
@@ -477,7 +477,7 @@
 // probe connects to the upstream's address after a moment. Only an upstream that hangs lets it wait for the result.
 func (m *addressModel) probe() {
 	m.send(modelProbeDelay, func() {
-		run, result, after := m.agent.UpstreamRuns(), ProbeAccepted, modelStep
+		probe, result, after := m.agent.BeginProbe(), ProbeAccepted, modelStep
 		switch {
 		case m.upstream == nil:
 			result = ProbeRefused
@@ -485,8 +485,8 @@
 			result, after = ProbeTimedOut, modelProbeTimeout
 		}
 		m.send(after, func() {
-			m.note("agent learns that the probe of run %d was %s", run, [...]string{"accepted", "refused", "not answered"}[result])
-			m.perform(m.agent.HandleProbeResult(result, run, nil))
+			m.note("agent learns that the probe of run %d was %s", probe.run, [...]string{"accepted", "refused", "not answered"}[result])
+			m.perform(m.agent.HandleProbeResult(result, probe, nil))
 		})
 	})
 }
--- a/pkg/lentilconntrack/probe_test.go
+++ b/pkg/lentilconntrack/probe_test.go
@@ -20,11 +20,11 @@
 			h := newHarness(t)
 			h.register("u")
 			h.HandlePacketRefused(nil)
-			run := h.UpstreamRuns()
+			probe := h.BeginProbe()
 			h.clock.Advance(50 * time.Millisecond)
 			h.register("v", func(r *Registration) { r.Incarnation, r.Sequence = 50, 1 })
 			h.openFlow(flowKey(1))
-			if got := formatActions(h.HandleProbeResult(c.result, run, nil)); got != "" && got != "ProbeUpstream" {
+			if got := formatActions(h.HandleProbeResult(c.result, probe, nil)); got != "" && got != "ProbeUpstream" {
 				t.Errorf("got %q, want nothing, or another probe of the upstream that registered after the probe began", got)
 			}
 		})
@@ -38,11 +38,27 @@
 	h.register("u")
 	h.HandlePacketRefused(nil)
 	h.Deregister("u", nil)
-	run := h.UpstreamRuns()
+	probe := h.BeginProbe()
 	h.register("v", func(r *Registration) { r.Incarnation, r.Sequence = 50, 1 })
 	h.openFlow(flowKey(1))
-	got := formatActions(h.HandleProbeResult(ProbeTimedOut, run, nil)) + "; " + formatActions(h.HandleProbeResult(ProbeRefused, run, nil))
+	got := formatActions(h.HandleProbeResult(ProbeTimedOut, probe, nil)) + "; " + formatActions(h.HandleProbeResult(ProbeRefused, probe, nil))
 	if strings.Contains(got, "ResetClient") {
 		t.Errorf("got %q, want no flow of the next upstream reset", got)
 	}
 }
+
+// TestProbeOfEarlierUpstreamEndsUnregisteredOne guards against the reset of flows at the next run of the upstream, which hasn't registered
+// yet, by the result of a probe of the earlier one.
+func TestProbeOfEarlierUpstreamEndsUnregisteredOne(t *testing.T) {
+	h := newHarness(t)
+	h.register("u")
+	h.HandlePacketRefused(nil)
+	probe := h.BeginProbe()
+	h.clock.Advance(50 * time.Millisecond)
+	h.openFlow(flowKey(1))
+	h.fromUpstream(dataPacket(flowKey(1), 110))
+	h.clock.Advance(50 * time.Millisecond)
+	if got, want := formatActions(h.HandleProbeResult(ProbeTimedOut, probe, nil)), "ReportStateChange UpstreamSilent"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
