lentilconntrack: late ticks after a pause don't keep an agent from taking flows

On a machine that is busy for long, each tick that came more than 100 ms late began the time after a pause anew, so that an agent that had once been paused refused new flows for as long. Short pauses are now left out of that time, but for 50 ms each, so that it ends. What decides whether the own upstream has its address moves to a file of its own.

--- a/pkg/lentilconntrack/admission.go
+++ b/pkg/lentilconntrack/admission.go
@@ -96,35 +96,6 @@
 	return lentilflow.NotRefused
 }
 
-// observePause records that the agent goes on after a pause.
-func (t *Tracker) observePause(now time.Time) {
-	ranAt := t.lastTick
-	if ranAt.IsZero() {
-		ranAt = t.startedAt
-	}
-	gap := now.Sub(ranAt)
-	switch {
-	case t.resumedAt.After(ranAt):
-		return
-	case gap <= pauseThreshold:
-		if gap > reuseMargin && t.justResumed(ranAt) {
-			// The time in which what has waited is read goes on after a short pause.
-			t.resumedAt = now
-		}
-		return
-	}
-	if !t.justResumed(ranAt) {
-		// Otherwise what has waited since the pause before may still be unread.
-		t.pausedAt = ranAt
-	}
-	t.resumedAt = now
-}
-
-// justResumed reports whether messages that have waited during a pause of the agent may still be read.
-func (t *Tracker) justResumed(now time.Time) bool {
-	return !t.resumedAt.IsZero() && now.Sub(t.resumedAt) < resumeTime
-}
-
 // admitWaiting opens waiting flows for which the upstream has room. It returns all of them to their balancers if
 // the upstream gets no more flows, and those that have waited in vain.
 func (t *Tracker) admitWaiting(now time.Time, actions []Action) []Action {
--- /dev/null
+++ b/pkg/lentilconntrack/presence.go
@@ -0,0 +1,91 @@
+package lentilconntrack
+
+import (
+	"time"
+
+	"lentilstair.example/lentilstair/pkg/lentilflow"
+)
+
+// Whether the agent's own upstream has its address. Addresses of upstreams that have ended are used again, also by other services,
+// and a packet doesn't say who gets it. So the agent passes first packets on only for as long after the last sign of its upstream as
+// the address can't have changed hands.
+
+// upstreamKnown reports whether the agent's own upstream certainly has its address: it has registered with this run of the agent,
+// and was heard of so recently that the address can't have gone to another service. Only then it gets first packets of flows.
+func (t *Tracker) upstreamKnown(now time.Time) bool {
+	u := &t.upstream
+	return u.id != "" && (t.AddressReuse == 0 || now.Sub(u.seenAt) < max(t.AddressReuse-pauseThreshold-reuseMargin, t.RenewInterval+reuseMargin))
+}
+
+// recordSeen records a message of the upstream. One that is read right after a pause of the agent may have waited all the while.
+// Shorter pauses aren't noticed; upstreamKnown allows for one.
+func (t *Tracker) recordSeen(now time.Time) {
+	sentAt := now
+	if t.justResumed(now) {
+		sentAt = t.pausedAt
+	}
+	if sentAt.After(t.upstream.seenAt) {
+		t.upstream.seenAt = sentAt
+	}
+}
+
+// upstreamPresent reports whether the agent's own upstream is registered and certainly has its address.
+func (t *Tracker) upstreamPresent(now time.Time) bool {
+	return (t.upstream.phase == lentilflow.Ready || t.upstream.phase == lentilflow.Draining) && t.upstreamKnown(now)
+}
+
+// contest is the state of an address at which an upstream of another service has registered while the agent's own wasn't known. A
+// single registration of the agent's upstream may then have been delayed until after its sender has ended, so that it takes two
+// without one of the other service in between.
+type contest struct {
+	contested bool
+	// first is the first registration of the agent's upstream since then; its ID is empty before that.
+	first Registration
+}
+
+// settledBy reports whether a registration shows that the agent's own upstream has the address. If it doesn't yet, it is kept.
+func (c *contest) settledBy(r Registration) bool {
+	if !c.contested || c.first.ID == r.ID && c.first.Incarnation == r.Incarnation && r.Sequence > c.first.Sequence {
+		return true
+	}
+	c.first = r
+	return false
+}
+
+// observePause records that the agent goes on after a pause.
+func (t *Tracker) observePause(now time.Time) {
+	ranAt := t.lastTick
+	if ranAt.IsZero() {
+		ranAt = t.startedAt
+	}
+	if now.Sub(ranAt) <= pauseThreshold || t.resumedAt.After(ranAt) {
+		return
+	}
+	if !t.justResumed(ranAt) {
+		// Otherwise what has waited since the pause before may still be unread.
+		t.pausedAt = ranAt
+	}
+	t.resumedAt = now
+}
+
+// justResumed reports whether messages that have waited during a pause of the agent may still be read. Short pauses since then don't
+// count for that time.
+func (t *Tracker) justResumed(now time.Time) bool {
+	return !t.resumedAt.IsZero() && now.Sub(t.resumedAt)-t.shortPause(now) < resumeTime
+}
+
+// shortPause returns how long the agent has been paused since its last tick, if that was after its last pause. Half the margin counts as
+// running, so that the time after a pause ends also while all ticks are late.
+func (t *Tracker) shortPause(now time.Time) time.Duration {
+	if gap := now.Sub(t.lastTick); gap > reuseMargin && !t.lastTick.Before(t.resumedAt) {
+		return gap - reuseMargin/2
+	}
+	return 0
+}
+
+// recordShortPause leaves a short pause before a tick out of the time after the last pause.
+func (t *Tracker) recordShortPause(now time.Time) {
+	if t.justResumed(now) {
+		t.resumedAt = t.resumedAt.Add(t.shortPause(now))
+	}
+}
--- a/pkg/lentilconntrack/reuse_test.go
+++ b/pkg/lentilconntrack/reuse_test.go
@@ -321,6 +321,34 @@
 	}
 }
 
+// TestSlowTicksAfterPause guards against an agent that takes no flows for as long as its machine is busy, since each late tick after a
+// pause seems to go on with it.
+func TestSlowTicksAfterPause(t *testing.T) {
+	for _, gap := range []time.Duration{110 * time.Millisecond, 150 * time.Millisecond, 250 * time.Millisecond} {
+		t.Run(gap.String(), func(t *testing.T) {
+			h := newHarness(t)
+			h.AddressReuse = 2 * time.Second
+			h.register("u")
+			h.Tick(nil)
+			h.clock.Advance(400 * time.Millisecond)
+			registeredAt := h.clock.Now()
+			for range 6 * time.Second / gap {
+				h.Tick(nil)
+				h.fromUpstream(dataPacket(flowKey(9), 110))
+				h.clock.Advance(gap)
+				h.fromBalancer(peer1, lentilflow.Owned, dataPacket(flowKey(9), 501))
+				if h.clock.Now().Sub(registeredAt) >= h.RenewInterval {
+					registeredAt = h.clock.Now()
+					h.register("u")
+				}
+			}
+			if got, want := h.fromBalancer(peer1, lentilflow.Place, firstPacket(flowKey(1))), "ToUpstream, SendTaken open=false"; got != want {
+				t.Errorf("got %q, want %q", got, want)
+			}
+		})
+	}
+}
+
 // run advances the clock with a tick every 50 ms.
 func (h *harness) run(d time.Duration) {
 	for ; d > 0; d -= 50 * time.Millisecond {
--- a/pkg/lentilconntrack/upstream.go
+++ b/pkg/lentilconntrack/upstream.go
@@ -142,48 +142,6 @@
 	return false
 }
 
-// upstreamKnown reports whether the agent's own upstream certainly has its address: it has registered with this run of the agent,
-// and was heard of so recently that the address can't have gone to another service. Only then it gets first packets of flows.
-func (t *Tracker) upstreamKnown(now time.Time) bool {
-	u := &t.upstream
-	return u.id != "" && (t.AddressReuse == 0 || now.Sub(u.seenAt) < max(t.AddressReuse-pauseThreshold-reuseMargin, t.RenewInterval+reuseMargin))
-}
-
-// recordSeen records a message of the upstream. One that is read right after a pause of the agent may have waited all the while.
-// Shorter pauses aren't noticed; upstreamKnown allows for one.
-func (t *Tracker) recordSeen(now time.Time) {
-	sentAt := now
-	if t.justResumed(now) {
-		sentAt = t.pausedAt
-	}
-	if sentAt.After(t.upstream.seenAt) {
-		t.upstream.seenAt = sentAt
-	}
-}
-
-// upstreamPresent reports whether the agent's own upstream is registered and certainly has its address.
-func (t *Tracker) upstreamPresent(now time.Time) bool {
-	return (t.upstream.phase == lentilflow.Ready || t.upstream.phase == lentilflow.Draining) && t.upstreamKnown(now)
-}
-
-// contest is the state of an address at which an upstream of another service has registered while the agent's own wasn't known. A
-// single registration of the agent's upstream may then have been delayed until after its sender has ended, so that it takes two
-// without one of the other service in between.
-type contest struct {
-	contested bool
-	// first is the first registration of the agent's upstream since then; its ID is empty before that.
-	first Registration
-}
-
-// settledBy reports whether a registration shows that the agent's own upstream has the address. If it doesn't yet, it is kept.
-func (c *contest) settledBy(r Registration) bool {
-	if !c.contested || c.first.ID == r.ID && c.first.Incarnation == r.Incarnation && r.Sequence > c.first.Sequence {
-		return true
-	}
-	c.first = r
-	return false
-}
-
 // overdue reports whether the upstream's registration wasn't renewed in time.
 func (t *Tracker) overdue(now time.Time) bool {
 	limit := time.Duration(float64(t.RenewInterval) * overdueIntervals)
@@ -354,6 +312,7 @@
 		t.unansweredSince = now
 		t.upstream.registeredAt = t.upstream.registeredAt.Add(now.Sub(t.lastTick))
 	}
+	t.recordShortPause(now)
 	t.lastTick = now
 	t.meter.advance(now, t.requestsInFlight+t.queue.Waiting())
 	if t.unanswered >= minUnanswered && now.Sub(t.unansweredSince) >= unansweredTimeout && !t.probing && t.upstream.phase != lentilflow.Gone {
