--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -54,6 +54,9 @@
 	// overdueIntervals is the number of renewal intervals after which a registration that wasn't renewed is
 	// overdue.
 	overdueIntervals = 2.5
+	// reuseMargin is how long a packet may take from the agent's decision to the upstream, since a process with a CPU quota may be
+	// paused for a tenth of a second. A renewal may be late by as much.
+	reuseMargin = 100 * time.Millisecond
 	// coldWindow is the sliding window in which new flows to a cold upstream are counted: one second, plus a
 	// tenth for the transit time of the packets.
 	coldWindow = 1100 * time.Millisecond
@@ -91,6 +94,10 @@
 	// RenewInterval is the time between two renewals of the upstream's registration. With zero, a registration
 	// is never overdue.
 	RenewInterval time.Duration
+	// AddressReuse is the least time after the end of an upstream until one of another service may have its address. The
+	// upstream gets no new flows once nothing was heard of it for nearly as long, but until its next renewal is due in any case.
+	// With zero, addresses aren't used again.
+	AddressReuse time.Duration
 	// ColdFactor and ColdSlack bound the new flows per second of a cold upstream: the configured rate times
 	// ColdFactor, plus ColdSlack.
 	ColdFactor, ColdSlack float64
@@ -109,6 +116,8 @@
 	LedgerCovered func() bool
 
 	upstream upstream
+	// contest is about other upstreams that register with the agent.
+	contest contest
 	// breaker stops new flows to an upstream that fails, and queue holds them until the upstream has room.
 	breaker lentilbreaker.Breaker
 	queue   lentilflowqueue.Queue
@@ -142,8 +151,9 @@
 	// or accepted a probe; unansweredSince is the time of the first one.
 	unanswered      int
 	unansweredSince time.Time
-	// probing is set from a ProbeUpstream action until its result.
-	probing bool
+	// probing is set from a ProbeUpstream action until its result, and probeOutdated if another run of the upstream has
+	// registered in between.
+	probing, probeOutdated bool
 	// lastCold is the value of Cold in the last tick.
 	lastCold       bool
 	balancers      map[lentilflow.Endpoint]*balancer
@@ -168,8 +178,8 @@
 	churn     int
 	lastTick  time.Time
 	lastSweep time.Time
-	// resumedAt is when the agent went on after its last pause of more than maxPause.
-	resumedAt time.Time
+	// pausedAt and resumedAt are when the agent's last pause began and ended.
+	pausedAt, resumedAt time.Time
 }
 
 // now returns the time, and records the time of its first call as the start of the agent.
@@ -204,6 +214,10 @@
 func (t *Tracker) handleFirst(now time.Time, from lentilflow.Endpoint, m lentilflow.Carry, packet lentilflow.Packet, actions []Action) []Action {
 	f := t.flows[packet.Key]
 	if f != nil && (f.state == halfOpen || f.state == open && f.openedBy(packet)) {
+		if refusal := t.copyRefusal(now, m, f, packet); refusal != lentilflow.NotRefused {
+			// The upstream may hold the flow all the same, so its entry stays.
+			return append(actions, Action{Kind: SendRefused, To: from, Key: packet.Key, Service: m.Service, Refusal: refusal, Packet: m.Packet})
+		}
 		f.balancer, f.lastUsed = from, now
 		if f.waiting {
 			// The client may have given up the attempt that waits and have begun another one.
@@ -212,7 +226,7 @@
 			t.expectReply(now)
 			actions = append(actions, Action{Kind: ToUpstream, Key: packet.Key, Packet: m.Packet})
 		}
-		return append(actions, Action{Kind: SendTaken, To: from, Key: packet.Key, Open: f.state == open})
+		return append(actions, Action{Kind: SendTaken, To: from, Key: packet.Key, Service: m.Service, Open: f.state == open})
 	}
 	t.removeFlow(packet.Key)
 	refusal, wait := t.admission(now, m, packet)
@@ -220,7 +234,7 @@
 		actions = append(actions, Action{Kind: ReportQueueShare, Key: packet.Key, Share: share})
 	}
 	if refusal != lentilflow.NotRefused {
-		return append(actions, Action{Kind: SendRefused, To: from, Key: packet.Key, Refusal: refusal, Packet: m.Packet})
+		return append(actions, Action{Kind: SendRefused, To: from, Key: packet.Key, Service: m.Service, Refusal: refusal, Packet: m.Packet})
 	}
 	f = &flow{
 		balancer: from, lastUsed: now, firstPacket: slices.Clone(m.Packet), firstSequence: packet.Sequence, firstSeen: true, waiting: wait,
@@ -231,7 +245,7 @@
 	if !wait {
 		actions = t.openAtUpstream(now, packet.Key, f, actions)
 	}
-	return append(actions, Action{Kind: SendTaken, To: from, Key: packet.Key})
+	return append(actions, Action{Kind: SendTaken, To: from, Key: packet.Key, Service: m.Service})
 }
 
 // handleLater handles a packet of a flow that the client considers open.
@@ -306,6 +320,7 @@
 		return actions, err
 	}
 	now := t.now()
+	t.observePause(now)
 	t.meter.advance(now, t.requestsInFlight+t.queue.Waiting())
 	t.clearUnanswered()
 	if packet.Flags.Has(lentilflow.Returned) {
@@ -323,6 +338,9 @@
 	if f.ofEarlierFlow(packet) {
 		return actions, nil
 	}
+	if f.state == halfOpen || f.state == open {
+		t.recordSeen(now)
+	}
 	f.lastUsed, f.heardAt = now, now
 	if packet.Flags.Has(lentilflow.Open) {
 		f.initialSequence, f.upstreamAccepted, f.firstPacket = packet.Sequence, true, nil
--- a/pkg/lentilconntrack/upstream.go
+++ b/pkg/lentilconntrack/upstream.go
@@ -41,7 +41,9 @@
 	slots        int
 	// registeredAt is the time of the last registration, moved on by the pauses of the agent since then.
 	registeredAt time.Time
-	coldUntil    time.Time
+	// seenAt is when the upstream last registered or sent a packet of a flow that it holds, at the earliest.
+	seenAt    time.Time
+	coldUntil time.Time
 	// coldStateKnown is false while the upstream may have become cold and hasn't registered since.
 	coldStateKnown bool
 	// otherRunSequence is the sequence of the last registration of a run that seems to be older than the
@@ -53,13 +55,26 @@
 func (u *upstream) cold(now time.Time) bool { return !u.coldStateKnown || now.Before(u.coldUntil) }
 
 // Register handles a registration. It is in effect when Register returns. A registration of another service, or
-// one that is stale, is ignored.
+// one that is stale, is ignored, but the former shows that the address may have another upstream if that of the agent isn't known.
 func (t *Tracker) Register(r Registration, actions []Action) []Action {
 	u, now := &t.upstream, t.now()
 	registered := u.id != ""
-	if r.Service != t.Service || (registered && t.stale(now, r)) {
+	switch {
+	case r.Service != t.Service:
+		if !t.upstreamPresent(now) {
+			t.contest.contested = true
+		}
+		return actions
+	case registered && t.stale(now, r):
+		if r.ID != u.id || r.Incarnation != u.incarnation {
+			// It may be of the next run after the time of day has jumped back, and that one may be cold.
+			u.coldStateKnown = false
+		}
+		return actions
+	case !t.upstreamPresent(now) && !t.contest.settledBy(r):
 		return actions
 	}
+	t.contest = contest{}
 	sameRun := registered && u.id == r.ID && u.incarnation == r.Incarnation
 	previousPhase := u.phase
 	if !registered && r.Sequence <= firstSequence && t.precedes(r) {
@@ -72,6 +87,8 @@
 		t.FlowsComplete = t.FlowsComplete || t.precedes(r)
 	}
 	u.id, u.incarnation, u.sequence, u.otherRunSequence = r.ID, r.Incarnation, r.Sequence, 0
+	t.observePause(now)
+	t.recordSeen(now)
 	u.registeredAt, u.slots, u.coldStateKnown, u.coldUntil = now, r.Slots, true, now.Add(r.ColdFor)
 	u.phase, u.ended, u.deregistered = lentilflow.Ready, false, false
 	if r.Draining {
@@ -79,6 +96,7 @@
 	}
 	t.queue.SetSlots(r.Slots)
 	if !sameRun {
+		t.probeOutdated = t.probing
 		t.breaker.Reset()
 		t.meter.forgetServiceTime()
 		t.runMarkerDue = true
@@ -122,6 +140,46 @@
 	return false
 }
 
+// upstreamKnown reports whether the agent's own upstream certainly has its address: it has registered with this run of the agent,
+// and was heard of so recently that the address can't have gone to another service. Only then it gets first packets of flows.
+func (t *Tracker) upstreamKnown(now time.Time) bool {
+	u := &t.upstream
+	return u.id != "" && (t.AddressReuse == 0 || now.Sub(u.seenAt) < max(t.AddressReuse-reuseMargin, t.RenewInterval+reuseMargin))
+}
+
+// recordSeen records a message of the upstream. One that is read right after a pause of the agent may have waited all the while.
+func (t *Tracker) recordSeen(now time.Time) {
+	sentAt := now
+	if t.justResumed(now) {
+		sentAt = t.pausedAt
+	}
+	if sentAt.After(t.upstream.seenAt) {
+		t.upstream.seenAt = sentAt
+	}
+}
+
+// upstreamPresent reports whether the agent's own upstream is registered and certainly has its address.
+func (t *Tracker) upstreamPresent(now time.Time) bool {
+	return (t.upstream.phase == lentilflow.Ready || t.upstream.phase == lentilflow.Draining) && t.upstreamKnown(now)
+}
+
+// contest is the state of an address at which an upstream of another service has registered while the agent's own wasn't known. A
+// single registration of the agent's upstream may then have been delayed until after its sender has ended, so that it takes two.
+type contest struct {
+	contested bool
+	// first is the first registration of the agent's upstream since then; its ID is empty before that.
+	first Registration
+}
+
+// settledBy reports whether a registration shows that the agent's own upstream has the address. If it doesn't yet, it is kept.
+func (c *contest) settledBy(r Registration) bool {
+	if !c.contested || c.first.ID == r.ID && c.first.Incarnation == r.Incarnation && r.Sequence > c.first.Sequence {
+		return true
+	}
+	c.first = r
+	return false
+}
+
 // overdue reports whether the upstream's registration wasn't renewed in time.
 func (t *Tracker) overdue(now time.Time) bool {
 	limit := time.Duration(float64(t.RenewInterval) * overdueIntervals)
@@ -179,8 +237,11 @@
 
 // HandleProbeResult handles the result of a ProbeUpstream action.
 func (t *Tracker) HandleProbeResult(result ProbeResult, actions []Action) []Action {
-	t.probing = false
+	outdated := t.probeOutdated
+	t.probing, t.probeOutdated = false, false
 	switch {
+	case outdated:
+		return actions
 	case result == ProbeAccepted && t.upstream.deregistered:
 		// The upstream has deregistered and hasn't exited yet.
 		t.probing = true
@@ -289,7 +350,7 @@
 		t.lastCold = !wasCold
 		actions = t.announceChange(ColdChanged, actions)
 	}
-	if phase := t.upstream.phase; (phase == lentilflow.Ready || phase == lentilflow.Draining) && t.overdue(now) {
+	if phase := t.upstream.phase; (phase == lentilflow.Ready || phase == lentilflow.Draining) && (t.overdue(now) || !t.upstreamKnown(now)) {
 		t.upstream.phase = lentilflow.Gone
 		actions = t.announceChange(UpstreamOverdue, actions)
 	}
--- a/pkg/lentilplacement/choose.go
+++ b/pkg/lentilplacement/choose.go
@@ -8,13 +8,29 @@
 	"lentilstair.example/lentilstair/pkg/lentilflow"
 )
 
-// chooseAgent returns the agent where a new flow is expected to wait least, or nil. It draws one of the
-// address's services by weight, and takes another one if no agent of that service accepts flows.
-func (p *Placer) chooseAgent(now time.Time, key lentilflow.Key, backends []lentilflow.Backend, tried []lentilflow.Endpoint) (addr lentilflow.Endpoint, a *agent) {
-	total := 0
+// choice is the agent that is chosen for a new flow, and the service of the route that it is chosen for. The zero choice has no
+// agent.
+type choice struct {
+	addr    lentilflow.Endpoint
+	agent   *agent
+	service string
+}
+
+// totalWeight returns the sum of the backends' weights.
+func totalWeight(backends []lentilflow.Backend) (total int) {
 	for _, b := range backends {
 		total += b.Weight
 	}
+	return total
+}
+
+// getsFlows reports whether a backend of a route whose weights add up to total gets new flows.
+func getsFlows(b lentilflow.Backend, total int) bool { return b.Weight > 0 || total == 0 }
+
+// chooseAgent returns the agent where a new flow is expected to wait least, if there is one. It draws one of the
+// address's services by weight, and takes another one if no agent of that service accepts flows.
+func (p *Placer) chooseAgent(now time.Time, key lentilflow.Key, backends []lentilflow.Backend, tried []lentilflow.Endpoint) (chosen choice) {
+	total := totalWeight(backends)
 	draw := p.random() * float64(total)
 	first := 0
 	for i, b := range backends {
@@ -25,14 +41,14 @@
 	}
 	for i := range backends {
 		b := backends[(first+i)%len(backends)]
-		if b.Weight == 0 && total > 0 {
+		if !getsFlows(b, total) {
 			continue
 		}
-		if addr, a = p.cheapestAgent(now, key, b.Service, tried); a != nil {
-			return addr, a
+		if addr, a := p.cheapestAgent(now, key, b.Service, tried); a != nil {
+			return choice{addr: addr, agent: a, service: b.Service}
 		}
 	}
-	return addr, nil
+	return chosen
 }
 
 // cheapestAgent returns the agent with the lowest cost among the key's candidates, or draws one by expected time. If none of them accepts
@@ -66,7 +82,7 @@
 // acceptsFlows reports whether the agent takes new flows, by its last known state and the failure domains out of service.
 func (p *Placer) acceptsFlows(a *agent) bool {
 	s := a.status
-	return a.seen() && !s.Stopping && !s.Out && !p.out[s.Domain] && (s.Phase == lentilflow.Ready || s.Phase == lentilflow.Unheard)
+	return a.seen() && !s.Stopping && !s.Out && !p.out[s.Domain] && s.Phase == lentilflow.Ready
 }
 
 // Additions to the cost of an agent, in open flows per slot.
@@ -76,8 +92,6 @@
 	// coldCost compensates for a cold upstream being some 1.6 times slower, at the usual handful of flows
 	// per slot.
 	coldCost = 2
-	// unreportedCost ranks agents whose upstream hasn't reported to them yet behind those with a ready upstream.
-	unreportedCost = 1e3
 	// failingCost ranks agents whose upstream fails behind all that work, for failingFor after such a refusal.
 	// Then they are offered flows again, since only requests show that the upstream works.
 	failingCost = 1e4
@@ -103,9 +117,6 @@
 	if a.status.Cold {
 		cost += coldCost
 	}
-	if a.status.Phase == lentilflow.Unheard {
-		cost += unreportedCost
-	}
 	if now.Sub(a.failingAt) < failingFor {
 		cost += failingCost
 	}
