--- a/pkg/lentilconntrack/upstream.go
+++ b/pkg/lentilconntrack/upstream.go
@@ -96,7 +96,8 @@
 	}
 	t.queue.SetSlots(r.Slots)
 	if !sameRun {
-		t.probeOutdated = t.probing
+		t.probing = false
+		t.upstreamRuns++
 		t.breaker.Reset()
 		t.meter.forgetServiceTime()
 		t.runMarkerDue = true
@@ -144,10 +145,11 @@
 // and was heard of so recently that the address can't have gone to another service. Only then it gets first packets of flows.
 func (t *Tracker) upstreamKnown(now time.Time) bool {
 	u := &t.upstream
-	return u.id != "" && (t.AddressReuse == 0 || now.Sub(u.seenAt) < max(t.AddressReuse-reuseMargin, t.RenewInterval+reuseMargin))
+	return u.id != "" && (t.AddressReuse == 0 || now.Sub(u.seenAt) < max(t.AddressReuse-pauseThreshold-reuseMargin, t.RenewInterval+reuseMargin))
 }
 
 // recordSeen records a message of the upstream. One that is read right after a pause of the agent may have waited all the while.
+// Shorter pauses aren't noticed; upstreamKnown allows for one.
 func (t *Tracker) recordSeen(now time.Time) {
 	sentAt := now
 	if t.justResumed(now) {
@@ -235,13 +237,14 @@
 	ProbeTimedOut
 )
 
-// HandleProbeResult handles the result of a ProbeUpstream action.
-func (t *Tracker) HandleProbeResult(result ProbeResult, actions []Action) []Action {
-	outdated := t.probeOutdated
-	t.probing, t.probeOutdated = false, false
-	switch {
-	case outdated:
+// HandleProbeResult handles the result of a ProbeUpstream action. run is the value of UpstreamRuns when the probe began: a result for
+// another run than the registered one is ignored.
+func (t *Tracker) HandleProbeResult(result ProbeResult, run uint64, actions []Action) []Action {
+	if run != t.upstreamRuns {
 		return actions
+	}
+	t.probing = false
+	switch {
 	case result == ProbeAccepted && t.upstream.deregistered:
 		// The upstream has deregistered and hasn't exited yet.
 		t.probing = true
@@ -261,6 +264,9 @@
 	return t.setUpstreamEnded(cause, actions)
 }
 
+// UpstreamRuns returns how many runs of the upstream have registered.
+func (t *Tracker) UpstreamRuns() uint64 { return t.upstreamRuns }
+
 // UpstreamEnded reports whether the upstream is known to have ended. One whose registration is overdue isn't.
 func (t *Tracker) UpstreamEnded() bool { return t.upstream.ended }
 
