--- a/internal/lentilpacket/log_test.go
+++ b/internal/lentilpacket/log_test.go
@@ -120,7 +120,7 @@
 			return actions
 		})
 	}
-	upstream := []string{`"service":"a"`, `"phase":"Ready"`, `"id":"copy-1"`, `"registeredAgoMillis":`}
+	upstream := []string{`"service":"a"`, `"phase":"Ready"`, `"id":"copy-1"`, `"registeredAgoMillis":`, `"seenAgoMillis":`}
 	offer("b")
 	checkLine(t, log, lentilevent.FlowRefused, append(upstream, `"refusal":"OtherService"`, `"offered":"b"`)...)
 	offer("a")
@@ -135,7 +135,7 @@
 func TestRejectedRegistrationIsTraceable(t *testing.T) {
 	a, log := newLoggingAgent(t)
 	a.RefuseRegistration("copy-7", "b", errors.New("service b is not the agent's"))
-	checkLine(t, log, lentilevent.RegistrationRefused, `"id":"copy-7"`, `"service":"b"`, `"agentService":"a"`, `"phase":"Unheard"`, `"agentUpstream":""`)
+	checkLine(t, log, lentilevent.RegistrationRefused, `"id":"copy-7"`, `"service":"b"`, `"agentService":"a"`, `"phase":"Unheard"`, `"agentUpstream":""`, `"seenAgoMillis":0`)
 	const repetitions = 100
 	for range repetitions {
 		a.RefuseRegistration("copy-7", "b", errors.New("service b is not the agent's"))
@@ -148,3 +148,33 @@
 		t.Errorf("%d registrations for another service and %d malformed ones are counted, want %d and 1", other, malformed, 1+repetitions)
 	}
 }
+
+// TestRegistrationBeforeOpen guards against a registration of the agent's own upstream that is acknowledged without effect, or taken for one
+// of another service, since it comes before the agent has opened its sockets.
+func TestRegistrationBeforeOpen(t *testing.T) {
+	opened, log := newLoggingAgent(t)
+	opened.close()
+	a := &Agent{Settings: opened.Settings, Codec: firstPacketCodec, Counts: &Counts{}, Logger: opened.Logger}
+	a.Register(lentilconntrack.Registration{ID: "copy-1", Incarnation: 1, Sequence: 9, Service: "a", Slots: 4})
+	if state := a.Ready(); !state.Ready {
+		t.Errorf("after the registration: not ready, since %s: %s", state.Reason, log)
+	}
+	if err := a.open(); err != nil {
+		t.Fatal(err)
+	}
+	defer a.close()
+	if state := a.Ready(); !state.Ready {
+		t.Errorf("after the start: not ready, since %s", state.Reason)
+	}
+}
+
+// TestDeregistrationBeforeOpen guards against an agent that ends by itself, since its upstream registers and deregisters before the agent
+// has opened its sockets.
+func TestDeregistrationBeforeOpen(t *testing.T) {
+	opened, _ := newLoggingAgent(t)
+	opened.close()
+	a := &Agent{Settings: opened.Settings, Codec: firstPacketCodec, Counts: &Counts{}, Logger: opened.Logger}
+	a.Register(lentilconntrack.Registration{ID: "copy-1", Incarnation: 1, Sequence: 9, Service: "a", Slots: 4})
+	a.Deregister("copy-1")
+	a.workers.Wait()
+}
--- a/pkg/lentilconntrack/ledger_test.go
+++ b/pkg/lentilconntrack/ledger_test.go
@@ -1,6 +1,7 @@
 package lentilconntrack
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -56,6 +57,11 @@
 	}
 }
 
+// unknownAge is the age of an upstream that doesn't tell it. testStart is the time of newHarness, in milliseconds of Unix time.
+const unknownAge = -time.Second
+
+var testStart = newHarness(nil).createdAt.UnixMilli()
+
 // TestFlowsCompleteAfterRestore checks when a restarted agent may conclude from the ledger and the registration that its
 // upstream holds no flow that it doesn't know.
 func TestFlowsCompleteAfterRestore(t *testing.T) {
@@ -63,17 +69,26 @@
 		name     string
 		ledger   lentilledger.Ledger
 		sequence int64
-		want     bool
+		// age is how long before the agent the upstream has started. It sends no time of its start if that is unknown.
+		age  time.Duration
+		want bool
 	}{
-		{"the upstream has just started with the agent", lentilledger.Ledger{Service: "a", Address: peer1, UpstreamID: "old", UpstreamIncarnation: 1}, 2, true},
-		{"the upstream has just started and there is no ledger", lentilledger.Ledger{}, 3, true},
-		{"an earlier run of the agent has written the run marker", lentilledger.Ledger{Service: "a", Address: peer1, UpstreamID: "u", UpstreamIncarnation: 1}, 2, false},
-		{"the upstream has been registering for longer", lentilledger.Ledger{Service: "a", Address: peer1, UpstreamID: "old", UpstreamIncarnation: 1}, 4, false},
+		{"the upstream has just started with the agent", lentilledger.Ledger{Service: "a", Address: peer1, UpstreamID: "old", UpstreamIncarnation: 1}, 2, 50 * time.Millisecond, true},
+		{"the upstream has just started and there is no ledger", lentilledger.Ledger{}, 3, 0, true},
+		{"the upstream doesn't tell when it has started, and there is no ledger", lentilledger.Ledger{}, 3, unknownAge, true},
+		{"the upstream has started before the agent, whose earlier run may have failed to write the run marker", lentilledger.Ledger{}, 3, 2 * time.Second, false},
+		{"the same, and an older ledger was found", lentilledger.Ledger{Service: "a", Address: peer1, UpstreamID: "old", UpstreamIncarnation: 1}, 2, 200 * time.Millisecond, false},
+		{"an earlier run of the agent has written the run marker", lentilledger.Ledger{Service: "a", Address: peer1, UpstreamID: "u", UpstreamIncarnation: testStart}, 2, 0, false},
+		{"the upstream has been registering for longer", lentilledger.Ledger{Service: "a", Address: peer1, UpstreamID: "old", UpstreamIncarnation: 1}, 4, 0, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h := newHarness(t)
 			h.Address = peer1
-			h.Register(Registration{ID: "u", Incarnation: 1, Sequence: c.sequence, Service: "a"}, nil)
+			r := Registration{ID: "u", Incarnation: h.createdAt.Add(-c.age).UnixMilli(), Sequence: c.sequence, Service: "a"}
+			if c.age == unknownAge {
+				r.Incarnation = 0
+			}
+			h.Register(r, nil)
 			if h.FlowsComplete {
 				t.Error("FlowsComplete is set before the ledger is restored")
 			}
@@ -302,3 +317,59 @@
 		t.Errorf("a balancer without a configuration is chosen: %s", got)
 	}
 }
+
+// TestRefusedPortUsedAgainLeadsToReset guards against the reset of a flow that another upstream holds, since the agent refused its
+// first packet and goes on to claim an earlier flow from the port.
+func TestRefusedPortUsedAgainLeadsToReset(t *testing.T) {
+	key := flowKey(1)
+	h := newHarness(t)
+	h.register("u")
+	h.Restore(lentilledger.Ledger{
+		Service: "a", UpstreamID: "u", UpstreamIncarnation: h.createdAt.UnixMilli() + 1, Flows: []lentilledger.Flow{{Key: key, Acknowledged: 7}},
+	}, 0, nil)
+	h.register("u", setDraining)
+	if got, want := h.fromBalancer(peer1, lentilflow.Place, firstPacketAgain(key)), "SendRefused UpstreamDraining"; got != want {
+		t.Fatalf("got %q, want %q", got, want)
+	}
+	// The flow opens at another upstream, and another balancer looks it up.
+	got := formatActions(h.HandleAsk(peer2, lentilflow.Ask{Keys: []lentilflow.Key{key}}, nil))
+	data := dataPacket(key, 900_000_000)
+	got += "; " + h.fromBalancer(peer2, lentilflow.Owned, data) + "; " + h.fromUpstream(markReturned(data))
+	if strings.Contains(got, "ResetClient") {
+		t.Errorf("got %q, want the flow denied", got)
+	}
+}
+
+// TestOutdatedLedger guards against the reset of a flow that another upstream holds, since a ledger lists an earlier flow from its port
+// that has ended.
+func TestOutdatedLedger(t *testing.T) {
+	key := flowKey(1)
+	reset := func(lentilflow.Packet) lentilflow.Packet { return lentilflow.Packet{Key: key, Flags: lentilflow.Reset} }
+	for _, c := range []struct {
+		name   string
+		answer func(lentilflow.Packet) lentilflow.Packet
+	}{{"the upstream resets the flow", reset}, {"the upstream returns the packet", markReturned}} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.Restore(lentilledger.Ledger{
+				Service: "a", UpstreamID: "u", UpstreamIncarnation: h.createdAt.UnixMilli() + 1, Flows: []lentilledger.Flow{{Key: key, Acknowledged: 7}},
+			}, 0, nil)
+			h.register("u", func(r *Registration) { r.Sequence = 9 })
+			ask := func() string {
+				return formatActions(h.HandleAsk(peer1, lentilflow.Ask{Keys: []lentilflow.Key{key}}, nil))
+			}
+			data := dataPacket(key, 900_000_000)
+			steps := []struct{ got, want string }{
+				{ask(), "SendDenied unsure=true"},
+				{h.fromBalancer(peer1, lentilflow.Lookup, data), "ToUpstream"},
+				{h.fromUpstream(c.answer(data)), "SendDenied unsure=false"},
+				{ask(), "SendDenied unsure=false"},
+			}
+			for i, s := range steps {
+				if s.got != s.want {
+					t.Errorf("step %d: got %q, want %q", i, s.got, s.want)
+				}
+			}
+		})
+	}
+}
--- a/pkg/lentilconntrack/upstream.go
+++ b/pkg/lentilconntrack/upstream.go
@@ -54,8 +54,8 @@
 // cold reports whether the upstream has, or may have, less than its usual capacity.
 func (u *upstream) cold(now time.Time) bool { return !u.coldStateKnown || now.Before(u.coldUntil) }
 
-// Register handles a registration. It is in effect when Register returns. A registration of another service, or
-// one that is stale, is ignored, but the former shows that the address may have another upstream if that of the agent isn't known.
+// Register handles a registration. It is in effect when Register returns, unless it is ignored: if it is of another service, if it is
+// stale, or if it is the first one after the address was contested.
 func (t *Tracker) Register(r Registration, actions []Action) []Action {
 	u, now := &t.upstream, t.now()
 	registered := u.id != ""
@@ -77,14 +77,14 @@
 	t.contest = contest{}
 	sameRun := registered && u.id == r.ID && u.incarnation == r.Incarnation
 	previousPhase := u.phase
-	if !registered && r.Sequence <= firstSequence && t.precedes(r) {
+	if !registered && r.Sequence <= firstSequence && t.precedes(r.Incarnation) {
 		// The agent was running before its upstream could get a flow.
 		t.FlowsComplete = true
 	}
 	if !sameRun && registered {
 		// The run that held the flows has ended, since only one upstream can use an address.
 		actions = t.resetFlows(UpstreamReplaced, r.Incarnation, actions)
-		t.FlowsComplete = t.FlowsComplete || t.precedes(r)
+		t.FlowsComplete = t.FlowsComplete || t.precedes(r.Incarnation)
 	}
 	u.id, u.incarnation, u.sequence, u.otherRunSequence = r.ID, r.Incarnation, r.Sequence, 0
 	t.observePause(now)
@@ -119,8 +119,8 @@
 
 // precedes reports whether the agent was running when the run of the upstream started, so that no earlier run of the agent
 // can have let flows open there.
-func (t *Tracker) precedes(r Registration) bool {
-	return r.Incarnation == 0 || t.startedAt.Add(-startSlack).UnixMilli() <= r.Incarnation
+func (t *Tracker) precedes(incarnation int64) bool {
+	return incarnation == 0 || t.startedAt.Add(-startSlack).UnixMilli() <= incarnation
 }
 
 // stale reports whether a registration is older than the last one in effect. Incarnations come from the time of day,
