--- a/review/stand-2/late.go
+++ b/review/stand-2/late.go
@@ -73,17 +73,18 @@
 	}
 	time.Sleep(3 * time.Second)
 	victim := agents[0]
+	crashedAt := time.Now()
 	if trouble {
 		victim.endpoint.crash()
 		s.log("disruption: an endpoint crashes (srv_crash, 4.5 s)")
-		time.Sleep(2500 * time.Millisecond)
+		time.Sleep(2200 * time.Millisecond)
 		s.store.setDecide(func(c call) verdict {
 			if c.method == http.MethodDelete {
 				return verdict{late: 3500 * time.Millisecond}
 			}
 			return verdict{}
 		})
-		s.log("disruption: an answer of the store is lost, and the write is done 3.5 s later (platform_lost late, 4.5 s)")
+		s.log("disruption: an answer of the store is lost, and the write is done 3.5 s later (platform_lost late, until the node has ended)")
 	}
 	s.log("planned: %s is stopped and started again (roll_term)", victim.name)
 	exited := s.signal(victim, syscall.SIGTERM)
@@ -94,18 +95,19 @@
 		<-exited
 	}
 	s.log("%s has ended", victim.name)
+	if trouble {
+		s.store.setDecide(nil)
+		s.log("the store answers again")
+	}
 	time.Sleep(500 * time.Millisecond)
 	if err = s.start(victim); err != nil {
 		return err
 	}
 	if trouble {
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(time.Until(crashedAt.Add(4500 * time.Millisecond)))
 		if _, err = s.startEndpoint(victim); err != nil {
 			return err
 		}
-		time.Sleep(3 * time.Second)
-		s.store.setDecide(nil)
-		s.log("the store answers again")
 	}
 	// All machines are calm for far longer than stabilityWindowMs (4 s) and skewMaxMs (12 s).
 	time.Sleep(18 * time.Second)
