--- a/review/stand-2/endpoint.go
+++ b/review/stand-2/endpoint.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -127,11 +126,7 @@
 	if draining {
 		state = "draining"
 	}
-	left := max(0, time.Until(e.warmup).Milliseconds())
-	body, _ := json.Marshal(map[string]any{
-		"service": e.service, "address": netip.AddrPortFrom(e.m.ip, e.site.ports.app).String(), "zone": e.m.zone, "version": "v1",
-		"concurrency": 4, "state": state, "warmupLeftMs": left, "sequence": e.sequence, "born": e.born,
-	})
+	body := heartbeat(e, netip.AddrPortFrom(e.m.ip, e.site.ports.app).String(), state, e.sequence)
 	if draining && e.toldAt.IsZero() {
 		e.toldAt = time.Now()
 	}
@@ -149,7 +144,7 @@
 func (e *endpoint) call(method string, body []byte) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	target := fmt.Sprintf("http://%s/-/instances/%s", netip.AddrPortFrom(e.m.ip, e.site.ports.control), e.id)
+	target := "http://" + netip.AddrPortFrom(e.m.ip, e.site.ports.control).String() + wire.Instances + e.id
 	q, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
 	if err != nil {
 		return false
--- a/review/stand-2/late.go
+++ b/review/stand-2/late.go
@@ -13,22 +13,9 @@
 
 const service = "s1"
 
-// configuration returns a configuration with one route.
-func configuration(version int) map[string]any {
-	return map[string]any{
-		"version": version,
-		"routes": []map[string]any{{
-			"name": "r-1", "host": serviceAddress.Addr().String(), "pathPrefix": fmt.Sprintf("/%d/", serviceAddress.Port()), "type": "safe",
-			"timeoutMs": 5000, "targetLatencyMs": 250, "priority": 1, "service": service, "attempts": 2,
-		}},
-		"services": []map[string]any{{"name": service, "healthPath": "/health", "maxConns": 2000, "protocol": "h1", "tls": false, "warmupS": 2.0, "warmupPerS": 0.0}},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	}
-}
-
 // startSmall starts a deployment of two zones, each with a balancer and sides endpoints, and waits until it is ready.
 func startSmall(s *site, sides int) (balancers, agents []*machine, err error) {
-	s.store.operatorPut("config", "main", configuration(7))
+	s.store.operatorPut("config", "main", wire.Configuration)
 	for z, zone := range []string{"zone-a", "zone-b"} {
 		for i := range sides {
 			m := &machine{name: fmt.Sprintf("side-%s-%d", zone, i+1), role: "agent", zone: zone, service: service, ip: netip.AddrFrom4([4]byte{127, 81, byte(z), byte(10 + i)})}
--- a/review/stand-2/reuse.go
+++ b/review/stand-2/reuse.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -43,16 +42,13 @@
 	}()
 	e.mu.Lock()
 	e.sequence++
-	body, _ := json.Marshal(map[string]any{
-		"service": e.service, "address": netip.AddrPortFrom(e.m.ip, e.site.ports.app).String(), "zone": e.m.zone, "version": "v1",
-		"concurrency": 4, "state": "ready", "warmupLeftMs": 0, "sequence": e.sequence, "born": e.born,
-	})
+	body := heartbeat(e, netip.AddrPortFrom(e.m.ip, e.site.ports.app).String(), "ready", e.sequence)
 	e.mu.Unlock()
 	conn, err := net.Dial("tcp4", relay.Addr().String())
 	if err != nil {
 		return err
 	}
-	_, err = fmt.Fprintf(conn, "PUT /-/instances/%s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", e.id, control, len(body), body)
+	_, err = fmt.Fprintf(conn, "PUT %s%s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", wire.Instances, e.id, control, len(body), body)
 	_ = conn.Close()
 	return err
 }
--- a/review/stand-2/site.go
+++ b/review/stand-2/site.go
@@ -194,7 +194,7 @@
 		return err
 	}
 	c := exec.Command(s.program, m.role)
-	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + s.dir, "LANG=C", "LENTILSTAIR_CONFIG=" + file}
+	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + s.dir, "LANG=C", wire.SettingsVariable + "=" + file}
 	var logFile *os.File
 	if s.logReader != nil {
 		m.output = s.logReader(m)
@@ -256,7 +256,7 @@
 			return
 		default:
 		}
-		r, err := h.Get("http://" + netip.AddrPortFrom(m.ip, s.ports.ready).String() + "/-/ready")
+		r, err := h.Get("http://" + netip.AddrPortFrom(m.ip, s.ports.ready).String() + wire.Ready)
 		ok := err == nil && r.StatusCode == http.StatusOK
 		if err == nil {
 			_ = r.Body.Close()
--- a/review/stand-2/stalled.go
+++ b/review/stand-2/stalled.go
@@ -41,7 +41,7 @@
 	time.Sleep(5 * time.Second)
 	ready := func() bool {
 		h := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-		r, err := h.Get("http://" + netip.AddrPortFrom(balancers[0].ip, s.ports.ready).String() + "/-/ready")
+		r, err := h.Get("http://" + netip.AddrPortFrom(balancers[0].ip, s.ports.ready).String() + wire.Ready)
 		if err != nil {
 			return false
 		}
@@ -55,7 +55,7 @@
 	}
 	time.Sleep(25 * time.Second)
 	if !ready() {
-		s.violate("hang", "%s doesn't answer GET /-/ready within 3 s", balancers[0].name)
+		s.violate("hang", "%s doesn't answer GET %s within 3 s", balancers[0].name, wire.Ready)
 	}
 	e := agents[0].endpoint
 	s.log("planned: endpoint %s on %s says that it leaves (scale_in)", e.id, agents[0].name)
--- a/review/stand-2/store.go
+++ b/review/stand-2/store.go
@@ -14,11 +14,9 @@
 )
 
 type meta struct {
-	Name       string   `json:"name"`
-	Revision   uint64   `json:"revision"`
-	Created    uint64   `json:"created"`
-	Finalizers []string `json:"finalizers"`
-	Deleting   bool     `json:"deleting"`
+	Name     string `json:"name"`
+	Revision uint64 `json:"revision"`
+	Created  uint64 `json:"-"`
 }
 
 type object struct {
@@ -126,9 +124,6 @@
 	if previous, ok := s.objects[kind][o.Meta.Name]; ok {
 		o.Meta.Created = previous.Meta.Created
 	}
-	if o.Meta.Finalizers == nil {
-		o.Meta.Finalizers = []string{}
-	}
 	s.objects[kind][o.Meta.Name] = o
 	s.history = append(s.history, event{kind: kind, revision: s.revision, Object: o})
 	s.wake()
@@ -151,7 +146,7 @@
 	if err != nil {
 		return
 	}
-	kind, name, _ := strings.Cut(strings.TrimPrefix(q.URL.Path, "/-/objects/"), "/")
+	kind, name, _ := strings.Cut(strings.TrimPrefix(q.URL.Path, wire.Objects), "/")
 	var machine netip.Addr
 	if remote, err := netip.ParseAddrPort(q.RemoteAddr); err == nil {
 		machine = remote.Addr()
@@ -235,7 +230,7 @@
 	for _, n := range names[:min(len(names), page)] {
 		items = append(items, s.objects[kind][n])
 	}
-	answer(w, http.StatusOK, map[string]any{"items": items, "hasMore": more, "storeRevision": s.revision})
+	answer(w, http.StatusOK, map[string]any{"items": items, "hasMore": more, wire.StoreRevision: s.revision})
 }
 
 func (s *store) watch(w http.ResponseWriter, q *http.Request, kind string) {
@@ -253,13 +248,13 @@
 		revision, changed := s.revision, s.changed
 		s.mu.Unlock()
 		if len(events) > 0 {
-			answer(w, http.StatusOK, map[string]any{"events": events, "storeRevision": revision})
+			answer(w, http.StatusOK, map[string]any{"events": events, wire.StoreRevision: revision})
 			return
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			answer(w, http.StatusOK, map[string]any{"events": events, "storeRevision": revision})
+			answer(w, http.StatusOK, map[string]any{"events": events, wire.StoreRevision: revision})
 			return
 		case <-q.Context().Done():
 			return
@@ -302,7 +297,7 @@
 	if isStatus {
 		next.Status = o.Status
 	} else {
-		next.Spec, next.Meta.Finalizers = o.Spec, o.Meta.Finalizers
+		next.Spec = o.Spec
 	}
 	if string(next.Spec) == string(old.Spec) && string(next.Status) == string(old.Status) {
 		return http.StatusOK, old
--- a/review/stand-2/writer.go
+++ b/review/stand-2/writer.go
@@ -46,18 +46,18 @@
 	end := make(chan struct{})
 	if trouble {
 		body := fmt.Sprintf(`{"service":%q,"state":"ready","sequence":%%d,"born":%d}`, service, time.Now().UnixMilli())
-		s.log("disruption: another writer sends %s heartbeats without address, zone, version, concurrency and warmupLeftMs", m.name)
+		s.log("disruption: another writer sends %s heartbeats with service, state, sequence and born only", m.name)
 		go func() {
 			for i := 1; ; i++ {
 				text := fmt.Sprintf(body, i)
-				q, err := http.NewRequest(http.MethodPut, "http://"+netip.AddrPortFrom(m.ip, s.ports.control).String()+"/-/instances/w-1", bytes.NewReader([]byte(text)))
+				q, err := http.NewRequest(http.MethodPut, "http://"+netip.AddrPortFrom(m.ip, s.ports.control).String()+wire.Instances+"w-1", bytes.NewReader([]byte(text)))
 				if err != nil {
 					return
 				}
 				q.Header.Set("Content-Type", "application/json")
 				if r, err := s.http.Do(q); err == nil {
 					_ = r.Body.Close()
-					s.log("the other writer sends PUT /-/instances/w-1 %s: status %d", text, r.StatusCode)
+					s.log("the other writer sends PUT %sw-1 %s: status %d", wire.Instances, text, r.StatusCode)
 				}
 				select {
 				case <-time.After(heartbeatInterval):
