--- a/review/stand-2/late.go
+++ b/review/stand-2/late.go
@@ -54,7 +54,7 @@
 // lateWithdrawal: an endpoint crashes, the agent beside it is stopped and started as planned, and the answer to the
 // call that withdraws its entry is lost; the store carries the call out some seconds later. Then a balancer is added.
 func lateWithdrawal(s *site, trouble bool) (err error) {
-	_, agents, err := startSmall(s, 2)
+	_, agents, err := startSmall(s, 4)
 	if err != nil {
 		return err
 	}
@@ -106,7 +106,7 @@
 			}
 		}
 	}
-	clients, err := startClients(s, "zone-a", 40, 600*time.Millisecond, false)
+	clients, err := startClients(s, "zone-a", 80, 600*time.Millisecond, false)
 	if err != nil {
 		return err
 	}
--- a/review/stand-2/reuse.go
+++ b/review/stand-2/reuse.go
@@ -56,7 +56,7 @@
 // lateHeartbeat: an endpoint ends, and its address goes to another service after addrReuseS. Its last two heartbeats were
 // held up by a partition, and arrive after the other endpoint has registered.
 func lateHeartbeat(s *site, trouble bool) (err error) {
-	_, agents, err := startSmall(s, 2)
+	_, agents, err := startSmall(s, 4)
 	if err != nil {
 		return err
 	}
--- a/review/stand-2/stalled.go
+++ b/review/stand-2/stalled.go
@@ -30,11 +30,11 @@
 		}
 		return nil
 	}
-	balancers, agents, err := startSmall(s, 2)
+	balancers, agents, err := startSmall(s, 4)
 	if err != nil {
 		return err
 	}
-	clients, err := startClients(s, "zone-a", 40, 600*time.Millisecond, true)
+	clients, err := startClients(s, "zone-a", 80, 600*time.Millisecond, true)
 	if err != nil {
 		return err
 	}
--- a/review/stand-2/writer.go
+++ b/review/stand-2/writer.go
@@ -13,17 +13,17 @@
 // otherWriter: another writer sends the control address of an agent heartbeats in which fields are missing. Later the
 // endpoint beside the agent says that it leaves.
 func otherWriter(s *site, trouble bool) (err error) {
-	_, agents, err := startSmall(s, 2)
+	_, agents, err := startSmall(s, 4)
 	if err != nil {
 		return err
 	}
-	others, err := startClients(s, "zone-b", 20, 600*time.Millisecond, true)
+	others, err := startClients(s, "zone-b", 40, 600*time.Millisecond, true)
 	if err != nil {
 		return err
 	}
 	time.Sleep(2 * time.Second)
 	// Long flows open one after the other, so that all endpoints get some.
-	clients, err := startClients(s, "zone-a", 30, 600*time.Millisecond, false)
+	clients, err := startClients(s, "zone-a", 60, 600*time.Millisecond, false)
 	if err != nil {
 		return err
 	}
