lentilpacket: a publication of an entry outlasts removals that are carried out late

An agent that is stopped while its upstream is down removes its entry. The answer is lost; the agent starts again, finds its entry as it wants it (409 with the same content) and writes nothing. The entry keeps its revision, so the condition of the removal still holds when the store carries it out 1 to 6 s later. From then on nobody finds the agent who doesn't know it yet: a new balancer takes its list for complete, and resets the agent's flows once all listed agents have denied them.

Cause: a conditional write without an answer stays alive until the revision that it names has gone. Ruled out by the record of the case: a removal by a balancer (the only DELETE is the agent's own), a stale or partial list (the store's entries lack the agent).

Each publication now writes the entry with a number of its own, so that its revision changes. An entry names the run that wrote it, and a removal that is meant for an earlier run leaves it. After each publication but the first one of a site, an agent looks 10 s later whether its entry is there, writes it again if it isn't, and logs that (LE2429). Earlier releases ignore the new fields, and entries without them are removed by their address as before.

--- a/internal/lentilevent/catalogue.go
+++ b/internal/lentilevent/catalogue.go
@@ -121,6 +121,8 @@
 		"The cause `GraceExpired` with `Ended` means that packets still arrived, or that no router has probed the balancer.", []string{"phase", "cause"}},
 	LedgerRestored: {Info, "flow ledger read", "A starting agent has read the ledger of an earlier run: its `own`, or that of its `group` if it is newer. Its flows are reset, or taken over, once the copy has registered.",
 		[]string{"source", "flows", "upstream", "run", "sequence", "era"}},
+	EntryLost: {Warn, "own entry was missing", "An agent didn't find the entry of its run in the store some time after it had written it, and writes it again. Balancers that started meanwhile don't know the agent. " +
+		"`found` says whether there was an entry of another run at its address.", []string{"found"}},
 	RegistrationRefused: {Warn, "registration rejected", "An upstream's registration is malformed or for another service, and was ignored. `service` is the rejected one, and empty if it can't be read. The agent's own service is " +
 		"agentService; its upstream is in the phase `phase`, is named agentUpstream and registered registeredAgoMillis ago and was seen seenAgoMillis ago, if it has registered at all. " +
 		"A registration for another service means that another upstream runs at the addresses of the agent. After the first few, one line in ten seconds.",
--- a/internal/lentilevent/event.go
+++ b/internal/lentilevent/event.go
@@ -128,6 +128,7 @@
 	FlowSoughtByKey
 	DrainAdvanced
 	LedgerRestored
+	EntryLost
 )
 
 // Code returns the code under which the event is documented, such as LE2001.
--- a/internal/lentilevent/event_string.go
+++ b/internal/lentilevent/event_string.go
@@ -67,6 +67,7 @@
 	_ = x[FlowSoughtByKey-2426]
 	_ = x[DrainAdvanced-2427]
 	_ = x[LedgerRestored-2428]
+	_ = x[EntryLost-2429]
 }
 
 const (
@@ -74,7 +75,7 @@
 	_Event_name_1 = "PacketRefusedTunnelRefusedPlaceRefusedServiceMismatchSocketFailed"
 	_Event_name_2 = "ConfigurationInForceConfigurationRefusedPlatformDownPlatformBackDomainOutDomainBackControlFailedCopyUnlisted"
 	_Event_name_3 = "CopyWarmingCopyReadyCopyColdCopyDrainingOutcomeUnknownRequestHedged"
-	_Event_name_4 = "FlowPlacedFlowSoughtFlowTakenFlowOpenFlowRefusedFlowDeniedFlowResetFlowDroppedAgentNotedUpstreamNotedPeersReadStoreLostStoreRegainedRegistrationRefusedPeerForgottenFlowHeldStoreReturnedStoreEraIgnoredEntryRenewedDomainKeptOutFlowRelayedLinkFullLinkFreeQueueHeldFlowHedgedFlowSoughtByKeyDrainAdvancedLedgerRestored"
+	_Event_name_4 = "FlowPlacedFlowSoughtFlowTakenFlowOpenFlowRefusedFlowDeniedFlowResetFlowDroppedAgentNotedUpstreamNotedPeersReadStoreLostStoreRegainedRegistrationRefusedPeerForgottenFlowHeldStoreReturnedStoreEraIgnoredEntryRenewedDomainKeptOutFlowRelayedLinkFullLinkFreeQueueHeldFlowHedgedFlowSoughtByKeyDrainAdvancedLedgerRestoredEntryLost"
 )
 
 var (
@@ -82,7 +83,7 @@
 	_Event_index_1 = [...]uint8{0, 13, 26, 38, 53, 65}
 	_Event_index_2 = [...]uint8{0, 20, 40, 52, 64, 73, 83, 96, 108}
 	_Event_index_3 = [...]uint8{0, 11, 20, 28, 40, 54, 67}
-	_Event_index_4 = [...]uint16{0, 10, 20, 29, 37, 48, 58, 67, 78, 88, 101, 110, 119, 132, 151, 164, 172, 185, 200, 212, 225, 236, 244, 252, 261, 271, 286, 299, 313}
+	_Event_index_4 = [...]uint16{0, 10, 20, 29, 37, 48, 58, 67, 78, 88, 101, 110, 119, 132, 151, 164, 172, 185, 200, 212, 225, 236, 244, 252, 261, 271, 286, 299, 313, 322}
 )
 
 func (i Event) String() string {
@@ -99,7 +100,7 @@
 	case 2301 <= i && i <= 2306:
 		i -= 2301
 		return _Event_name_3[_Event_index_3[i]:_Event_index_3[i+1]]
-	case 2401 <= i && i <= 2428:
+	case 2401 <= i && i <= 2429:
 		i -= 2401
 		return _Event_name_4[_Event_index_4[i]:_Event_index_4[i+1]]
 	default:
--- a/internal/lentilpacket/agent.go
+++ b/internal/lentilpacket/agent.go
@@ -68,9 +68,10 @@
 	reporter lentilledger.Reporter
 	// markerDue wakes maintainLedger for the run marker.
 	markerDue chan struct{}
-	// rediscover publishes the agent's entry and reads the list of balancers.
-	rediscover func()
-	workers    sync.WaitGroup
+	// discover publishes the agent's entry and reads the list of balancers. confirm makes sure some time later that the entry
+	// is still there.
+	discover, confirm func()
+	workers           sync.WaitGroup
 	// ctx ends probes. It is that of Run once the agent runs.
 	ctx context.Context
 }
@@ -87,17 +88,18 @@
 	a.mu.Lock()
 	a.ctx = ctx
 	a.mu.Unlock()
-	self := Peer{
-		Node:    lentilflow.Node{Name: a.Settings.Name(), Domain: a.Settings.Domain(), Address: lentilflow.EndpointOf(a.Settings.PeerAddress())},
-		Service: a.Settings.Service(),
-	}
+	// The entry isn't published any more once the stop has marked or withdrawn it.
+	entryCtx, stopPublishing := context.WithCancel(ctx)
+	defer stopPublishing()
+	self := a.entry()
+	a.discover = func() { discoverPeers(entryCtx, a.Logger, a.Store.Agents, a.Store.Balancers, self, a.addPeers) }
+	a.confirm = func() { confirmEntry(entryCtx, a.Logger, a.Store.Agents, self) }
 	a.workers.Go(func() { lentilserver.ServeDatagrams(a.peerConn, make([]byte, readBufferSize), a.handlePeerMessage) })
 	a.workers.Go(func() {
 		lentilserver.ServeDatagrams(a.outboundConn, make([]byte, readBufferSize), a.handleUpstreamPacket)
 	})
 	a.workers.Go(func() { a.watchConnectionRefused() })
 	a.workers.Go(func() { a.tick(ctx) })
-	a.rediscover = func() { discoverPeers(ctx, a.Logger, a.Store.Agents, a.Store.Balancers, self, a.addPeers) }
 	if a.Store.NotifyEra != nil {
 		a.Store.NotifyEra(func(era uint64) {
 			a.mu.Lock()
@@ -105,9 +107,15 @@
 			a.observeEra(era, 0, eraFromStore)
 		})
 	}
-	a.workers.Go(a.rediscover)
+	if a.Settings.FirstStart() {
+		// No entry of the name can have been removed before.
+		a.workers.Go(a.discover)
+	} else {
+		a.workers.Go(a.rediscover)
+	}
 	a.workers.Go(func() { a.maintainLedger(ctx) })
 	<-graceful.Done()
+	stopPublishing()
 	a.stop(forced, self)
 	stop()
 	a.close()
@@ -115,6 +123,16 @@
 	return nil
 }
 
+// entry returns the agent's entry in its directory. The agent's sockets are open.
+func (a *Agent) entry() Peer {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return Peer{
+		Node:    lentilflow.Node{Name: a.Settings.Name(), Domain: a.Settings.Domain(), Address: lentilflow.EndpointOf(a.Settings.PeerAddress())},
+		Service: a.Settings.Service(), RunID: a.tracker.RunID,
+	}
+}
+
 // configureTracker passes the settings to the tracker, before its first event: the upstream may register before the agent has opened its
 // sockets. The caller holds a.mu.
 func (a *Agent) configureTracker() {
@@ -265,7 +283,16 @@
 	}
 	a.tracker.RenewLedger()
 	balancers := a.tracker.BalancerCount()
-	a.workers.Go(func() { renewEntry(a.ctx, a.Logger, era, balancers, a.rediscover) })
+	a.workers.Go(func() {
+		renewEntry(a.ctx, a.Logger, era, balancers, a.discover)
+		a.confirm()
+	})
+}
+
+// rediscover publishes the agent's entry, which may have been removed.
+func (a *Agent) rediscover() {
+	a.discover()
+	a.confirm()
 }
 
 // updateStoreState merges the store state that a balancer reports. The agent passes it on with its status.
--- a/internal/lentilpacket/balancer.go
+++ b/internal/lentilpacket/balancer.go
@@ -97,7 +97,10 @@
 	}
 	var workers sync.WaitGroup
 	discover := func() {
-		self := Peer{Node: lentilflow.Node{Name: b.Settings.Name(), Domain: b.Settings.Domain(), Address: lentilflow.EndpointOf(b.Settings.PeerAddress())}}
+		self := Peer{
+			Node:  lentilflow.Node{Name: b.Settings.Name(), Domain: b.Settings.Domain(), Address: lentilflow.EndpointOf(b.Settings.PeerAddress())},
+			RunID: b.runID,
+		}
 		discoverPeers(ctx, b.Logger, b.Store.Balancers, b.Store.Agents, self, b.addAgents)
 	}
 	b.renewEntry = func(era uint64, balancers int) {
@@ -376,7 +379,7 @@
 	defer b.mu.Unlock()
 	actions := b.actions[:0]
 	for _, p := range peers {
-		actions = b.placer.AddPeer(p.Node, p.Service, p.Stopping, actions)
+		actions = b.placer.AddPeer(lentilplacement.Peer{Node: p.Node, Service: p.Service, Stopping: p.Stopping, RunID: p.RunID}, actions)
 	}
 	b.perform(actions)
 	b.placer.SetAgentsComplete()
--- a/internal/lentilpacket/link_test.go
+++ b/internal/lentilpacket/link_test.go
@@ -169,7 +169,8 @@
 	directory := Directory{
 		Publish:  func(context.Context, Peer) error { return nil },
 		List:     func(context.Context) ([]Peer, error) { return nil, nil },
-		Withdraw: func(context.Context, lentilflow.Node) error { return nil },
+		Find:     func(context.Context, string) (Peer, bool, error) { return Peer{}, false, nil },
+		Withdraw: func(context.Context, Peer) error { return nil },
 	}
 	return Store{
 		Configuration: lentilfollow.Source[lentilflow.Configuration]{
--- a/internal/lentilpacket/readers.go
+++ b/internal/lentilpacket/readers.go
@@ -132,9 +132,9 @@
 	b.mu.Lock()
 	gone := b.placer.ExpireAgents()
 	b.mu.Unlock()
-	for _, node := range gone {
-		b.Logger.Write(lentilevent.PeerForgotten, lentilevent.Str("peer", node.Name))
-		if err := b.Store.Agents.Withdraw(ctx, node); err != nil {
+	for _, p := range gone {
+		b.Logger.Write(lentilevent.PeerForgotten, lentilevent.Str("peer", p.Node.Name))
+		if err := b.Store.Agents.Withdraw(ctx, Peer{Node: p.Node, Service: p.Service, RunID: p.RunID}); err != nil {
 			b.Logger.Write(lentilevent.StoreLost, lentilevent.Str("what", "withdraw"), lentilevent.Err(err))
 		}
 	}
--- a/internal/lentilpacket/stop.go
+++ b/internal/lentilpacket/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"syscall"
 	"time"
@@ -27,12 +28,12 @@
 	_, gone := a.upstreamState()
 	pause, operation := handoverDelay, "mark"
 	updateEntry := func(ctx context.Context) error {
-		self.Stopping = true
+		self.Stopping, self.Publication = true, rand.Uint64()
 		return a.Store.Agents.Publish(ctx, self)
 	}
 	if gone {
 		pause, operation = min(lingerLimit, a.Settings.StopGrace()), "withdraw"
-		updateEntry = func(ctx context.Context) error { return a.Store.Agents.Withdraw(ctx, self.Node) }
+		updateEntry = func(ctx context.Context) error { return a.Store.Agents.Withdraw(ctx, self) }
 	}
 	limited, cancel := context.WithTimeout(forced, pause)
 	defer cancel()
--- a/internal/lentilpacket/store.go
+++ b/internal/lentilpacket/store.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"lentilstair.example/lentilstair/internal/lentilevent"
@@ -23,6 +24,10 @@
 	Service string
 	// Stopping is set once the process was asked to stop.
 	Stopping bool
+	// RunID identifies the run of the process that wrote the entry; zero if an earlier release did, which doesn't tell it.
+	RunID uint64
+	// Publication differs each time that the process publishes its entry.
+	Publication uint64
 }
 
 // Store gives the processes access to the store.
@@ -58,20 +63,34 @@
 
 // Directory lists processes, so they can find each other.
 type Directory struct {
-	// Publish writes a process's own entry. It does nothing if the store already has the same entry.
+	// Publish writes a process's own entry, so that its revision in the store changes: conditional writes of the entry that were
+	// left without an answer then fail. It does nothing if the store already has the same publication.
 	Publish func(ctx context.Context, self Peer) error
 	// List returns all entries, including those of processes that have ended.
 	List func(ctx context.Context) ([]Peer, error)
-	// Withdraw removes the entry of a process that has ended, unless another process of its name has the entry by now.
-	Withdraw func(ctx context.Context, node lentilflow.Node) error
+	// Find returns the entry of the process of a name. found is false if there is none that can be used.
+	Find func(ctx context.Context, name string) (entry Peer, found bool, err error)
+	// Withdraw removes the entry of a run of a process that has ended. It leaves an entry that another process of the name or
+	// a later run has written.
+	Withdraw func(ctx context.Context, ended Peer) error
+}
+
+// IsOfRun reports whether an entry was written by a run of a process, as far as the runs are known.
+func (p Peer) IsOfRun(run Peer) bool {
+	return p.Node.Address == run.Node.Address && (p.RunID == run.RunID || p.RunID == 0 || run.RunID == 0)
+}
+
+// publish writes a process's own entry. It returns false if ctx ends before the entry is written.
+func publish(ctx context.Context, logger lentilevent.Logger, own Directory, self Peer) (ok bool) {
+	self.Publication = rand.Uint64()
+	return retry(ctx, logger, "publish", func() error { return own.Publish(ctx, self) })
 }
 
 // discoverPeers publishes the process in its own directory and then passes the entries of the other directory
 // to add. Every process publishes before it reads, so of two that start at the same time, at least one finds
 // the other and introduces itself.
 func discoverPeers(ctx context.Context, logger lentilevent.Logger, own, others Directory, self Peer, add func([]Peer)) {
-	ok := retry(ctx, logger, "publish", func() error { return own.Publish(ctx, self) })
-	if !ok {
+	if !publish(ctx, logger, own, self) {
 		return
 	}
 	retry(ctx, logger, "peers", func() error {
@@ -83,6 +102,36 @@
 	})
 }
 
+// confirmDelay is the time after which a process looks whether its entry is still in the store. Calls without an answer are
+// carried out up to 6 s later, and removals that began before the entry was published take some seconds at a store that is slow.
+const confirmDelay = 10 * time.Second
+
+// confirmEntry waits until removals that began before the process published its entry have been carried out, and publishes the
+// entry again if it is missing. Balancers that start while it is would hold the process's flows for ended.
+func confirmEntry(ctx context.Context, logger lentilevent.Logger, own Directory, self Peer) {
+	for {
+		select {
+		case <-time.After(confirmDelay):
+		case <-ctx.Done():
+			return
+		}
+		var entry Peer
+		var found bool
+		ok := retry(ctx, logger, "confirm", func() (err error) {
+			entry, found, err = own.Find(ctx, self.Node.Name)
+			return err
+		})
+		if !ok || found && (entry.RunID == self.RunID || entry.Node.Address != self.Node.Address) {
+			// An entry with another address is of the next process of the name.
+			return
+		}
+		logger.Write(lentilevent.EntryLost, lentilevent.Bool("found", found))
+		if !publish(ctx, logger, own, self) {
+			return
+		}
+	}
+}
+
 // retry repeats a call to the store until it succeeds or ctx ends. It reports whether the call succeeded.
 func retry(ctx context.Context, logger lentilevent.Logger, operation string, call func() error) (ok bool) {
 	backoff := lentilbudget.Backoff{Max: maxRetryDelay}
--- a/internal/lentilpacketmodel/process.go
+++ b/internal/lentilpacketmodel/process.go
@@ -68,7 +68,9 @@
 		var actions []lentilplacement.Action
 		for _, a := range sim.agents {
 			if !a.removed {
-				actions = b.placer.AddPeer(lentilflow.Node{Name: a.name(), Domain: domainName(a.domain), Address: a.endpoint}, ServiceName, a.stopping, actions)
+				actions = b.placer.AddPeer(lentilplacement.Peer{
+					Node: lentilflow.Node{Name: a.name(), Domain: domainName(a.domain), Address: a.endpoint}, Service: ServiceName, Stopping: a.stopping,
+				}, actions)
 			}
 		}
 		b.perform(actions)
--- a/pkg/lentilplacement/agent.go
+++ b/pkg/lentilplacement/agent.go
@@ -20,6 +20,8 @@
 	// responsiveSince is when the agent was first seen, or seen again after it was unresponsive.
 	responsiveSince time.Time
 	addedAt         time.Time
+	// listedRun is the run that the list of agents names, if the agent was added from it.
+	listedRun uint64
 	// supersededRun is the run of the agent, or of another one at its address, before the present one.
 	supersededRun uint64
 	// runSeenAt is when the first status of the agent's run arrived.
@@ -52,18 +54,27 @@
 // no flow can be left with it.
 func (a *agent) holdsNoFlows() bool { return a.status.Stopping && a.status.UpstreamEnded }
 
-// AddPeer adds an agent that may exist, and asks it for its status. stopping means that its last known state
-// was a requested stop, after which agents usually come back.
-func (p *Placer) AddPeer(node lentilflow.Node, service string, stopping bool, actions []Action) []Action {
-	if p.agents[node.Address] != nil {
+// Peer is an agent as the list of agents names it.
+type Peer struct {
+	Node    lentilflow.Node
+	Service string
+	// Stopping means that the agent's last known state was a requested stop, after which agents usually come back.
+	Stopping bool
+	// RunID identifies the run of the agent; zero if it isn't known.
+	RunID uint64
+}
+
+// AddPeer adds an agent that may exist, and asks it for its status.
+func (p *Placer) AddPeer(peer Peer, actions []Action) []Action {
+	if p.agents[peer.Node.Address] != nil {
 		return actions
 	}
 	now := p.now()
-	p.putAgent(node.Address, &agent{
-		status:  lentilflow.Status{Name: node.Name, Domain: node.Domain, Service: service, Stopping: stopping},
-		addedAt: now, helloAt: now,
+	p.putAgent(peer.Node.Address, &agent{
+		status:  lentilflow.Status{Name: peer.Node.Name, Domain: peer.Node.Domain, Service: peer.Service, Stopping: peer.Stopping},
+		addedAt: now, helloAt: now, listedRun: peer.RunID,
 	})
-	return append(actions, Action{Kind: SendHello, To: node.Address})
+	return append(actions, Action{Kind: SendHello, To: peer.Node.Address})
 }
 
 // KnowsAgent reports whether there is an agent of the given name.
@@ -182,16 +193,17 @@
 }
 
 // ExpireAgents removes agents that have been gone for longer than expireAfter, and returns those whose names no other agent has.
-func (p *Placer) ExpireAgents() (gone []lentilflow.Node) {
+func (p *Placer) ExpireAgents() (gone []Peer) {
 	now := p.now()
 	for addr, a := range p.agents {
 		if now.Sub(a.lastSeen) > expireAfter && now.Sub(a.addedAt) > expireAfter && p.isGone(now, a) {
-			gone = append(gone, lentilflow.Node{Name: a.status.Name, Domain: a.status.Domain, Address: addr})
+			node := lentilflow.Node{Name: a.status.Name, Domain: a.status.Domain, Address: addr}
+			gone = append(gone, Peer{Node: node, Service: a.status.Service, Stopping: a.status.Stopping, RunID: cmp.Or(a.status.RunID, a.listedRun)})
 			delete(p.agents, addr)
 			p.agentsByService = nil
 		}
 	}
-	return slices.DeleteFunc(gone, func(n lentilflow.Node) bool { return p.KnowsAgent(n.Name) })
+	return slices.DeleteFunc(gone, func(g Peer) bool { return p.KnowsAgent(g.Node.Name) })
 }
 
 // StopArbiter returns the agent that a balancer of the placer's failure domain asks whether it may stop. Balancers with the
--- a/pkg/lentilplacement/hold_test.go
+++ b/pkg/lentilplacement/hold_test.go
@@ -17,7 +17,7 @@
 }
 
 func listAgent(h *harness, n int) {
-	h.AddPeer(lentilflow.Node{Domain: "near", Address: agentAddress(n)}, "a", false, nil)
+	h.AddPeer(Peer{Node: lentilflow.Node{Domain: "near", Address: agentAddress(n)}, Service: "a"}, nil)
 }
 
 // TestFirstPacketsAreHeldWhileStarting checks that a flow that arrives before the balancer knows an agent for it is
--- a/pkg/lentilplacement/placement_test.go
+++ b/pkg/lentilplacement/placement_test.go
@@ -63,7 +63,7 @@
 	h.Placer = &Placer{Clock: h.clock, Codec: codec(), Domain: "near"}
 	h.configure(1, "a")
 	for n := 1; n <= 4; n++ {
-		h.AddPeer(lentilflow.Node{Name: fmt.Sprint("agent-", n), Domain: "near", Address: agentAddress(n)}, "", false, nil)
+		h.AddPeer(Peer{Node: lentilflow.Node{Name: fmt.Sprint("agent-", n), Domain: "near", Address: agentAddress(n)}}, nil)
 		h.sendStatus(n)
 	}
 	h.SetAgentsComplete()
@@ -143,11 +143,11 @@
 	return strings.Join(lines, ", ")
 }
 
-// expireAgents returns the names and the addresses of the agents that have been gone for long.
+// expireAgents returns the names, addresses and runs of the agents that have been gone for long.
 func (h *harness) expireAgents() string {
 	var gone []string
-	for _, n := range h.ExpireAgents() {
-		gone = append(gone, fmt.Sprintf("%s at %s", n.Name, n.Address))
+	for _, p := range h.ExpireAgents() {
+		gone = append(gone, fmt.Sprintf("%s at %s, run %d", p.Node.Name, p.Node.Address, p.RunID))
 	}
 	return strings.Join(gone, ", ")
 }
@@ -394,9 +394,16 @@
 		}},
 		{"an agent that has been gone for long expires", []step{
 			{func(h *harness) string { return h.advance(20*time.Second, 1, 2, 4) }, "AgentSilent 3"},
-			{func(h *harness) string { return h.expireAgents() }, "agent-3 at 10.0.0.3:7720"},
+			{func(h *harness) string { return h.expireAgents() }, "agent-3 at 10.0.0.3:7720, run 1"},
 			{func(h *harness) string { return h.expireAgents() }, ""},
 		}},
+		{"an agent that was never heard expires with the run that is listed", []step{
+			{func(h *harness) string {
+				h.AddPeer(Peer{Node: lentilflow.Node{Name: "agent-5", Domain: "near", Address: agentAddress(5)}, RunID: 7}, nil)
+				return h.advance(20*time.Second, 1, 2, 3, 4)
+			}, ""},
+			{func(h *harness) string { return h.expireAgents() }, "agent-5 at 10.0.0.5:7720, run 7"},
+		}},
 		{"no agent expires after a pause of the balancer", []step{
 			{func(h *harness) string { return h.advance(3*time.Second, 1, 2, 3, 4) }, ""},
 			{func(h *harness) string { h.clock.Advance(time.Minute); return describe(h.Tick(nil)) }, ""},
@@ -503,7 +510,7 @@
 	h.Placer = &Placer{Clock: h.clock, Codec: codec(), Domain: "near"}
 	h.configure(1, "a")
 	for n := 1; n <= 3; n++ {
-		h.AddPeer(lentilflow.Node{Name: fmt.Sprint("agent-", n), Domain: "near", Address: agentAddress(n)}, "a", false, nil)
+		h.AddPeer(Peer{Node: lentilflow.Node{Name: fmt.Sprint("agent-", n), Domain: "near", Address: agentAddress(n)}, Service: "a"}, nil)
 	}
 	h.SetAgentsComplete()
 	h.sendStatus(2, func(m *lentilflow.Status) { m.Service = "b" })
