lentilconntrack: an agent whom no balancer sends a Hello publishes its entry again

An agent that is cut off for longer than 20 s is forgotten by all balancers, which remove its entry, and forgets them. After the cut nobody introduces it again: an agent published its entry only when a Hello came after a long gap, and none came. Its upstream got no new flows until it was restarted, and balancers for whom all other agents had denied its open flows reset these.

An agent now publishes its entry and reads the list of balancers each 12 s without a Hello, one attempt at a time. Two new cases of TestDecisions (no Hello any more; never one) fail without the change.

--- a/internal/lentilpacket/agent.go
+++ b/internal/lentilpacket/agent.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -71,7 +72,9 @@
 	// discover publishes the agent's entry and reads the list of balancers. confirm makes sure some time later that the entry
 	// is still there.
 	discover, confirm func()
-	workers           sync.WaitGroup
+	// discovering is set while rediscover publishes the entry and reads the list.
+	discovering atomic.Bool
+	workers     sync.WaitGroup
 	// ctx ends probes. It is that of Run once the agent runs.
 	ctx context.Context
 }
@@ -289,9 +292,13 @@
 	})
 }
 
-// rediscover publishes the agent's entry, which may have been removed.
+// rediscover publishes the agent's entry, which may have been removed. It does nothing while an earlier call still tries to.
 func (a *Agent) rediscover() {
+	if !a.discovering.CompareAndSwap(false, true) {
+		return
+	}
 	a.discover()
+	a.discovering.Store(false)
 	a.confirm()
 }
 
--- a/pkg/lentilconntrack/balancers.go
+++ b/pkg/lentilconntrack/balancers.go
@@ -60,7 +60,7 @@
 	b.understandsEra, b.configured, b.relays, b.understandsWait = m.UnderstandsEra, m.Configured, m.Relays, m.UnderstandsWait
 	now := t.now()
 	if !t.lastHelloAt.IsZero() && now.Sub(t.lastHelloAt) > maxHelloGap {
-		actions = append(actions, Action{Kind: Rediscover})
+		actions = t.rediscover(now, actions)
 	}
 	t.lastHelloAt = now
 	if m.DomainState.AsOf > 0 {
@@ -70,6 +70,23 @@
 	return append(actions, Action{Kind: SendStatus, To: from})
 }
 
+// rediscover asks for a Rediscover.
+func (t *Tracker) rediscover(now time.Time, actions []Action) []Action {
+	t.rediscoveredAt = now
+	return append(actions, Action{Kind: Rediscover})
+}
+
+// tickBalancers asks for a Rediscover every maxHelloGap while no balancer sends a Hello. By the end of a long cut, all balancers
+// may have forgotten the agent and removed its entry, and then none sends one.
+func (t *Tracker) tickBalancers(now time.Time, actions []Action) []Action {
+	for _, at := range []time.Time{t.startedAt, t.lastHelloAt, t.rediscoveredAt} {
+		if now.Sub(at) <= maxHelloGap {
+			return actions
+		}
+	}
+	return t.rediscover(now, actions)
+}
+
 // HandleStopRequest answers a balancer that asks whether it may leave the routers' rotation.
 func (t *Tracker) HandleStopRequest(m lentilflow.StopRequest) lentilflow.StopAnswer {
 	t.permits.Clock = t.Clock
--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -156,11 +156,13 @@
 	probing      bool
 	upstreamRuns uint64
 	// lastCold is the value of Cold in the last tick.
-	lastCold       bool
-	balancers      map[lentilflow.Endpoint]*balancer
-	permits        lentildrain.Permits
-	lastStatusAt   time.Time
-	lastHelloAt    time.Time
+	lastCold     bool
+	balancers    map[lentilflow.Endpoint]*balancer
+	permits      lentildrain.Permits
+	lastStatusAt time.Time
+	lastHelloAt  time.Time
+	// rediscoveredAt is the time of the last Rediscover.
+	rediscoveredAt time.Time
 	statusSequence uint64
 	// previousLedger is the ledger of an earlier run of the agent until the upstream has registered, else nil.
 	// previousLedgerEra is the era of the store in which it was read.
--- a/pkg/lentilconntrack/tracker_test.go
+++ b/pkg/lentilconntrack/tracker_test.go
@@ -488,6 +488,17 @@
 			{func(h *harness) string { return formatActions(h.HandleHello(peer1, lentilflow.Hello{}, nil)) }, "SendStatus"},
 			{func(h *harness) string { h.clock.Advance(13 * time.Second); return "" }, ""},
 			{func(h *harness) string { return formatActions(h.HandleHello(peer1, lentilflow.Hello{}, nil)) }, "Rediscover, SendStatus"},
+			{tickAfter(11 * time.Second), "SendStatus"},
+		}},
+		{"an agent that gets no Hello any more rediscovers the balancers", true, []step{
+			{func(h *harness) string { return formatActions(h.HandleHello(peer1, lentilflow.Hello{}, nil)) }, "SendStatus"},
+			{tickAfter(21 * time.Second), "Rediscover"},
+			{tickAfter(11 * time.Second), ""},
+			{tickAfter(2 * time.Second), "Rediscover"},
+		}},
+		{"an agent that has never got a Hello rediscovers the balancers", true, []step{
+			{tickAfter(11 * time.Second), ""},
+			{tickAfter(2 * time.Second), "Rediscover"},
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -557,3 +568,11 @@
 		t.Errorf("got %q, want %q", got, want)
 	}
 }
+
+// tickAfter returns a step that ticks some time later.
+func tickAfter(d time.Duration) func(*harness) string {
+	return func(h *harness) string {
+		h.clock.Advance(d)
+		return formatActions(h.Tick(nil))
+	}
+}
--- a/pkg/lentilconntrack/upstream.go
+++ b/pkg/lentilconntrack/upstream.go
@@ -331,7 +331,7 @@
 		t.lastSweep = now
 		t.sweep(now)
 	}
-	return t.sendDueStatuses(now, t.admitWaiting(now, actions))
+	return t.sendDueStatuses(now, t.admitWaiting(now, t.tickBalancers(now, actions)))
 }
 
 // sweep removes flows that weren't used for longer than the timeout of their state, counts the idle ones, and stops
