lentilconntrack: a start by the time of day alone doesn't show that all flows are known

This commit closes two related paths. Nobody has reported them.

Callers would see the flows of a living endpoint reset. An agent whose run marker was lost, and which is restarted, concluded that it knows all flows if its upstream hasn't started before it. That compared two readings of the time of day, which may have jumped back in between, and took an upstream that doesn't tell its start for one that is younger.

The agent must now also have been running since before the upstream's first registration, by the number of its registrations and the renewal interval, and a missing start shows nothing. Each time the registration's own time is compared, not that at which the ledger was read. Three new cases of TestFlowsCompleteAfterRestore (no start; a jump, with the second and the third registration) and one of TestDecisions fail without the change. The old case of an upstream that doesn't tell its start asked for the unsafe conclusion and asks for its opposite now; cases with a second or third registration let the agent run for as long as these take, which they left out.

--- a/pkg/lentilconntrack/era_test.go
+++ b/pkg/lentilconntrack/era_test.go
@@ -77,6 +77,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			h := newHarness(t)
 			h.Address = peer1
+			h.Start()
+			h.clock.Advance(1300 * time.Millisecond)
 			h.Register(Registration{ID: "u", Incarnation: h.createdAt.UnixMilli(), Sequence: 2, Service: "a"}, nil)
 			h.Restore(c.ledger, 2, nil)
 			h.HandleHello(peer1, c.hello, nil)
--- a/pkg/lentilconntrack/ledger.go
+++ b/pkg/lentilconntrack/ledger.go
@@ -203,7 +203,8 @@
 // lost with a return from an older copy, and hence has never been written.
 func (t *Tracker) confirmFlowsComplete(state lentilflow.StoreState) {
 	if t.missingLedgerEra != 0 && state.Era == t.missingLedgerEra && state.EraAge >= startupTime+t.now().Sub(t.startedAt) {
-		t.FlowsComplete, t.missingLedgerEra = true, 0
+		t.missingLedgerEra = 0
+		t.concludeFlowsComplete(t.upstream.receivedAt, t.upstream.incarnation, t.upstream.sequence)
 	}
 }
 
@@ -215,12 +216,11 @@
 	}
 	t.previousLedger = nil
 	now := t.now()
-	if t.upstream.sequence <= maxStartupSequence && !matches(ledger, t.upstream) && t.precedes(t.upstream.incarnation) {
-		// No earlier run of the agent has let flows open at this run of the upstream, or the store has lost the
-		// ledger that would show it. If the upstream has started before this run, an earlier one may have failed to
-		// store its run marker.
+	if t.upstream.sequence <= maxStartupSequence && !matches(ledger, t.upstream) {
+		// No earlier run of the agent has let flows open at this run of the upstream, or it has failed to store its run
+		// marker, or the store has lost the ledger that would show it.
 		if ledger.Era == t.previousLedgerEra {
-			t.FlowsComplete = true
+			t.concludeFlowsComplete(t.upstream.receivedAt, t.upstream.incarnation, t.upstream.sequence)
 		} else {
 			t.missingLedgerEra = t.previousLedgerEra
 		}
--- a/pkg/lentilconntrack/ledger_test.go
+++ b/pkg/lentilconntrack/ledger_test.go
@@ -1,6 +1,7 @@
 package lentilconntrack
 
 import (
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -58,36 +59,43 @@
 }
 
 // unknownAge is the age of an upstream that doesn't tell it. testStart is the time of newHarness, in milliseconds of Unix time.
-const unknownAge = -time.Second
+const unknownAge = time.Duration(math.MinInt64)
 
 var testStart = newHarness(nil).createdAt.UnixMilli()
 
 // TestFlowsCompleteAfterRestore checks when a restarted agent may conclude from the ledger and the registration that its
 // upstream holds no flow that it doesn't know.
 func TestFlowsCompleteAfterRestore(t *testing.T) {
+	older := lentilledger.Ledger{Service: "a", Address: peer1, UpstreamID: "old", UpstreamIncarnation: 1}
 	for _, c := range []struct {
 		name     string
 		ledger   lentilledger.Ledger
 		sequence int64
-		// age is how long before the agent the upstream has started. It sends no time of its start if that is unknown.
-		age  time.Duration
-		want bool
+		// age is how long before the agent the upstream has started, by the time of day. It sends no time of its start if that is unknown.
+		age time.Duration
+		// running is how long the agent has been running when it gets the registration.
+		running time.Duration
+		want    bool
 	}{
-		{"the upstream has just started with the agent", lentilledger.Ledger{Service: "a", Address: peer1, UpstreamID: "old", UpstreamIncarnation: 1}, 2, 50 * time.Millisecond, true},
-		{"the upstream has just started and there is no ledger", lentilledger.Ledger{}, 3, 0, true},
-		{"the upstream doesn't tell when it has started, and there is no ledger", lentilledger.Ledger{}, 3, unknownAge, true},
-		{"the upstream has started before the agent, whose earlier run may have failed to write the run marker", lentilledger.Ledger{}, 3, 2 * time.Second, false},
-		{"the same, and an older ledger was found", lentilledger.Ledger{Service: "a", Address: peer1, UpstreamID: "old", UpstreamIncarnation: 1}, 2, 200 * time.Millisecond, false},
-		{"an earlier run of the agent has written the run marker", lentilledger.Ledger{Service: "a", Address: peer1, UpstreamID: "u", UpstreamIncarnation: testStart}, 2, 0, false},
-		{"the upstream has been registering for longer", lentilledger.Ledger{Service: "a", Address: peer1, UpstreamID: "old", UpstreamIncarnation: 1}, 4, 0, false},
+		{"the upstream has just started with the agent", older, 2, 50 * time.Millisecond, 1300 * time.Millisecond, true},
+		{"the upstream has just started and there is no ledger", lentilledger.Ledger{}, 3, 0, 2600 * time.Millisecond, true},
+		{"the upstream doesn't tell when it has started, and there is no ledger", lentilledger.Ledger{}, 3, unknownAge, 2600 * time.Millisecond, false},
+		{"the upstream has started before the agent, whose earlier run may have failed to write the run marker", lentilledger.Ledger{}, 3, 2 * time.Second, 2600 * time.Millisecond, false},
+		{"the same, and an older ledger was found", older, 2, 200 * time.Millisecond, 1300 * time.Millisecond, false},
+		{"the same, and the time of day has jumped back before the agent started", lentilledger.Ledger{}, 3, -time.Second, 1500 * time.Millisecond, false},
+		{"the same, and the agent gets the second registration as it starts", older, 2, -time.Second, 0, false},
+		{"an earlier run of the agent has written the run marker", lentilledger.Ledger{Service: "a", Address: peer1, UpstreamID: "u", UpstreamIncarnation: testStart}, 2, 0, 1300 * time.Millisecond, false},
+		{"the upstream has been registering for longer", older, 4, 0, 4 * time.Second, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h := newHarness(t)
 			h.Address = peer1
-			r := Registration{ID: "u", Incarnation: h.createdAt.Add(-c.age).UnixMilli(), Sequence: c.sequence, Service: "a"}
-			if c.age == unknownAge {
-				r.Incarnation = 0
+			r := Registration{ID: "u", Sequence: c.sequence, Service: "a"}
+			if c.age != unknownAge {
+				r.Incarnation = h.createdAt.Add(-c.age).UnixMilli()
 			}
+			h.Start()
+			h.clock.Advance(c.running)
 			h.Register(r, nil)
 			if h.FlowsComplete {
 				t.Error("FlowsComplete is set before the ledger is restored")
--- a/pkg/lentilconntrack/tracker_test.go
+++ b/pkg/lentilconntrack/tracker_test.go
@@ -105,6 +105,12 @@
 			{register("u"), "ReportStateChange UpstreamRegistered"},
 			{carry(lentilflow.Lookup, dataPacket(key, 501)), "SendDenied unsure=false"},
 		}},
+		{"the first registration shows nothing if it doesn't tell when the upstream has started", false, []step{
+			{func(h *harness) string {
+				return formatActions(h.Register(Registration{ID: "u", Sequence: 1, Service: "a"}, nil))
+			}, "ReportStateChange UpstreamRegistered"},
+			{carry(lentilflow.Lookup, dataPacket(key, 501)), "ToUpstream"},
+		}},
 		{"an upstream that can't accept a flow returns the packet", true, []step{
 			{register("u"), "ReportStateChange UpstreamRegistered"},
 			{carry(lentilflow.Place, firstPacket(key)), "ToUpstream, SendTaken open=false"},
--- a/pkg/lentilconntrack/upstream.go
+++ b/pkg/lentilconntrack/upstream.go
@@ -39,8 +39,8 @@
 	incarnation  int64
 	sequence     int64
 	slots        int
-	// registeredAt is the time of the last registration, moved on by the pauses of the agent since then.
-	registeredAt time.Time
+	// receivedAt is the time of the last registration. registeredAt is moved on by the pauses of the agent since then.
+	receivedAt, registeredAt time.Time
 	// seenAt is when the upstream last registered or sent a packet of a flow that it holds, at the earliest.
 	seenAt    time.Time
 	coldUntil time.Time
@@ -77,20 +77,20 @@
 	t.contest = contest{}
 	sameRun := registered && u.id == r.ID && u.incarnation == r.Incarnation
 	previousPhase := u.phase
-	if !registered && r.Sequence <= firstSequence && t.precedes(r.Incarnation) {
-		// The agent was running before its upstream could get a flow.
-		t.FlowsComplete = true
+	if !registered && r.Sequence <= firstSequence {
+		// No run of the agent has had a registration of this run of the upstream before.
+		t.concludeFlowsComplete(now, r.Incarnation, r.Sequence)
 	}
 	if !sameRun && registered {
 		// The run that held the flows has ended, since only one upstream can use an address.
 		// It may have accepted flows before it registers.
 		actions = t.resetFlows(UpstreamReplaced, func(f *flow) bool { return f.usedSince(r.Incarnation) }, actions)
-		t.FlowsComplete = t.FlowsComplete || t.precedes(r.Incarnation)
+		t.concludeFlowsComplete(now, r.Incarnation, r.Sequence)
 	}
 	u.id, u.incarnation, u.sequence, u.otherRunSequence = r.ID, r.Incarnation, r.Sequence, 0
 	t.observePause(now)
 	t.recordSeen(now)
-	u.registeredAt, u.slots, u.coldStateKnown, u.coldUntil = now, r.Slots, true, now.Add(r.ColdFor)
+	u.receivedAt, u.registeredAt, u.slots, u.coldStateKnown, u.coldUntil = now, now, r.Slots, true, now.Add(r.ColdFor)
 	u.phase, u.ended, u.deregistered = lentilflow.Ready, false, false
 	if r.Draining {
 		u.phase = lentilflow.Draining
@@ -118,10 +118,19 @@
 // which an agent that has ended is started again.
 const startSlack = 100 * time.Millisecond
 
-// precedes reports whether the agent was running when the run of the upstream started, so that no earlier run of the agent
-// can have let flows open there.
-func (t *Tracker) precedes(incarnation int64) bool {
-	return incarnation == 0 || t.startedAt.Add(-startSlack).UnixMilli() <= incarnation
+// concludeFlowsComplete sets FlowsComplete if no earlier run of the agent can have let flows open at the run of the upstream that
+// has started at incarnation, and has registered at the given time with the given sequence.
+//
+// By the time of day, the upstream then hasn't started before the agent. That alone shows nothing, since the time of day may have
+// jumped back in between, so the agent must also have been running since before the upstream registered for the first time.
+func (t *Tracker) concludeFlowsComplete(registeredAt time.Time, incarnation, sequence int64) {
+	if incarnation == 0 || incarnation < t.startedAt.Add(-startSlack).UnixMilli() {
+		return
+	}
+	sinceFirst := time.Duration(sequence-firstSequence) * (t.RenewInterval + reuseMargin)
+	if sequence <= firstSequence || t.RenewInterval > 0 && registeredAt.Sub(t.startedAt) >= sinceFirst {
+		t.FlowsComplete = true
+	}
 }
 
 // stale reports whether a registration is older than the last one in effect. Incarnations come from the time of day,
