lentilconntrack: late registrations don't show that an upstream is still there

Cause: a registration counted as sent when it was read. Ruled out: the agent's pauses (none in the record), registrations of the other service that were skipped (the contest had begun).

The agent now estimates by sequence and interval when each registration was sent, and counts its trust from there, with the 200 ms by which one may be late in any case. A run that registers after a gap counts as there again after three registrations in a row that come as far apart as they were sent, one if the agent itself was paused. The same goes for a contest, for a run that seems older than the registered one, for the first registrations of a run, which are compared with its start, and for a run that had started when nothing listened at the address. Packets renew the trust only on flows that were there when the upstream last registered. An operator finds late ones in LE2410 (RegistrationLate).

--- a/pkg/lentilconntrack/action.go
+++ b/pkg/lentilconntrack/action.go
@@ -77,6 +77,9 @@
 	DomainKeptOut
 	// ColdChanged means that the upstream has warmed up, or has become cold.
 	ColdChanged
+	// RegistrationLate means that a registration may have been sent so long ago that the upstream has ended since. It gets no new
+	// flows.
+	RegistrationLate
 )
 
 // Action is one operation for the agent to perform. Which fields are set depends on Kind.
--- a/pkg/lentilconntrack/flow.go
+++ b/pkg/lentilconntrack/flow.go
@@ -25,6 +25,7 @@
 	// acknowledged is the client's last acknowledgement number, or the upstream's sequence number if the client's
 	// isn't known. A reset to the client carries it.
 	acknowledged uint32
+	addedAt      time.Time
 	lastUsed     time.Time
 	// heardAt is when the upstream last sent a packet of the flow.
 	heardAt time.Time
@@ -86,7 +87,7 @@
 		t.flows = make(map[lentilflow.Key]*flow)
 	}
 	t.flows[key] = f
-	f.route = t.route(key.Service())
+	f.addedAt, f.route = t.now(), t.route(key.Service())
 }
 
 func (t *Tracker) removeFlow(key lentilflow.Key) {
--- a/pkg/lentilconntrack/presence.go
+++ b/pkg/lentilconntrack/presence.go
@@ -17,15 +17,14 @@
 	return u.id != "" && (t.AddressReuse == 0 || now.Sub(u.seenAt) < max(t.AddressReuse-pauseThreshold-reuseMargin, t.RenewInterval+reuseMargin))
 }
 
-// recordSeen records a message of the upstream. One that is read right after a pause of the agent may have waited all the while.
-// Shorter pauses aren't noticed; upstreamKnown allows for one.
-func (t *Tracker) recordSeen(now time.Time) {
-	sentAt := now
-	if t.justResumed(now) {
-		sentAt = t.pausedAt
+// recordSeen records that the upstream was there at the time at, since it sent a message then that is read now. One that is read right
+// after a pause of the agent may have waited all the while. Shorter pauses aren't noticed; upstreamKnown allows for one.
+func (t *Tracker) recordSeen(now, at time.Time) {
+	if t.justResumed(now) && t.pausedAt.Before(at) {
+		at = t.pausedAt
 	}
-	if sentAt.After(t.upstream.seenAt) {
-		t.upstream.seenAt = sentAt
+	if at.After(t.upstream.seenAt) {
+		t.upstream.seenAt = at
 	}
 }
 
@@ -34,22 +33,30 @@
 	return (t.upstream.phase == lentilflow.Ready || t.upstream.phase == lentilflow.Draining) && t.upstreamKnown(now)
 }
 
-// contest is the state of an address at which an upstream of another service has registered while the agent's own wasn't known. A
-// single registration of the agent's upstream may then have been delayed until after its sender has ended, so that it takes two
-// without one of the other service in between.
+// contest is the state of an address at which an upstream of another service has registered while the agent's own wasn't known.
+// Registrations of the agent's upstream may then have been delayed until after their sender has ended.
 type contest struct {
 	contested bool
-	// first is the first registration of the agent's upstream since then; its ID is empty before that.
-	first Registration
+	// incarnation is the latest start of the other upstreams.
+	incarnation int64
+}
+
+// begin records a registration of an upstream of another service.
+func (c *contest) begin(r Registration) {
+	c.contested, c.incarnation = true, max(c.incarnation, r.Incarnation)
 }
 
-// settledBy reports whether a registration shows that the agent's own upstream has the address. If it doesn't yet, it is kept.
-func (c *contest) settledBy(r Registration) bool {
-	if !c.contested || c.first.ID == r.ID && c.first.Incarnation == r.Incarnation && r.Sequence > c.first.Sequence {
+// settledBy reports whether a registration, the last one of the cadence, shows that the agent's own upstream has the address. After one of
+// another service it takes two, as far apart as they were sent. It takes more if the other upstream has started later, or doesn't tell.
+func (c *contest) settledBy(r Registration, last *cadence) bool {
+	if !c.contested {
 		return true
 	}
-	c.first = r
-	return false
+	need := 1
+	if r.Incarnation <= c.incarnation {
+		need = confirmCount
+	}
+	return last.regular >= need && !last.late()
 }
 
 // observePause records that the agent goes on after a pause.
--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -116,6 +116,8 @@
 	LedgerCovered func() bool
 
 	upstream upstream
+	// cadence has the last registrations of the agent's own service, also those that were ignored because of a contest.
+	cadence cadence
 	// contest is about other upstreams that register with the agent.
 	contest contest
 	// breaker stops new flows to an upstream that fails, and queue holds them until the upstream has room.
@@ -155,6 +157,8 @@
 	// counts the runs that have registered.
 	probing      bool
 	upstreamRuns uint64
+	// refusedSince is when a probe was first refused since the last one that was accepted.
+	refusedSince time.Time
 	// lastCold is the value of Cold in the last tick.
 	lastCold     bool
 	balancers    map[lentilflow.Endpoint]*balancer
@@ -349,8 +353,9 @@
 	if f.ofEarlierFlow(packet) {
 		return actions, nil
 	}
-	if (f.state == halfOpen || f.state == open) && !packet.Flags.Has(lentilflow.Reset) {
-		t.recordSeen(now)
+	if (f.state == halfOpen || f.state == open) && !packet.Flags.Has(lentilflow.Reset) && !f.addedAt.After(t.cadence.sentAt) {
+		// An upstream of another service doesn't hold flows from before the own one last registered.
+		t.recordSeen(now, now)
 	}
 	f.unconfirmed = false
 	if f.state == open && asked {
--- a/pkg/lentilconntrack/upstream.go
+++ b/pkg/lentilconntrack/upstream.go
@@ -46,23 +46,26 @@
 	coldUntil time.Time
 	// coldStateKnown is false while the upstream may have become cold and hasn't registered since.
 	coldStateKnown bool
-	// otherRunSequence is the sequence of the last registration of a run that seems to be older than the
-	// registered one, and zero if there was none.
-	otherRunSequence int64
+	// otherRun has the registrations of a run that seems to be older than the registered one.
+	otherRun cadence
 }
 
 // cold reports whether the upstream has, or may have, less than its usual capacity.
 func (u *upstream) cold(now time.Time) bool { return !u.coldStateKnown || now.Before(u.coldUntil) }
 
 // Register handles a registration. It is in effect when Register returns, unless it is ignored: if it is of another service, if it is
-// stale, or if it is the first one after the address was contested.
+// stale, or if it doesn't settle a contest of the address.
 func (t *Tracker) Register(r Registration, actions []Action) []Action {
 	u, now := &t.upstream, t.now()
+	t.observePause(now)
 	registered := u.id != ""
 	switch {
 	case r.Service != t.Service:
+		if r.Incarnation == 0 || r.Incarnation >= t.cadence.incarnation {
+			t.cadence.interrupt()
+		}
 		if !t.upstreamPresent(now) {
-			t.contest = contest{contested: true}
+			t.contest.begin(r)
 		}
 		return actions
 	case registered && t.stale(now, r):
@@ -71,7 +74,11 @@
 			u.coldStateKnown = false
 		}
 		return actions
-	case !t.upstreamPresent(now) && !t.contest.settledBy(r):
+	case t.contest.contested && t.cadence.supersedes(now, r, t.RenewInterval):
+		return actions
+	}
+	t.observeCadence(now, r)
+	if !t.upstreamPresent(now) && !t.contest.settledBy(r, &t.cadence) {
 		return actions
 	}
 	t.contest = contest{}
@@ -87,13 +94,16 @@
 		actions = t.resetFlows(UpstreamReplaced, func(f *flow) bool { return f.usedSince(r.Incarnation) }, actions)
 		t.concludeFlowsComplete(now, r.Incarnation, r.Sequence)
 	}
-	u.id, u.incarnation, u.sequence, u.otherRunSequence = r.ID, r.Incarnation, r.Sequence, 0
-	t.observePause(now)
-	t.recordSeen(now)
+	u.id, u.incarnation, u.sequence, u.otherRun = r.ID, r.Incarnation, r.Sequence, cadence{}
+	t.recordSeen(now, t.cadence.seenAt)
 	u.receivedAt, u.registeredAt, u.slots, u.coldStateKnown, u.coldUntil = now, now, r.Slots, true, now.Add(r.ColdFor)
 	u.phase, u.ended, u.deregistered = lentilflow.Ready, false, false
-	if r.Draining {
+	switch {
+	case r.Draining:
 		u.phase = lentilflow.Draining
+	case !t.upstreamKnown(now):
+		// The registration is late, and the upstream may have ended since.
+		u.phase = lentilflow.Gone
 	}
 	t.queue.SetSlots(r.Slots)
 	if !sameRun {
@@ -108,12 +118,32 @@
 	switch {
 	case u.phase != previousPhase && r.Draining:
 		return t.announceChange(UpstreamLeaving, actions)
+	case u.phase == lentilflow.Gone && sameRun && previousPhase == lentilflow.Gone:
+		return append(actions, Action{Kind: ReportStateChange, Cause: RegistrationLate})
+	case u.phase == lentilflow.Gone:
+		return t.announceChange(RegistrationLate, actions)
 	case u.phase != previousPhase || !sameRun:
 		return t.announceChange(UpstreamRegistered, actions)
 	}
 	return actions
 }
 
+// observeCadence records when a registration of the agent's own service was sent.
+func (t *Tracker) observeCadence(now time.Time, r Registration) {
+	c := &t.cadence
+	if t.upstream.otherRun.isOf(r) {
+		*c = t.upstream.otherRun
+		return
+	}
+	isNew := !c.isOf(r)
+	c.observe(now, r, t.RenewInterval, t.resumedAt.After(c.receivedAt))
+	if isNew && r.Incarnation != 0 && r.Incarnation < t.refusedSince.UnixMilli() {
+		// The run has ended by then: what it sent is read late.
+		c.recordEnd(t.refusedSince)
+		c.sentAt = t.refusedSince
+	}
+}
+
 // startSlack is by how much an upstream may start before the agent when their machine starts. It is less than the time in
 // which an agent that has ended is started again.
 const startSlack = 100 * time.Millisecond
@@ -134,8 +164,8 @@
 }
 
 // stale reports whether a registration is older than the last one in effect. Incarnations come from the time of day,
-// which may jump back. So a run that seems older is accepted once it registers again while the registered run is
-// overdue.
+// which may jump back. So a run that seems older is accepted once it registers again, as long after its last registration as
+// it was sent, while the registered run is overdue.
 func (t *Tracker) stale(now time.Time, r Registration) bool {
 	u := &t.upstream
 	if r.ID == u.id && r.Incarnation == u.incarnation {
@@ -144,17 +174,18 @@
 	if r.Incarnation > u.incarnation {
 		return false
 	}
-	if !t.overdue(now) || u.otherRunSequence == 0 || r.Sequence <= u.otherRunSequence {
-		u.otherRunSequence = r.Sequence
-		return true
-	}
-	return false
+	u.otherRun.observe(now, r, t.RenewInterval, t.resumedAt.After(u.otherRun.receivedAt))
+	return !t.overdue(now) || u.otherRun.regular == 0
 }
 
 // overdue reports whether the upstream's registration wasn't renewed in time.
 func (t *Tracker) overdue(now time.Time) bool {
-	limit := time.Duration(float64(t.RenewInterval) * overdueIntervals)
-	return limit > 0 && now.Sub(t.upstream.registeredAt) > limit
+	return t.RenewInterval > 0 && now.Sub(t.upstream.registeredAt) > overdueAfter(t.RenewInterval)
+}
+
+// overdueAfter returns the time after a registration from which on the next one is overdue.
+func overdueAfter(interval time.Duration) time.Duration {
+	return time.Duration(float64(interval) * overdueIntervals)
 }
 
 // LastRegistration returns the upstream's ID and the sequence of its last registration.
@@ -223,6 +254,9 @@
 		return actions
 	}
 	t.probing = false
+	if result == ProbeAccepted {
+		t.refusedSince = time.Time{}
+	}
 	switch {
 	case result == ProbeAccepted && t.upstream.deregistered:
 		// The upstream has deregistered and hasn't exited yet.
@@ -238,6 +272,13 @@
 	cause := UpstreamSilent
 	if result == ProbeRefused {
 		cause = UpstreamRefused
+		if t.refusedSince.IsZero() {
+			t.refusedSince = probe.begunAt
+		}
+		if u := &t.upstream; t.cadence.isOf(Registration{ID: u.id, Incarnation: u.incarnation}) {
+			t.cadence.recordEnd(probe.begunAt)
+		}
+		t.upstream.seenAt = time.Time{}
 		actions = t.resetPreviousLedger(cause, actions)
 	}
 	return t.setUpstreamEnded(cause, probe, actions)
