lentilconntrack: a copy of a first packet is new to the next run of the upstream

An upstream that drains got the first packet of a flow, though its agent had acknowledged that it drains.

Cause: an upstream ends after it has accepted a flow. Its answer waits while the agent is paused, and counts as sent when it is read: later than the start of the next run, which registers and drains. So the flow seems to be the next run's, and the client's copies of its first packet were passed on without a look at the state, as to the run that had got the first one.

A copy passes without a look now only to the run that was registered when the packet was last passed on; to another one it is a new flow's. It also counts for the limit of a cold one. The flow itself isn't reset, since the next run may hold it.

--- a/pkg/lentilconntrack/admission.go
+++ b/pkg/lentilconntrack/admission.go
@@ -14,7 +14,7 @@
 	t.recordCold(now)
 	t.breaker.RecordAdmitted()
 	t.expectReply(now)
-	f.waiting, f.lastUsed = false, now
+	f.waiting, f.lastUsed, f.upstreamRun = false, now, t.upstreamRuns
 	return append(actions, Action{Kind: ToUpstream, Key: key, Packet: f.firstPacket})
 }
 
@@ -58,7 +58,7 @@
 	switch {
 	case !t.upstreamKnown(now):
 		return lentilflow.NoUpstream
-	case f.isCopy(packet):
+	case t.isCopy(f, packet):
 		return lentilflow.NotRefused
 	case m.Service != t.Service:
 		return lentilflow.OtherService
@@ -72,6 +72,11 @@
 	return lentilflow.NotRefused
 }
 
+// isCopy reports whether the run of the upstream that is registered has got the first packet of a flow of which packet is surely a copy.
+func (t *Tracker) isCopy(f *flow, packet lentilflow.Packet) bool {
+	return f.isCopy(packet) && f.upstreamRun == t.upstreamRuns
+}
+
 // recordCold counts a new flow that a cold upstream gets.
 func (t *Tracker) recordCold(now time.Time) {
 	if t.upstream.cold(now) && t.coldRate > 0 {
--- a/pkg/lentilconntrack/flow.go
+++ b/pkg/lentilconntrack/flow.go
@@ -16,6 +16,8 @@
 	// firstSequence is the client's sequence number in the packet that opens the flow; it is valid if firstSeen is set.
 	firstSequence uint32
 	firstSeen     bool
+	// upstreamRun is the run of the upstream that was registered when the first packet was last passed on.
+	upstreamRun uint64
 	// waiting is set while the upstream hasn't got the first packet, because it has no room.
 	waiting bool
 	// initialSequence is the upstream's first sequence number; it is valid if upstreamAccepted is set.
--- a/pkg/lentilconntrack/reuse_test.go
+++ b/pkg/lentilconntrack/reuse_test.go
@@ -360,6 +360,33 @@
 	}
 }
 
+// TestCopyOfFirstPacketAtNextRun guards against a first packet that reaches an upstream which drains, since the run before it had got
+// another copy of the packet, and its answer is read after a pause of the agent.
+func TestCopyOfFirstPacketAtNextRun(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*Registration)
+		want   string
+	}{
+		{"drains", setDraining, "SendRefused UpstreamDraining"},
+		{"is ready", func(*Registration) {}, "ToUpstream, SendTaken open=false"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.AddressReuse = 2 * time.Second
+			h.register("u")
+			h.Tick(nil)
+			h.fromBalancer(peer1, lentilflow.Place, firstPacket(flowKey(1)))
+			h.clock.Advance(900 * time.Millisecond)
+			h.fromUpstream(acceptPacket(flowKey(1), 500))
+			h.register("next", func(r *Registration) { r.Incarnation, r.Sequence = 700, 1 }, c.change)
+			if got := h.fromBalancer(peer1, lentilflow.Place, firstPacket(flowKey(1))); got != c.want {
+				t.Errorf("got %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
 // TestAnswersOnFlowsAfterRegistration guards against flows that run at an upstream of another service, since its answers on flows
 // that were passed to it by mistake seem to come from the agent's own one.
 func TestAnswersOnFlowsAfterRegistration(t *testing.T) {
--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -234,9 +234,10 @@
 			// The client may have given up the attempt that waits and have begun another one.
 			f.firstPacket, f.firstSequence = slices.Clone(m.Packet), packet.Sequence
 		} else {
-			if !f.isCopy(packet) {
+			if !t.isCopy(f, packet) {
 				t.recordCold(now)
 			}
+			f.upstreamRun = t.upstreamRuns
 			t.expectReply(now)
 			actions = append(actions, Action{Kind: ToUpstream, Key: packet.Key, Packet: m.Packet})
 		}
