lentilconntrack: a pause of the agent explains only what is read right after it

An upstream whose registrations came late counted as there again after a single one in their rhythm, if the agent had been paused since the last one. The pause explains a gap only if the first registration has waited for its end, and then is read within the time in which the agent reads what has waited. Such a gap takes two registrations in rhythm now, and any other one three, as without a pause.

Evidence: a new case of TestLateRegistrationsOfEndedUpstream fails without the change.

--- a/pkg/lentilconntrack/cadence.go
+++ b/pkg/lentilconntrack/cadence.go
@@ -10,6 +10,8 @@
 	// count as sent when they are read, though earlier ones came late. They span 3.6 s at the usual interval. Registrations of an
 	// upstream that has ended go on for as long only if all of them are late by the same 5.6 s or more.
 	confirmCount = 3
+	// resumeConfirmCount takes its place for a registration that has waited during a pause of the agent.
+	resumeConfirmCount = 2
 	// maxSequenceStep bounds the step between two sequences for which a time is computed.
 	maxSequenceStep = 1 << 16
 )
@@ -38,9 +40,9 @@
 	return !c.receivedAt.IsZero() && c.id == r.ID && c.incarnation == r.Incarnation
 }
 
-// observe records a registration that was read now. paused is set if the agent has been paused since the one before. A registration
+// observe records a registration that was read now. resumed is set if that is right after a pause of the agent. A registration
 // of another run begins a new estimate. One that isn't newer than the last one is left out.
-func (c *cadence) observe(now time.Time, r Registration, interval time.Duration, paused bool) {
+func (c *cadence) observe(now time.Time, r Registration, interval time.Duration, resumed bool) {
 	if !c.isOf(r) {
 		*c = newCadence(now, r, interval)
 		return
@@ -67,9 +69,9 @@
 	case isRegular:
 		c.sentAt = latest
 		c.unconfirmed--
-	case paused && c.endedAt.IsZero():
-		// The answer to the one before may have been late, and the upstream may send the next one only then.
-		c.sentAt, c.unconfirmed = latest, 1
+	case resumed && c.endedAt.IsZero():
+		// It has waited during the pause, and the upstream may send the next one only after it is answered.
+		c.sentAt, c.unconfirmed = latest, resumeConfirmCount
 	default:
 		c.sentAt, c.unconfirmed = latest, confirmCount
 	}
--- a/pkg/lentilconntrack/reuse_test.go
+++ b/pkg/lentilconntrack/reuse_test.go
@@ -257,6 +257,15 @@
 			h.run(2 * interval)
 			h.register("next", func(r *Registration) { r.Incarnation, r.Sequence = 1300, 1 })
 		}},
+		{"two after a pause of the agent, not read right after it", func(h *harness) {
+			h.register("u")
+			h.Tick(nil)
+			h.clock.Advance(2 * time.Second)
+			h.run(2800 * time.Millisecond)
+			h.register("u")
+			h.run(interval)
+			h.register("u")
+		}},
 		{"one after nothing listened at the address any more", func(h *harness) {
 			h.register("u")
 			h.HandleProbeResult(ProbeRefused, h.BeginProbe(), nil)
--- a/pkg/lentilconntrack/upstream.go
+++ b/pkg/lentilconntrack/upstream.go
@@ -136,7 +136,7 @@
 		return
 	}
 	isNew := !c.isOf(r)
-	c.observe(now, r, t.RenewInterval, t.resumedAt.After(c.receivedAt))
+	c.observe(now, r, t.RenewInterval, t.justResumed(now))
 	if isNew && r.Incarnation != 0 && r.Incarnation < t.refusedSince.UnixMilli() {
 		// The run has ended by then: what it sent is read late.
 		c.recordEnd(t.refusedSince)
@@ -174,7 +174,7 @@
 	if r.Incarnation > u.incarnation {
 		return false
 	}
-	u.otherRun.observe(now, r, t.RenewInterval, t.resumedAt.After(u.otherRun.receivedAt))
+	u.otherRun.observe(now, r, t.RenewInterval, t.justResumed(now))
 	return !t.overdue(now) || u.otherRun.regular == 0
 }
 
