lentilconntrack: an upstream that another run displaces keeps its flows while it goes on

A registration with all fields, under another ID and with a later start, did what the incomplete ones did: the agent reset the flows of its living upstream, and acknowledged and ignored the upstream's own registrations, also those that said that it drains. So it did with a drain that seemed to be of an earlier run, as after a jump of the time of day, or that a later registration had overtaken. A registration for another address than the agent's upstream has was taken as well.

Cause: one registration was enough to conclude that the run before had ended, and the answer didn't depend on whether the registration was in force. A run under another ID counts at once as before, so that the next run of an upstream is served, but the flows of the one before are reset only when its next registration is overdue, or at once if that is known to have ended. If it registers twice more, as far apart as it sent that, it counts again, and the other run is ignored and gets 409 for as long as that goes on. A registration that says that the upstream drains is acknowledged only if the upstream gets no new flows. One with another address, or another port where the agent reaches its upstream on the loopback address, is answered with 400. The metric registrations_rejected has the new reason notInForce.

Three cases of TestDecisions replaced an upstream at the moment at which it had registered and expected its flows to be reset then. The next run registers 3.1 s later there now, when the one before is overdue; TestNextRunResetsFlows has the time in between.

--- a/internal/lentilpacket/agent.go
+++ b/internal/lentilpacket/agent.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"lentilstair.example/lentilstair/internal/lentilevent"
 	"lentilstair.example/lentilstair/internal/lentilframe"
 	"lentilstair.example/lentilstair/internal/lentilmetric"
@@ -204,9 +206,42 @@
 	return a.tracker.Phase(), a.tracker.UpstreamEnded()
 }
 
-// Register processes the registration of an upstream. It is in effect when Register returns.
-func (a *Agent) Register(r lentilconntrack.Registration) {
-	a.handleEvent(func(actions []lentilconntrack.Action) []lentilconntrack.Action { return a.tracker.Register(r, actions) })
+var (
+	// ErrOtherUpstream means that a registration is of an upstream of another service, or at another address than the agent's.
+	ErrOtherUpstream = errorx.NewNamespace("lentilpacket").NewType("otherUpstream")
+	// ErrNotInForce means that what a registration says isn't in force, so that it must not be acknowledged.
+	ErrNotInForce = errorx.NewNamespace("lentilpacket").NewType("notInForce")
+)
+
+// Register processes the registration of an upstream. If it returns no error, the registration may be acknowledged: what it says is in effect.
+// Errors are of the types ErrOtherUpstream and ErrNotInForce.
+func (a *Agent) Register(r lentilconntrack.Registration) (err error) {
+	if own := a.Settings.UpstreamAddress(); !reaches(own, r.Address) {
+		return ErrOtherUpstream.New("address %s is not the upstream's, %s", r.Address, own)
+	}
+	acknowledged := false
+	a.handleEvent(func(actions []lentilconntrack.Action) []lentilconntrack.Action {
+		actions = a.tracker.Register(r, actions)
+		acknowledged = a.tracker.Acknowledges(r)
+		return actions
+	})
+	switch own := a.Settings.Service(); {
+	case r.Service != own:
+		return ErrOtherUpstream.New("service %.80q is not the agent's service %q", r.Service, own)
+	case !acknowledged:
+		return ErrNotInForce.New("another run of the upstream is registered")
+	}
+	return nil
+}
+
+// reaches reports whether an upstream that names the address advertised may be the one at own. On the loopback address of the
+// machine itself, only the port tells.
+func reaches(own, advertised netip.AddrPort) bool {
+	if !advertised.IsValid() {
+		return true
+	}
+	isLocal := own.Addr() == netip.AddrFrom4([4]byte{127, 0, 0, 1}) || own.Addr() == netip.IPv6Loopback()
+	return own.Port() == advertised.Port() && (isLocal || own.Addr().Unmap() == advertised.Addr().Unmap())
 }
 
 // Deregister processes the message of the upstream id that it is shutting down.
--- a/internal/lentilpacket/count.go
+++ b/internal/lentilpacket/count.go
@@ -21,8 +21,8 @@
 	Resets, Refused atomic.Uint64
 	// RefusedOtherService counts those of Refused that were offered for another service than the agent's.
 	RefusedOtherService atomic.Uint64
-	// RegistrationsOtherService and RegistrationsMalformed count the registrations that an agent has rejected.
-	RegistrationsOtherService, RegistrationsMalformed atomic.Uint64
+	// RegistrationsOtherUpstream, RegistrationsNotInForce and RegistrationsMalformed count the registrations that an agent has rejected.
+	RegistrationsOtherUpstream, RegistrationsNotInForce, RegistrationsMalformed atomic.Uint64
 	// Remembered counts first packets that a balancer sent to the agent of an earlier one with the same ends, and AgentsReplaced
 	// the agents whose address another one, or one of another service, has taken.
 	Remembered, AgentsReplaced atomic.Uint64
@@ -78,7 +78,8 @@
 	poller.AddCounter(registry.Counter(lentilmetric.FlowsReset), c.Resets.Load, nil)
 	poller.AddCounter(registry.Counter(lentilmetric.FlowsRefused), c.Refused.Load, nil)
 	poller.AddCounter(registry.Counter(lentilmetric.RefusedOtherService), c.RefusedOtherService.Load, nil)
-	poller.AddCounter(registry.Counter(lentilmetric.RegistrationRefused, "service"), c.RegistrationsOtherService.Load, nil)
+	poller.AddCounter(registry.Counter(lentilmetric.RegistrationRefused, "service"), c.RegistrationsOtherUpstream.Load, nil)
+	poller.AddCounter(registry.Counter(lentilmetric.RegistrationRefused, "notInForce"), c.RegistrationsNotInForce.Load, nil)
 	poller.AddCounter(registry.Counter(lentilmetric.RegistrationRefused, "malformed"), c.RegistrationsMalformed.Load, nil)
 	poller.AddCounter(registry.Counter(lentilmetric.FlowsRemembered), c.Remembered.Load, nil)
 	poller.AddCounter(registry.Counter(lentilmetric.AgentsReplaced), c.AgentsReplaced.Load, nil)
--- a/internal/lentilpacket/log.go
+++ b/internal/lentilpacket/log.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"lentilstair.example/lentilstair/internal/lentilevent"
 	"lentilstair.example/lentilstair/pkg/lentilconntrack"
 	"lentilstair.example/lentilstair/pkg/lentilflow"
@@ -148,10 +150,13 @@
 	registered, _ := a.tracker.RegistrationAge()
 	seen, _ := a.tracker.SeenAge()
 	a.registrationLimiter.Interval = rejectedLineInterval
-	if service == "" || service == a.Settings.Service() {
+	switch {
+	case errorx.IsOfType(err, ErrNotInForce):
+		a.Counts.RegistrationsNotInForce.Add(1)
+	case errorx.IsOfType(err, ErrOtherUpstream):
+		a.Counts.RegistrationsOtherUpstream.Add(1)
+	default:
 		a.Counts.RegistrationsMalformed.Add(1)
-	} else {
-		a.Counts.RegistrationsOtherService.Add(1)
 	}
 	a.Logger.WriteLimited(&a.registrationLimiter, lentilevent.RegistrationRefused, lentilevent.Str("id", id), lentilevent.Err(err),
 		lentilevent.Str("service", service), lentilevent.Str("agentService", a.Settings.Service()), lentilevent.Str("phase", a.tracker.Phase().String()),
--- a/pkg/lentilconntrack/upstream.go
+++ b/pkg/lentilconntrack/upstream.go
@@ -1,6 +1,7 @@
 package lentilconntrack
 
 import (
+	"net/netip"
 	"time"
 
 	"lentilstair.example/lentilstair/pkg/lentilflow"
@@ -17,6 +18,8 @@
 	Sequence int64
 	// Service is the service that the upstream claims to belong to.
 	Service string
+	// Address is where the upstream says that it is reached.
+	Address netip.AddrPort
 	// Draining is set when the upstream is about to leave.
 	Draining bool
 	// ColdFor is how long the upstream still has less than its usual capacity.
@@ -48,6 +51,10 @@
 	coldStateKnown bool
 	// otherRun has the registrations of a run that seems to be older than the registered one.
 	otherRun cadence
+	// displaced has those of the run before, as long as it isn't known to have ended: another writer may have registered in its place.
+	displaced cadence
+	// rival has those of a run that registered while the registered one went on.
+	rival cadence
 }
 
 // cold reports whether the upstream has, or may have, less than its usual capacity.
@@ -68,6 +75,12 @@
 			t.contest.begin(r)
 		}
 		return actions
+	case u.rival.isOf(r) && !t.overdue(now):
+		return actions
+	case u.displaced.isOf(r):
+		if !t.displacedGoesOn(now, r) {
+			return actions
+		}
 	case registered && t.stale(now, r):
 		if r.ID != u.id || r.Incarnation != u.incarnation {
 			// It may be of the next run after the time of day has jumped back, and that one may be cold.
@@ -77,6 +90,7 @@
 	case t.contest.contested && t.cadence.supersedes(now, r, t.RenewInterval):
 		return actions
 	}
+	previous := t.cadence
 	t.observeCadence(now, r)
 	if !t.upstreamPresent(now) && !t.contest.settledBy(r, &t.cadence) {
 		return actions
@@ -88,15 +102,26 @@
 		// No run of the agent has had a registration of this run of the upstream before.
 		t.concludeFlowsComplete(now, r.Incarnation, r.Sequence)
 	}
-	if !sameRun && registered {
-		// The run that held the flows has ended, since only one upstream can use an address.
-		// It may have accepted flows before it registers.
-		actions = t.resetFlows(UpstreamReplaced, func(f *flow) bool { return f.usedSince(r.Incarnation) }, actions)
-		t.concludeFlowsComplete(now, r.Incarnation, r.Sequence)
+	goesOn := u.displaced.isOf(r)
+	switch {
+	case goesOn:
+		u.rival = previous
+	case !sameRun && registered:
+		u.rival = cadence{}
+		actions = t.endDisplaced(actions)
+		if r.ID != u.id && t.mayGoOn(now, &previous) {
+			u.displaced = previous
+			u.displaced.interrupt()
+			break
+		}
+		actions = t.resetReplaced(now, r, actions)
 	}
 	u.id, u.incarnation, u.sequence, u.otherRun = r.ID, r.Incarnation, r.Sequence, cadence{}
 	t.recordSeen(now, t.cadence.seenAt)
-	u.receivedAt, u.registeredAt, u.slots, u.coldStateKnown, u.coldUntil = now, now, r.Slots, true, now.Add(r.ColdFor)
+	u.receivedAt, u.registeredAt, u.slots, u.coldStateKnown, u.coldUntil = now, now, r.Slots, !goesOn, now.Add(r.ColdFor)
+	if goesOn {
+		u.displaced = cadence{}
+	}
 	u.phase, u.ended, u.deregistered = lentilflow.Ready, false, false
 	switch {
 	case r.Draining:
@@ -128,12 +153,78 @@
 	return actions
 }
 
+// Acknowledges reports whether a registration that Register has just handled may be acknowledged: one that says that the upstream drains
+// only if the upstream gets no new flows, and none of another service or of a run that has registered while another one goes on.
+func (t *Tracker) Acknowledges(r Registration) bool {
+	switch {
+	case r.Service != t.Service || t.upstream.rival.isOf(r):
+		return false
+	case r.Draining:
+		return t.upstream.phase != lentilflow.Ready || !t.upstreamKnown(t.now())
+	}
+	return true
+}
+
+// mayGoOn reports whether the run of the upstream that is replaced may be there all the same, since its next registration isn't overdue yet.
+func (t *Tracker) mayGoOn(now time.Time, replaced *cadence) bool {
+	u := &t.upstream
+	isRegistered := replaced.isOf(Registration{ID: u.id, Incarnation: u.incarnation})
+	return isRegistered && !u.ended && !u.deregistered && replaced.endedAt.IsZero() && !t.displacedOverdue(now, replaced)
+}
+
+// displacedOverdue reports whether the next registration of a run that has been displaced is overdue.
+func (t *Tracker) displacedOverdue(now time.Time, run *cadence) bool {
+	return t.RenewInterval == 0 || now.Sub(run.receivedAt) > overdueAfter(t.RenewInterval) && !t.justResumed(now)
+}
+
+// displacedGoesOn records a registration of the run that has been displaced, and reports whether it shows that the run is there: the
+// second one since then, as long after the first one as it was sent. The first one may have been sent before.
+func (t *Tracker) displacedGoesOn(now time.Time, r Registration) bool {
+	d := &t.upstream.displaced
+	if r.Sequence <= d.sequence {
+		return false
+	}
+	d.observe(now, r, t.RenewInterval, t.justResumed(now))
+	if t.justResumed(now) {
+		d.interrupt()
+	}
+	return d.regular > 0 && !d.late()
+}
+
+// tickDisplaced resets the flows of the run that has been displaced once its next registration is overdue.
+func (t *Tracker) tickDisplaced(now time.Time, actions []Action) []Action {
+	if d := &t.upstream.displaced; !d.receivedAt.IsZero() && t.displacedOverdue(now, d) {
+		return t.endDisplaced(actions)
+	}
+	return actions
+}
+
+// endDisplaced resets the flows of the run that has been displaced, if there is one.
+func (t *Tracker) endDisplaced(actions []Action) []Action {
+	u := &t.upstream
+	if u.displaced.receivedAt.IsZero() {
+		return actions
+	}
+	u.displaced = cadence{}
+	return t.resetReplaced(u.receivedAt, Registration{Incarnation: u.incarnation, Sequence: u.sequence}, actions)
+}
+
+// resetReplaced resets the flows of the runs before the one that has registered at a time, since only one upstream can use an
+// address. It may have accepted flows before it registered.
+func (t *Tracker) resetReplaced(registeredAt time.Time, r Registration, actions []Action) []Action {
+	actions = t.resetFlows(UpstreamReplaced, func(f *flow) bool { return f.usedSince(r.Incarnation) }, actions)
+	t.concludeFlowsComplete(registeredAt, r.Incarnation, r.Sequence)
+	return actions
+}
+
 // observeCadence records when a registration of the agent's own service was sent.
 func (t *Tracker) observeCadence(now time.Time, r Registration) {
 	c := &t.cadence
-	if t.upstream.otherRun.isOf(r) {
-		*c = t.upstream.otherRun
-		return
+	for _, known := range []cadence{t.upstream.otherRun, t.upstream.displaced} {
+		if known.isOf(r) {
+			*c = known
+			return
+		}
 	}
 	isNew := !c.isOf(r)
 	c.observe(now, r, t.RenewInterval, t.justResumed(now))
@@ -381,7 +472,7 @@
 		t.lastSweep = now
 		t.sweep(now)
 	}
-	return t.sendDueStatuses(now, t.admitWaiting(now, t.tickBalancers(now, actions)))
+	return t.sendDueStatuses(now, t.admitWaiting(now, t.tickBalancers(now, t.tickDisplaced(now, actions))))
 }
 
 // sweep removes flows that weren't used for longer than the timeout of their state, counts the idle ones, and stops
