lentilevent: whoever reads the log can't stop a process

If the reader ends instead, SIGPIPE ends the process at its next line.

Cause: lines were written to standard output by whoever logged them, under the lock of the process. Processes now write to a buffer that passes the lines on from a goroutine of its own, several at a time. It holds 256 KiB, drops what doesn't fit, counts it (log_lines_dropped), and says so in the log once lines are taken again (LE2013). At a stop it waits for half a second for the last lines. Long-running programs ignore SIGPIPE, so that writes fail and are counted. Both programs use it; commands that end by themselves write as before.

--- a/internal/lentilevent/catalogue.go
+++ b/internal/lentilevent/catalogue.go
@@ -24,6 +24,8 @@
 	SettingsChecked: {Info, "settings checked", "The settings file was read again after a signal and is valid. It takes effect at the next start, and the percentage of extra offers of balancers of packet flows at once.", nil},
 	SettingsRefused: {Error, "settings rejected", "The settings file was read again after a signal and is invalid. The process continues with the settings of its start.", []string{"error"}},
 
+	LinesDropped: {Warn, "lines of the log dropped", "Whoever reads the log of this process has stopped reading for a while, or has failed. Lines that didn't fit in the buffer of 256 KiB meanwhile are missing before this one. " +
+		"`lines` is their number.", []string{"lines"}},
 	PacketRefused: {Warn, "packet rejected", "A packet from the fabric is malformed and was dropped. The event is logged at a limited rate; " +
 		"the metric counts all packets.", []string{"reason", "packets", "suppressed"}},
 	TunnelRefused: {Warn, "tunnel packet rejected", "A packet at the tunnel address is malformed or not signed by a key of the " +
--- a/internal/lentilevent/event.go
+++ b/internal/lentilevent/event.go
@@ -65,6 +65,7 @@
 	AdminFailed
 	SettingsChecked
 	SettingsRefused
+	LinesDropped
 )
 
 // Events about packets.
--- a/internal/lentilevent/event_string.go
+++ b/internal/lentilevent/event_string.go
@@ -20,6 +20,7 @@
 	_ = x[AdminFailed-2010]
 	_ = x[SettingsChecked-2011]
 	_ = x[SettingsRefused-2012]
+	_ = x[LinesDropped-2013]
 	_ = x[PacketRefused-2101]
 	_ = x[TunnelRefused-2102]
 	_ = x[PlaceRefused-2103]
@@ -71,7 +72,7 @@
 }
 
 const (
-	_Event_name_0 = "StartedReadyNotReadyStopAskedStopForcedStoppedStopFailedCertificateLoadedCertificateRefusedAdminFailedSettingsCheckedSettingsRefused"
+	_Event_name_0 = "StartedReadyNotReadyStopAskedStopForcedStoppedStopFailedCertificateLoadedCertificateRefusedAdminFailedSettingsCheckedSettingsRefusedLinesDropped"
 	_Event_name_1 = "PacketRefusedTunnelRefusedPlaceRefusedServiceMismatchSocketFailed"
 	_Event_name_2 = "ConfigurationInForceConfigurationRefusedPlatformDownPlatformBackDomainOutDomainBackControlFailedCopyUnlisted"
 	_Event_name_3 = "CopyWarmingCopyReadyCopyColdCopyDrainingOutcomeUnknownRequestHedged"
@@ -79,7 +80,7 @@
 )
 
 var (
-	_Event_index_0 = [...]uint8{0, 7, 12, 20, 29, 39, 46, 56, 73, 91, 102, 117, 132}
+	_Event_index_0 = [...]uint8{0, 7, 12, 20, 29, 39, 46, 56, 73, 91, 102, 117, 132, 144}
 	_Event_index_1 = [...]uint8{0, 13, 26, 38, 53, 65}
 	_Event_index_2 = [...]uint8{0, 20, 40, 52, 64, 73, 83, 96, 108}
 	_Event_index_3 = [...]uint8{0, 11, 20, 28, 40, 54, 67}
@@ -88,7 +89,7 @@
 
 func (i Event) String() string {
 	switch {
-	case 2001 <= i && i <= 2012:
+	case 2001 <= i && i <= 2013:
 		i -= 2001
 		return _Event_name_0[_Event_index_0[i]:_Event_index_0[i+1]]
 	case 2101 <= i && i <= 2105:
--- a/internal/lentilevent/logger.go
+++ b/internal/lentilevent/logger.go
@@ -26,6 +26,15 @@
 	return Logger{sink: &log.Logger{Level: level.libraryLevel(), Writer: &log.IOWriter{Writer: &lockedWriter{w: w}}}}
 }
 
+// NewBuffered returns a logger that writes events of at least the given level to w, adds the fields to each, and never waits for w. Close
+// the buffer when the process ends.
+func NewBuffered(w io.Writer, level Level, fields ...Field) (logger Logger, buffer *Buffer) {
+	buffer = &Buffer{Writer: w}
+	logger = New(buffer, level).With(fields...)
+	buffer.ReportDropped = func(lines int) { logger.Write(LinesDropped, Int("lines", lines)) }
+	return logger, buffer
+}
+
 // With returns a logger that adds the fields to every event.
 func (l Logger) With(fields ...Field) Logger {
 	l.fields = append(append([]Field(nil), l.fields...), fields...)
--- a/internal/lentilnode/node.go
+++ b/internal/lentilnode/node.go
@@ -44,13 +44,14 @@
 
 // newRuntime builds the key ring and the TLS configurations from the role's keys, and
 // opens the listener of the admin endpoint. Serve answers requests on it.
-func (r Role) newRuntime(logger lentilevent.Logger) (runtime *Runtime, err error) {
+func (r Role) newRuntime(logger lentilevent.Logger, buffer *lentilevent.Buffer) (runtime *Runtime, err error) {
 	defer func() {
 		if err != nil {
 			err = errorx.Decorate(err, "prepare process")
 		}
 	}()
 	rt := &Runtime{Logger: logger, Registry: lentilmetric.New(r.Name)}
+	rt.Poller.AddCounter(rt.Registry.Counter(lentilmetric.LogLinesDropped), buffer.Dropped, nil)
 	if rt.Ring, err = lentilkey.FromSettings(r.Keys); err != nil {
 		return nil, err
 	}
--- a/internal/lentilnode/role.go
+++ b/internal/lentilnode/role.go
@@ -26,10 +26,10 @@
 // Run calls run and handles stop signals as lentilprocess.Run does. The role's events are
 // written to log.
 func (r Role) Run(ctx context.Context, log io.Writer, run func(graceful, forced context.Context, runtime *Runtime) error) error {
-	logger := lentilevent.New(log, r.LogLevel).
-		With(lentilevent.Str("role", r.Name), lentilevent.Str("name", r.Instance))
+	logger, buffer := lentilevent.NewBuffered(log, r.LogLevel, lentilevent.Str("role", r.Name), lentilevent.Str("name", r.Instance))
+	defer buffer.Close()
 	return lentilprocess.Run(ctx, logger, func(graceful, forced context.Context) (err error) {
-		runtime, err := r.newRuntime(logger)
+		runtime, err := r.newRuntime(logger, buffer)
 		if err != nil {
 			return err
 		}
--- a/internal/lentilprocess/process.go
+++ b/internal/lentilprocess/process.go
@@ -27,6 +27,8 @@
 	signals := make(chan os.Signal, bufferedSignals)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
+	// A process goes on if whoever reads its log has ended; writes then fail.
+	signal.Ignore(syscall.SIGPIPE)
 	return runWithSignals(ctx, logger, signals, mainFunc)
 }
 
