--- a/pkg/lentilconntrack/presence.go
+++ b/pkg/lentilconntrack/presence.go
@@ -59,6 +59,34 @@
 	return last.regular >= need && !last.late()
 }
 
+// recordOtherService records that an upstream of another service has registered with the agent.
+func (t *Tracker) recordOtherService(now time.Time, r Registration) {
+	if r.Incarnation == 0 || r.Incarnation >= t.cadence.incarnation {
+		t.cadence.interrupt()
+	}
+	if !t.upstreamPresent(now) {
+		t.contest.begin(r)
+	}
+}
+
+// observeCadence records when a registration of the agent's own service was sent.
+func (t *Tracker) observeCadence(now time.Time, r Registration) {
+	c := &t.cadence
+	for _, known := range []cadence{t.upstream.otherRun, t.upstream.displaced} {
+		if known.isOf(r) {
+			*c = known
+			return
+		}
+	}
+	isNew := !c.isOf(r)
+	c.observe(now, r, t.RenewInterval, t.justResumed(now))
+	if isNew && r.Incarnation != 0 && r.Incarnation < t.refusedSince.UnixMilli() {
+		// The run has ended by then: what it sent is read late.
+		c.recordEnd(t.refusedSince)
+		c.sentAt = t.refusedSince
+	}
+}
+
 // observePause records that the agent goes on after a pause.
 func (t *Tracker) observePause(now time.Time) {
 	ranAt := t.lastTick
--- a/pkg/lentilconntrack/upstream.go
+++ b/pkg/lentilconntrack/upstream.go
@@ -60,34 +60,16 @@
 // cold reports whether the upstream has, or may have, less than its usual capacity.
 func (u *upstream) cold(now time.Time) bool { return !u.coldStateKnown || now.Before(u.coldUntil) }
 
-// Register handles a registration. It is in effect when Register returns, unless it is ignored: if it is of another service, if it is
-// stale, or if it doesn't settle a contest of the address.
+// Register handles a registration. It is in effect when Register returns, unless it is ignored: if it is of another service, of a run
+// that has ended or that registers beside the upstream, or if it doesn't settle a contest of the address.
 func (t *Tracker) Register(r Registration, actions []Action) []Action {
 	u, now := &t.upstream, t.now()
 	t.observePause(now)
-	registered := u.id != ""
-	switch {
-	case r.Service != t.Service:
-		if r.Incarnation == 0 || r.Incarnation >= t.cadence.incarnation {
-			t.cadence.interrupt()
-		}
-		if !t.upstreamPresent(now) {
-			t.contest.begin(r)
-		}
-		return actions
-	case u.rival.isOf(r) && !t.overdue(now):
-		return actions
-	case u.displaced.isOf(r):
-		if !t.displacedGoesOn(now, r) {
-			return actions
-		}
-	case registered && t.stale(now, r):
-		if r.ID != u.id || r.Incarnation != u.incarnation {
-			// It may be of the next run after the time of day has jumped back, and that one may be cold.
-			u.coldStateKnown = false
-		}
+	if r.Service != t.Service {
+		t.recordOtherService(now, r)
 		return actions
-	case t.contest.contested && t.cadence.supersedes(now, r, t.RenewInterval):
+	}
+	if !t.mayBeInEffect(now, r) {
 		return actions
 	}
 	previous := t.cadence
@@ -96,6 +78,7 @@
 		return actions
 	}
 	t.contest = contest{}
+	registered := u.id != ""
 	sameRun := registered && u.id == r.ID && u.incarnation == r.Incarnation
 	previousPhase := u.phase
 	if !registered && r.Sequence <= firstSequence {
@@ -103,25 +86,12 @@
 		t.concludeFlowsComplete(now, r.Incarnation, r.Sequence)
 	}
 	goesOn := u.displaced.isOf(r)
-	switch {
-	case goesOn:
-		u.rival = previous
-	case !sameRun && registered:
-		u.rival = cadence{}
-		actions = t.endDisplaced(actions)
-		if r.ID != u.id && t.mayGoOn(now, &previous) {
-			u.displaced = previous
-			u.displaced.interrupt()
-			break
-		}
-		actions = t.resetReplaced(now, r, actions)
+	if registered && !sameRun {
+		actions = t.replaceRun(now, r, previous, actions)
 	}
 	u.id, u.incarnation, u.sequence, u.otherRun = r.ID, r.Incarnation, r.Sequence, cadence{}
 	t.recordSeen(now, t.cadence.seenAt)
 	u.receivedAt, u.registeredAt, u.slots, u.coldStateKnown, u.coldUntil = now, now, r.Slots, !goesOn, now.Add(r.ColdFor)
-	if goesOn {
-		u.displaced = cadence{}
-	}
 	u.phase, u.ended, u.deregistered = lentilflow.Ready, false, false
 	switch {
 	case r.Draining:
@@ -153,88 +123,6 @@
 	return actions
 }
 
-// Acknowledges reports whether a registration that Register has just handled may be acknowledged: one that says that the upstream drains
-// only if the upstream gets no new flows, and none of another service or of a run that has registered while another one goes on.
-func (t *Tracker) Acknowledges(r Registration) bool {
-	switch {
-	case r.Service != t.Service || t.upstream.rival.isOf(r):
-		return false
-	case r.Draining:
-		return t.upstream.phase != lentilflow.Ready || !t.upstreamKnown(t.now())
-	}
-	return true
-}
-
-// mayGoOn reports whether the run of the upstream that is replaced may be there all the same, since its next registration isn't overdue yet.
-func (t *Tracker) mayGoOn(now time.Time, replaced *cadence) bool {
-	u := &t.upstream
-	isRegistered := replaced.isOf(Registration{ID: u.id, Incarnation: u.incarnation})
-	return isRegistered && !u.ended && !u.deregistered && replaced.endedAt.IsZero() && !t.displacedOverdue(now, replaced)
-}
-
-// displacedOverdue reports whether the next registration of a run that has been displaced is overdue.
-func (t *Tracker) displacedOverdue(now time.Time, run *cadence) bool {
-	return t.RenewInterval == 0 || now.Sub(run.receivedAt) > overdueAfter(t.RenewInterval) && !t.justResumed(now)
-}
-
-// displacedGoesOn records a registration of the run that has been displaced, and reports whether it shows that the run is there: the
-// second one since then, as long after the first one as it was sent. The first one may have been sent before.
-func (t *Tracker) displacedGoesOn(now time.Time, r Registration) bool {
-	d := &t.upstream.displaced
-	if r.Sequence <= d.sequence {
-		return false
-	}
-	d.observe(now, r, t.RenewInterval, t.justResumed(now))
-	if t.justResumed(now) {
-		d.interrupt()
-	}
-	return d.regular > 0 && !d.late()
-}
-
-// tickDisplaced resets the flows of the run that has been displaced once its next registration is overdue.
-func (t *Tracker) tickDisplaced(now time.Time, actions []Action) []Action {
-	if d := &t.upstream.displaced; !d.receivedAt.IsZero() && t.displacedOverdue(now, d) {
-		return t.endDisplaced(actions)
-	}
-	return actions
-}
-
-// endDisplaced resets the flows of the run that has been displaced, if there is one.
-func (t *Tracker) endDisplaced(actions []Action) []Action {
-	u := &t.upstream
-	if u.displaced.receivedAt.IsZero() {
-		return actions
-	}
-	u.displaced = cadence{}
-	return t.resetReplaced(u.receivedAt, Registration{Incarnation: u.incarnation, Sequence: u.sequence}, actions)
-}
-
-// resetReplaced resets the flows of the runs before the one that has registered at a time, since only one upstream can use an
-// address. It may have accepted flows before it registered.
-func (t *Tracker) resetReplaced(registeredAt time.Time, r Registration, actions []Action) []Action {
-	actions = t.resetFlows(UpstreamReplaced, func(f *flow) bool { return f.usedSince(r.Incarnation) }, actions)
-	t.concludeFlowsComplete(registeredAt, r.Incarnation, r.Sequence)
-	return actions
-}
-
-// observeCadence records when a registration of the agent's own service was sent.
-func (t *Tracker) observeCadence(now time.Time, r Registration) {
-	c := &t.cadence
-	for _, known := range []cadence{t.upstream.otherRun, t.upstream.displaced} {
-		if known.isOf(r) {
-			*c = known
-			return
-		}
-	}
-	isNew := !c.isOf(r)
-	c.observe(now, r, t.RenewInterval, t.justResumed(now))
-	if isNew && r.Incarnation != 0 && r.Incarnation < t.refusedSince.UnixMilli() {
-		// The run has ended by then: what it sent is read late.
-		c.recordEnd(t.refusedSince)
-		c.sentAt = t.refusedSince
-	}
-}
-
 // startSlack is by how much an upstream may start before the agent when their machine starts. It is less than the time in
 // which an agent that has ended is started again.
 const startSlack = 100 * time.Millisecond
