lentilconntrack: a third run doesn't end the flows of the one that goes on

Another writer that registers under a new ID each time displaced the run that had displaced the upstream, and that ended the wait for the upstream's next registration: its flows were reset while it went on.

The run that was displaced first keeps its place until its next registration is overdue; it has the flows of those that registered since. TestRivalsOfManyNames fails without the change.

--- a/pkg/lentilconntrack/rival.go
+++ b/pkg/lentilconntrack/rival.go
@@ -39,6 +39,10 @@
 		return actions
 	}
 	u.rival = cadence{}
+	if d := &u.displaced; !d.receivedAt.IsZero() && !t.displacedOverdue(now, d) {
+		// It still has the flows of the runs that registered since.
+		return actions
+	}
 	actions = t.endDisplaced(actions)
 	if r.ID != u.id && t.mayGoOn(now, &previous) {
 		u.displaced = previous
--- a/pkg/lentilconntrack/rival_test.go
+++ b/pkg/lentilconntrack/rival_test.go
@@ -1,6 +1,7 @@
 package lentilconntrack
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -59,6 +60,28 @@
 	}
 }
 
+// TestRivalsOfManyNames guards against flows of a living upstream that are reset, since another writer registers under a new ID each time.
+func TestRivalsOfManyNames(t *testing.T) {
+	h := newHarness(t)
+	h.AddressReuse = 2 * time.Second
+	h.register("u")
+	h.openFlow(flowKey(1))
+	own := Registration{ID: "u", Incarnation: h.createdAt.UnixMilli() + 1, Service: "a", Sequence: h.lastSequence}
+	for n := range 20 {
+		h.clock.Advance(50 * time.Millisecond)
+		other := Registration{ID: fmt.Sprint("w-", n), Incarnation: h.clock.Now().UnixMilli(), Sequence: 1, Service: "a"}
+		got := formatActions(h.Register(other, nil))
+		for range 23 {
+			h.clock.Advance(50 * time.Millisecond)
+			got += formatActions(h.Tick(nil))
+		}
+		own.Sequence++
+		if got += formatActions(h.Register(own, nil)); strings.Contains(got, "ResetClient") {
+			t.Fatalf("other writer %d: %s", n, got)
+		}
+	}
+}
+
 // TestNextRunResetsFlows guards against flows of an upstream that has ended which are never reset, since the run before may go on.
 func TestNextRunResetsFlows(t *testing.T) {
 	const replaced, interval = "ResetClient UpstreamReplaced 501", 1200 * time.Millisecond
