--- a/internal/lentilpacket/agent.go
+++ b/internal/lentilpacket/agent.go
@@ -206,11 +206,13 @@
 	return a.tracker.Phase(), a.tracker.UpstreamEnded()
 }
 
+var registrationErrors = errorx.NewNamespace("lentilpacket")
+
 var (
 	// ErrOtherUpstream means that a registration is of an upstream of another service, or at another address than the agent's.
-	ErrOtherUpstream = errorx.NewNamespace("lentilpacket").NewType("otherUpstream")
+	ErrOtherUpstream = registrationErrors.NewType("otherUpstream")
 	// ErrNotInForce means that what a registration says isn't in force, so that it must not be acknowledged.
-	ErrNotInForce = errorx.NewNamespace("lentilpacket").NewType("notInForce")
+	ErrNotInForce = registrationErrors.NewType("notInForce")
 )
 
 // Register processes the registration of an upstream. If it returns no error, the registration may be acknowledged: what it says is in effect.
