--- a/internal/lentilevent/buffer_test.go
+++ b/internal/lentilevent/buffer_test.go
@@ -62,7 +62,9 @@
 		logger.Write(Stopped)
 		buffer.Close()
 		out := w.out.String()
-		for _, want := range []string{`"line":0`, fmt.Sprintf(`"event":"%s","role":"agent","lines":%d`, LinesDropped.Code(), dropped), `"event":"` + Stopped.Code() + `"`} {
+		for _, want := range []string{
+			`"line":0`, fmt.Sprintf(`"event":"%s","role":"agent","lines":%d`, LinesDropped.Code(), dropped), `"event":"` + Stopped.Code() + `"`,
+		} {
 			if !strings.Contains(out, want) {
 				t.Errorf("the log doesn't contain %s", want)
 			}
--- a/internal/lentilevent/catalogue.go
+++ b/internal/lentilevent/catalogue.go
@@ -24,7 +24,8 @@
 	SettingsChecked: {Info, "settings checked", "The settings file was read again after a signal and is valid. It takes effect at the next start, and the percentage of extra offers of balancers of packet flows at once.", nil},
 	SettingsRefused: {Error, "settings rejected", "The settings file was read again after a signal and is invalid. The process continues with the settings of its start.", []string{"error"}},
 
-	LinesDropped: {Warn, "lines of the log dropped", "Whoever reads the log of this process has stopped reading for a while, or has failed. Lines that didn't fit in the buffer of 256 KiB meanwhile are missing before this one. " +
+	LinesDropped: {Warn, "lines of the log dropped", "Whoever reads the log of this process has stopped reading for a while, or has failed. " +
+		"Lines that didn't fit in the buffer of 256 KiB meanwhile are missing before this one. " +
 		"`lines` is their number.", []string{"lines"}},
 	PacketRefused: {Warn, "packet rejected", "A packet from the fabric is malformed and was dropped. The event is logged at a limited rate; " +
 		"the metric counts all packets.", []string{"reason", "packets", "suppressed"}},
@@ -123,7 +124,8 @@
 		"The cause `GraceExpired` with `Ended` means that packets still arrived, or that no router has probed the balancer.", []string{"phase", "cause"}},
 	LedgerRestored: {Info, "flow ledger read", "A starting agent has read the ledger of an earlier run: its `own`, or that of its `group` if it is newer. Its flows are reset, or taken over, once the copy has registered.",
 		[]string{"source", "flows", "upstream", "run", "sequence", "era"}},
-	EntryLost: {Warn, "own entry was missing", "An agent didn't find the entry of its run in the store some time after it had written it, and writes it again. Balancers that started meanwhile don't know the agent. " +
+	EntryLost: {Warn, "own entry was missing", "An agent didn't find the entry of its run in the store some time after it had written it, and writes it again. " +
+		"Balancers that started meanwhile don't know the agent. " +
 		"`found` says whether there was an entry of another run at its address.", []string{"found"}},
 	RegistrationRefused: {Warn, "registration rejected", "An upstream's registration is malformed or for another service, and was ignored. `service` is the rejected one, and empty if it can't be read. The agent's own service is " +
 		"agentService; its upstream is in the phase `phase`, is named agentUpstream and registered registeredAgoMillis ago and was seen seenAgoMillis ago, if it has registered at all. " +
--- a/internal/lentilpacket/log_test.go
+++ b/internal/lentilpacket/log_test.go
@@ -208,7 +208,9 @@
 		{"an earlier registration that says it drains", func(r *lentilconntrack.Registration) { r.Sequence, r.Draining = 8, true }, ErrNotInForce},
 		{"an earlier registration", func(r *lentilconntrack.Registration) { r.Sequence = 8 }, nil},
 		{"draining", func(r *lentilconntrack.Registration) { r.Sequence, r.Draining = 10, true }, nil},
-		{"an earlier run that drains, while no run gets new flows", func(r *lentilconntrack.Registration) { r.ID, r.Incarnation, r.Draining = "copy-0", 500, true }, nil},
+		{"an earlier run that drains, while no run gets new flows", func(r *lentilconntrack.Registration) {
+			r.ID, r.Incarnation, r.Draining = "copy-0", 500, true
+		}, nil},
 	} {
 		r := usual
 		c.change(&r)
--- a/pkg/lentilconntrack/reuse_test.go
+++ b/pkg/lentilconntrack/reuse_test.go
@@ -292,6 +292,41 @@
 	}
 }
 
+// TestLateRegistrationOfEndedUpstream guards against flows that run at an upstream of another service, since a registration of the
+// agent's own upstream was delayed until after the other one has its address.
+func TestLateRegistrationOfEndedUpstream(t *testing.T) {
+	const interval = 1200 * time.Millisecond
+	h := newHarness(t)
+	h.register("u")
+	h.run(4 * time.Second)
+	ofOtherService := func(r *Registration) { r.Service, r.Incarnation, r.Sequence = "b", 3000, 1 }
+	later := func() string {
+		h.run(interval)
+		return h.register("u")
+	}
+	refused, admitted := "SendRefused NoUpstream", "ToUpstream, SendTaken open=false"
+	place := func(n int) string { return h.fromBalancer(peer1, lentilflow.Place, firstPacket(flowKey(n))) }
+	steps := []struct{ got, want string }{
+		{h.register("v", ofOtherService), ""},
+		{h.register("u"), ""},
+		{place(1), refused},
+		{h.register("u"), ""},
+		{place(1), refused},
+		{later(), ""},
+		{later(), ""},
+		{place(1), refused},
+		{later(), "ReportStateChange UpstreamRegistered"},
+		{place(1), admitted},
+		{h.register("v", ofOtherService), ""},
+		{place(2), admitted},
+	}
+	for i, s := range steps {
+		if s.got != s.want {
+			t.Errorf("step %d: got %q, want %q", i, s.got, s.want)
+		}
+	}
+}
+
 // TestSoundUpstreamGoesOnServing guards against an upstream that gets no new flows, since its registrations are taken for late ones of
 // an upstream that has ended.
 func TestSoundUpstreamGoesOnServing(t *testing.T) {
