--- a/review/stand-3/case_portreuse.go
+++ b/review/stand-3/case_portreuse.go
@@ -12,22 +12,8 @@
 // z1 is stopped and started as planned, twice.
 func portReuse(s *site, trouble bool) (broken bool) {
 	const clients, port = 24, 40001
-	dst := netip.AddrPortFrom(s.address(kindService, 1), 443)
-	s.store.put("config", "main", map[string]any{
-		"version":  7,
-		"routes":   []any{map[string]any{"name": "r-1", "host": dst.Addr().String(), "pathPrefix": "/443/", "type": "unsafe", "timeoutMs": 1000, "targetLatencyMs": 150, "priority": 1, "service": "orders", "attempts": 2}},
-		"services": []any{map[string]any{"name": "orders", "healthPath": "/health", "maxConns": 2000, "protocol": "h1", "tls": false, "warmupS": 2.0, "warmupPerS": 0.0}},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	})
-	for i := range 4 {
-		zone := fmt.Sprintf("z%d", 1+i%2)
-		m := s.addMachine("agent", zone, fmt.Sprintf("side-%s-%d", zone, i), s.address(kindSide, byte(i+1)), "orders", true)
-		s.startEndpoint(m, fmt.Sprintf("i-%d", i), endpointOptions{slots: 4, work: 20 * time.Millisecond})
-	}
-	n1 := s.addMachine("balancer", "z1", "frontend-z1-1", s.address(kindFront, 1), "", true)
-	s.addMachine("balancer", "z2", "frontend-z2-1", s.address(kindFront, 2), "", true)
-	s.waitReady(15 * time.Second)
-	time.Sleep(2 * time.Second)
+	dst := s.ordersSite()
+	n1 := s.balancers[0]
 
 	// roll stops the balancer of z1 and waits until the routers have taken it out.
 	roll := func() {
@@ -150,3 +136,24 @@
 	}
 	return "", false
 }
+
+// ordersSite starts two zones with a balancer and two endpoints of the service "orders" each, and returns the address of its route.
+func (s *site) ordersSite() netip.AddrPort {
+	dst := netip.AddrPortFrom(s.address(kindService, 1), 443)
+	s.store.put("config", "main", map[string]any{
+		"version":  7,
+		"routes":   []any{map[string]any{"name": "r-1", "host": dst.Addr().String(), "pathPrefix": "/443/", "type": "unsafe", "timeoutMs": 1000, "targetLatencyMs": 150, "priority": 1, "service": "orders", "attempts": 2}},
+		"services": []any{map[string]any{"name": "orders", "healthPath": "/health", "maxConns": 2000, "protocol": "h1", "tls": false, "warmupS": 2.0, "warmupPerS": 0.0}},
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	})
+	for i := range 4 {
+		zone := fmt.Sprintf("z%d", 1+i%2)
+		m := s.addMachine("agent", zone, fmt.Sprintf("side-%s-%d", zone, i), s.address(kindSide, byte(i+1)), "orders", true)
+		s.startEndpoint(m, fmt.Sprintf("i-%d", i), endpointOptions{slots: 4, work: 20 * time.Millisecond})
+	}
+	s.addMachine("balancer", "z1", "frontend-z1-1", s.address(kindFront, 1), "", true)
+	s.addMachine("balancer", "z2", "frontend-z2-1", s.address(kindFront, 2), "", true)
+	s.waitReady(15 * time.Second)
+	time.Sleep(2 * time.Second)
+	return dst
+}
