--- a/review/stand-3/client.go
+++ b/review/stand-3/client.go
@@ -117,8 +117,8 @@
 
 // request sends a request on the open flow and waits for the answer. It retransmits after 200 ms, and then after twice as long each time.
 func (f *flow) request(id string, deadline time.Duration) (answered bool) {
-	data := []byte(id)
-	want := append([]byte("answer to "), data...)
+	data := []byte(id + string(rune(requestEnd)))
+	want := []byte("answer to " + id)
 	limit := time.Now().Add(deadline)
 	f.c.site.record.sentRequest(id)
 	for wait := 200 * time.Millisecond; ; wait = min(2*wait, 1600*time.Millisecond) {
@@ -153,6 +153,38 @@
 	}
 }
 
+// pipeline sends two requests on the open flow, in a packet each, and retransmits both in one packet. It returns after the first answer, or
+// false after the deadline or a reset.
+func (f *flow) pipeline(first, second string, deadline time.Duration) (answered bool) {
+	one, two := []byte(first+string(rune(requestEnd))), []byte(second+string(rune(requestEnd)))
+	f.c.site.record.sentRequest(first)
+	f.c.site.record.sentRequest(second)
+	limit := time.Now().Add(deadline)
+	f.send(packet{flags: bitACK, seq: f.seq, ack: f.ack, data: one})
+	time.Sleep(2 * time.Millisecond)
+	f.send(packet{flags: bitACK, seq: f.seq + uint32(len(one)), ack: f.ack, data: two})
+	both := append(one, two...)
+	for wait := 200 * time.Millisecond; time.Now().Before(limit); wait = min(2*wait, 1600*time.Millisecond) {
+		until := time.Now().Add(wait)
+		for {
+			p, ok := f.next(until)
+			if !ok {
+				break
+			}
+			if p.flags&bitReset != 0 && within(p.seq, f.ack, resetWindow) {
+				f.reset, f.own = true, p.sum == 0
+				return false
+			}
+			if bytes.HasPrefix(p.data, []byte("answer to ")) && p.seq == f.ack {
+				f.c.site.record.answeredRequest(string(p.data[len("answer to "):]))
+				return true
+			}
+		}
+		f.send(packet{flags: bitACK, seq: f.seq, ack: f.ack, data: both})
+	}
+	return false
+}
+
 // close sends a FIN and waits for that of the endpoint.
 func (f *flow) close() (closed bool) {
 	for range 3 {
--- a/review/stand-3/endpoint.go
+++ b/review/stand-3/endpoint.go
@@ -37,8 +37,8 @@
 	openings []opening
 	// resets counts the resets that the endpoint sent itself, by flow.
 	resets map[[2]netip.AddrPort]int
-	// strays counts packets of flows that the endpoint doesn't hold, by flow.
-	strays map[[2]netip.AddrPort]int
+	// strays has the times of packets of flows that the endpoint doesn't hold, by flow.
+	strays map[[2]netip.AddrPort][]time.Time
 }
 
 type opening struct{ sentAt, arrivedAt time.Time }
@@ -48,6 +48,9 @@
 	open, ended    bool
 	received       uint32
 	sent           uint32
+	// inbox has the bytes of a request whose end hasn't come yet, and packets the times of the flow's packets.
+	inbox   []byte
+	packets []time.Time
 }
 
 type endpointOptions struct {
@@ -60,7 +63,7 @@
 	e := &endpoint{
 		site: s, machine: m, service: m.service, id: id, born: time.Now().UnixMilli(), slots: o.slots, work: o.work, warmup: o.warmup,
 		slotFree: make(chan struct{}, o.slots), done: make(chan struct{}), startAt: time.Now(), state: "ready",
-		flows: make(map[[2]netip.AddrPort]*endFlow), resets: make(map[[2]netip.AddrPort]int), strays: make(map[[2]netip.AddrPort]int),
+		flows: make(map[[2]netip.AddrPort]*endFlow), resets: make(map[[2]netip.AddrPort]int), strays: make(map[[2]netip.AddrPort][]time.Time),
 	}
 	e.udp = listenUDP(address)
 	var err error
@@ -166,20 +169,21 @@
 		reply.flags, reply.seq, reply.ack = bitSYN|bitACK, f.seq, p.seq+1
 		e.send(reply)
 	case f == nil || !f.open && p.ack != f.seq+1:
-		e.strays[key]++
+		e.strays[key] = append(e.strays[key], time.Now())
 		p.flags |= bitBounced
 		e.send(p)
 	case f.ended && p.flags&bitFIN != 0:
 		reply.flags, reply.seq, reply.ack = bitACK, f.sent, p.seq+1
 		e.send(reply)
 	case f.ended && len(p.data) > 0:
-		e.strays[key]++
+		e.strays[key] = append(e.strays[key], time.Now())
 		e.resets[key]++
 		reply.flags, reply.seq, reply.ack = bitReset|bitACK, p.ack, p.seq
 		e.send(reply)
 	case f.ended:
 	default:
 		f.open = true
+		f.packets = append(f.packets, time.Now())
 		if p.flags&bitReset != 0 {
 			f.ended = true
 			return
@@ -194,10 +198,17 @@
 		if len(p.data) == 0 {
 			return
 		}
-		if p.seq == f.received {
-			f.received += uint32(len(p.data))
-			go e.run(key, f, p)
-			return
+		if known := f.received - p.seq; known < uint32(len(p.data)) {
+			f.received = p.seq + uint32(len(p.data))
+			f.inbox = append(f.inbox, p.data[known:]...)
+			for {
+				id, rest, whole := bytes.Cut(f.inbox, []byte{requestEnd})
+				if !whole {
+					return
+				}
+				go e.run(p, f, string(id))
+				f.inbox = rest
+			}
 		}
 		// A retransmission of a request that runs or was answered.
 		reply.flags, reply.seq, reply.ack = bitACK, f.sent, f.received
@@ -205,10 +216,13 @@
 	}
 }
 
-// run works on a request and answers it.
-func (e *endpoint) run(key [2]netip.AddrPort, f *endFlow, p packet) {
+// requestEnd ends a request in the bytes of a flow.
+const requestEnd = '\n'
+
+// run works on a request and answers it. p is a packet of its flow.
+func (e *endpoint) run(p packet, f *endFlow, id string) {
 	e.slotFree <- struct{}{}
-	e.site.record.run(string(p.data), e.id)
+	e.site.record.run(id, e.id)
 	time.Sleep(e.work)
 	<-e.slotFree
 	e.mu.Lock()
@@ -216,7 +230,7 @@
 	if e.dead || f.ended {
 		return
 	}
-	data := append([]byte("answer to "), p.data...)
+	data := []byte("answer to " + id)
 	e.send(packet{flags: bitACK, src: p.dst, dst: p.src, seq: f.sent, ack: f.received, data: data})
 	f.sent += uint32(len(data))
 }
