--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -7,4 +7,4 @@
 		exit 2
 	fi
 done
-exec target/review-3/stand3 coldrate review/13/record.txt
+exec target/review-3/stand3 portreuse review/13/record.txt
--- a/review/stand-3/endpoint.go
+++ b/review/stand-3/endpoint.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -27,6 +28,9 @@
 	slotFree chan struct{}
 	done     chan struct{}
 
+	// acknowledged counts the heartbeats that were acknowledged.
+	acknowledged atomic.Int64
+
 	mu       sync.Mutex
 	startAt  time.Time
 	sequence int
@@ -96,6 +100,9 @@
 		wait := heartbeatInterval
 		if response, err := client.Do(q); err == nil {
 			_ = response.Body.Close()
+			if response.StatusCode/100 == 2 {
+				e.acknowledged.Add(1)
+			}
 		} else if time.Since(e.startAt) < heartbeatInterval {
 			// The agent starts at the same time.
 			wait = 200 * time.Millisecond
