--- a/review/stand-3/client.go
+++ b/review/stand-3/client.go
@@ -15,6 +15,8 @@
 	addr netip.Addr
 	conn *net.UDPConn
 	in   map[uint16]chan packet
+	// through is the balancer to which all of its packets go; nil lets the routers choose.
+	through *machine
 }
 
 // newClient opens the client's socket. ports are the ports that its flows use.
@@ -66,7 +68,11 @@
 	if p.flags&bitSYN != 0 {
 		f.c.site.record.noteSent(f.key(), p)
 	}
-	if m := f.c.site.route(f.c.zone, f.src, f.dst); m != nil {
+	m := f.c.through
+	if m == nil {
+		m = f.c.site.route(f.c.zone, f.src, f.dst)
+	}
+	if m != nil {
 		_, _ = f.c.conn.WriteToUDPAddrPort(p.encode(), netip.AddrPortFrom(m.addr, portDatagram))
 	}
 }
