--- a/review/stand-3/case_coldrate.go
+++ b/review/stand-3/case_coldrate.go
@@ -17,17 +17,8 @@
 	)
 	tickets := netip.AddrPortFrom(s.address(kindService, 1), 443)
 	pages := netip.AddrPortFrom(s.address(kindService, 2), 443)
-	service := func(name string, perS float64) any {
-		return map[string]any{"name": name, "healthPath": "/health", "maxConns": 2000, "protocol": "h1", "tls": false, "warmupS": warmup.Seconds(), "warmupPerS": perS}
-	}
-	route := func(name string, dst netip.AddrPort, service string) any {
-		return map[string]any{"name": name, "host": dst.Addr().String(), "pathPrefix": "/443/", "type": "safe", "timeoutMs": 1000, "targetLatencyMs": 150, "priority": 1, "service": service, "attempts": 2}
-	}
-	s.store.put("config", "main", map[string]any{
-		"version": 7, "routes": []any{route("r-tickets", tickets, "tickets"), route("r-pages", pages, "pages")},
-		"services": []any{service("tickets", ticketsPerS), service("pages", pagesPerS)},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	})
+	s.store.put("config", "main", configuration(7, []any{routeTo(tickets, "tickets", "safe"), routeTo(pages, "pages", "safe")},
+		[]any{serviceNamed("tickets", warmup.Seconds(), ticketsPerS), serviceNamed("pages", warmup.Seconds(), pagesPerS)}))
 	warm := endpointOptions{slots: 4, work: 40 * time.Millisecond}
 	ticketsMachine := s.addMachine("agent", "z1", "side-z1-0", s.address(kindSide, 1), "tickets", true)
 	ticketsEndpoint := s.startEndpoint(ticketsMachine, "i-tickets-0", endpointOptions{slots: 4, work: 10 * time.Millisecond})
--- a/review/stand-3/case_entries.go
+++ b/review/stand-3/case_entries.go
@@ -23,12 +23,7 @@
 	version := uint64(6)
 	configure := func(service string) {
 		version += 3
-		s.store.put("config", "main", map[string]any{
-			"version":  version,
-			"routes":   []any{map[string]any{"name": "r-1", "host": dst.Addr().String(), "pathPrefix": "/443/", "type": "safe", "timeoutMs": 1000, "targetLatencyMs": 150, "priority": 1, "service": service, "attempts": 2}},
-			"services": []any{map[string]any{"name": "one", "healthPath": "/health", "maxConns": 2000, "protocol": "h1", "tls": false, "warmupS": 2.0, "warmupPerS": 0.0}, map[string]any{"name": "two", "healthPath": "/health", "maxConns": 2000, "protocol": "h1", "tls": false, "warmupS": 2.0, "warmupPerS": 0.0}},
-			"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		})
+		s.store.put("config", "main", configuration(version, []any{routeTo(dst, service, "safe")}, []any{serviceNamed("one", 2, 0), serviceNamed("two", 2, 0)}))
 	}
 	configure("one")
 	var agents []*machine
--- a/review/stand-3/case_otherwriter.go
+++ b/review/stand-3/case_otherwriter.go
@@ -35,11 +35,10 @@
 			go func() {
 				client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 				for n := 1; !s.stopped.Load(); n++ {
-					body, _ := json.Marshal(map[string]any{
-						"service": "nobody", "address": m.at(portApp), "zone": m.zone, "version": "v1", "concurrency": 4, "state": "ready",
-						"warmupLeftMs": 0, "sequence": n, "born": born,
-					})
-					q, _ := http.NewRequest(http.MethodPut, fmt.Sprintf("http://%s/-/instances/other-%d", m.at(portControl), i), bytes.NewReader(body))
+					body, _ := json.Marshal(with(wire.Heartbeat, map[string]any{
+						"service": "nobody", "address": m.at(portApp), "zone": m.zone, wire.WarmupLeft: 0, "sequence": n, "born": born,
+					}))
+					q, _ := http.NewRequest(http.MethodPut, fmt.Sprintf("http://%s%sother-%d", m.at(portControl), wire.Instances, i), bytes.NewReader(body))
 					q.Header.Set("Content-Type", "application/json")
 					sent.Add(1)
 					if response, err := client.Do(q); err == nil {
--- a/review/stand-3/case_portreuse.go
+++ b/review/stand-3/case_portreuse.go
@@ -140,12 +140,7 @@
 // ordersSite starts two zones with a balancer and two endpoints of the service "orders" each, and returns the address of its route.
 func (s *site) ordersSite() netip.AddrPort {
 	dst := netip.AddrPortFrom(s.address(kindService, 1), 443)
-	s.store.put("config", "main", map[string]any{
-		"version":  7,
-		"routes":   []any{map[string]any{"name": "r-1", "host": dst.Addr().String(), "pathPrefix": "/443/", "type": "unsafe", "timeoutMs": 1000, "targetLatencyMs": 150, "priority": 1, "service": "orders", "attempts": 2}},
-		"services": []any{map[string]any{"name": "orders", "healthPath": "/health", "maxConns": 2000, "protocol": "h1", "tls": false, "warmupS": 2.0, "warmupPerS": 0.0}},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	})
+	s.store.put("config", "main", configuration(7, []any{routeTo(dst, "orders", "unsafe")}, []any{serviceNamed("orders", 2, 0)}))
 	for i := range 4 {
 		zone := fmt.Sprintf("z%d", 1+i%2)
 		m := s.addMachine("agent", zone, fmt.Sprintf("side-%s-%d", zone, i), s.address(kindSide, byte(i+1)), "orders", true)
--- a/review/stand-3/endpoint.go
+++ b/review/stand-3/endpoint.go
@@ -90,12 +90,12 @@
 		e.mu.Lock()
 		e.sequence++
 		left := max(0, e.warmup-time.Since(e.startAt)).Milliseconds()
-		body, _ := json.Marshal(map[string]any{
-			"service": e.service, "address": netip.AddrPortFrom(e.machine.addr, portApp).String(), "zone": e.machine.zone, "version": "v1",
-			"concurrency": e.slots, "state": e.state, "warmupLeftMs": left, "sequence": e.sequence, "born": e.born,
-		})
+		body, _ := json.Marshal(with(wire.Heartbeat, map[string]any{
+			"service": e.service, "address": netip.AddrPortFrom(e.machine.addr, portApp).String(), "zone": e.machine.zone,
+			"concurrency": e.slots, "state": e.state, wire.WarmupLeft: left, "sequence": e.sequence, "born": e.born,
+		}))
 		e.mu.Unlock()
-		q, _ := http.NewRequest(http.MethodPut, fmt.Sprintf("http://%s/-/instances/%s", e.machine.at(portControl), e.id), bytes.NewReader(body))
+		q, _ := http.NewRequest(http.MethodPut, fmt.Sprintf("http://%s%s%s", e.machine.at(portControl), wire.Instances, e.id), bytes.NewReader(body))
 		q.Header.Set("Content-Type", "application/json")
 		wait := heartbeatInterval
 		if response, err := client.Do(q); err == nil {
--- a/review/stand-3/packet.go
+++ b/review/stand-3/packet.go
@@ -28,7 +28,7 @@
 	data     []byte
 }
 
-// keyedSum covers all fields but echo, pad and BOUNCED.
+// keyedSum covers all fields but echo, pad and the mark of a returned packet.
 func (p packet) keyedSum() uint32 {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte{p.flags &^ bitBounced, 'r', '3'})
--- a/review/stand-3/site.go
+++ b/review/stand-3/site.go
@@ -147,7 +147,7 @@
 	logFile, err := os.OpenFile(filepath.Join(m.site.dir, m.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	check(err)
 	command := exec.Command(m.site.program, m.role)
-	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LENTILSTAIR_CONFIG=" + file}
+	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), wire.SettingsVariable + "=" + file}
 	command.Stdout, command.Stderr = logFile, logFile
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	m.mu.Lock()
@@ -204,7 +204,7 @@
 	misses := 0
 	for !m.site.stopped.Load() {
 		begun := time.Now()
-		response, err := client.Get("http://" + m.at(portReady) + "/-/ready")
+		response, err := client.Get("http://" + m.at(portReady) + wire.Ready)
 		ok := err == nil && response.StatusCode == http.StatusOK
 		if err == nil {
 			_ = response.Body.Close()
--- a/review/stand-3/store.go
+++ b/review/stand-3/store.go
@@ -19,11 +19,14 @@
 const storeLatency = 4 * time.Millisecond
 
 type meta struct {
-	Name       string   `json:"name"`
-	Revision   uint64   `json:"revision"`
-	Created    uint64   `json:"created"`
-	Finalizers []string `json:"finalizers"`
-	Deleting   bool     `json:"deleting"`
+	Name     string `json:"name"`
+	Revision uint64 `json:"revision"`
+	Created  uint64 `json:"created"`
+}
+
+// MarshalJSON adds what a store that nobody asks to wait holds for all objects.
+func (m meta) MarshalJSON() ([]byte, error) {
+	return json.Marshal(map[string]any{"name": m.Name, "revision": m.Revision, "created": m.Created, wire.Finalizers: []string{}, "deleting": false})
 }
 
 type object struct {
@@ -78,9 +81,6 @@
 	if old, ok := s.kinds[kind][o.Meta.Name]; ok {
 		o.Meta.Created = old.Meta.Created
 	}
-	if o.Meta.Finalizers == nil {
-		o.Meta.Finalizers = []string{}
-	}
 	s.kinds[kind][o.Meta.Name] = o
 	s.record(event{kind: kind, revision: s.revision, Object: o})
 	return o
@@ -122,7 +122,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	path := strings.Split(strings.TrimPrefix(q.URL.Path, "/-/objects/"), "/")
+	path := strings.Split(strings.TrimPrefix(q.URL.Path, wire.Objects), "/")
 	query := q.URL.Query()
 	switch {
 	case q.Method == http.MethodGet && len(path) == 1 && query.Has("watch"):
@@ -160,7 +160,7 @@
 	}
 	revision := s.revision
 	s.mu.Unlock()
-	answer(w, http.StatusOK, map[string]any{"items": items, "hasMore": false, "storeRevision": revision})
+	answer(w, http.StatusOK, map[string]any{"items": items, "hasMore": false, wire.StoreRevision: revision})
 }
 
 func (s *store) watch(w http.ResponseWriter, q *http.Request, kind string) {
@@ -182,13 +182,13 @@
 		revision, changed := s.revision, s.changed
 		s.mu.Unlock()
 		if len(events) > 0 {
-			answer(w, http.StatusOK, map[string]any{"events": events, "storeRevision": revision})
+			answer(w, http.StatusOK, map[string]any{"events": events, wire.StoreRevision: revision})
 			return
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			answer(w, http.StatusOK, map[string]any{"events": events, "storeRevision": revision})
+			answer(w, http.StatusOK, map[string]any{"events": events, wire.StoreRevision: revision})
 			return
 		case <-q.Context().Done():
 			return
