--- a/review/stand-3/endpoint.go
+++ b/review/stand-3/endpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -23,6 +24,7 @@
 	slots    int
 	work     time.Duration
 	warmup   time.Duration
+	steady   bool
 	udp      *net.UDPConn
 	tcp      net.Listener
 	slotFree chan struct{}
@@ -60,12 +62,15 @@
 type endpointOptions struct {
 	slots        int
 	work, warmup time.Duration
+	// service replaces that of the machine's agent, and steady keeps the interval of heartbeats also if the first one fails.
+	service string
+	steady  bool
 }
 
 func (s *site) startEndpoint(m *machine, id string, o endpointOptions) *endpoint {
 	address := netip.AddrPortFrom(m.addr, portApp)
 	e := &endpoint{
-		site: s, machine: m, service: m.service, id: id, born: time.Now().UnixMilli(), slots: o.slots, work: o.work, warmup: o.warmup,
+		site: s, machine: m, service: cmp.Or(o.service, m.service), id: id, steady: o.steady, born: time.Now().UnixMilli(), slots: o.slots, work: o.work, warmup: o.warmup,
 		slotFree: make(chan struct{}, o.slots), done: make(chan struct{}), startAt: time.Now(), state: "ready",
 		flows: make(map[[2]netip.AddrPort]*endFlow), resets: make(map[[2]netip.AddrPort]int), strays: make(map[[2]netip.AddrPort][]time.Time),
 	}
@@ -103,7 +108,7 @@
 			if response.StatusCode/100 == 2 {
 				e.acknowledged.Add(1)
 			}
-		} else if time.Since(e.startAt) < heartbeatInterval {
+		} else if !e.steady && time.Since(e.startAt) < heartbeatInterval {
 			// The agent starts at the same time.
 			wait = 200 * time.Millisecond
 		}
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -133,7 +133,7 @@
 }
 
 func main() {
-	cases := map[string]func(s *site, trouble bool) (broken bool){"coldrate": coldRate, "portreuse": portReuse, "lookup": lookup, "otherwriter": otherWriter, "entries": entries}
+	cases := map[string]func(s *site, trouble bool) (broken bool){"coldrate": coldRate, "portreuse": portReuse, "lookup": lookup, "otherwriter": otherWriter, "entries": entries, "late": late}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fatal("usage: stand3 CASE RECORD")
 	}
