--- a/internal/lentilevent/catalogue.go
+++ b/internal/lentilevent/catalogue.go
@@ -87,8 +87,9 @@
 	AgentNoted: {Info, "agent changed", "The state of an agent, as known to a balancer, has changed. The cause AgentReplaced means that a status came from another agent than before at the same address, " +
 		"or for another service: the address has changed hands. The fields previousName and previousService then name the agent before it.",
 		[]string{"cause", "agent", "phase", "agentFlows", "ageMillis", "agentName", "agentService", "agentRun", "previousName", "previousService"}},
-	UpstreamNoted: {Info, "upstream changed", "The state of the agent's upstream, or of the agent itself, has changed. `service` is the agent's.",
-		[]string{"cause", "phase", "id", "number", "flows", "service"}},
+	UpstreamNoted: {Info, "upstream changed", "The state of the agent's upstream, or of the agent itself, has changed. `service` is the agent's. With the cause AddressContested, " +
+		"`otherService` has registered with the agent while its own upstream wasn't known; the upstream gets no new flows until its registrations show that it has the address.",
+		[]string{"cause", "phase", "id", "number", "flows", "service", "otherService"}},
 	PeersRead: {Info, "peer list read", "The process has read the list of its peers and introduces itself to them.", []string{"peers"}},
 	PeerForgotten: {Info, "agent entry removed", "An agent has been unresponsive for a long time while enough other agents of its failure domain respond. Its entry is removed from the store.",
 		[]string{"peer"}},
--- a/internal/lentilmetric/metric.go
+++ b/internal/lentilmetric/metric.go
@@ -71,6 +71,7 @@
 	FlowsRemembered
 	AgentsReplaced
 	LogLinesDropped
+	RegistrationIgnored
 )
 
 type metricDoc struct {
@@ -122,6 +123,7 @@
 	RegistrationRefused:  {"registrations_rejected", Counter, "registrations", []string{"reason"}, "Registrations that an agent of packet flows rejected: for another service or address than the agent's (service), of another run of its upstream than the registered one (notInForce), or malformed (malformed). One for another service means that another upstream runs at the agent's addresses."},
 	FlowsRemembered:      {"flows_remembered", Counter, "packets", nil, "First packets of flows that a balancer sent to the agent that it remembers for an earlier first packet with the same ends: retransmissions, and new flows of clients that use a port again."},
 	AgentsReplaced:       {"agents_replaced", Counter, "agents", nil, "Agents, as known to a balancer, whose address another agent, or one of another service, has taken."},
+	RegistrationIgnored:  {"registrations_ignored", Counter, "registrations", nil, "Registrations of an agent's own upstream that had no effect, since upstreams of other services have registered with the agent while its own wasn't known. The upstream gets no new flows meanwhile."},
 	LogLinesDropped:      {"log_lines_dropped", Counter, "lines", nil, "Lines of the log that were dropped since nobody read it, or since it could not be written."},
 	LookupsByKey:         {"lookups_by_key", Counter, "flows", nil, "Lookups of packet flows for which a balancer buffered the packets and asked agents by the flow's key, because its link had no room for copies of the packets."},
 }
--- a/internal/lentilmetric/metric_string.go
+++ b/internal/lentilmetric/metric_string.go
@@ -50,11 +50,12 @@
 	_ = x[FlowsRemembered-39]
 	_ = x[AgentsReplaced-40]
 	_ = x[LogLinesDropped-41]
+	_ = x[RegistrationIgnored-42]
 }
 
-const _Metric_name = "PacketsForwardedPacketsDroppedPacketsReturnedPacketsHandedOnTunnelRefusedRequestsAnsweredRequestsRefusedOutcomesUnknownRequestsInFlightRequestsQueuedStreamsOpenCopyBearsCopyPhaseConfigurationVersionRecordsKnownControlBytesControlRefusedPlatformCallsPlatformFailuresFlowsResetFlowsRefusedPlacingTimeAnswerTimeLinkWaitedLinkDroppedLinkQueuedBytesLinkUtilizationLinkFullSecondsQueueCallersQueueOutOfOrderLookupsByKeyHedgesSentHedgesWonHedgesCancelledHedgesOverBudgetHedgeShareStoreCallsRefusedOtherServiceRegistrationRefusedFlowsRememberedAgentsReplacedLogLinesDropped"
+const _Metric_name = "PacketsForwardedPacketsDroppedPacketsReturnedPacketsHandedOnTunnelRefusedRequestsAnsweredRequestsRefusedOutcomesUnknownRequestsInFlightRequestsQueuedStreamsOpenCopyBearsCopyPhaseConfigurationVersionRecordsKnownControlBytesControlRefusedPlatformCallsPlatformFailuresFlowsResetFlowsRefusedPlacingTimeAnswerTimeLinkWaitedLinkDroppedLinkQueuedBytesLinkUtilizationLinkFullSecondsQueueCallersQueueOutOfOrderLookupsByKeyHedgesSentHedgesWonHedgesCancelledHedgesOverBudgetHedgeShareStoreCallsRefusedOtherServiceRegistrationRefusedFlowsRememberedAgentsReplacedLogLinesDroppedRegistrationIgnored"
 
-var _Metric_index = [...]uint16{0, 16, 30, 45, 60, 73, 89, 104, 119, 135, 149, 160, 169, 178, 198, 210, 222, 236, 249, 265, 275, 287, 298, 308, 318, 329, 344, 359, 374, 386, 401, 413, 423, 432, 447, 463, 473, 483, 502, 521, 536, 550, 565}
+var _Metric_index = [...]uint16{0, 16, 30, 45, 60, 73, 89, 104, 119, 135, 149, 160, 169, 178, 198, 210, 222, 236, 249, 265, 275, 287, 298, 308, 318, 329, 344, 359, 374, 386, 401, 413, 423, 432, 447, 463, 473, 483, 502, 521, 536, 550, 565, 584}
 
 func (i Metric) String() string {
 	idx := int(i) - 0
--- a/internal/lentilpacket/agent.go
+++ b/internal/lentilpacket/agent.go
@@ -193,6 +193,8 @@
 	switch {
 	case a.tracker.Stopping():
 		return lentilmetric.Readiness{Reason: "stopping"}
+	case a.tracker.Contested():
+		return lentilmetric.Readiness{Reason: "upstreams of other services register at the upstream's address"}
 	case a.tracker.Phase() != lentilflow.Ready:
 		return lentilmetric.Readiness{Reason: "the upstream is not ready"}
 	}
@@ -452,6 +454,7 @@
 		a.logAction(action)
 	}
 	a.Counts.CallersWaiting.Store(uint64(a.tracker.CallersWaiting()))
+	a.Counts.RegistrationsIgnored.Store(a.tracker.IgnoredRegistrations())
 	a.Counts.ServedOutOfOrder.Store(a.tracker.ServedOutOfOrder())
 	if a.tracker.RunMarkerDue() {
 		select {
--- a/internal/lentilpacket/count.go
+++ b/internal/lentilpacket/count.go
@@ -23,6 +23,8 @@
 	RefusedOtherService atomic.Uint64
 	// RegistrationsOtherUpstream, RegistrationsNotInForce and RegistrationsMalformed count the registrations that an agent has rejected.
 	RegistrationsOtherUpstream, RegistrationsNotInForce, RegistrationsMalformed atomic.Uint64
+	// RegistrationsIgnored counts those of the agent's own upstream that had no effect, since its address was contested.
+	RegistrationsIgnored atomic.Uint64
 	// Remembered counts first packets that a balancer sent to the agent of an earlier one with the same ends, and AgentsReplaced
 	// the agents whose address another one, or one of another service, has taken.
 	Remembered, AgentsReplaced atomic.Uint64
@@ -81,6 +83,7 @@
 	poller.AddCounter(registry.Counter(lentilmetric.RegistrationRefused, "service"), c.RegistrationsOtherUpstream.Load, nil)
 	poller.AddCounter(registry.Counter(lentilmetric.RegistrationRefused, "notInForce"), c.RegistrationsNotInForce.Load, nil)
 	poller.AddCounter(registry.Counter(lentilmetric.RegistrationRefused, "malformed"), c.RegistrationsMalformed.Load, nil)
+	poller.AddCounter(registry.Counter(lentilmetric.RegistrationIgnored), c.RegistrationsIgnored.Load, nil)
 	poller.AddCounter(registry.Counter(lentilmetric.FlowsRemembered), c.Remembered.Load, nil)
 	poller.AddCounter(registry.Counter(lentilmetric.AgentsReplaced), c.AgentsReplaced.Load, nil)
 	c.Store.export(registry, poller)
--- a/internal/lentilpacket/log.go
+++ b/internal/lentilpacket/log.go
@@ -127,7 +127,7 @@
 		id, number := a.tracker.LastRegistration()
 		a.Logger.Write(lentilevent.UpstreamNoted, cause, lentilevent.Str("phase", a.tracker.Phase().String()),
 			lentilevent.Str("id", id), lentilevent.Int("number", int(number)), lentilevent.Int("flows", a.tracker.OpenFlows()),
-			lentilevent.Str("service", a.tracker.Service))
+			lentilevent.Str("service", a.tracker.Service), lentilevent.Str("otherService", action.Service))
 	}
 }
 
--- a/internal/lentilpacket/log_test.go
+++ b/internal/lentilpacket/log_test.go
@@ -158,6 +158,29 @@
 	}
 }
 
+// TestContestedAddressIsTraceable guards against an upstream that gets no flows while the log, the metrics and the readiness don't say that
+// registrations of other services are the cause.
+func TestContestedAddressIsTraceable(t *testing.T) {
+	a, log := newLoggingAgent(t)
+	other := lentilconntrack.Registration{ID: "other", Incarnation: 2, Sequence: 1, Service: "b"}
+	for range 3 {
+		if err := a.Register(other); err == nil {
+			t.Error("a registration of another service is acknowledged")
+		}
+	}
+	checkLine(t, log, lentilevent.UpstreamNoted, `"cause":"AddressContested"`, `"phase":"Unheard"`, `"service":"a"`, `"otherService":"b"`)
+	if lines := strings.Count(log.String(), "AddressContested"); lines > 1 {
+		t.Errorf("%d lines about one contest", lines)
+	}
+	register(t, a, lentilconntrack.Registration{ID: "copy-1", Incarnation: 1, Sequence: 9, Service: "a", Slots: 4})
+	if ignored := a.Counts.RegistrationsIgnored.Load(); ignored != 1 {
+		t.Errorf("%d registrations count as ignored, want 1", ignored)
+	}
+	if got := a.Ready(); got.Ready || !strings.Contains(got.Reason, "other services") {
+		t.Errorf("ready: %t, reason %q", got.Ready, got.Reason)
+	}
+}
+
 // TestRegistrationBeforeOpen guards against a registration of the agent's own upstream that is acknowledged without effect, or taken for one
 // of another service, since it comes before the agent has opened its sockets.
 func TestRegistrationBeforeOpen(t *testing.T) {
--- a/pkg/lentilconntrack/action.go
+++ b/pkg/lentilconntrack/action.go
@@ -80,6 +80,9 @@
 	// RegistrationLate means that a registration may have been sent so long ago that the upstream has ended since. It gets no new
 	// flows.
 	RegistrationLate
+	// AddressContested means that an upstream of another service has registered while the agent's own one wasn't known. The own one
+	// gets no new flows until its registrations show that it has the address.
+	AddressContested
 )
 
 // Action is one operation for the agent to perform. Which fields are set depends on Kind.
@@ -87,7 +90,8 @@
 	Kind    ActionKind
 	Cause   Cause
 	Refusal lentilflow.Refusal
-	// Service is the service that the offer of a new flow names. It is set in a SendTaken and a SendRefused that answer one.
+	// Service is the service that the offer of a new flow names, in a SendTaken and a SendRefused that answer one, and the service
+	// that has registered, in a ReportStateChange with AddressContested.
 	Service string
 	// Open is set in a SendTaken if the flow is open, not half-open.
 	Open bool
--- a/pkg/lentilconntrack/cadence.go
+++ b/pkg/lentilconntrack/cadence.go
@@ -1,6 +1,9 @@
 package lentilconntrack
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// lateTolerance is how late a registration may seem to be and still count as sent when it is read. upstreamKnown allows for a pause
@@ -14,6 +17,12 @@
 	resumeConfirmCount = 2
 	// maxSequenceStep bounds the step between two sequences for which a time is computed.
 	maxSequenceStep = 1 << 16
+	// maxInterruptingServices is how many other services may interrupt a run one after the other: one that another writer makes up,
+	// and one that has got the address.
+	maxInterruptingServices = 2
+	// settleIntervals is the number of renewal intervals within which a run that goes on settles a contest after the last interruption:
+	// the first registration, confirmCount more, and one interval for a late one.
+	settleIntervals = confirmCount + 2
 )
 
 // cadence estimates when the registrations of a run of an upstream were sent. A registration may be read long after that, when its
@@ -26,9 +35,12 @@
 	// sentAt is when the last registration was sent, at the latest. seenAt is the time from which upstreamKnown counts; zero if the
 	// registration shows nothing.
 	sentAt, seenAt time.Time
-	// regular is the number of registrations in a row that came as long after the one before as they were sent. It is -1 if one of
-	// another service came after the last one.
+	// regular is the number of registrations in a row that came as long after the one before as they were sent. It is -1 if the run
+	// was interrupted after the last one.
 	regular int
+	// interruptedBy has the other services that have interrupted the run in the present contest, and interruptedAt is when one did last.
+	interruptedBy []string
+	interruptedAt time.Time
 	// unconfirmed is how many of them have to follow until registrations count as sent when they are read.
 	unconfirmed int
 	// endedAt is when nothing listened at the upstream's address any more, until registrations that follow are confirmed.
@@ -111,8 +123,26 @@
 	return c
 }
 
-// interrupt records that an upstream of another service has registered.
-func (c *cadence) interrupt() { c.regular = -1 }
+// restart starts the count of regular registrations anew.
+func (c *cadence) restart() { c.regular = -1 }
+
+// interrupt records that an upstream of another service has registered, which may have started after the run. If it has, the run has
+// ended before, and what it has sent stops soon. More registrations of the same service don't show more than that, so they
+// interrupt the run again only once it has had the time to settle the contest. Otherwise a writer that goes on for ever would keep it from that.
+func (c *cadence) interrupt(now time.Time, service string, interval time.Duration) {
+	isNew := len(c.interruptedBy) < maxInterruptingServices && !slices.Contains(c.interruptedBy, service)
+	if !isNew && now.Sub(c.interruptedAt) < settleIntervals*interval {
+		return
+	}
+	if isNew {
+		c.interruptedBy = append(c.interruptedBy, service)
+	}
+	c.interruptedAt = now
+	c.restart()
+}
+
+// settle forgets the interruptions after the contest is settled.
+func (c *cadence) settle() { c.interruptedBy, c.interruptedAt = nil, time.Time{} }
 
 // late reports whether the last registration may have been sent long before it was read.
 func (c *cadence) late() bool { return c.receivedAt.Sub(c.sentAt) > lateTolerance }
--- a/pkg/lentilconntrack/enum_string.go
+++ b/pkg/lentilconntrack/enum_string.go
@@ -52,11 +52,12 @@
 	_ = x[DomainKeptOut-13]
 	_ = x[ColdChanged-14]
 	_ = x[RegistrationLate-15]
+	_ = x[AddressContested-16]
 }
 
-const _Cause_name = "NoCauseFlowUnknownUpstreamReplacedUpstreamLeftUpstreamRefusedUpstreamSilentUpstreamOverdueUpstreamRegisteredUpstreamLeavingDomainChangedStopAskedUpstreamFailsUpstreamWorksDomainKeptOutColdChangedRegistrationLate"
+const _Cause_name = "NoCauseFlowUnknownUpstreamReplacedUpstreamLeftUpstreamRefusedUpstreamSilentUpstreamOverdueUpstreamRegisteredUpstreamLeavingDomainChangedStopAskedUpstreamFailsUpstreamWorksDomainKeptOutColdChangedRegistrationLateAddressContested"
 
-var _Cause_index = [...]uint8{0, 7, 18, 34, 46, 61, 75, 90, 108, 123, 136, 145, 158, 171, 184, 195, 211}
+var _Cause_index = [...]uint8{0, 7, 18, 34, 46, 61, 75, 90, 108, 123, 136, 145, 158, 171, 184, 195, 211, 227}
 
 func (i Cause) String() string {
 	idx := int(i) - 0
--- a/pkg/lentilconntrack/presence.go
+++ b/pkg/lentilconntrack/presence.go
@@ -59,14 +59,21 @@
 	return last.regular >= need && !last.late()
 }
 
-// recordOtherService records that an upstream of another service has registered with the agent.
-func (t *Tracker) recordOtherService(now time.Time, r Registration) {
+// recordOtherService records that an upstream of another service has registered with the agent. It says nothing new while the agent's own
+// one certainly has the address.
+func (t *Tracker) recordOtherService(now time.Time, r Registration, actions []Action) []Action {
+	if t.upstreamPresent(now) {
+		return actions
+	}
 	if r.Incarnation == 0 || r.Incarnation >= t.cadence.incarnation {
-		t.cadence.interrupt()
+		t.cadence.interrupt(now, r.Service, t.RenewInterval)
 	}
-	if !t.upstreamPresent(now) {
-		t.contest.begin(r)
+	began := !t.contest.contested
+	t.contest.begin(r)
+	if began {
+		actions = append(actions, Action{Kind: ReportStateChange, Cause: AddressContested, Service: r.Service})
 	}
+	return actions
 }
 
 // observeCadence records when a registration of the agent's own service was sent.
--- a/pkg/lentilconntrack/report.go
+++ b/pkg/lentilconntrack/report.go
@@ -53,6 +53,12 @@
 	return t.now().Sub(t.upstream.seenAt), true
 }
 
+// Contested reports whether upstreams of other services have registered since the agent's own one was last known to have its address.
+func (t *Tracker) Contested() bool { return t.contest.contested }
+
+// IgnoredRegistrations returns the number of registrations of the upstream that were ignored, since the address was contested.
+func (t *Tracker) IgnoredRegistrations() uint64 { return t.ignoredRegistrations }
+
 // Out reports whether the failure domain is out of service.
 func (t *Tracker) Out() bool { return t.out }
 
--- a/pkg/lentilconntrack/rival.go
+++ b/pkg/lentilconntrack/rival.go
@@ -46,7 +46,8 @@
 	actions = t.endDisplaced(actions)
 	if r.ID != u.id && t.mayGoOn(now, &previous) {
 		u.displaced = previous
-		u.displaced.interrupt()
+		u.displaced.settle()
+		u.displaced.restart()
 		return actions
 	}
 	return t.resetReplaced(now, r, actions)
@@ -85,7 +86,7 @@
 	}
 	d.observe(now, r, t.RenewInterval, t.justResumed(now))
 	if t.justResumed(now) {
-		d.interrupt()
+		d.restart()
 	}
 	return d.regular > 0 && !d.late()
 }
--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -118,8 +118,10 @@
 	upstream upstream
 	// cadence has the last registrations of the agent's own service, also those that were ignored because of a contest.
 	cadence cadence
-	// contest is about other upstreams that register with the agent.
-	contest contest
+	// contest is about other upstreams that register with the agent, and ignoredRegistrations counts those of the own one that were
+	// ignored because of it.
+	contest              contest
+	ignoredRegistrations uint64
 	// breaker stops new flows to an upstream that fails, and queue holds them until the upstream has room.
 	breaker lentilbreaker.Breaker
 	queue   lentilflowqueue.Queue
--- a/pkg/lentilconntrack/upstream.go
+++ b/pkg/lentilconntrack/upstream.go
@@ -66,8 +66,7 @@
 	u, now := &t.upstream, t.now()
 	t.observePause(now)
 	if r.Service != t.Service {
-		t.recordOtherService(now, r)
-		return actions
+		return t.recordOtherService(now, r, actions)
 	}
 	if !t.mayBeInEffect(now, r) {
 		return actions
@@ -75,9 +74,11 @@
 	previous := t.cadence
 	t.observeCadence(now, r)
 	if !t.upstreamPresent(now) && !t.contest.settledBy(r, &t.cadence) {
+		t.ignoredRegistrations++
 		return actions
 	}
 	t.contest = contest{}
+	t.cadence.settle()
 	registered := u.id != ""
 	sameRun := registered && u.id == r.ID && u.incarnation == r.Incarnation
 	previousPhase := u.phase
