--- a/pkg/lentilplacement/flow.go
+++ b/pkg/lentilplacement/flow.go
@@ -46,8 +46,16 @@
 	askedAllAt time.Time
 	// heldPacket is a packet of the client, kept during the lookup for the agent that holds the flow.
 	heldPacket []byte
-	// acknowledged is the sequence that the client has acknowledged last.
-	acknowledged uint32
+	// acknowledged and sequence are the client's numbers in its last packet; they are valid if numbersSeen is set.
+	acknowledged, sequence uint32
+	numbersSeen            bool
+	// confirmed is set once the agent has said that it holds the flow while the client's numbers were known. Before, that may have been
+	// about an earlier flow from the client's port.
+	confirmed bool
+	// portReusedAt is when the balancer last learned that the client uses its port for another flow.
+	portReusedAt time.Time
+	// holderLost is why the agent that held the flow doesn't any more: HolderDenied or HolderGone, or NoCause.
+	holderLost Cause
 	// buffered has the flow's packets in Placer.buffer, in order.
 	buffered []*list.Element
 	// askedPreferredAt is when the agents that most likely hold the flow were last asked for it, and probedAt when an agent was
--- a/pkg/lentilplacement/lookup.go
+++ b/pkg/lentilplacement/lookup.go
@@ -1,6 +1,7 @@
 package lentilplacement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -16,16 +17,21 @@
 		f = &flow{state: stateLookup}
 		p.flows.Put(now, packet.Key, f)
 	}
-	if f.state == stateLookup && f.differsFrom(packet) {
+	if (f.state == stateLookup || f.state == stateKnown) && f.differsFrom(packet) {
 		p.releaseHeldPacket(f)
 		p.takeBuffered(f)
 		delete(p.lookups, packet.Key)
-		*f = flow{state: stateLookup}
+		*f = flow{state: stateLookup, portReusedAt: now}
 	}
-	f.acknowledged = packet.Acknowledged
+	f.recordNumbers(packet)
 	switch {
 	case f.state == stateKnown && p.endedWithAgent(now, f.agent):
-		return p.resetEndedFlow(packet.Key, f, HolderGone, actions)
+		f.holderLost = HolderGone
+		if p.mayResetAtOnce(now, f) {
+			return p.resetFlow(packet.Key, f, actions)
+		}
+		f.state = stateLookup
+		return p.lookUp(packet, f, data, actions)
 	case f.state == stateKnown:
 		return append(actions, p.forwardAction(f.agent, packet.Key, lentilflow.Owned, data))
 	case f.state == statePlaced && len(f.possibleHolders) == 1:
@@ -41,12 +47,6 @@
 	return p.forwardToAll(packet.Key, f, data, actions)
 }
 
-// differsFrom reports whether a client's packet belongs to another flow from the same port than the last one did. What agents said
-// of the earlier flow then doesn't count.
-func (f *flow) differsFrom(packet lentilflow.Packet) bool {
-	return f.acknowledged != 0 && packet.Flags.Has(lentilflow.Acknowledge) && !lentilflow.OfSameFlow(packet.Acknowledged, f.acknowledged)
-}
-
 // endedWithAgent reports whether the flows of an agent have ended with it and its upstream.
 func (p *Placer) endedWithAgent(now time.Time, addr lentilflow.Endpoint) bool {
 	a := p.agents[addr]
@@ -137,11 +137,7 @@
 
 // resetFlow resets the client of a flow that no agent holds, and forgets the flow.
 func (p *Placer) resetFlow(key lentilflow.Key, f *flow, actions []Action) []Action {
-	return p.resetEndedFlow(key, f, AllDenied, actions)
-}
-
-// resetEndedFlow resets the client of a flow that has ended, and forgets the flow.
-func (p *Placer) resetEndedFlow(key lentilflow.Key, f *flow, cause Cause, actions []Action) []Action {
+	cause := cmp.Or(f.holderLost, AllDenied)
 	p.releaseHeldPacket(f)
 	p.takeBuffered(f)
 	p.flows.Delete(key)
@@ -164,6 +160,7 @@
 	moreGone := gone > p.goneAgents
 	p.goneAgents = gone
 	for key, f := range p.lookups {
+		f.expireDenials(now)
 		switch {
 		case p.flows.Get(now, key) != f || now.Sub(f.lookupStartedAt) > denialTTL:
 			p.releaseHeldPacket(f)
@@ -272,9 +269,12 @@
 		if f == nil || (f.state == stateKnown && f.agent != from) {
 			continue
 		}
+		if f.state != stateLookup && !m.Unsure && f.portJustReused(now) {
+			// It may be about the earlier flow from the port.
+			continue
+		}
 		if f.state == stateKnown && !m.Unsure {
-			// A flow never moves, so it has ended if the agent that held it no longer does.
-			actions = p.resetEndedFlow(key, f, HolderDenied, actions)
+			actions = p.handleHolderDenied(now, from, key, f, actions)
 			continue
 		}
 		if m.Unsure && len(f.buffered) > 0 && f.state != stateLookup && slices.Contains(f.possibleHolders, from) {
@@ -301,13 +301,6 @@
 	return actions
 }
 
-// expireDenials clears the denials and unsure agents of a flow when they are older than denialTTL.
-func (f *flow) expireDenials(now time.Time) {
-	if now.Sub(f.denialsSince) > denialTTL {
-		f.deniedBy, f.unsureAgents, f.denialsSince = f.deniedBy[:0], f.unsureAgents[:0], now
-	}
-}
-
 // handleUnsure sends the held packet to an agent that can't decide without one.
 func (p *Placer) handleUnsure(from lentilflow.Endpoint, key lentilflow.Key, f *flow, actions []Action) []Action {
 	if f.state != stateLookup || slices.Contains(f.unsureAgents, from) {
@@ -359,7 +352,7 @@
 // upstream, or is gone. Agents of all services count, since an earlier configuration that this balancer
 // never had may have given the address to any service.
 func (p *Placer) deniedByAll(now time.Time, f *flow) bool {
-	if !p.agentsComplete || p.configuration.Version() == 0 || len(f.deniedBy) == 0 {
+	if !p.agentsComplete || p.configuration.Version() == 0 || len(f.deniedBy) == 0 && f.holderLost == NoCause || f.portJustReused(now) {
 		return false
 	}
 	for addr, a := range p.agents {
--- a/pkg/lentilplacement/placement.go
+++ b/pkg/lentilplacement/placement.go
@@ -263,7 +263,11 @@
 	key := packet.Key
 	f := p.flows.Get(now, key)
 	if f == nil || p.opensAnew(now, key, f) {
+		earlier := f != nil
 		f = &flow{state: statePlacing, firstPacket: slices.Clone(data), since: now.Add(-packet.OpeningAge)}
+		if earlier {
+			f.recordReuse(now)
+		}
 		p.flows.Put(now, key, f)
 		return p.place(now, key, f, Chosen, actions)
 	}
@@ -271,7 +275,7 @@
 		return actions
 	}
 	if f.state == stateKnown {
-		// The flow is another one from the client's port.
+		f.recordReuse(now)
 		f.since = now.Add(-packet.OpeningAge)
 	}
 	if f.state == statePlacing && now.Sub(f.sentAt) >= p.offerTimeout() && p.mayOfferAgain(now, f) && !p.awaitsHedge(now, f) {
@@ -327,7 +331,10 @@
 		}
 		actions = p.releaseBuffered(from, m.Key, f, lentilflow.Owned, actions)
 		delete(p.lookups, m.Key)
-		*f = flow{state: stateKnown, agent: from, service: p.serviceOf(from)}
+		*f = flow{
+			state: stateKnown, agent: from, service: p.serviceOf(from), confirmed: f.numbersSeen, portReusedAt: f.portReusedAt,
+			acknowledged: f.acknowledged, sequence: f.sequence, numbersSeen: f.numbersSeen,
+		}
 	case f.state == statePlacing:
 		if from != f.agent {
 			f.service = p.serviceOf(from)
@@ -356,6 +363,7 @@
 	if f.state == stateKnown {
 		// The agent no longer holds the flow: its client has closed it and uses the port again.
 		f = &flow{state: statePlacing, agent: from, firstPacket: slices.Clone(m.Packet), since: now.Add(-packet.OpeningAge), triedAgents: []lentilflow.Endpoint{from}}
+		f.recordReuse(now)
 		p.flows.Put(now, packet.Key, f)
 	}
 	f.lastRefusal = m.Reason
