--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -271,7 +271,8 @@
 	if f == nil {
 		return t.handleUnknown(now, from, m, packet, actions)
 	}
-	if f.state == lost && f.differsFrom(packet) {
+	if (f.state == lost || f.state == closed) && f.differsFrom(packet) {
+		// The first packet of a later flow at this upstream would have replaced the entry.
 		return append(actions, Action{Kind: SendDenied, To: from, Keys: []lentilflow.Key{packet.Key}})
 	}
 	if f.state == lost {
@@ -282,7 +283,7 @@
 		// ones would be lost.
 		return append(actions, Action{Kind: SendDenied, To: from, Keys: []lentilflow.Key{packet.Key}, Unsure: true})
 	}
-	if f.state == open && m.Purpose == lentilflow.Lookup && f.firstSeen && f.differsFrom(packet) {
+	if f.state == open && f.firstSeen && f.differsFrom(packet) {
 		// It may also be a late packet of an earlier flow, so this doesn't show that the upstream lost its own.
 		return append(actions, Action{Kind: SendDenied, To: from, Keys: []lentilflow.Key{packet.Key}, Unsure: true})
 	}
--- a/pkg/lentilplacement/lookup_test.go
+++ b/pkg/lentilplacement/lookup_test.go
@@ -251,7 +251,7 @@
 		t.Errorf("another packet of the earlier flow: got %q, want agent 1 left out", got)
 	}
 	// Another balancer has the client's next flow opened at agent 1.
-	if got := h.sendPacket(nextPacket(testFlow)); !strings.Contains(got, "lookup to 1") {
+	if got := h.sendPacket(nextPacket()); !strings.Contains(got, "lookup to 1") {
 		t.Errorf("a packet of the next flow: got %q, want it sent to agent 1 too", got)
 	}
 	for _, n := range []int{2, 3, 4} {
--- a/pkg/lentilplacement/portreuse_test.go
+++ b/pkg/lentilplacement/portreuse_test.go
@@ -38,16 +38,16 @@
 		prepare func(h *harness)
 		packet  []byte
 	}{
-		{"of other numbers", open, nextPacket(testFlow)},
+		{"of other numbers", open, nextPacket()},
 		{"found by a lookup", func(h *harness) {
 			h.sendPacket(laterPacket(testFlow))
 			h.answerTaken(1, true)
-		}, nextPacket(testFlow)},
-		{"of unknown numbers", func(h *harness) { h.answerTaken(1, true) }, nextPacket(testFlow)},
+		}, nextPacket()},
+		{"of unknown numbers", func(h *harness) { h.answerTaken(1, true) }, nextPacket()},
 		{"opened without a later packet", func(h *harness) {
 			h.sendPacket(firstPacket(testFlow))
 			h.answerTaken(1, true)
-		}, nextPacket(testFlow)},
+		}, nextPacket()},
 		{"of the same numbers by chance", open, laterPacket(testFlow)},
 		{"whose agent has ended with its upstream", func(h *harness) {
 			open(h)
@@ -110,7 +110,7 @@
 		}},
 		{"and another balancer has opened the flow", func(h *harness) string {
 			h.sendPacket(laterPacket(testFlow))
-			return h.sendPacket(nextPacket(testFlow))
+			return h.sendPacket(nextPacket())
 		}},
 		{"and the agent had the earlier flow, and refuses a copy of the next one's first packet", func(h *harness) string {
 			h.sendPacket(laterPacket(testFlow))
@@ -121,16 +121,16 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h := newHarness(t)
-			got := []string{c.events(h), h.answerDenied(1), h.sendPacket(nextPacket(testFlow))}
+			got := []string{c.events(h), h.answerDenied(1), h.sendPacket(nextPacket())}
 			for _, n := range []int{2, 3, 4} {
 				got = append(got, h.answerDenied(n))
 			}
-			got = append(got, h.advance(200*time.Millisecond, 1, 2, 3, 4), h.sendPacket(nextPacket(testFlow)))
+			got = append(got, h.advance(200*time.Millisecond, 1, 2, 3, 4), h.sendPacket(nextPacket()))
 			if strings.Contains(strings.Join(got, ";"), "reset") {
 				t.Errorf("the flow is reset: %q", got)
 			}
 			h.answerTaken(1, true)
-			if got := h.sendPacket(nextPacket(testFlow)); got != "owned to 1" {
+			if got := h.sendPacket(nextPacket()); got != "owned to 1" {
 				t.Errorf("got %q, want the packet at agent 1", got)
 			}
 		})
@@ -144,7 +144,7 @@
 	h.sendPacket(laterPacket(testFlow))
 	h.answerTaken(1, true)
 	began := h.clock.Now()
-	actions, err := h.HandlePacket(nextPacket(testFlow), nil)
+	actions, err := h.HandlePacket(nextPacket(), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
