--- a/pkg/lentilconntrack/portreuse_test.go
+++ b/pkg/lentilconntrack/portreuse_test.go
@@ -45,3 +45,24 @@
 		}
 	}
 }
+
+// TestReturnedPacketOfEarlierFlow guards against a denial of a flow that is opening, since the upstream has returned a packet of the earlier
+// one from the port, which an agent without its list of flows had passed on.
+func TestReturnedPacketOfEarlierFlow(t *testing.T) {
+	h := newHarness(t)
+	key := flowKey(1)
+	h.lastSequence = 8
+	h.register("u")
+	steps := []struct{ got, want string }{
+		{h.fromBalancer(peer1, lentilflow.Lookup, dataPacket(key, nextFlowAcknowledged)), "ToUpstream"},
+		{h.fromBalancer(peer1, lentilflow.Place, firstPacket(key)), "ToUpstream, SendTaken open=false"},
+		{h.fromUpstream(markReturned(dataPacket(key, nextFlowAcknowledged))), ""},
+		{h.fromUpstream(acceptPacket(key, 500)), "ToClient"},
+		{h.fromBalancer(peer1, lentilflow.Owned, dataPacket(key, 501)), "SendTaken open=true, ToUpstream"},
+	}
+	for i, s := range steps {
+		if s.got != s.want {
+			t.Errorf("step %d: got %q, want %q", i, s.got, s.want)
+		}
+	}
+}
--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -428,7 +428,7 @@
 		t.removeFlow(packet.Key)
 		return append(actions, Action{Kind: SendRefused, To: f.balancer, Key: packet.Key, Refusal: lentilflow.UpstreamFull, Packet: data})
 	}
-	if f.state == open && f.differsFrom(packet) {
+	if f.state == open && f.differsFrom(packet) || f.state == halfOpen && f.firstSeen {
 		// It is of an earlier flow from the client's port, which the upstream doesn't hold any more.
 		return actions
 	}
