--- a/pkg/lentilplacement/placement_test.go
+++ b/pkg/lentilplacement/placement_test.go
@@ -45,7 +45,7 @@
 
 func firstPacket(n int) []byte { return []byte{byte(n >> 8), byte(n), 'f'} }
 func laterPacket(n int) []byte { return []byte{byte(n >> 8), byte(n), 'd'} }
-func nextPacket() []byte      { return []byte{testFlow >> 8, testFlow, 'n'} }
+func nextPacket() []byte       { return []byte{testFlow >> 8, testFlow, 'n'} }
 
 // harness is a placer with a fake clock and simulated agents.
 type harness struct {
