--- a/pkg/lentilplacement/flow.go
+++ b/pkg/lentilplacement/flow.go
@@ -44,8 +44,10 @@
 	lookupStartedAt time.Time
 	// askedAllAt is when all agents were last asked for the flow, or queued to be asked.
 	askedAllAt time.Time
-	// heldPacket is a packet of the client, kept during the lookup for the agent that holds the flow.
+	// heldPacket is a packet of the client, kept during the lookup for the agent that holds the flow, and heldSentTo has the agents that
+	// were sent this or a later one.
 	heldPacket []byte
+	heldSentTo sendings
 	// acknowledged and sequence are the client's numbers in its last packet; they are valid if numbersSeen is set.
 	acknowledged, sequence uint32
 	numbersSeen            bool
--- a/pkg/lentilplacement/link.go
+++ b/pkg/lentilplacement/link.go
@@ -50,7 +50,7 @@
 	data     []byte
 	storedAt time.Time
 	// sentTo has the agents that were sent the packet during the lookup.
-	sentTo []lentilflow.Endpoint
+	sentTo sendings
 }
 
 func (b *bufferedPacket) size() int { return len(b.data) + bufferedOverhead }
@@ -113,7 +113,7 @@
 // releaseBuffered sends the buffered packets of a flow to an agent, in order and without those that it already has.
 func (p *Placer) releaseBuffered(to lentilflow.Endpoint, key lentilflow.Key, f *flow, purpose lentilflow.Purpose, actions []Action) []Action {
 	for _, b := range p.takeBuffered(f) {
-		if !slices.Contains(b.sentTo, to) {
+		if !b.sentTo.contains(to) {
 			actions = append(actions, p.forwardAction(to, key, purpose, b.data))
 		}
 	}
@@ -236,9 +236,10 @@
 	}
 	preferred := p.preferredNotDenied(packet.Key, f)
 	if first && len(f.buffered) == 1 && len(preferred) > 0 && p.mayCopy(now, len(data), len(preferred)) {
-		f.buffered[0].Value.(*bufferedPacket).sentTo = preferred
+		b := f.buffered[0].Value.(*bufferedPacket)
 		f.askedPreferredAt, f.probedAt = now, now
 		for _, addr := range preferred {
+			b.sentTo.record(now, addr)
 			actions = append(actions, p.forwardAction(addr, packet.Key, lentilflow.Lookup, data))
 		}
 		actions = append(actions, Action{Kind: ReportLookup, Cause: Sought, Key: packet.Key})
@@ -276,11 +277,13 @@
 	return actions
 }
 
-// handleUnsureOnLink records that an agent needs a packet of a flow with buffered packets to decide about it.
+// handleUnsureOnLink records that an agent needs a packet of a flow with buffered packets to decide about it. If it was sent one long before,
+// that was lost, or came to an earlier run of the agent.
 func (p *Placer) handleUnsureOnLink(now time.Time, from lentilflow.Endpoint, key lentilflow.Key, f *flow, actions []Action) []Action {
 	if !slices.Contains(f.unsureAgents, from) {
 		f.unsureAgents = append(f.unsureAgents, from)
 	}
+	f.buffered[0].Value.(*bufferedPacket).sentTo.forgetUntil(from, now.Add(-p.offerTimeout()))
 	return p.probeNext(now, key, f, actions)
 }
 
@@ -359,15 +362,15 @@
 	}
 	b := f.buffered[0].Value.(*bufferedPacket)
 	for _, addr := range f.unsureAgents {
-		if slices.Contains(b.sentTo, addr) {
+		if b.sentTo.contains(addr) {
 			continue
 		}
 		pending, unsure := 0, 0
 		for _, sent := range b.sentTo {
-			if !slices.Contains(f.deniedBy, sent) {
+			if !slices.Contains(f.deniedBy, sent.to) {
 				pending++
 			}
-			if slices.Contains(f.unsureAgents, sent) {
+			if slices.Contains(f.unsureAgents, sent.to) {
 				unsure++
 			}
 		}
@@ -380,7 +383,8 @@
 		case pending > 0 && overdue:
 			p.chargeCopies(now, len(b.data), 1)
 		}
-		b.sentTo, f.probedAt = append(b.sentTo, addr), now
+		b.sentTo.record(now, addr)
+		f.probedAt = now
 		actions = append(actions, p.forwardAction(addr, key, lentilflow.Lookup, b.data))
 	}
 	return actions
--- a/pkg/lentilplacement/lookup.go
+++ b/pkg/lentilplacement/lookup.go
@@ -80,12 +80,14 @@
 	before := len(actions)
 	for _, addr := range p.preferredAgents(key) {
 		if !slices.Contains(f.deniedBy, addr) {
+			f.heldSentTo.record(now, addr)
 			actions = append(actions, p.forwardAction(addr, key, lentilflow.Lookup, data))
 		}
 	}
 	preferred := len(actions) - before
 	for _, addr := range f.unsureAgents[:min(len(f.unsureAgents), maxUnsureAgents)] {
 		if !slices.ContainsFunc(actions[before:before+preferred], func(a Action) bool { return a.To == addr }) {
+			f.heldSentTo.record(now, addr)
 			actions = append(actions, p.forwardAction(addr, key, lentilflow.Lookup, data))
 		}
 	}
@@ -129,7 +131,7 @@
 // releaseHeldPacket returns the packet held for a flow, or nil, and stops holding it.
 func (p *Placer) releaseHeldPacket(f *flow) (held []byte) {
 	if held = f.heldPacket; held != nil {
-		f.heldPacket = nil
+		f.heldPacket, f.heldSentTo = nil, nil
 		p.heldPackets--
 	}
 	return held
@@ -293,7 +295,7 @@
 		case m.Unsure && len(f.buffered) > 0:
 			actions = p.handleUnsureOnLink(now, from, key, f, actions)
 		case m.Unsure:
-			actions = p.handleUnsure(from, key, f, actions)
+			actions = p.handleUnsure(now, from, key, f, actions)
 		default:
 			actions = p.handleDenial(now, from, key, f, actions)
 		}
@@ -301,15 +303,20 @@
 	return actions
 }
 
-// handleUnsure sends the held packet to an agent that can't decide without one.
-func (p *Placer) handleUnsure(from lentilflow.Endpoint, key lentilflow.Key, f *flow, actions []Action) []Action {
-	if f.state != stateLookup || slices.Contains(f.unsureAgents, from) {
+// handleUnsure sends the held packet to an agent that can't decide without one. If it was sent one long before, that was lost, or came to an
+// earlier run of the agent.
+func (p *Placer) handleUnsure(now time.Time, from lentilflow.Endpoint, key lentilflow.Key, f *flow, actions []Action) []Action {
+	if f.state != stateLookup {
 		return actions
 	}
-	f.unsureAgents = append(f.unsureAgents, from)
-	if f.heldPacket == nil || len(f.unsureAgents) > maxUnsureAgents {
+	if !slices.Contains(f.unsureAgents, from) {
+		f.unsureAgents = append(f.unsureAgents, from)
+	}
+	f.heldSentTo.forgetUntil(from, now.Add(-p.offerTimeout()))
+	if f.heldPacket == nil || f.heldSentTo.contains(from) || slices.Index(f.unsureAgents, from) >= maxUnsureAgents {
 		return actions
 	}
+	f.heldSentTo.record(now, from)
 	return append(actions, p.forwardAction(from, key, lentilflow.Lookup, f.heldPacket))
 }
 
@@ -323,7 +330,9 @@
 		f.unsureAgents = slices.Delete(f.unsureAgents, i, i+1)
 		if i < maxUnsureAgents && len(f.unsureAgents) >= maxUnsureAgents && f.heldPacket != nil && f.state == stateLookup {
 			// The next one gets the packet now.
-			actions = append(actions, p.forwardAction(f.unsureAgents[maxUnsureAgents-1], key, lentilflow.Lookup, f.heldPacket))
+			next := f.unsureAgents[maxUnsureAgents-1]
+			f.heldSentTo.record(now, next)
+			actions = append(actions, p.forwardAction(next, key, lentilflow.Lookup, f.heldPacket))
 		}
 		actions = p.probeNext(now, key, f, actions)
 	}
