--- a/internal/lentilpacket/balancer.go
+++ b/internal/lentilpacket/balancer.go
@@ -96,11 +96,11 @@
 		b.Store.NotifyEra(func(era uint64) { b.observeEra(era, 0, eraFromStore) })
 	}
 	var workers sync.WaitGroup
+	self := Peer{
+		Node:  lentilflow.Node{Name: b.Settings.Name(), Domain: b.Settings.Domain(), Address: lentilflow.EndpointOf(b.Settings.PeerAddress())},
+		RunID: b.runID,
+	}
 	discover := func() {
-		self := Peer{
-			Node:  lentilflow.Node{Name: b.Settings.Name(), Domain: b.Settings.Domain(), Address: lentilflow.EndpointOf(b.Settings.PeerAddress())},
-			RunID: b.runID,
-		}
 		discoverPeers(ctx, b.Logger, b.Store.Balancers, b.Store.Agents, self, b.addAgents)
 	}
 	b.renewEntry = func(era uint64, balancers int) {
@@ -133,6 +133,7 @@
 	stop()
 	_, _ = b.ingressConn.Close(), b.peerConn.Close()
 	workers.Wait()
+	b.withdrawEntry(forced, self)
 	return nil
 }
 
--- a/internal/lentilpacket/drain.go
+++ b/internal/lentilpacket/drain.go
@@ -30,6 +30,19 @@
 	}
 }
 
+// withdrawTimeout bounds the time that a stopped balancer takes to withdraw its entry.
+const withdrawTimeout = 500 * time.Millisecond
+
+// withdrawEntry removes the entry of the balancer from the store. It may not come back, and entries of balancers that have ended would make
+// up more and more of the list. Agents that start don't introduce themselves to a balancer without an entry, so it must not get packets any more.
+func (b *Balancer) withdrawEntry(forced context.Context, self Peer) {
+	ctx, cancel := context.WithTimeout(forced, withdrawTimeout)
+	defer cancel()
+	if err := b.Store.Balancers.Withdraw(ctx, self); err != nil {
+		b.Logger.Write(lentilevent.StoreLost, lentilevent.Str("what", "withdraw"), lentilevent.Err(err))
+	}
+}
+
 // tickDrain asks for a permit if a request is due, and returns the phase of the stop.
 func (b *Balancer) tickDrain() (phase lentildrain.Phase) {
 	before := lentildrain.Serving
--- a/internal/lentilpacket/readers.go
+++ b/internal/lentilpacket/readers.go
@@ -198,7 +198,9 @@
 	b.domains.ObservePeer(lentilera.Position{Era: status.Store.Era, Revision: status.Store.DomainsRevision})
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.pollSchedule.SetProcessCount(int(status.BalancerCount))
+	if status.BalancerCount > 0 {
+		b.pollSchedule.SetProcessCount(int(status.BalancerCount))
+	}
 	if status.Store.Era >= b.era.Era() {
 		b.pollSchedule.RecordCheck(status.Store.CheckedAgo)
 	}
--- a/pkg/lentilconntrack/balancers.go
+++ b/pkg/lentilconntrack/balancers.go
@@ -15,6 +15,9 @@
 	// maxStatusesPerSecond bounds the traffic of the statuses to all balancers: 20 statuses of some 80 bytes
 	// are a tenth of the 16 KB/s that control traffic may take.
 	maxStatusesPerSecond = 20
+	// countDelay is how long after its start the agent doesn't tell how many balancers there are. By then, those that run have answered
+	// its first status. Balancers that start at the same time have to know their number 0.8 s later, when they would poll the store.
+	countDelay = 300 * time.Millisecond
 	// balancerTimeout is how long a balancer gets statuses after its last Hello. Balancers send a Hello every 5 s.
 	balancerTimeout = 20 * time.Second
 	// maxHelloGap is the longest gap between two Hellos that doesn't lead to a Rediscover. Balancers send a
@@ -25,7 +28,9 @@
 // balancer is the state of a balancer that gets statuses.
 type balancer struct {
 	// helloAt is the time of the last Hello, or of AddPeer before the first one.
-	helloAt      time.Time
+	helloAt time.Time
+	// heard is set once the balancer has sent a Hello. Until then it is only listed, and may have ended long ago.
+	heard        bool
 	name, domain string
 	// understandsEra is set if the balancer accepts the era in a Status.
 	understandsEra bool
@@ -53,7 +58,7 @@
 		return actions
 	}
 	b := t.addBalancer(from)
-	b.name, b.domain = m.Name, m.Domain
+	b.heard, b.name, b.domain = true, m.Name, m.Domain
 	if m.Configured {
 		t.permits.Return(m.Name, m.RunID)
 	}
@@ -92,7 +97,7 @@
 	t.permits.Clock = t.Clock
 	var present []string
 	for _, b := range t.balancers {
-		if b.domain == m.Domain {
+		if b.heard && b.domain == m.Domain {
 			present = append(present, b.name)
 		}
 	}
@@ -175,8 +180,23 @@
 	return added
 }
 
-// BalancerCount returns the number of balancers that get the status.
-func (t *Tracker) BalancerCount() int { return len(t.balancers) }
+// BalancerCount returns the number of balancers that have introduced themselves. Those that are only listed may have ended.
+func (t *Tracker) BalancerCount() (count int) {
+	for _, b := range t.balancers {
+		if b.heard {
+			count++
+		}
+	}
+	return count
+}
+
+// reportedBalancerCount returns the number of balancers that the status reports, which is zero while it isn't known.
+func (t *Tracker) reportedBalancerCount() uint16 {
+	if t.now().Sub(t.startedAt) < countDelay {
+		return 0
+	}
+	return uint16(t.BalancerCount())
+}
 
 // Status returns the agent's status, with the whole load; LoadFor returns the part that a balancer accepts. Each call
 // returns a higher sequence number.
@@ -185,13 +205,16 @@
 	return lentilflow.Status{
 		Name: t.Name, Service: t.Service, Domain: t.Domain, RunID: t.RunID, Sequence: t.statusSequence,
 		Phase: t.upstream.phase, Cold: t.Cold(), Out: t.out, Stopping: t.stopping, UpstreamEnded: t.upstream.ended, Load: t.Load(), Interval: t.statusInterval(),
-		BalancerCount: uint16(len(t.balancers)), UnderstandsTerms: true, UnderstandsEra: true,
+		BalancerCount: t.reportedBalancerCount(), UnderstandsTerms: true, UnderstandsEra: true,
 	}
 }
 
 // statusInterval returns the time between two statuses to a balancer while nothing changes.
-func (t *Tracker) statusInterval() time.Duration {
-	return max(minStatusInterval, time.Duration(len(t.balancers))*time.Second/maxStatusesPerSecond)
+func (t *Tracker) statusInterval() time.Duration { return statusIntervalOf(t.BalancerCount()) }
+
+// statusIntervalOf returns the time between two statuses to each of some balancers.
+func statusIntervalOf(balancers int) time.Duration {
+	return max(minStatusInterval, time.Duration(balancers)*time.Second/maxStatusesPerSecond)
 }
 
 // announceChange reports a state change and sends the status to all balancers at once.
@@ -201,20 +224,34 @@
 
 // sendStatuses sends the status to all balancers and removes those without a recent Hello.
 func (t *Tracker) sendStatuses(now time.Time, actions []Action) []Action {
-	t.lastStatusAt = now
+	t.lastStatusAt, t.lastIntroductionAt = now, now
+	return t.sendStatusesTo(now, true, t.sendStatusesTo(now, false, actions))
+}
+
+// sendStatusesTo sends the status to the balancers that have sent a Hello, or to those that are only listed.
+func (t *Tracker) sendStatusesTo(now time.Time, heard bool, actions []Action) []Action {
 	for address, b := range t.balancers {
-		if now.Sub(b.helloAt) > balancerTimeout {
+		switch {
+		case b.heard != heard:
+		case now.Sub(b.helloAt) > balancerTimeout:
 			delete(t.balancers, address)
-			continue
+		default:
+			actions = append(actions, Action{Kind: SendStatus, To: address})
 		}
-		actions = append(actions, Action{Kind: SendStatus, To: address})
 	}
 	return actions
 }
 
+// sendDueStatuses sends the statuses that are due. Balancers that are only listed don't slow down those that run.
 func (t *Tracker) sendDueStatuses(now time.Time, actions []Action) []Action {
-	if now.Sub(t.lastStatusAt) < t.statusInterval() {
-		return actions
+	heard := t.BalancerCount()
+	if now.Sub(t.lastStatusAt) >= statusIntervalOf(heard) {
+		t.lastStatusAt = now
+		actions = t.sendStatusesTo(now, true, actions)
+	}
+	if now.Sub(t.lastIntroductionAt) >= statusIntervalOf(len(t.balancers)-heard) {
+		t.lastIntroductionAt = now
+		actions = t.sendStatusesTo(now, false, actions)
 	}
-	return t.sendStatuses(now, actions)
+	return actions
 }
--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -162,11 +162,12 @@
 	// refusedSince is when a probe was first refused since the last one that was accepted.
 	refusedSince time.Time
 	// lastCold is the value of Cold in the last tick.
-	lastCold     bool
-	balancers    map[lentilflow.Endpoint]*balancer
-	permits      lentildrain.Permits
-	lastStatusAt time.Time
-	lastHelloAt  time.Time
+	lastCold  bool
+	balancers map[lentilflow.Endpoint]*balancer
+	permits   lentildrain.Permits
+	// lastStatusAt and lastIntroductionAt are when statuses were last sent to the balancers that run, and to those that are only listed.
+	lastStatusAt, lastIntroductionAt time.Time
+	lastHelloAt                      time.Time
 	// rediscoveredAt is the time of the last Rediscover.
 	rediscoveredAt time.Time
 	statusSequence uint64
--- a/pkg/lentilflow/message.go
+++ b/pkg/lentilflow/message.go
@@ -194,7 +194,7 @@
 	ConfiguredBalancer Endpoint
 	// Interval is the time until the next status if nothing changes.
 	Interval time.Duration
-	// BalancerCount is the number of balancers that the agent knows.
+	// BalancerCount is the number of balancers that the agent has heard of. It is zero if the agent has just started and doesn't know it.
 	BalancerCount uint16
 	Store         StoreState
 }
