--- a/pkg/lentilconntrack/cold_test.go
+++ b/pkg/lentilconntrack/cold_test.go
@@ -159,3 +159,45 @@
 		})
 	}
 }
+
+// TestRateOfOtherService guards against a cold upstream that gets the rate of another service, whose flows are still offered at an address
+// that it had before.
+func TestRateOfOtherService(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		rate float32
+	}{
+		{"higher", 60},
+		{"unlimited", 0},
+		{"lower", 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.FlowsComplete = true
+			offer := func(n int, service string, rate float32) string {
+				actions, err := h.HandleCarry(peer1, lentilflow.Carry{Service: service, Version: 3, ColdRate: rate, Packet: h.encode(firstPacket(flowKey(n)))}, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				return formatActions(actions)
+			}
+			if got, want := offer(200, "b", c.rate), "SendRefused OtherService"; got != want {
+				t.Fatalf("an offer for the other service: got %q, want %q", got, want)
+			}
+			h.register("u", func(r *Registration) { r.ColdFor, r.Slots = 5*time.Second, 1000 })
+			accepted := 0
+			for i := range 100 {
+				if i%10 == 0 {
+					offer(200+i, "b", c.rate)
+				}
+				if got := offer(i, "a", 4); got == "ToUpstream, SendTaken open=false" {
+					accepted++
+				}
+				h.clock.Advance(10 * time.Millisecond)
+			}
+			if want := 10; accepted != want {
+				t.Errorf("%d new flows within a second, want %d", accepted, want)
+			}
+		})
+	}
+}
--- a/pkg/lentilconntrack/tracker.go
+++ b/pkg/lentilconntrack/tracker.go
@@ -144,8 +144,8 @@
 	unsettledEra uint64
 	settledAt    time.Time
 	stopping     bool
-	// coldRate is the rate of new flows for cold upstreams, from the newest configuration version that a
-	// balancer has used in a Carry.
+	// coldRate is the rate of new flows for cold upstreams of the service, from the newest configuration version that a balancer
+	// has used in an offer for that service.
 	coldRate        float64
 	coldRateVersion uint64
 	// coldAccepted holds the times of the new flows that the cold upstream got within coldWindow.
@@ -211,7 +211,7 @@
 	if err != nil {
 		return actions, err
 	}
-	if m.Purpose == lentilflow.Place && m.Version > t.coldRateVersion {
+	if m.Purpose == lentilflow.Place && m.Service == t.Service && m.Version > t.coldRateVersion {
 		t.coldRateVersion, t.coldRate = m.Version, float64(m.ColdRate)
 	}
 	now := t.now()
