--- a/pkg/lentilplacement/link.go
+++ b/pkg/lentilplacement/link.go
@@ -110,9 +110,12 @@
 	return packets
 }
 
-// releaseBuffered sends the buffered packets of a flow to an agent, in order and without those that it already has.
+// releaseBuffered sends the buffered packets of a flow to an agent, in order and without those that it already has. One that was sent to it
+// long before may have been lost.
 func (p *Placer) releaseBuffered(to lentilflow.Endpoint, key lentilflow.Key, f *flow, purpose lentilflow.Purpose, actions []Action) []Action {
+	now := p.now()
 	for _, b := range p.takeBuffered(f) {
+		b.sentTo.forgetUntil(to, now.Add(-p.offerTimeout()))
 		if !b.sentTo.contains(to) {
 			actions = append(actions, p.forwardAction(to, key, purpose, b.data))
 		}
--- a/pkg/lentilplacement/link_test.go
+++ b/pkg/lentilplacement/link_test.go
@@ -123,6 +123,12 @@
 			{packet(dataPacket(testFlow, 2)), ""},
 			{taken(2, true), "owned to 2"},
 		}},
+		{"the holder gets a packet again that it was sent long before it was found", []step{
+			{refill, ""},
+			{packet(dataPacket(testFlow, 1)), "lookup to 1, lookup to 2, lookup to 3"},
+			{wait(200 * time.Millisecond), "ask 1, ask 2, ask 3, ask 4"},
+			{taken(2, true), "owned to 2"},
+		}},
 		{"an unsure agent gets the first packet at once, and the next one when it has denied the flow", []step{
 			{packet(dataPacket(testFlow, 1)), "ask 1, ask 2, ask 3"},
 			{unsure(1), "lookup to 1"},
