--- a/pkg/lentilconntrack/balancers.go
+++ b/pkg/lentilconntrack/balancers.go
@@ -190,9 +190,12 @@
 	return count
 }
 
+// countsBalancers reports whether the agent runs for long enough to know how many balancers there are.
+func (t *Tracker) countsBalancers() bool { return t.now().Sub(t.startedAt) >= countDelay }
+
 // reportedBalancerCount returns the number of balancers that the status reports, which is zero while it isn't known.
 func (t *Tracker) reportedBalancerCount() uint16 {
-	if t.now().Sub(t.startedAt) < countDelay {
+	if !t.countsBalancers() {
 		return 0
 	}
 	return uint16(t.BalancerCount())
@@ -209,8 +212,14 @@
 	}
 }
 
-// statusInterval returns the time between two statuses to a balancer while nothing changes.
-func (t *Tracker) statusInterval() time.Duration { return statusIntervalOf(t.BalancerCount()) }
+// statusInterval returns the time between two statuses to a balancer while nothing changes. While the number of balancers isn't known, it is
+// that for all that are listed: balancers take an agent for unresponsive if its statuses come later than it has said.
+func (t *Tracker) statusInterval() time.Duration {
+	if !t.countsBalancers() {
+		return statusIntervalOf(len(t.balancers))
+	}
+	return statusIntervalOf(t.BalancerCount())
+}
 
 // statusIntervalOf returns the time between two statuses to each of some balancers.
 func statusIntervalOf(balancers int) time.Duration {
@@ -244,12 +253,11 @@
 
 // sendDueStatuses sends the statuses that are due. Balancers that are only listed don't slow down those that run.
 func (t *Tracker) sendDueStatuses(now time.Time, actions []Action) []Action {
-	heard := t.BalancerCount()
-	if now.Sub(t.lastStatusAt) >= statusIntervalOf(heard) {
+	if now.Sub(t.lastStatusAt) >= t.statusInterval() {
 		t.lastStatusAt = now
 		actions = t.sendStatusesTo(now, true, actions)
 	}
-	if now.Sub(t.lastIntroductionAt) >= statusIntervalOf(len(t.balancers)-heard) {
+	if now.Sub(t.lastIntroductionAt) >= statusIntervalOf(len(t.balancers)-t.BalancerCount()) {
 		t.lastIntroductionAt = now
 		actions = t.sendStatusesTo(now, false, actions)
 	}
--- a/pkg/lentilconntrack/balancers_test.go
+++ b/pkg/lentilconntrack/balancers_test.go
@@ -88,3 +88,39 @@
 		t.Errorf("%d statuses in 5 s, want %d", count, want)
 	}
 }
+
+// TestStatusIntervalAtStart guards against an agent that seems unresponsive right after its start, since its first statuses announce a
+// shorter interval than that in which the next ones come.
+func TestStatusIntervalAtStart(t *testing.T) {
+	const balancers, step = 60, 50 * time.Millisecond
+	h := newHarness(t)
+	h.Start()
+	address := func(n int) lentilflow.Endpoint { return lentilflow.NewEndpoint([4]byte{10, 0, 0, byte(n + 1)}, 7720) }
+	announced, sentAt := make(map[lentilflow.Endpoint]time.Duration), make(map[lentilflow.Endpoint]time.Time)
+	perform := func(actions []Action) {
+		for _, a := range actions {
+			if a.Kind != SendStatus {
+				continue
+			}
+			now := h.clock.Now()
+			if at, ok := sentAt[a.To]; ok && now.Sub(at) > 3*announced[a.To] {
+				t.Fatalf("%s gets a status %s after one that announced %s", a.To, now.Sub(at), announced[a.To])
+			}
+			sentAt[a.To], announced[a.To] = now, h.Status().Interval
+		}
+	}
+	for n := range balancers {
+		perform(h.AddPeer(lentilflow.Node{Name: fmt.Sprint("balancer-", n), Domain: "d", Address: address(n)}, nil))
+	}
+	for now := time.Duration(0); now < 15*time.Second; now += step {
+		if n := int(now / (5 * time.Millisecond)); now%(5*time.Second) < 200*time.Millisecond {
+			for i := range 10 {
+				if n := n%1000 + i; n < balancers {
+					perform(h.HandleHello(address(n), lentilflow.Hello{Name: fmt.Sprint("balancer-", n), Domain: "d", RunID: 1}, nil))
+				}
+			}
+		}
+		h.clock.Advance(step)
+		perform(h.Tick(nil))
+	}
+}
