--- a/pkg/lentilplacement/portreuse.go
+++ b/pkg/lentilplacement/portreuse.go
@@ -26,7 +26,7 @@
 		(!lentilflow.OfSameFlow(packet.Acknowledged, f.acknowledged) || !lentilflow.OfSameFlow(packet.Sequence, f.sequence))
 }
 
-// recordReuse records that a client has opened another flow from the port of a cached one, at the same agent.
+// recordReuse records that the client uses the port of a cached flow for another one.
 func (f *flow) recordReuse(now time.Time) {
 	f.numbersSeen, f.confirmed, f.portReusedAt = false, false, now
 }
