--- a/pkg/lentilconntrack/model_test.go
+++ b/pkg/lentilconntrack/model_test.go
@@ -13,7 +13,7 @@
 	"lentilstair.example/lentilstair/pkg/lentilflow"
 )
 
-var seedCount = flag.Uint64("seeds", 100, "number of seeds to run the model of an address that changes hands with")
+var seedCount = flag.Uint64("seeds", 150, "number of seeds to run the model of an address that changes hands with")
 
 // TestBeliefOutlastsUpstream guards against an agent that takes whoever listens at its upstream's address for its own upstream: first
 // packets reach another service (ROUTE) or an upstream that drains (DRAIN), living flows are reset (FLOW), or an agent doesn't become
@@ -159,7 +159,8 @@
 	m.maxPauseGap = m.between(time.Second, 15*time.Second)
 	if m.oneIn(3) {
 		m.writer = &modelWriter{
-			interval: m.between(200*time.Millisecond, 1500*time.Millisecond), next: m.startedAt.Add(m.between(0, modelDuration/2)), newRuns: m.oneIn(2), tellsStart: !m.oneIn(4),
+			interval: m.between(200*time.Millisecond, 1500*time.Millisecond), next: m.startedAt.Add(m.between(0, modelDuration/2)),
+			newRuns: m.oneIn(2), tellsStart: !m.oneIn(4),
 			registration: Registration{ID: "w", Service: "nobody", Slots: 50},
 		}
 	}
